--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Targets for developers; README.md names the two a newcomer needs.
+GO ?= go
+PROTO := $(wildcard proto/sycamorekeel/v1/*.proto)
+
+.PHONY: all build demo test generate lint
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	./bin/sycamorekeel demo
+
+test:
+	$(GO) test ./...
+
+# Regenerates internal/pb. Needs protoc and the two generators below; the build
+# does not, as the generated code is committed.
+generate:
+	GOBIN=$(CURDIR)/bin $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go
+	GOBIN=$(CURDIR)/bin $(GO) install storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH="$(CURDIR)/bin:$$PATH" protoc -I proto \
+		--go_out=. --go_opt=module=sycamorekeel.example/sycamorekeel \
+		--go-drpc_out=. --go-drpc_opt=module=sycamorekeel.example/sycamorekeel \
+		$(PROTO)
+
+lint:
+	test -z "$$(gofmt -l cmd internal)"
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
--- /dev/null
+++ b/internal/contract/check.go
@@ -0,0 +1,240 @@
+// Package contract checks the documents operators publish and turns the
+// accepted ones into the snapshot every decision reads. It is pure: the verdict
+// on a document depends on its bytes alone, so every daemon reaches the same.
+package contract
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+
+	"sycamorekeel.example/sycamorekeel/internal/finding"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/tomlpb"
+)
+
+// Bounds of what a contract may ask for.
+const (
+	MaxDeadlineMS   = 600_000
+	MaxRate         = 1e6
+	MaxConcurrency  = 1e6
+	MaxWeight       = 1000
+	MaxExtraPercent = 100
+	MaxSlots        = 10_000
+	MaxHits         = 10_000
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// Check decodes and checks one document. The document may be used only when
+// there are no findings.
+func Check(name string, body []byte) (*pb.Document, finding.List) {
+	doc := &pb.Document{}
+	c := checker{src: tomlpb.Decode(name, body, doc)}
+	if len(c.src.Findings()) > 0 {
+		return doc, c.src.Findings()
+	}
+	c.document(doc)
+	return doc, c.src.Findings()
+}
+
+type checker struct {
+	src *tomlpb.Source
+}
+
+func (c *checker) document(doc *pb.Document) {
+	if len(doc.Customers)+len(doc.Services)+len(doc.Vms) == 0 {
+		c.src.Addf("", "holds no customers, services or vms")
+	}
+	customers, services, vms := names{}, names{}, names{}
+	for i, v := range doc.Customers {
+		at := fmt.Sprintf("customers[%d]", i)
+		c.unique(customers, at+".name", v.Name)
+		c.customer(at, v)
+	}
+	for i, v := range doc.Services {
+		at := fmt.Sprintf("services[%d]", i)
+		c.unique(services, at+".name", v.Name)
+		c.service(at, v)
+	}
+	for i, v := range doc.Vms {
+		at := fmt.Sprintf("vms[%d]", i)
+		c.unique(vms, at+".id", v.Id)
+		c.vm(at, v)
+	}
+}
+
+// names remembers where each name was first used.
+type names map[string]string
+
+func (c *checker) unique(seen names, at, name string) {
+	if !namePattern.MatchString(name) {
+		c.src.Addf(at, "must be 1 to 63 of a-z, 0-9, '.', '_', '-', starting with a letter or digit, not %q", name)
+		return
+	}
+	if first, ok := seen[name]; ok {
+		c.src.Addf(at, "%q is already used by %s", name, first)
+		return
+	}
+	seen[name] = at
+}
+
+func (c *checker) customer(at string, v *pb.Customer) {
+	if len(v.TokenSha256) == 0 {
+		c.src.Addf(at+".token_sha256", "must hold at least one hash")
+	}
+	for i, h := range v.TokenSha256 {
+		if !hashPattern.MatchString(h) {
+			c.src.Addf(fmt.Sprintf("%s.token_sha256[%d]", at, i), "must be 64 lower-case hex digits")
+		}
+	}
+	if len(v.Kinds) == 0 {
+		c.src.Addf(at+".kinds", "must hold at least one request kind")
+	}
+	kinds := names{}
+	for i, k := range v.Kinds {
+		place := fmt.Sprintf("%s.kinds[%d]", at, i)
+		c.unique(kinds, place+".name", k.Name)
+		c.kind(place, k)
+	}
+}
+
+func (c *checker) kind(at string, k *pb.Kind) {
+	if !namePattern.MatchString(k.Service) {
+		c.src.Addf(at+".service", "must name a service")
+	}
+	c.within(at+".rate_per_second", k.RatePerSecond, 0.01, MaxRate)
+	c.within(at+".concurrency", float64(k.Concurrency), 1, MaxConcurrency)
+	c.within(at+".weight", float64(k.Weight), 1, MaxWeight)
+	c.within(at+".deadline_ms", float64(k.DeadlineMs), 1, MaxDeadlineMS)
+	c.within(at+".coverage_floor", k.CoverageFloor, 0, 1)
+	c.within(at+".hedge_percent", k.HedgePercent, 0, MaxExtraPercent)
+	c.within(at+".retry_percent", k.RetryPercent, 0, MaxExtraPercent)
+	c.within(at+".max_hits", float64(k.MaxHits), 0, MaxHits)
+	if k.Priority == pb.Priority_PRIORITY_UNSPECIFIED {
+		c.src.Addf(at+".priority", "must be set to low, normal or high")
+	}
+	if k.Merge == pb.Merge_MERGE_UNSPECIFIED {
+		c.src.Addf(at+".merge", "must be set to top_k, concat or single")
+	}
+	if k.SoftDeadlineMs >= k.DeadlineMs && k.SoftDeadlineMs > 0 {
+		c.src.Addf(at+".soft_deadline_ms", "must be below deadline_ms (%d), not %d", k.DeadlineMs, k.SoftDeadlineMs)
+	}
+	if k.WaitForFull && k.SoftDeadlineMs > 0 {
+		c.src.Addf(at+".soft_deadline_ms", "cannot stand beside wait_for_full: one answers early, the other waits")
+	}
+	if !k.Idempotent && k.HedgePercent > 0 {
+		c.src.Addf(at+".hedge_percent", "must be 0 for a non-idempotent kind, which runs at most once")
+	}
+}
+
+func (c *checker) within(at string, v, low, high float64) {
+	if v < low || v > high {
+		c.src.Addf(at, "must be from %g to %g, not %g", low, high, v)
+	}
+}
+
+func (c *checker) service(at string, v *pb.Service) {
+	if len(v.Path) == 0 || v.Path[0] != '/' {
+		c.src.Addf(at+".path", "must start with '/', not %q", v.Path)
+	}
+	if len(v.Upstreams) == 0 {
+		c.src.Addf(at+".upstreams", "must hold at least one upstream")
+	}
+	ids := names{}
+	for i, u := range v.Upstreams {
+		place := fmt.Sprintf("%s.upstreams[%d]", at, i)
+		c.unique(ids, place+".id", u.Id)
+		c.upstream(place, u)
+	}
+	if len(v.Maps) == 0 {
+		c.src.Addf(at+".maps", "must hold at least one shard map")
+	}
+	generations := map[uint32]bool{}
+	for i, m := range v.Maps {
+		place := fmt.Sprintf("%s.maps[%d]", at, i)
+		if generations[m.Generation] {
+			c.src.Addf(place+".generation", "%d is already used", m.Generation)
+		}
+		generations[m.Generation] = true
+		c.shardMap(place, m, ids)
+	}
+}
+
+func (c *checker) upstream(at string, u *pb.Upstream) {
+	c.address(at+".address", u.Address)
+	if !namePattern.MatchString(u.DataCentre) {
+		c.src.Addf(at+".data_centre", "must name a data centre")
+	}
+	c.within(at+".slots", float64(u.Slots), 1, MaxSlots)
+	c.within(at+".connections", float64(u.Connections), 1, MaxSlots)
+	if u.Connections < u.Slots {
+		c.src.Addf(at+".connections", "must be at least slots (%d), not %d", u.Slots, u.Connections)
+	}
+}
+
+func (c *checker) address(at, text string) {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		c.src.Addf(at, "must be an IP and port, not %q", text)
+	}
+}
+
+func (c *checker) shardMap(at string, m *pb.ShardMap, upstreams names) {
+	if len(m.Versions) == 0 {
+		c.src.Addf(at+".versions", "must hold at least one index version")
+	}
+	for i := 1; i < len(m.Versions); i++ {
+		if m.Versions[i] <= m.Versions[i-1] {
+			c.src.Addf(fmt.Sprintf("%s.versions[%d]", at, i), "must be above the one before it")
+		}
+	}
+	if len(m.Shards) == 0 {
+		c.src.Addf(at+".shards", "must hold at least one shard")
+	}
+	seen := map[uint32]bool{}
+	for i, s := range m.Shards {
+		place := fmt.Sprintf("%s.shards[%d]", at, i)
+		if seen[s.Id] {
+			c.src.Addf(place+".id", "%d is already used", s.Id)
+		}
+		seen[s.Id] = true
+		c.shard(place, s, upstreams)
+	}
+}
+
+func (c *checker) shard(at string, s *pb.Shard, upstreams names) {
+	if s.Documents == 0 {
+		c.src.Addf(at+".documents", "must be at least 1: it weighs the shard in coverage")
+	}
+	if len(s.Replicas) == 0 {
+		c.src.Addf(at+".replicas", "must name at least one upstream")
+	}
+	seen := map[string]bool{}
+	for i, r := range s.Replicas {
+		place := fmt.Sprintf("%s.replicas[%d]", at, i)
+		if _, ok := upstreams[r]; !ok {
+			c.src.Addf(place, "%q is not an upstream of this service", r)
+		}
+		if seen[r] {
+			c.src.Addf(place, "%q is named twice", r)
+		}
+		seen[r] = true
+	}
+}
+
+func (c *checker) vm(at string, v *pb.VM) {
+	if !namePattern.MatchString(v.Region) {
+		c.src.Addf(at+".region", "must name a region")
+	}
+	if !namePattern.MatchString(v.DataCentre) {
+		c.src.Addf(at+".data_centre", "must name a data centre")
+	}
+	c.address(at+".caller_address", v.CallerAddress)
+	c.address(at+".peer_address", v.PeerAddress)
+	if v.State == pb.VMState_VM_STATE_UNSPECIFIED {
+		c.src.Addf(at+".state", "must be set to live or vm_leaving")
+	}
+}
--- /dev/null
+++ b/internal/daemon/backend.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"strings"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/admission"
+	"sycamorekeel.example/sycamorekeel/internal/callerapi"
+	"sycamorekeel.example/sycamorekeel/internal/contract"
+	"sycamorekeel.example/sycamorekeel/internal/dispatch"
+	"sycamorekeel.example/sycamorekeel/internal/operatorapi"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// endpointsTTL is how long callers keep an answer of endpoints.
+const endpointsTTL = 5 * time.Second
+
+// Snapshot is the configuration in force.
+func (d *Daemon) Snapshot() *contract.Snapshot {
+	return d.snapshot.Load()
+}
+
+// NotReady says why no request can be served, or is empty.
+func (d *Daemon) NotReady() string {
+	switch {
+	case d.stopping.Load():
+		return "this VM is stopping"
+	case d.snapshot.Load().Revision == 0:
+		return "no configuration yet: neither the platform nor a peer has given one"
+	default:
+		return ""
+	}
+}
+
+// Endpoints is the addresses a customer should use, this data centre's first.
+func (d *Daemon) Endpoints(_ *contract.Customer) callerapi.Endpoints {
+	var near, far []callerapi.Endpoint
+	for _, m := range d.view.Load().Serving() {
+		e := callerapi.Endpoint{Address: m.CallerAddress, DataCentre: m.DataCentre}
+		if m.DataCentre == d.settings.DataCentre {
+			near = append(near, e)
+			continue
+		}
+		far = append(far, e)
+	}
+	return callerapi.Endpoints{Endpoints: append(near, far...), TTLMS: endpointsTTL.Milliseconds()}
+}
+
+// Status is what the operators see.
+func (d *Daemon) Status() operatorapi.Status {
+	snap := d.snapshot.Load()
+	why := d.NotReady()
+	st := operatorapi.Status{
+		VM:          d.settings.Vm,
+		Incarnation: d.incarnation,
+		DataCentre:  d.settings.DataCentre,
+		Region:      d.settings.Region,
+		Ready:       why == "",
+		NotReady:    why,
+		Revision:    snap.Revision,
+		Conflicts:   snap.Conflicts,
+		Owned:       d.table.Load().Owned(d.settings.Vm),
+	}
+	d.mu.Lock()
+	st.Rejected = d.config.Rejected()
+	d.mu.Unlock()
+	for _, m := range d.view.Load().Members {
+		st.Members = append(st.Members, operatorapi.Member{
+			VM:         m.VM,
+			State:      strings.ToLower(m.State.String()),
+			DataCentre: m.DataCentre,
+		})
+	}
+	return st
+}
+
+// shares divides a kind's limits evenly over the VMs.
+type shares struct{ d *Daemon }
+
+func (s shares) Share(k *contract.Kind) admission.Share {
+	n := max(1, len(s.d.view.Load().Serving()))
+	return admission.Share{
+		Rate:        k.RatePerSecond / float64(n),
+		Concurrency: max(1, int(k.Concurrency)/n),
+	}
+}
+
+// pinner pins the newest published snapshot.
+type pinner struct{}
+
+func (pinner) Pin(_ time.Time, s *contract.Service) (*contract.ShardMap, *pb.Snapshot, bool) {
+	if len(s.Maps) == 0 {
+		return nil, nil, false
+	}
+	m := s.Maps[len(s.Maps)-1]
+	return m, &pb.Snapshot{Generation: m.Generation, Version: m.Versions[len(m.Versions)-1]}, true
+}
+
+// receiver takes the replies of peers.
+type receiver Daemon
+
+func (r *receiver) Frame(_ string, f *pb.Frame) {
+	if b, ok := f.Body.(*pb.Frame_Reply); ok {
+		r.engine.Deliver(b.Reply)
+	}
+}
+
+func (r *receiver) Lost(_ string, f *pb.Frame, written bool) {
+	req := f.GetRequest()
+	if req == nil {
+		return
+	}
+	result := pb.Result_UNREACHABLE
+	if written {
+		result = pb.Result_UNKNOWN
+	}
+	r.engine.Deliver(&pb.SubReply{Id: req.Id, Result: result})
+}
+
+// peerHandler serves the frames of dialling peers.
+type peerHandler Daemon
+
+func (h *peerHandler) Frame(from *pb.Hello, f *pb.Frame, reply func(*pb.Frame)) {
+	switch b := f.Body.(type) {
+	case *pb.Frame_Request:
+		h.owner.Submit(keyOf(from, b.Request.Id), b.Request, func(r *pb.SubReply) {
+			reply(&pb.Frame{Body: &pb.Frame_Reply{Reply: r}})
+		})
+	case *pb.Frame_Cancel:
+		h.owner.Cancel(keyOf(from, b.Cancel.Id), b.Cancel.Upstream)
+	}
+}
+
+func (h *peerHandler) Gone(*pb.Hello) {}
+
+func keyOf(from *pb.Hello, id uint64) dispatch.Key {
+	return dispatch.Key{VM: from.Vm, Incarnation: from.Incarnation, ID: id}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,290 @@
+// Package daemon wires the parts of one VM's process together and runs them
+// until a planned stop. It holds no policy.
+//
+// Lock order: Daemon.mu before owner.Owner.mu; Daemon.mu is not held across I/O.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"sycamorekeel.example/sycamorekeel/internal/callerapi"
+	"sycamorekeel.example/sycamorekeel/internal/config"
+	"sycamorekeel.example/sycamorekeel/internal/contract"
+	"sycamorekeel.example/sycamorekeel/internal/explain"
+	"sycamorekeel.example/sycamorekeel/internal/frontend"
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/operatorapi"
+	"sycamorekeel.example/sycamorekeel/internal/owner"
+	"sycamorekeel.example/sycamorekeel/internal/ownership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/peer"
+	"sycamorekeel.example/sycamorekeel/internal/platform"
+	"sycamorekeel.example/sycamorekeel/internal/query"
+	"sycamorekeel.example/sycamorekeel/internal/router"
+)
+
+const (
+	explainRequests = 256
+	watchWait       = 10 * time.Second
+	watchRetry      = 500 * time.Millisecond
+)
+
+// Options is what a daemon needs besides its settings. A nil listener is opened
+// at the address in the settings.
+type Options struct {
+	Log      *zap.Logger
+	Caller   net.Listener
+	Operator net.Listener
+	Peer     net.Listener
+}
+
+// Daemon is one VM's process.
+type Daemon struct {
+	settings    *pb.Settings
+	log         *zap.Logger
+	incarnation uint64
+	registry    *prometheus.Registry
+	listeners   Options
+
+	engine   *query.Engine
+	router   *router.Router
+	owner    *owner.Owner
+	pool     *peer.Pool
+	server   *peer.Server
+	front    *frontend.Frontend
+	caller   *callerapi.Server
+	operator *operatorapi.Server
+	platform *platform.Client
+
+	// table is read by the owner while mu is held.
+	table    atomic.Pointer[ownership.Table]
+	snapshot atomic.Pointer[contract.Snapshot]
+	view     atomic.Pointer[membership.View]
+	stopping atomic.Bool
+
+	mu     sync.Mutex
+	config *config.State
+}
+
+// New wires a daemon; Run starts it.
+func New(s *pb.Settings, opts Options) (*Daemon, error) {
+	d := &Daemon{
+		settings:    s,
+		log:         opts.Log,
+		incarnation: uint64(time.Now().UnixMicro()),
+		registry:    prometheus.NewRegistry(),
+		listeners:   opts,
+		config:      config.New(),
+		platform:    platform.NewClient(s.PlatformAddress),
+	}
+	d.table.Store(ownership.Assign(nil, nil))
+	d.snapshot.Store(contract.Compile(0, nil))
+	d.view.Store(&membership.View{})
+	d.wirePath()
+	return d, d.wireInterfaces()
+}
+
+// wirePath builds the request's way, from the upstreams back to the frontend.
+func (d *Daemon) wirePath() {
+	d.owner = owner.New(owner.Options{
+		Log:           d.log,
+		Registry:      d.registry,
+		Slots:         d.slots,
+		MaxQueue:      int(d.settings.Limits.MaxQueue),
+		MaxReplyBytes: int(d.settings.Limits.MaxReplyBytes),
+		Now:           time.Now,
+	})
+	d.pool = peer.NewPool(peer.Options{
+		Log:      d.log,
+		Registry: d.registry,
+		Hello:    &pb.Hello{Vm: d.settings.Vm, Incarnation: d.incarnation},
+		Receiver: (*receiver)(d),
+		Dial:     peer.Dial,
+	})
+	d.router = router.New(router.Options{
+		Log:         d.log,
+		VM:          d.settings.Vm,
+		Incarnation: d.incarnation,
+		Direct:      d.settings.Routing == pb.Routing_DIRECT,
+		Owner:       d.owner,
+		Peers:       d.pool,
+		Deliver:     func(r *pb.SubReply) { d.engine.Deliver(r) },
+	})
+	d.engine = query.NewEngine(query.EngineOptions{
+		Fleet:  d.router,
+		Sender: d.router,
+		Loops:  runtime.GOMAXPROCS(0),
+		Now:    time.Now,
+		Stray:  func(*pb.SubReply) {},
+	})
+}
+
+func (d *Daemon) wireInterfaces() error {
+	ring := explain.NewRing(explainRequests)
+	d.front = frontend.New(frontend.Options{
+		Log:        d.log,
+		Registry:   d.registry,
+		Engine:     d.engine,
+		Shares:     shares{d},
+		Pinner:     pinner{},
+		Explain:    ring,
+		MaxQueries: int(d.settings.Limits.MaxQueries),
+		Now:        time.Now,
+	})
+	d.caller = callerapi.New(callerapi.Options{
+		Log:      d.log,
+		Limits:   d.settings.Limits,
+		Backend:  d,
+		Frontend: d.front,
+	})
+	d.operator = operatorapi.New(operatorapi.Options{
+		Log:         d.log,
+		Gatherer:    d.registry,
+		Backend:     d,
+		Explain:     ring,
+		TokenSHA256: d.settings.OperatorTokenSha256,
+	})
+	server, err := peer.NewServer(d.log, (*peerHandler)(d))
+	d.server = server
+	return trace.Wrap(err)
+}
+
+// Run serves until ctx ends, then stops as planned: requests in flight finish.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.listen(); err != nil {
+		return trace.Wrap(err)
+	}
+	// The parts outlive ctx: a planned stop needs them to finish requests.
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	d.engine.Start(run)
+	group, run := errgroup.WithContext(run)
+	group.Go(func() error { return d.watch(run) })
+	group.Go(func() error { return d.server.Serve(run, d.listeners.Peer) })
+	group.Go(func() error { return d.caller.Serve(d.listeners.Caller) })
+	group.Go(func() error { return d.operator.Serve(d.listeners.Operator) })
+	d.log.Info("daemon: started", zap.String("callers", d.listeners.Caller.Addr().String()))
+	select {
+	case <-ctx.Done():
+	case <-run.Done():
+	}
+	d.stop()
+	cancel()
+	d.engine.Wait()
+	d.pool.Close()
+	err := group.Wait()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	d.log.Info("daemon: stopped", zap.Error(err))
+	return trace.Wrap(err)
+}
+
+// stop lets the requests in flight finish, at most for the drain time.
+func (d *Daemon) stop() {
+	d.log.Info("daemon: stopping, requests in flight finish first")
+	d.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Limits.DrainMs)*time.Millisecond)
+	defer cancel()
+	d.front.Stop(ctx)
+	d.owner.Stop()
+	if err := d.caller.Shutdown(ctx); err != nil {
+		d.log.Warn("daemon: callers were cut off", zap.Error(err))
+	}
+	if err := d.operator.Shutdown(ctx); err != nil {
+		d.log.Warn("daemon: operators were cut off", zap.Error(err))
+	}
+}
+
+func (d *Daemon) listen() error {
+	var errs []error
+	open := func(ln *net.Listener, address string) {
+		if *ln != nil {
+			return
+		}
+		l, err := net.Listen("tcp", address)
+		*ln = l
+		errs = append(errs, err)
+	}
+	open(&d.listeners.Caller, d.settings.CallerAddress)
+	open(&d.listeners.Operator, d.settings.OperatorAddress)
+	open(&d.listeners.Peer, d.settings.PeerAddress)
+	return trace.NewAggregate(errs...)
+}
+
+// watch follows the platform's changes.
+func (d *Daemon) watch(ctx context.Context) error {
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		after := d.config.Revision()
+		d.mu.Unlock()
+		page, err := d.platform.Changes(after, wait)
+		if err != nil {
+			d.log.Warn("config: platform did not answer", zap.Error(err))
+			sleep(ctx, watchRetry)
+			continue
+		}
+		d.merge(page)
+		wait = watchWait
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
+	}
+}
+
+// merge puts a page of changes in force.
+func (d *Daemon) merge(page config.Page) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.config.Revision()
+	changed := d.config.Merge(page)
+	if !changed && d.config.Revision() == before {
+		return
+	}
+	snap := d.config.Snapshot()
+	d.snapshot.Store(snap)
+	d.log.Info("config: in force", zap.Uint64("revision", snap.Revision))
+	d.apply(membership.FromList(snap.VMs(), snap.Revision), snap)
+}
+
+// apply routes by a new view or snapshot. The caller holds mu.
+func (d *Daemon) apply(view *membership.View, snap *contract.Snapshot) {
+	d.view.Store(view)
+	table := ownership.Assign(view.Serving(), snap.Upstreams())
+	d.table.Store(table)
+	d.router.Update(view, table)
+	d.owner.Apply(snap)
+}
+
+// slots is this VM's part of an upstream's slots.
+func (d *Daemon) slots(u *contract.Upstream) int {
+	if d.settings.Routing == pb.Routing_DIRECT {
+		return max(1, u.Slots/max(1, len(d.view.Load().Serving())))
+	}
+	p := d.table.Load().Place(u.ID)
+	switch d.settings.Vm {
+	case p.Owner:
+		return u.Slots
+	case p.Standby:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,219 @@
+// Package fleet runs a whole deployment in one process on loopback: a platform
+// and upstreams as stand-ins, and real daemons. The demo, the benchmarks and
+// the tests of failures use it.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"sycamorekeel.example/sycamorekeel/internal/contract"
+	"sycamorekeel.example/sycamorekeel/internal/daemon"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/settings"
+	"sycamorekeel.example/sycamorekeel/internal/standin"
+)
+
+const secret = "a-secret-for-daemons-in-one-process"
+
+// Options describe a deployment.
+type Options struct {
+	Log *zap.Logger
+	// Documents are published under their names; upstream addresses in them
+	// are replaced by those of the stand-ins.
+	Documents map[string]string
+	// VMs is the number of daemons; they are spread over DataCentres.
+	VMs         int
+	DataCentres []string
+	Routing     pb.Routing
+	Behaviour   func(u *pb.Upstream, service string) standin.Behaviour
+	Seed        uint64
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	opts     Options
+	Platform *standin.Platform
+	VMs      []*VM
+	// Upstreams by "service/id".
+	Upstreams map[string]*standin.Upstream
+	documents map[string]string
+}
+
+// VM is one running daemon.
+type VM struct {
+	Settings *pb.Settings
+	Daemon   *daemon.Daemon
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+// Start brings everything up and waits until every daemon is ready.
+func Start(opts Options) (*Fleet, error) {
+	f := &Fleet{opts: opts, Upstreams: map[string]*standin.Upstream{}, documents: map[string]string{}}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, trace.Wrap(err)
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	p, err := standin.StartPlatform()
+	if err != nil {
+		return err
+	}
+	f.Platform = p
+	for name, text := range f.opts.Documents {
+		if err := f.startUpstreams(name, text); err != nil {
+			return err
+		}
+	}
+	listeners, err := f.publishVMs()
+	if err != nil {
+		return err
+	}
+	for name, text := range f.documents {
+		p.Publish(name, []byte(text))
+	}
+	for i := range listeners {
+		if err := f.startVM(i, listeners[i]); err != nil {
+			return err
+		}
+	}
+	return f.waitReady()
+}
+
+// startUpstreams starts a stand-in for each upstream of a document and puts its
+// address in the document.
+func (f *Fleet) startUpstreams(name, text string) error {
+	doc, findings := contract.Check(name, []byte(text))
+	if err := findings.Err(); err != nil {
+		return err
+	}
+	for _, s := range doc.Services {
+		for _, u := range s.Upstreams {
+			id := s.Name + "/" + u.Id
+			up, err := standin.StartUpstream(id, f.opts.Seed+uint64(len(f.Upstreams)), f.opts.Behaviour(u, s.Name))
+			if err != nil {
+				return err
+			}
+			f.Upstreams[id] = up
+			text = strings.Replace(text, `"`+u.Address+`"`, `"`+up.Address()+`"`, 1)
+		}
+	}
+	f.documents[name] = text
+	return nil
+}
+
+// vmListeners are the open ports of one VM.
+type vmListeners struct{ caller, operator, peer net.Listener }
+
+func (f *Fleet) publishVMs() ([]vmListeners, error) {
+	var list strings.Builder
+	var out []vmListeners
+	for i := range f.opts.VMs {
+		l, err := listen()
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, l)
+		dc := f.opts.DataCentres[i%len(f.opts.DataCentres)]
+		fmt.Fprintf(&list, "[[vms]]\nid = %q\nregion = %q\ndata_centre = %q\ncaller_address = %q\npeer_address = %q\nstate = \"live\"\n",
+			vmName(i), dc, dc, l.caller.Addr(), l.peer.Addr())
+	}
+	f.documents["vms"] = list.String()
+	return out, nil
+}
+
+func listen() (vmListeners, error) {
+	var l vmListeners
+	for _, ln := range []*net.Listener{&l.caller, &l.operator, &l.peer} {
+		opened, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return l, err
+		}
+		*ln = opened
+	}
+	return l, nil
+}
+
+func vmName(i int) string { return fmt.Sprintf("vm-%d", i+1) }
+
+func (f *Fleet) startVM(i int, l vmListeners) error {
+	dc := f.opts.DataCentres[i%len(f.opts.DataCentres)]
+	s := &pb.Settings{
+		Vm:              vmName(i),
+		Region:          dc,
+		DataCentre:      dc,
+		CallerAddress:   l.caller.Addr().String(),
+		OperatorAddress: l.operator.Addr().String(),
+		PeerAddress:     l.peer.Addr().String(),
+		PlatformAddress: f.Platform.Address(),
+		PeerKeys:        []*pb.PeerKey{{Id: "k1", Secret: secret}},
+		Routing:         f.opts.Routing,
+	}
+	settings.SetDefaults(s)
+	d, err := daemon.New(s, daemon.Options{
+		Log:      f.opts.Log.With(zap.String("vm", s.Vm)),
+		Caller:   l.caller,
+		Operator: l.operator,
+		Peer:     l.peer,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	vm := &VM{Settings: s, Daemon: d, cancel: cancel, done: make(chan error, 1)}
+	go func() { vm.done <- d.Run(ctx) }()
+	f.VMs = append(f.VMs, vm)
+	return nil
+}
+
+func (f *Fleet) waitReady() error {
+	const patience = 10 * time.Second
+	deadline := time.Now().Add(patience)
+	for _, vm := range f.VMs {
+		for vm.Daemon.NotReady() != "" {
+			if time.Now().After(deadline) {
+				return trace.LimitExceeded("%s is not ready: %s", vm.Settings.Vm, vm.Daemon.NotReady())
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// Stop stops the daemon as planned and returns its error.
+func (v *VM) Stop() error {
+	v.cancel()
+	err := <-v.done
+	v.done <- err
+	return err
+}
+
+// Close stops the daemons and the stand-ins.
+func (f *Fleet) Close() {
+	if f.Platform != nil {
+		f.Platform.SetDown(true)
+	}
+	var wg sync.WaitGroup
+	for _, vm := range f.VMs {
+		wg.Go(func() { _ = vm.Stop() })
+	}
+	wg.Wait()
+	for _, u := range f.Upstreams {
+		wg.Go(u.Close)
+	}
+	wg.Wait()
+	if f.Platform != nil {
+		f.Platform.Close()
+	}
+}
--- /dev/null
+++ b/internal/frontend/frontend.go
@@ -0,0 +1,364 @@
+// Package frontend walks one authenticated request through admission, planning,
+// the query and the merge, and gives the caller's answer or a typed refusal.
+//
+// Lock order: Frontend.mu is a leaf; it is not held across a query.
+package frontend
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"sycamorekeel.example/sycamorekeel/internal/admission"
+	"sycamorekeel.example/sycamorekeel/internal/contract"
+	"sycamorekeel.example/sycamorekeel/internal/explain"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/query"
+	"sycamorekeel.example/sycamorekeel/internal/refusal"
+)
+
+// replyMargin of a deadline is kept for the merge and the way back.
+const replyMargin = 0.02
+
+// Request is one caller's request.
+type Request struct {
+	// Body is the caller's JSON and is passed on to the shards as it came.
+	Body []byte
+	// Deadline, when set, is shorter than the contract's.
+	Deadline time.Duration
+}
+
+// parameters are the fields of a body that sycamorekeel itself reads.
+type parameters struct {
+	// Key chooses the shard of a kind that asks a single one.
+	Key string `json:"key"`
+	// Limit is the most hits wanted.
+	Limit int `json:"limit"`
+}
+
+// Answer is a caller's whole answer.
+type Answer struct {
+	RequestID string      `json:"request_id"`
+	Snapshot  Snapshot    `json:"snapshot"`
+	Coverage  Coverage    `json:"coverage"`
+	Hits      []query.Hit `json:"hits"`
+	ElapsedMS float64     `json:"elapsed_ms"`
+}
+
+// Snapshot is the one state of the index the answer reflects.
+type Snapshot struct {
+	Generation uint32 `json:"generation"`
+	Version    uint64 `json:"version"`
+}
+
+// Coverage is how much of the data the answer covers.
+type Coverage struct {
+	// Fraction of the documents, 0 to 1.
+	Fraction       float64        `json:"fraction"`
+	ShardsAnswered int            `json:"shards_answered"`
+	ShardsTotal    int            `json:"shards_total"`
+	Missing        []MissingShard `json:"missing,omitempty"`
+}
+
+// MissingShard is a shard the answer does not cover, and why.
+type MissingShard struct {
+	Shard  uint32 `json:"shard"`
+	Reason string `json:"reason"`
+}
+
+// Failure is a refusal with what is known of the request.
+type Failure struct {
+	*refusal.Error
+	RequestID string
+	Coverage  *Coverage
+}
+
+// Shares tells this VM's part of a kind's limits.
+type Shares interface {
+	Share(k *contract.Kind) admission.Share
+}
+
+// Pinner chooses the snapshot a query is pinned to.
+type Pinner interface {
+	Pin(now time.Time, s *contract.Service) (*contract.ShardMap, *pb.Snapshot, bool)
+}
+
+// Options is what a frontend needs.
+type Options struct {
+	Log        *zap.Logger
+	Registry   prometheus.Registerer
+	Engine     *query.Engine
+	Shares     Shares
+	Pinner     Pinner
+	Explain    *explain.Ring
+	MaxQueries int
+	Now        func() time.Time
+}
+
+// Frontend answers requests.
+type Frontend struct {
+	opts Options
+	log  *zap.Logger
+	met  *metrics
+
+	mu       sync.Mutex
+	admitted *admission.Controller
+	stopping bool
+	running  sync.WaitGroup
+}
+
+// New makes a frontend.
+func New(opts Options) *Frontend {
+	return &Frontend{opts: opts, log: opts.Log, met: newMetrics(opts.Registry), admitted: admission.New(opts.MaxQueries)}
+}
+
+// Stop refuses new requests and waits for those in flight or for ctx.
+func (f *Frontend) Stop(ctx context.Context) {
+	f.mu.Lock()
+	f.stopping = true
+	f.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		f.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Query answers one request of an authenticated customer.
+func (f *Frontend) Query(ctx context.Context, k *contract.Kind, req *Request) (*Answer, *Failure) {
+	started := f.opts.Now()
+	w := &walk{front: f, kind: k, req: req, started: started, id: newRequestID()}
+	answer, failure := w.run(ctx)
+	w.record(answer, failure)
+	return answer, failure
+}
+
+// Refuse counts a refusal that was made before a kind was known.
+func (f *Frontend) Refuse(e *refusal.Error) {
+	f.met.refused(e)
+}
+
+func (f *Frontend) admit(k *contract.Kind, now time.Time) *refusal.Error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopping {
+		return refusal.New(refusal.Stopping, "this VM is stopping; ask for endpoints again").After(time.Second)
+	}
+	if err := f.admitted.Admit(now, k, f.opts.Shares.Share(k)); err != nil {
+		return err
+	}
+	f.running.Add(1)
+	return nil
+}
+
+func (f *Frontend) done(k *contract.Kind) {
+	f.mu.Lock()
+	f.admitted.Done(k)
+	f.mu.Unlock()
+	f.running.Done()
+}
+
+// walk is one request on its way.
+type walk struct {
+	front   *Frontend
+	kind    *contract.Kind
+	req     *Request
+	started time.Time
+	id      string
+	outcome *query.Outcome
+}
+
+func (w *walk) run(ctx context.Context) (*Answer, *Failure) {
+	if w.kind.Service == nil {
+		return nil, w.fail(refusal.New(refusal.UnknownService, "service "+w.kind.Kind.Service+" is not defined").After(time.Minute))
+	}
+	params, err := readParameters(w.req.Body)
+	if err != nil {
+		return nil, w.fail(err)
+	}
+	if err := w.front.admit(w.kind, w.started); err != nil {
+		return nil, w.fail(err)
+	}
+	defer w.front.done(w.kind)
+	plan, err := w.plan(params)
+	if err != nil {
+		return nil, w.fail(err)
+	}
+	outcome, runErr := w.front.opts.Engine.Run(ctx, plan)
+	if runErr != nil {
+		return nil, w.fail(&refusal.Error{Reason: refusal.DeadlineExceeded, Ran: refusal.Unknown, Detail: "the request was abandoned"})
+	}
+	w.outcome = outcome
+	return w.finish(params)
+}
+
+func readParameters(body []byte) (parameters, *refusal.Error) {
+	var p parameters
+	if err := json.Unmarshal(body, &p); err != nil {
+		return p, refusal.New(refusal.BadRequest, "body: "+err.Error())
+	}
+	if p.Limit < 0 {
+		return p, refusal.New(refusal.BadRequest, "body: limit must not be negative")
+	}
+	return p, nil
+}
+
+// plan pins a snapshot and chooses the shards.
+func (w *walk) plan(p parameters) (*query.Plan, *refusal.Error) {
+	shards, snapshot, ok := w.front.opts.Pinner.Pin(w.started, w.kind.Service)
+	if !ok {
+		return nil, refusal.New(refusal.NoSnapshot, "no snapshot of the service is ready").After(time.Second)
+	}
+	plan := &query.Plan{
+		Kind:      w.kind,
+		RequestID: w.id,
+		Body:      w.req.Body,
+		Snapshot:  snapshot,
+		Shards:    shards.Shards,
+		Deadline:  w.started.Add(w.timeLeft()),
+	}
+	if soft := w.kind.SoftDeadline(); soft > 0 {
+		plan.SoftDeadline = w.started.Add(soft)
+	}
+	if w.kind.Merge == pb.Merge_SINGLE {
+		if p.Key == "" {
+			return nil, refusal.New(refusal.BadRequest, "body: key must name the document")
+		}
+		i := xxhash.Sum64String(p.Key) % uint64(len(shards.Shards))
+		plan.Shards = shards.Shards[i : i+1]
+	}
+	return plan, nil
+}
+
+// timeLeft is the shorter of the contract's and the caller's deadline, less
+// what the way back takes.
+func (w *walk) timeLeft() time.Duration {
+	d := w.kind.Deadline()
+	if w.req.Deadline > 0 && w.req.Deadline < d {
+		d = w.req.Deadline
+	}
+	return d - time.Duration(float64(d)*replyMargin)
+}
+
+func (w *walk) finish(p parameters) (*Answer, *Failure) {
+	cov := coverage(w.outcome)
+	if cov.ShardsAnswered == 0 || cov.Fraction < w.kind.CoverageFloor {
+		return nil, w.tooLittle(cov)
+	}
+	hits, err := query.MergeHits(w.kind.Merge, w.outcome.Shards, limit(p.Limit, int(w.kind.MaxHits)))
+	if err != nil {
+		return nil, w.fail(&refusal.Error{Reason: refusal.UpstreamFailed, Ran: refusal.DidRun, Detail: err.Error()})
+	}
+	return &Answer{
+		RequestID: w.id,
+		Snapshot:  Snapshot{Generation: w.outcome.Snapshot.Generation, Version: w.outcome.Snapshot.Version},
+		Coverage:  cov,
+		Hits:      hits,
+		ElapsedMS: milliseconds(w.front.opts.Now().Sub(w.started)),
+	}, nil
+}
+
+// tooLittle refuses an answer below the coverage floor and says what ran.
+func (w *walk) tooLittle(cov Coverage) *Failure {
+	e := &refusal.Error{Reason: refusal.CoverageTooLow, Ran: ran(w.outcome), Detail: "the answer covers less than the contract's floor"}
+	switch {
+	case e.Ran == refusal.Unknown && !w.kind.Idempotent:
+		e.Reason = refusal.OutcomeUnknown
+		e.Detail = "the request was sent and no answer came"
+	case cov.ShardsAnswered == 0 && w.outcome.TimedOut:
+		e.Reason = refusal.DeadlineExceeded
+		e.Detail = "no shard answered in time"
+	case cov.ShardsAnswered == 0:
+		e.Reason = refusal.UpstreamFailed
+		e.Detail = "no shard answered"
+	}
+	if e.Ran == refusal.NotRun || w.kind.Idempotent {
+		e.RetryAfter = w.kind.Deadline()
+	}
+	failure := w.fail(e)
+	failure.Coverage = &cov
+	return failure
+}
+
+func ran(o *query.Outcome) refusal.Ran {
+	switch {
+	case o.Unsure:
+		return refusal.Unknown
+	case o.Ran:
+		return refusal.DidRun
+	default:
+		return refusal.NotRun
+	}
+}
+
+func (w *walk) fail(e *refusal.Error) *Failure {
+	return &Failure{Error: e, RequestID: w.id}
+}
+
+func (w *walk) record(a *Answer, failure *Failure) {
+	elapsed := w.front.opts.Now().Sub(w.started)
+	rec := &explain.Record{
+		RequestID: w.id,
+		Customer:  w.kind.Customer,
+		Kind:      w.kind.Name,
+		Started:   w.started,
+		ElapsedMS: milliseconds(elapsed),
+		Outcome:   "answered",
+	}
+	if failure != nil {
+		rec.Outcome = string(failure.Reason)
+		rec.Ran = string(failure.Ran)
+		rec.Detail = failure.Detail
+		w.front.met.refused(failure.Error)
+	}
+	if w.outcome != nil {
+		rec.Coverage = w.outcome.Coverage()
+		rec.Shards = explain.Shards(w.outcome)
+		w.front.met.sends(w.outcome)
+	}
+	if a != nil {
+		w.front.met.answered(w.kind, elapsed, a.Coverage.Fraction)
+	}
+	w.front.opts.Explain.Add(rec)
+}
+
+func coverage(o *query.Outcome) Coverage {
+	c := Coverage{Fraction: o.Coverage(), ShardsTotal: len(o.Shards)}
+	for _, s := range o.Shards {
+		if s.Missing == "" {
+			c.ShardsAnswered++
+			continue
+		}
+		c.Missing = append(c.Missing, MissingShard{Shard: s.Shard.ID, Reason: string(s.Missing)})
+	}
+	return c
+}
+
+// limit is the smaller of two limits, 0 meaning none.
+func limit(a, b int) int {
+	if a == 0 || (b > 0 && b < a) {
+		return b
+	}
+	return a
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+func newRequestID() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/operatorapi/operatorapi.go
@@ -0,0 +1,175 @@
+// Package operatorapi is the HTTP interface for operators: health, readiness,
+// metrics, status and explain. It changes nothing.
+package operatorapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"go.uber.org/zap"
+
+	"sycamorekeel.example/sycamorekeel/internal/config"
+	"sycamorekeel.example/sycamorekeel/internal/explain"
+)
+
+// Paths of the interface; docs/INTERFACES.md describes them.
+const (
+	HealthPath  = "/healthz"
+	ReadyPath   = "/readyz"
+	MetricsPath = "/metrics"
+	StatusPath  = "/v1/status"
+	ExplainPath = "/v1/explain/"
+)
+
+const timeout = 10 * time.Second
+
+// Status is the answer of StatusPath.
+type Status struct {
+	VM          string            `json:"vm"`
+	Incarnation uint64            `json:"incarnation"`
+	DataCentre  string            `json:"data_centre"`
+	Region      string            `json:"region"`
+	Ready       bool              `json:"ready"`
+	NotReady    string            `json:"not_ready,omitempty"`
+	Revision    uint64            `json:"config_revision"`
+	Rejected    []config.Rejected `json:"rejected_documents,omitempty"`
+	Conflicts   []string          `json:"conflicts,omitempty"`
+	Members     []Member          `json:"members"`
+	Owned       []string          `json:"owned_upstreams"`
+}
+
+// Member is one VM as this one sees it.
+type Member struct {
+	VM         string `json:"vm"`
+	State      string `json:"state"`
+	DataCentre string `json:"data_centre"`
+}
+
+// Backend is what the interface shows.
+type Backend interface {
+	Status() Status
+	// NotReady is empty when requests can be served.
+	NotReady() string
+}
+
+// Options is what a server needs.
+type Options struct {
+	Log      *zap.Logger
+	Gatherer prometheus.Gatherer
+	Backend  Backend
+	Explain  *explain.Ring
+	// TokenSHA256 is the lower-case hex hash of the operators' token; empty
+	// lets everyone in who reaches the address.
+	TokenSHA256 string
+}
+
+// Server is the operator interface of one daemon.
+type Server struct {
+	opts    Options
+	http    *fasthttp.Server
+	metrics fasthttp.RequestHandler
+}
+
+// New makes a server.
+func New(opts Options) *Server {
+	s := &Server{
+		opts:    opts,
+		metrics: fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(opts.Gatherer, promhttp.HandlerOpts{})),
+	}
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ReadTimeout:           timeout,
+		IdleTimeout:           timeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                discard{},
+	}
+	return s
+}
+
+type discard struct{}
+
+func (discard) Printf(string, ...any) {}
+
+// Serve answers operators until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	return trace.Wrap(s.http.Serve(ln))
+}
+
+// Shutdown stops accepting and waits for open requests or ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return trace.Wrap(s.http.ShutdownWithContext(ctx))
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == HealthPath:
+		writeJSON(ctx, fasthttp.StatusOK, map[string]string{"status": "up"})
+	case path == ReadyPath:
+		s.ready(ctx)
+	case !s.allowed(ctx):
+		writeError(ctx, fasthttp.StatusUnauthorized, "the operators' bearer token is needed")
+	case path == MetricsPath:
+		s.metrics(ctx)
+	case path == StatusPath:
+		writeJSON(ctx, fasthttp.StatusOK, s.opts.Backend.Status())
+	case strings.HasPrefix(path, ExplainPath):
+		s.explain(ctx, strings.TrimPrefix(path, ExplainPath))
+	default:
+		writeError(ctx, fasthttp.StatusNotFound, "no such path")
+	}
+}
+
+func (s *Server) allowed(ctx *fasthttp.RequestCtx) bool {
+	if s.opts.TokenSHA256 == "" {
+		return true
+	}
+	token, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	match := subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(s.opts.TokenSHA256)) == 1
+	return ok && match
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	if why := s.opts.Backend.NotReady(); why != "" {
+		writeError(ctx, fasthttp.StatusServiceUnavailable, why)
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, map[string]string{"status": "ready"})
+}
+
+func (s *Server) explain(ctx *fasthttp.RequestCtx, id string) {
+	rec, ok := s.opts.Explain.Find(id)
+	if !ok {
+		writeError(ctx, fasthttp.StatusNotFound, "request "+id+" is not among the last ones this VM answered")
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, rec)
+}
+
+func writeError(ctx *fasthttp.RequestCtx, status int, message string) {
+	writeJSON(ctx, status, map[string]string{"error": message})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/internal/refusal/refusal.go
@@ -0,0 +1,111 @@
+// Package refusal is the typed error of the request path. It always says
+// whether the request ran, so that a caller knows what is safe to send again.
+package refusal
+
+import (
+	"errors"
+	"net/http"
+	"time"
+)
+
+// Reason names why a request got no answer.
+type Reason string
+
+// Reasons, one for each way a request is turned away or fails.
+const (
+	BadRequest       Reason = "bad_request"
+	BodyTooLarge     Reason = "body_too_large"
+	Unauthenticated  Reason = "unauthenticated"
+	UnknownKind      Reason = "unknown_kind"
+	UnknownService   Reason = "unknown_service"
+	NotReady         Reason = "not_ready"
+	Stopping         Reason = "stopping"
+	Overloaded       Reason = "overloaded"
+	RateLimit        Reason = "rate_limit"
+	ConcurrencyLimit Reason = "concurrency_limit"
+	DeadlineTooShort Reason = "deadline_too_short"
+	ForeignOperation Reason = "foreign_operation"
+	OperationExpired Reason = "operation_expired"
+	OutcomeUnknown   Reason = "outcome_unknown"
+	NoSnapshot       Reason = "no_snapshot"
+	CoverageTooLow   Reason = "coverage_too_low"
+	UpstreamFailed   Reason = "upstream_failed"
+	DeadlineExceeded Reason = "deadline_exceeded"
+)
+
+// All is every reason, for metrics and the pages.
+var All = []Reason{
+	BadRequest, BodyTooLarge, Unauthenticated, UnknownKind, UnknownService,
+	NotReady, Stopping, Overloaded, RateLimit, ConcurrencyLimit,
+	DeadlineTooShort, ForeignOperation, OperationExpired, OutcomeUnknown,
+	NoSnapshot, CoverageTooLow, UpstreamFailed, DeadlineExceeded,
+}
+
+// Ran says whether a refused request ran anywhere.
+type Ran string
+
+const (
+	// NotRun is proof: no upstream ran any part of the request.
+	NotRun Ran = "not_run"
+	// Unknown means that some part may have run.
+	Unknown Ran = "unknown"
+	// DidRun means that upstreams ran parts of the request.
+	DidRun Ran = "ran"
+)
+
+// Error is a refusal.
+type Error struct {
+	Reason Reason
+	Ran    Ran
+	// RetryAfter is when to come back; 0 means that coming back will not help.
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// New makes a refusal of a request that did not run.
+func New(reason Reason, detail string) *Error {
+	return &Error{Reason: reason, Ran: NotRun, Detail: detail}
+}
+
+// After sets when the caller should come back.
+func (e *Error) After(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return string(e.Reason) + " (" + string(e.Ran) + "): " + e.Detail
+}
+
+// From finds the refusal in an error chain; anything else becomes a refusal
+// whose outcome is unknown.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Reason: UpstreamFailed, Ran: Unknown, Detail: err.Error()}
+}
+
+// Status is the HTTP status that goes with the reason.
+func (r Reason) Status() int {
+	switch r {
+	case BadRequest, ForeignOperation, OperationExpired:
+		return http.StatusBadRequest
+	case BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case Unauthenticated:
+		return http.StatusUnauthorized
+	case UnknownKind:
+		return http.StatusNotFound
+	case RateLimit, ConcurrencyLimit:
+		return http.StatusTooManyRequests
+	case OutcomeUnknown, UpstreamFailed:
+		return http.StatusBadGateway
+	case DeadlineExceeded, CoverageTooLow:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,164 @@
+// Package settings reads a daemon's TOML settings, checks them and fills in
+// the defaults. Every fault is reported with its line, all at once.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"regexp"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap/zapcore"
+
+	"sycamorekeel.example/sycamorekeel/internal/finding"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/tomlpb"
+)
+
+// Defaults of the settings that may be left out.
+const (
+	DefaultMaxBodyBytes   = 256 << 10
+	DefaultMaxHeaderBytes = 16 << 10
+	DefaultMaxConnections = 4096
+	DefaultMaxQueries     = 2048
+	DefaultMaxQueue       = 256
+	DefaultDrainMS        = 10_000
+	DefaultMaxReplyBytes  = 4 << 20
+	DefaultLogLevel       = "info"
+)
+
+// Bounds of the settings.
+const (
+	minSecretLength = 32
+	maxBytes        = 64 << 20
+	maxCount        = 1 << 20
+	maxDrainMS      = 600_000
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// Load reads and checks the settings file at path.
+func Load(path string) (*pb.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	s, findings := Parse(path, data)
+	return s, trace.Wrap(findings.Err())
+}
+
+// Parse checks settings and fills in the defaults. The settings may be used
+// only when there are no findings.
+func Parse(name string, data []byte) (*pb.Settings, finding.List) {
+	s := &pb.Settings{}
+	src := tomlpb.Decode(name, data, s)
+	if len(src.Findings()) > 0 {
+		return s, src.Findings()
+	}
+	SetDefaults(s)
+	check(src, s)
+	return s, src.Findings()
+}
+
+// SetDefaults fills in what was left out.
+func SetDefaults(s *pb.Settings) {
+	if s.Routing == pb.Routing_ROUTING_UNSPECIFIED {
+		s.Routing = pb.Routing_OWNER
+	}
+	if s.Limits == nil {
+		s.Limits = &pb.Limits{}
+	}
+	if s.Log == nil {
+		s.Log = &pb.Log{}
+	}
+	if s.Log.Level == "" {
+		s.Log.Level = DefaultLogLevel
+	}
+	l := s.Limits
+	setDefault(&l.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&l.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setDefault(&l.MaxConnections, DefaultMaxConnections)
+	setDefault(&l.MaxQueries, DefaultMaxQueries)
+	setDefault(&l.MaxQueue, DefaultMaxQueue)
+	setDefault(&l.DrainMs, DefaultDrainMS)
+	setDefault(&l.MaxReplyBytes, DefaultMaxReplyBytes)
+}
+
+func setDefault(v *uint32, def uint32) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+func check(src *tomlpb.Source, s *pb.Settings) {
+	checkName(src, "vm", s.Vm)
+	checkName(src, "region", s.Region)
+	checkName(src, "data_centre", s.DataCentre)
+	if s.Rack != "" {
+		checkName(src, "rack", s.Rack)
+	}
+	checkAddress(src, "caller_address", s.CallerAddress)
+	checkAddress(src, "operator_address", s.OperatorAddress)
+	checkAddress(src, "peer_address", s.PeerAddress)
+	checkAddress(src, "platform_address", s.PlatformAddress)
+	for _, seed := range s.Seeds {
+		checkAddress(src, "seeds", seed)
+	}
+	if s.OperatorTokenSha256 != "" && !hashPattern.MatchString(s.OperatorTokenSha256) {
+		src.Addf("operator_token_sha256", "must be 64 lower-case hex digits")
+	}
+	checkKeys(src, s.PeerKeys)
+	checkLimits(src, s.Limits)
+	if _, err := zapcore.ParseLevel(s.Log.Level); err != nil {
+		src.Addf("log.level", "must be debug, info, warn or error, not %q", s.Log.Level)
+	}
+}
+
+func checkName(src *tomlpb.Source, at, name string) {
+	if !namePattern.MatchString(name) {
+		src.Addf(at, "must be 1 to 63 of a-z, 0-9, '.', '_', '-', starting with a letter or digit, not %q", name)
+	}
+}
+
+func checkAddress(src *tomlpb.Source, at, text string) {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		src.Addf(at, "must be an IP and port, not %q", text)
+	}
+}
+
+// checkKeys never repeats a secret in a finding.
+func checkKeys(src *tomlpb.Source, keys []*pb.PeerKey) {
+	if len(keys) == 0 {
+		src.Addf("peer_keys", "must hold at least one key: peers are let in by it")
+	}
+	seen := map[string]bool{}
+	for _, k := range keys {
+		checkName(src, "peer_keys", k.Id)
+		if seen[k.Id] {
+			src.Addf("peer_keys", "id %q is used twice", k.Id)
+		}
+		seen[k.Id] = true
+		if len(k.Secret) < minSecretLength {
+			src.Addf("peer_keys", "the secret of %q must have at least %d characters", k.Id, minSecretLength)
+		}
+	}
+}
+
+func checkLimits(src *tomlpb.Source, l *pb.Limits) {
+	checkRange(src, "limits.max_body_bytes", l.MaxBodyBytes, maxBytes)
+	checkRange(src, "limits.max_header_bytes", l.MaxHeaderBytes, maxBytes)
+	checkRange(src, "limits.max_connections", l.MaxConnections, maxCount)
+	checkRange(src, "limits.max_queries", l.MaxQueries, maxCount)
+	checkRange(src, "limits.max_queue", l.MaxQueue, maxCount)
+	checkRange(src, "limits.drain_ms", l.DrainMs, maxDrainMS)
+	checkRange(src, "limits.max_reply_bytes", l.MaxReplyBytes, maxBytes)
+}
+
+func checkRange(src *tomlpb.Source, at string, v, most uint32) {
+	if v < 1 || v > most {
+		src.Addf(at, "must be from 1 to %d, not %d", most, v)
+	}
+}
--- /dev/null
+++ b/internal/standin/upstream.go
@@ -0,0 +1,287 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamorekeel.example/sycamorekeel/internal/query"
+	"sycamorekeel.example/sycamorekeel/internal/upstream"
+)
+
+// Behaviour is how an upstream treats requests; it may be changed at any time.
+type Behaviour struct {
+	// Median and Spread shape the service time: median * exp(spread * normal).
+	Median time.Duration
+	Spread float64
+	// Slow multiplies every service time; 0 means 1.
+	Slow float64
+	// Slots is how many requests run at a time; more are shed. 0 means any.
+	Slots int
+	// Draining refuses new work and says so.
+	Draining bool
+	// Hang takes requests and never answers them in time.
+	Hang bool
+	// Cold slows the first requests down by ColdFactor.
+	Cold       int
+	ColdFactor float64
+	// Snapshots it serves; nil means any.
+	Snapshots []string
+	// Hits in each answer.
+	Hits int
+	// LagHealth, when set, is what the health endpoint says in place of the truth.
+	LagHealth *upstream.Health
+}
+
+// Upstream is one stand-in server of a service.
+type Upstream struct {
+	name string
+	http *fasthttp.Server
+	ln   net.Listener
+
+	running atomic.Int64
+	served  atomic.Int64
+	shed    atomic.Int64
+	conns   atomic.Int64
+	peak    atomic.Int64
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	rng       *rand.Rand
+	// runs counts the executions of each request id.
+	runs map[string]int
+	// bodies counts the executions of each request body.
+	bodies  map[string]int
+	cancels map[string]chan struct{}
+}
+
+// StartUpstream serves on a free loopback port until Close.
+func StartUpstream(name string, seed uint64, b Behaviour) (*Upstream, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	u := &Upstream{
+		name:      name,
+		ln:        ln,
+		behaviour: b,
+		rng:       rand.New(rand.NewPCG(seed, 1)),
+		runs:      map[string]int{},
+		bodies:    map[string]int{},
+		cancels:   map[string]chan struct{}{},
+	}
+	u.http = &fasthttp.Server{Handler: u.handle, ConnState: u.connState, CloseOnShutdown: true}
+	go func() { _ = u.http.Serve(ln) }()
+	return u, nil
+}
+
+// Address is where it listens.
+func (u *Upstream) Address() string { return u.ln.Addr().String() }
+
+// Close stops serving.
+func (u *Upstream) Close() {
+	u.mu.Lock()
+	u.behaviour.Hang = false
+	for _, c := range u.cancels {
+		close(c)
+	}
+	u.cancels = map[string]chan struct{}{}
+	u.mu.Unlock()
+	_ = u.http.Shutdown()
+}
+
+// Change edits the behaviour.
+func (u *Upstream) Change(edit func(*Behaviour)) {
+	u.mu.Lock()
+	edit(&u.behaviour)
+	u.mu.Unlock()
+}
+
+// Served is the number of requests that ran; Shed of those refused for want of
+// a slot; Peak of the most connections open at a time.
+func (u *Upstream) Served() int64 { return u.served.Load() }
+func (u *Upstream) Shed() int64   { return u.shed.Load() }
+func (u *Upstream) Peak() int64   { return u.peak.Load() }
+
+// MostRuns is the highest number of executions of one request body.
+func (u *Upstream) MostRuns() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	most := 0
+	for _, n := range u.bodies {
+		most = max(most, n)
+	}
+	return most
+}
+
+// RunsOf is the number of executions of a request body.
+func (u *Upstream) RunsOf(body string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.bodies[body]
+}
+
+func (u *Upstream) connState(_ net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateNew:
+		n := u.conns.Add(1)
+		for p := u.peak.Load(); n > p && !u.peak.CompareAndSwap(p, n); p = u.peak.Load() {
+		}
+	case fasthttp.StateClosed:
+		u.conns.Add(-1)
+	}
+}
+
+func (u *Upstream) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case upstream.HealthPath:
+		u.health(ctx)
+	case upstream.CancelPath:
+		u.cancel(string(ctx.QueryArgs().Peek("id")))
+	default:
+		u.serve(ctx)
+	}
+}
+
+func (u *Upstream) health(ctx *fasthttp.RequestCtx) {
+	u.mu.Lock()
+	b := u.behaviour
+	u.mu.Unlock()
+	h := upstream.Health{State: "ready", Snapshots: b.Snapshots}
+	if b.Slots > 0 {
+		h.Load = float64(u.running.Load()) / float64(b.Slots)
+	}
+	if b.Cold > 0 {
+		h.State = "cold"
+	}
+	if b.Draining {
+		h.State = "draining"
+	}
+	if b.LagHealth != nil {
+		h = *b.LagHealth
+	}
+	body, _ := json.Marshal(h)
+	ctx.SetBody(body)
+}
+
+func (u *Upstream) cancel(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if c, ok := u.cancels[id]; ok {
+		close(c)
+		delete(u.cancels, id)
+	}
+}
+
+func (u *Upstream) serve(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.Request.Header.Peek(upstream.HeaderRequestID))
+	snapshot := string(ctx.Request.Header.Peek(upstream.HeaderSnapshot))
+	running := u.running.Add(1)
+	defer u.running.Add(-1)
+	u.mu.Lock()
+	b := u.behaviour
+	if why := refuse(&b, running, snapshot); why != "" {
+		u.mu.Unlock()
+		u.refuse(ctx, why, b.Draining)
+		return
+	}
+	took := u.serviceTime(&b)
+	u.runs[id]++
+	u.bodies[string(ctx.PostBody())]++
+	stop := make(chan struct{})
+	u.cancels[id] = stop
+	u.mu.Unlock()
+	u.served.Add(1)
+	if !u.wait(ctx, id, took, stop) {
+		return
+	}
+	shard := string(ctx.Request.Header.Peek(upstream.HeaderShard))
+	ctx.Response.Header.Set(upstream.HeaderSnapshot, snapshot)
+	ctx.SetBody(u.hits(shard, &b))
+}
+
+// wait spends the service time; false when the request was cancelled or its
+// deadline has passed.
+func (u *Upstream) wait(ctx *fasthttp.RequestCtx, id string, took time.Duration, stop chan struct{}) bool {
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		u.mu.Lock()
+		delete(u.cancels, id)
+		u.mu.Unlock()
+		return true
+	case <-stop:
+		ctx.SetStatusCode(fasthttp.StatusGone)
+		return false
+	}
+}
+
+func refuse(b *Behaviour, running int64, snapshot string) string {
+	switch {
+	case b.Draining:
+		return upstream.NotRunDraining
+	case b.Slots > 0 && running > int64(b.Slots):
+		return upstream.NotRunShed
+	case b.Snapshots != nil && !contains(b.Snapshots, snapshot):
+		return upstream.NotRunSnapshot
+	default:
+		return ""
+	}
+}
+
+func (u *Upstream) refuse(ctx *fasthttp.RequestCtx, why string, draining bool) {
+	if why == upstream.NotRunShed {
+		u.shed.Add(1)
+	}
+	if draining {
+		ctx.Response.Header.Set(upstream.HeaderDraining, "1")
+	}
+	ctx.Response.Header.Set(upstream.HeaderNotRun, why)
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+// serviceTime draws the time of one request. The caller holds mu.
+func (u *Upstream) serviceTime(b *Behaviour) time.Duration {
+	if b.Hang {
+		return time.Minute
+	}
+	t := float64(b.Median) * expNormal(u.rng, b.Spread)
+	if b.Slow > 0 {
+		t *= b.Slow
+	}
+	if b.Cold > 0 {
+		t *= b.ColdFactor
+		u.behaviour.Cold--
+	}
+	return time.Duration(t)
+}
+
+func (u *Upstream) hits(shard string, b *Behaviour) []byte {
+	var h query.Hits
+	for i := range b.Hits {
+		h.Hits = append(h.Hits, query.Hit{
+			ID:     "doc-" + shard + "-" + strconv.Itoa(i),
+			Score:  1 / float64(i+1),
+			Fields: json.RawMessage(fmt.Sprintf(`{"shard":%q}`, shard)),
+		})
+	}
+	body, _ := json.Marshal(h)
+	return body
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
