--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
 
 	"sycamorekeel.example/sycamorekeel/internal/demo"
 )
@@ -16,6 +17,7 @@
 
 var _ = Describe("the whole path", func() {
 	It("answers every kind of both users with no property broken", func() {
+		leaks := append([]goleak.Option{goleak.IgnoreCurrent()}, ignored...)
 		report, err := demo.Run(demo.Options{VMs: 3, Requests: 3})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(report.Broken).To(BeEmpty())
@@ -23,5 +25,16 @@
 		for _, row := range report.Rows {
 			Expect(row.Refused).To(BeZero(), row.Kind)
 		}
+		Eventually(func() error { return goleak.Find(leaks...) }).Should(Succeed())
 	})
 })
+
+// ignored are library goroutines that outlive their owner: they end by
+// themselves after a sleep or live as long as the process.
+var ignored = []goleak.Option{
+	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
+	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
+}
