Serve stand-ins from the command line, to run daemons as separate processes

Cause: a daemon could not be tried by hand: nothing served the addresses of a contract file. Change: 'sycamorekeel standin' publishes contract files, again on each edit, and serves their upstreams; docs/examples/local is a small deployment on loopback.

--- a/cmd/sycamorekeel/main.go
+++ b/cmd/sycamorekeel/main.go
@@ -18,6 +18,7 @@
 	Query     queryCommand     `cmd:"" help:"Send one request and print the answer with its coverage."`
 	Status    statusCommand    `cmd:"" help:"Show what a VM knows: configuration, members, owned upstreams, why it is not ready."`
 	Explain   explainCommand   `cmd:"" help:"Show what a VM did for one request: what it sent where, and why."`
+	Standin   standinCommand   `cmd:"" help:"Serve stand-ins for the platform and the upstreams of contract files, to try daemons by hand."`
 	Demo      demoCommand      `cmd:"" help:"Run both users' deployments on loopback and print latency, coverage and extra load."`
 }
 
--- a/docs/examples/examples.go
+++ b/docs/examples/examples.go
@@ -1,11 +1,11 @@
-// Package examples holds the documents of both first users' deployments, as an
-// operator would publish them.
+// Package examples holds documents as an operator would publish them: the
+// deployments of both first users, and a small one on loopback.
 package examples
 
 import "embed"
 
-// Files holds one folder for each user: customers.toml, services.toml, vms.toml
-// and one daemon's settings, sycamorekeeld.toml.
+// Files holds one folder for each deployment: customers.toml, services.toml,
+// vms.toml and the settings of daemons.
 //
-//go:embed leasing wikiforos
+//go:embed leasing wikiforos local
 var Files embed.FS
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -34,7 +34,12 @@
 
 // StartPlatform serves on a free loopback port until Close.
 func StartPlatform() (*Platform, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return StartPlatformAt("127.0.0.1:0")
+}
+
+// StartPlatformAt serves at address until Close.
+func StartPlatformAt(address string) (*Platform, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -64,7 +64,12 @@
 
 // StartUpstream serves on a free loopback port until Close.
 func StartUpstream(name string, seed uint64, b Behaviour) (*Upstream, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return StartUpstreamAt("127.0.0.1:0", name, seed, b)
+}
+
+// StartUpstreamAt serves at address until Close.
+func StartUpstreamAt(address, name string, seed uint64, b Behaviour) (*Upstream, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
