Move endpoints and shares of the daemon into files of their own

Cause: both are about to grow, and backend.go is shared by every part. Change: endpoints.go and shares.go hold them; the peer handler passes share frames to the shares.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -4,17 +4,12 @@
 	"strings"
 	"time"
 
-	"sycamorekeel.example/sycamorekeel/internal/admission"
-	"sycamorekeel.example/sycamorekeel/internal/callerapi"
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/dispatch"
 	"sycamorekeel.example/sycamorekeel/internal/operatorapi"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
-// endpointsTTL is how long callers keep an answer of endpoints.
-const endpointsTTL = 5 * time.Second
-
 // Snapshot is the configuration in force.
 func (d *Daemon) Snapshot() *contract.Snapshot {
 	return d.snapshot.Load()
@@ -32,20 +27,6 @@
 	}
 }
 
-// Endpoints is the addresses a customer should use, this data centre's first.
-func (d *Daemon) Endpoints(_ *contract.Customer) callerapi.Endpoints {
-	var near, far []callerapi.Endpoint
-	for _, m := range d.view.Load().Serving() {
-		e := callerapi.Endpoint{Address: m.CallerAddress, DataCentre: m.DataCentre}
-		if m.DataCentre == d.settings.DataCentre {
-			near = append(near, e)
-			continue
-		}
-		far = append(far, e)
-	}
-	return callerapi.Endpoints{Endpoints: append(near, far...), TTLMS: endpointsTTL.Milliseconds()}
-}
-
 // Status is what the operators see.
 func (d *Daemon) Status() operatorapi.Status {
 	snap := d.snapshot.Load()
@@ -74,17 +55,6 @@
 	return st
 }
 
-// shares divides a kind's limits evenly over the VMs.
-type shares struct{ d *Daemon }
-
-func (s shares) Share(k *contract.Kind) admission.Share {
-	n := max(1, len(s.d.view.Load().Serving()))
-	return admission.Share{
-		Rate:        k.RatePerSecond / float64(n),
-		Concurrency: max(1, int(k.Concurrency)/n),
-	}
-}
-
 // pinner pins the newest published snapshot.
 type pinner struct{}
 
@@ -128,6 +98,10 @@
 		})
 	case *pb.Frame_Cancel:
 		h.owner.Cancel(keyOf(from, b.Cancel.Id), b.Cancel.Upstream)
+	case *pb.Frame_ShareLoan:
+		h.shares.loan(from, b.ShareLoan)
+	case *pb.Frame_ShareAck:
+		h.shares.ack(from, b.ShareAck)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,7 @@
 	caller   *callerapi.Server
 	operator *operatorapi.Server
 	platform *platform.Client
+	shares   *shares
 
 	// table is read by the owner while mu is held.
 	table    atomic.Pointer[ownership.Table]
@@ -88,6 +89,7 @@
 		config:      config.New(),
 		platform:    platform.NewClient(s.PlatformAddress),
 	}
+	d.shares = &shares{d: d}
 	d.table.Store(ownership.Assign(nil, nil))
 	d.snapshot.Store(contract.Compile(0, nil))
 	d.view.Store(&membership.View{})
@@ -136,7 +138,7 @@
 		Log:        d.log,
 		Registry:   d.registry,
 		Engine:     d.engine,
-		Shares:     shares{d},
+		Shares:     d.shares,
 		Pinner:     pinner{},
 		Explain:    ring,
 		MaxQueries: int(d.settings.Limits.MaxQueries),
@@ -171,6 +173,7 @@
 	d.engine.Start(run)
 	group, run := errgroup.WithContext(run)
 	group.Go(func() error { return d.watch(run) })
+	group.Go(func() error { return d.shares.run(run) })
 	group.Go(func() error { return d.server.Serve(run, d.listeners.Peer) })
 	group.Go(func() error { return d.caller.Serve(d.listeners.Caller) })
 	group.Go(func() error { return d.operator.Serve(d.listeners.Operator) })
