Choose each customer's home VMs from the published list

Cause: endpoints named every VM to every customer, and each VM took an equal part of every limit, so that the parts changed with each VM's view. A VM outside the home set answers wrong_vm (421, not run).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -89,7 +89,7 @@
 		config:      config.New(),
 		platform:    platform.NewClient(s.PlatformAddress),
 	}
-	d.shares = &shares{d: d}
+	d.shares = newShares(d)
 	d.table.Store(ownership.Assign(nil, nil))
 	d.snapshot.Store(contract.Compile(0, nil))
 	d.view.Store(&membership.View{})
@@ -263,6 +263,7 @@
 	}
 	snap := d.config.Snapshot()
 	d.snapshot.Store(snap)
+	d.shares.configure(snap)
 	d.log.Info("config: in force", zap.Uint64("revision", snap.Revision))
 	d.apply(membership.FromList(snap.VMs(), snap.Revision), snap)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -80,9 +80,9 @@
 	Coverage  *Coverage
 }
 
-// Shares tells this VM's part of a kind's limits.
+// Shares tells this VM's part of a kind's limits, or why it has none.
 type Shares interface {
-	Share(k *contract.Kind) admission.Share
+	Share(k *contract.Kind) (admission.Share, *refusal.Error)
 }
 
 // Pinner chooses the snapshot a query is pinned to.
@@ -155,7 +155,11 @@
 	if f.stopping {
 		return refusal.New(refusal.Stopping, "this VM is stopping; ask for endpoints again").After(time.Second)
 	}
-	if err := f.admitted.Admit(now, k, f.opts.Shares.Share(k)); err != nil {
+	share, err := f.opts.Shares.Share(k)
+	if err != nil {
+		return err
+	}
+	if err := f.admitted.Admit(now, k, share); err != nil {
 		return err
 	}
 	f.running.Add(1)
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -20,6 +20,7 @@
 	UnknownService   Reason = "unknown_service"
 	NotReady         Reason = "not_ready"
 	Stopping         Reason = "stopping"
+	WrongVM          Reason = "wrong_vm"
 	Overloaded       Reason = "overloaded"
 	RateLimit        Reason = "rate_limit"
 	ConcurrencyLimit Reason = "concurrency_limit"
@@ -36,7 +37,7 @@
 // All is every reason, for metrics and the pages.
 var All = []Reason{
 	BadRequest, BodyTooLarge, Unauthenticated, UnknownKind, UnknownService,
-	NotReady, Stopping, Overloaded, RateLimit, ConcurrencyLimit,
+	NotReady, Stopping, WrongVM, Overloaded, RateLimit, ConcurrencyLimit,
 	DeadlineTooShort, ForeignOperation, OperationExpired, OutcomeUnknown,
 	NoSnapshot, CoverageTooLow, UpstreamFailed, DeadlineExceeded,
 }
@@ -99,6 +100,8 @@
 		return http.StatusUnauthorized
 	case UnknownKind:
 		return http.StatusNotFound
+	case WrongVM:
+		return http.StatusMisdirectedRequest
 	case RateLimit, ConcurrencyLimit:
 		return http.StatusTooManyRequests
 	case OutcomeUnknown, UpstreamFailed:
