Specify at-most-once execution and check it exhaustively

Cause: that a non-idempotent request runs at most once, and that "not run" is true for ever, rests on rules in several packages; a reading of each package alone does not show that they suffice together. Change: a Promela model of one operation under its lease, with forwarding, two owners, cancellation, crash, pause, loss, delay, duplication and reordering; `make spec` searches it completely, `make spec-mutants` takes out each rule in turn.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 PROTO := $(wildcard proto/sycamorekeel/v1/*.proto)
 
-.PHONY: all build demo test generate lint
+.PHONY: all build demo test generate lint spec spec-mutants
 
 all: build
 
@@ -29,3 +29,13 @@
 	test -z "$$(gofmt -l cmd internal)"
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+# Checks the models in spec/ exhaustively; installs the checker when it is missing.
+spec:
+	command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
+	./spec/check.sh
+
+# Takes each protective rule out of a model in turn: the checker must notice.
+spec-mutants:
+	command -v spin >/dev/null || { apt-get update -qq && apt-get install -y -qq spin; }
+	./spec/check.sh mutants
