Decide on members by signed gossip instead of the platform's list alone

Cause: the members came from the platform's lagging list, so a crashed VM kept its upstreams until the list named it no more.

The daemon routes by its views. A process whose name a newer one has ends.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/explain"
 	"sycamorekeel.example/sycamorekeel/internal/frontend"
+	"sycamorekeel.example/sycamorekeel/internal/gossip"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/operatorapi"
 	"sycamorekeel.example/sycamorekeel/internal/owner"
@@ -47,6 +48,8 @@
 	Caller   net.Listener
 	Operator net.Listener
 	Peer     net.Listener
+	// Gossip is the UDP socket at the peer address.
+	Gossip net.PacketConn
 }
 
 // Daemon is one VM's process.
@@ -66,7 +69,10 @@
 	caller   *callerapi.Server
 	operator *operatorapi.Server
 	platform *platform.Client
-	shares   *shares
+	gossip   *gossip.Driver
+	// ended has the reason for an end that was not asked for.
+	ended  chan error
+	shares *shares
 
 	// table is read by the owner while mu is held.
 	table    atomic.Pointer[ownership.Table]
@@ -87,12 +93,14 @@
 		registry:    prometheus.NewRegistry(),
 		listeners:   opts,
 		config:      config.New(),
+		ended:       make(chan error, 1),
 		platform:    platform.NewClient(s.PlatformAddress),
 	}
 	d.shares = newShares(d)
 	d.table.Store(ownership.Assign(nil, nil))
 	d.snapshot.Store(contract.Compile(0, nil))
 	d.view.Store(&membership.View{})
+	d.gossip = d.newGossip()
 	d.wirePath()
 	return d, d.wireInterfaces()
 }
@@ -175,12 +183,16 @@
 	group.Go(func() error { return d.watch(run) })
 	group.Go(func() error { return d.shares.run(run) })
 	group.Go(func() error { return d.server.Serve(run, d.listeners.Peer) })
+	group.Go(func() error { return d.gossip.Run(run, d.listeners.Gossip) })
 	group.Go(func() error { return d.caller.Serve(d.listeners.Caller) })
 	group.Go(func() error { return d.operator.Serve(d.listeners.Operator) })
 	d.log.Info("daemon: started", zap.String("callers", d.listeners.Caller.Addr().String()))
+	var ended error
 	select {
 	case <-ctx.Done():
 	case <-run.Done():
+	case ended = <-d.ended:
+		d.log.Error("daemon: must not go on", zap.Error(ended))
 	}
 	d.stop()
 	cancel()
@@ -190,26 +202,11 @@
 	if errors.Is(err, context.Canceled) {
 		err = nil
 	}
+	err = trace.NewAggregate(ended, err)
 	d.log.Info("daemon: stopped", zap.Error(err))
 	return trace.Wrap(err)
 }
 
-// stop lets the requests in flight finish, at most for the drain time.
-func (d *Daemon) stop() {
-	d.log.Info("daemon: stopping, requests in flight finish first")
-	d.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Limits.DrainMs)*time.Millisecond)
-	defer cancel()
-	d.front.Stop(ctx)
-	d.owner.Stop()
-	if err := d.caller.Shutdown(ctx); err != nil {
-		d.log.Warn("daemon: callers were cut off", zap.Error(err))
-	}
-	if err := d.operator.Shutdown(ctx); err != nil {
-		d.log.Warn("daemon: operators were cut off", zap.Error(err))
-	}
-}
-
 func (d *Daemon) listen() error {
 	var errs []error
 	open := func(ln *net.Listener, address string) {
@@ -223,6 +220,11 @@
 	open(&d.listeners.Caller, d.settings.CallerAddress)
 	open(&d.listeners.Operator, d.settings.OperatorAddress)
 	open(&d.listeners.Peer, d.settings.PeerAddress)
+	if d.listeners.Gossip == nil {
+		conn, err := net.ListenPacket("udp", d.settings.PeerAddress)
+		d.listeners.Gossip = conn
+		errs = append(errs, err)
+	}
 	return trace.NewAggregate(errs...)
 }
 
@@ -265,7 +267,8 @@
 	d.snapshot.Store(snap)
 	d.shares.configure(snap)
 	d.log.Info("config: in force", zap.Uint64("revision", snap.Revision))
-	d.apply(membership.FromList(snap.VMs(), snap.Revision), snap)
+	d.gossip.SetRevision(d.config.Revision())
+	d.apply(d.gossip.SetList(snap.VMs()), snap)
 }
 
 // apply routes by a new view or snapshot. The caller holds mu.
--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"sycamorekeel.example/sycamorekeel/internal/gossip"
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// newGossip makes the driver of this VM's membership.
+func (d *Daemon) newGossip() *gossip.Driver {
+	s := d.settings
+	return gossip.New(gossip.Options{
+		Log:      d.log,
+		Registry: d.registry,
+		Keys:     s.PeerKeys,
+		Now:      time.Now,
+		Node: membership.Options{
+			Self: &pb.MemberUpdate{
+				Vm:            s.Vm,
+				Incarnation:   d.incarnation,
+				Region:        s.Region,
+				DataCentre:    s.DataCentre,
+				Rack:          s.Rack,
+				CallerAddress: s.CallerAddress,
+				PeerAddress:   s.PeerAddress,
+			},
+			Seeds: s.Seeds,
+			Seed:  rand.Uint64(),
+		},
+		Callbacks: gossip.Callbacks{
+			View:        d.takeView,
+			Revalidate:  d.revalidate,
+			Revalidated: d.revalidated,
+			Superseded:  d.superseded,
+		},
+	})
+}
+
+// takeView routes by a view of gossip, unless a newer one has been taken.
+func (d *Daemon) takeView(v *membership.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.view.Load()
+	if v.Version <= before.Version {
+		return
+	}
+	d.logChanges(before, v)
+	d.apply(v, d.snapshot.Load())
+}
+
+// logChanges tells which members changed their state.
+func (d *Daemon) logChanges(before, after *membership.View) {
+	for i := range after.Members {
+		m := &after.Members[i]
+		old, ok := before.Find(m.VM)
+		if ok && old.State == m.State && old.Incarnation == m.Incarnation {
+			continue
+		}
+		d.log.Info("membership: member changed",
+			zap.String("member", m.VM),
+			zap.String("state", m.State.String()),
+			zap.Uint64("incarnation", m.Incarnation))
+	}
+}
+
+// revalidate is told that this process was paused.
+func (d *Daemon) revalidate() {
+	d.log.Warn("membership: this process was paused, no new work until peers have answered")
+}
+
+// revalidated is told that peers have answered, or that there is none.
+func (d *Daemon) revalidated(alone bool) {
+	d.log.Info("membership: views are valid again", zap.Bool("alone", alone))
+}
+
+// superseded ends this process: a newer one has its name, and two with one name
+// would both take the work that is addressed to it.
+func (d *Daemon) superseded(incarnation uint64) {
+	err := trace.CompareFailed("a newer process serves as %s, incarnation %d", d.settings.Vm, incarnation)
+	select {
+	case d.ended <- err:
+	default:
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -114,7 +114,10 @@
 }
 
 // vmListeners are the open ports of one VM.
-type vmListeners struct{ caller, operator, peer net.Listener }
+type vmListeners struct {
+	caller, operator, peer net.Listener
+	gossip                 net.PacketConn
+}
 
 func (f *Fleet) publishVMs() ([]vmListeners, error) {
 	var list strings.Builder
@@ -135,14 +138,34 @@
 
 func listen() (vmListeners, error) {
 	var l vmListeners
-	for _, ln := range []*net.Listener{&l.caller, &l.operator, &l.peer} {
+	for _, ln := range []*net.Listener{&l.caller, &l.operator} {
 		opened, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return l, err
 		}
 		*ln = opened
 	}
-	return l, nil
+	return l, l.listenPeer()
+}
+
+// listenPeer opens TCP and UDP on one port: another process may hold the UDP
+// port that goes with a free TCP port.
+func (l *vmListeners) listenPeer() error {
+	const attempts = 20
+	var last error
+	for range attempts {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		l.gossip, last = net.ListenPacket("udp", ln.Addr().String())
+		if last == nil {
+			l.peer = ln
+			return nil
+		}
+		_ = ln.Close()
+	}
+	return last
 }
 
 func vmName(i int) string { return fmt.Sprintf("vm-%d", i+1) }
@@ -166,6 +189,7 @@
 		Caller:   l.caller,
 		Operator: l.operator,
 		Peer:     l.peer,
+		Gossip:   l.gossip,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/membership/doubt.go
@@ -0,0 +1,80 @@
+package membership
+
+import "time"
+
+// doubtRounds bounds how often a node that was paused asks again while fewer
+// peers answer than it wants to hear from.
+const doubtRounds = 3
+
+// doubt is the time after a pause in which this node's views are suspect: it
+// may have been declared dead meanwhile and its upstreams given to others.
+type doubt struct {
+	round   int
+	askedAt time.Time
+	need    int
+	ids     map[uint64]bool
+	heard   map[string]bool
+}
+
+func (d *doubt) acked(id uint64, from string) {
+	if d.ids[id] {
+		d.heard[from] = true
+	}
+}
+
+// notePause looks for a gap in this node's own ticks. Wall clocks count too: a
+// monotonic clock may stand still while the whole VM is suspended.
+func (n *Node) notePause() {
+	if n.lastTick.IsZero() {
+		return
+	}
+	gap := max(n.now.Sub(n.lastTick), n.now.Round(0).Sub(n.lastTick.Round(0)))
+	if gap < n.timing.Pause {
+		return
+	}
+	n.stats.Pauses++
+	n.out.Revalidate = true
+	// What waited for answers meanwhile proves nothing.
+	n.pending = nil
+	for _, name := range n.table.names {
+		r := n.table.get(name)
+		r.suspectUntil = r.suspectUntil.Add(gap)
+	}
+	n.doubt = &doubt{ids: map[uint64]bool{}, heard: map[string]bool{}}
+	n.askDoubt()
+}
+
+func (n *Node) askDoubt() {
+	d := n.doubt
+	d.askedAt = n.now
+	d.round++
+	peers := n.pick(n.timing.Indirect*2, func(r *record) bool { return r.serves() && !d.heard[r.VM] })
+	d.need = min(n.timing.Indirect, len(d.heard)+len(peers))
+	for _, r := range peers {
+		d.ids[n.probe(r)] = true
+	}
+}
+
+// advanceDoubt ends the doubt once enough peers have answered probes sent after
+// the pause: what they had sent before lies ahead of these answers in the inbox
+// and has been taken in.
+func (n *Node) advanceDoubt() {
+	d := n.doubt
+	if d == nil {
+		return
+	}
+	waited := n.now.Sub(d.askedAt) >= n.timing.AloneAfter
+	switch {
+	case len(d.heard) >= d.need:
+	case waited && len(d.heard) == 0:
+		n.out.Alone = true
+	case waited && d.round < doubtRounds:
+		n.askDoubt()
+		return
+	case waited:
+	default:
+		return
+	}
+	n.doubt = nil
+	n.out.Revalidated = true
+}
--- /dev/null
+++ b/internal/membership/network_test.go
@@ -0,0 +1,259 @@
+package membership_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// tick is how often nodes are moved on, as the driver does.
+const tick = 200 * time.Millisecond
+
+// headerBytes is what UDP and IP add to each datagram.
+const headerBytes = 28
+
+// network carries datagrams between nodes in simulated time, with faults drawn
+// from a fixed seed.
+type network struct {
+	now   time.Time
+	rand  *rand.Rand
+	hosts []*host
+	byVM  map[string]*host
+	// byAddress finds the host that answers an address now.
+	byAddress map[string]*host
+	flights   flights
+	serial    uint64
+
+	loss      float64
+	duplicate float64
+	delay     func(r *rand.Rand) time.Duration
+	// cut tells which ways are interrupted.
+	cut func(from, to string) bool
+
+	bytes, datagrams, longest int
+}
+
+// host is one VM of the network.
+type host struct {
+	name   string
+	opts   membership.Options
+	node   *membership.Node
+	down   bool
+	paused bool
+	inbox  []*pb.Datagram
+	// events are the actions other than sends, in order.
+	events []string
+	alone  bool
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{
+		now:       time.Unix(1_700_000_000, 0),
+		rand:      rand.New(rand.NewPCG(seed, 1)),
+		byVM:      map[string]*host{},
+		byAddress: map[string]*host{},
+		delay: func(r *rand.Rand) time.Duration {
+			return time.Duration(1+r.IntN(12)) * time.Millisecond
+		},
+		cut: func(string, string) bool { return false },
+	}
+}
+
+func hostName(i int) string { return fmt.Sprintf("vm-%03d", i+1) }
+
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:7100", i/200, i%200+1) }
+
+func listed(count int) []*pb.VM {
+	var out []*pb.VM
+	for i := range count {
+		out = append(out, &pb.VM{Id: hostName(i), State: pb.VMState_LIVE, Region: "north", DataCentre: "north-1",
+			CallerAddress: "10.0.0.1:7000", PeerAddress: address(i)})
+	}
+	return out
+}
+
+// add starts a process of VM i.
+func (w *network) add(i int) *host {
+	h := &host{name: hostName(i)}
+	h.opts = membership.Options{
+		Self: &pb.MemberUpdate{Vm: h.name, Incarnation: uint64(w.now.UnixMicro()) + uint64(i), Region: "north", DataCentre: "north-1",
+			CallerAddress: "10.0.0.1:7000", PeerAddress: address(i)},
+		Seed: w.rand.Uint64(),
+	}
+	h.node = membership.New(w.now, h.opts)
+	w.hosts = append(w.hosts, h)
+	w.byVM[h.name] = h
+	w.byAddress[address(i)] = h
+	return h
+}
+
+// fill starts count VMs that all have the list.
+func (w *network) fill(count int) {
+	for i := range count {
+		w.do(w.add(i), func(n *membership.Node) membership.Actions { return n.SetList(w.now, listed(count)) })
+	}
+}
+
+func (w *network) do(h *host, step func(*membership.Node) membership.Actions) {
+	act := step(h.node)
+	if act.Revalidate {
+		h.events = append(h.events, "revalidate")
+	}
+	if act.Revalidated {
+		h.events = append(h.events, "revalidated")
+		h.alone = act.Alone
+	}
+	if act.Superseded != 0 {
+		h.events = append(h.events, "superseded")
+	}
+	for _, s := range act.Sends {
+		w.send(h, s)
+	}
+}
+
+func (w *network) send(from *host, s membership.Send) {
+	w.serial++
+	s.Datagram.Sequence = w.serial
+	size := proto.Size(s.Datagram) + membership.SignatureBytes
+	w.bytes += size + headerBytes
+	w.datagrams++
+	w.longest = max(w.longest, size)
+	to := w.byAddress[s.Address]
+	if to == nil || w.cut(from.name, to.name) {
+		return
+	}
+	copies := 1
+	if w.rand.Float64() < w.duplicate {
+		copies = 2
+	}
+	for range copies {
+		if w.rand.Float64() < w.loss {
+			continue
+		}
+		heap.Push(&w.flights, flight{at: w.now.Add(w.delay(w.rand)), serial: w.serial, to: to, datagram: s.Datagram})
+	}
+}
+
+// run moves the network on; every tick is offset by host so that they do not
+// all act at once.
+func (w *network) run(d time.Duration) {
+	end := w.now.Add(d)
+	for w.now.Before(end) {
+		next := w.now.Add(tick)
+		w.deliver(next)
+		w.now = next
+		for _, h := range w.hosts {
+			if h.down || h.paused {
+				continue
+			}
+			w.drain(h)
+			w.do(h, func(n *membership.Node) membership.Actions { return n.Tick(w.now) })
+		}
+	}
+}
+
+func (w *network) deliver(until time.Time) {
+	for len(w.flights) > 0 && !w.flights[0].at.After(until) {
+		f := heap.Pop(&w.flights).(flight)
+		w.now = f.at
+		if f.to.down {
+			continue
+		}
+		f.to.inbox = append(f.to.inbox, f.datagram)
+		if !f.to.paused {
+			w.drain(f.to)
+		}
+	}
+}
+
+func (w *network) drain(h *host) {
+	inbox := h.inbox
+	h.inbox = nil
+	for _, d := range inbox {
+		copied := proto.CloneOf(d)
+		w.do(h, func(n *membership.Node) membership.Actions { return n.Receive(w.now, copied) })
+	}
+}
+
+// state is how from sees to.
+func (w *network) state(from, to int) pb.MemberState {
+	m, _ := w.hosts[from].node.View().Find(hostName(to))
+	return m.State
+}
+
+// agree tells whether every host that is up sees the members of want, and no
+// other, serving.
+func (w *network) agree(want ...int) bool {
+	for _, h := range w.hosts {
+		if h.down || h.paused {
+			continue
+		}
+		serving := h.node.View().Serving()
+		if len(serving) != len(want) {
+			return false
+		}
+		for i, m := range serving {
+			if m.VM != hostName(want[i]) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// until runs until ok or the limit and returns the time it took.
+func (w *network) until(limit time.Duration, ok func() bool) (time.Duration, bool) {
+	start := w.now
+	for w.now.Sub(start) < limit {
+		if ok() {
+			return w.now.Sub(start), true
+		}
+		w.run(tick)
+	}
+	return limit, ok()
+}
+
+func upTo(n int, except ...int) []int {
+	var out []int
+	for i := range n {
+		skip := false
+		for _, e := range except {
+			skip = skip || e == i
+		}
+		if !skip {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+type flight struct {
+	at       time.Time
+	serial   uint64
+	to       *host
+	datagram *pb.Datagram
+}
+
+type flights []flight
+
+func (f flights) Len() int { return len(f) }
+func (f flights) Less(i, j int) bool {
+	if !f[i].at.Equal(f[j].at) {
+		return f[i].at.Before(f[j].at)
+	}
+	return f[i].serial < f[j].serial
+}
+func (f flights) Swap(i, j int) { f[i], f[j] = f[j], f[i] }
+func (f *flights) Push(x any)   { *f = append(*f, x.(flight)) }
+func (f *flights) Pop() any {
+	old := *f
+	last := old[len(old)-1]
+	*f = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/membership/node.go
@@ -0,0 +1,285 @@
+// Package membership decides which VMs of the fleet are alive, suspected,
+// leaving or gone. It follows the SWIM protocol: each node probes one peer a
+// period, asks others to probe before it suspects, and spreads what it learns
+// on the probes themselves. A Node is a pure state machine: it is given the
+// time and the datagrams, and returns what to send; internal/gossip drives it.
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// MaxDatagram is the most bytes of one UDP payload, signature included: below
+// it no path of ours fragments.
+const MaxDatagram = 1200
+
+// SignatureBytes is the room a datagram leaves for its signature.
+const SignatureBytes = 32
+
+// Defaults of Timing.
+const (
+	DefaultPeriod          = time.Second
+	DefaultDirectTimeout   = 300 * time.Millisecond
+	DefaultSuspicionFactor = 4
+	DefaultIndirect        = 3
+	DefaultTombstone       = 2 * time.Hour
+	DefaultJoinGrace       = 2 * time.Minute
+	DefaultPause           = 2 * time.Second
+	DefaultAloneAfter      = 2 * time.Second
+	DefaultUpdateRate      = 1500
+)
+
+// Timing is the protocol's times and counts; zero values take the defaults.
+type Timing struct {
+	// Period is the time between two probes.
+	Period time.Duration
+	// DirectTimeout is the wait for an answer before others are asked to probe.
+	DirectTimeout time.Duration
+	// SuspicionFactor times log10 of the members is the periods that a suspect
+	// has to refute.
+	SuspicionFactor float64
+	// Indirect is how many peers are asked to probe, and how many a node that
+	// was paused must hear from.
+	Indirect int
+	// Tombstone is how long a dead member that is not listed is remembered.
+	Tombstone time.Duration
+	// JoinGrace is how long the platform's list may lag behind a join.
+	JoinGrace time.Duration
+	// Pause is the gap between two ticks from which views are suspect.
+	Pause time.Duration
+	// AloneAfter is how long a node that was paused waits for a first answer.
+	AloneAfter time.Duration
+	// UpdateRate bounds the bytes a second spent on updates.
+	UpdateRate float64
+}
+
+// Options is what a node needs.
+type Options struct {
+	// Self names this VM: its state and refutation are ignored.
+	Self *pb.MemberUpdate
+	// Seeds are peer addresses asked while no member answers.
+	Seeds []string
+	// Seed makes the node's random choices repeatable.
+	Seed   uint64
+	Timing Timing
+}
+
+// Send is a datagram to send. The driver stamps its sequence.
+type Send struct {
+	Address  string
+	Datagram *pb.Datagram
+}
+
+// Actions is what the driver has to do after a step.
+type Actions struct {
+	Sends []Send
+	// ViewChanged says that View gives another one now.
+	ViewChanged bool
+	// Revalidate says that this node was paused: what it knows may be out of
+	// date, so no new work is to start until Revalidated.
+	Revalidate bool
+	// Revalidated ends it; Alone says that no peer answered.
+	Revalidated bool
+	Alone       bool
+	// Superseded is the incarnation of a newer process with this node's name,
+	// or 0: this process must stop serving.
+	Superseded uint64
+}
+
+// Stats counts what a node did.
+type Stats struct {
+	Probes         uint64
+	IndirectProbes uint64
+	FailedProbes   uint64
+	Suspicions     uint64
+	Refutations    uint64
+	Deaths         uint64
+	Pauses         uint64
+	Outdated       uint64
+}
+
+// Node is one VM's membership. It is not safe for concurrent use.
+type Node struct {
+	opts   Options
+	timing Timing
+	rand   *rand.Rand
+	self   *record
+	table  table
+	hot    queue
+
+	revision   uint64
+	version    uint64
+	view       *View
+	lastTick   time.Time
+	heardAt    time.Time
+	nextProbe  time.Time
+	nextSpread time.Time
+	nextLost   int
+	ring       []string
+	pending    *probe
+	relays     map[uint64]relay
+	lastID     uint64
+	budget     budget
+	doubt      *doubt
+	outdatedAt time.Time
+	list       []*pb.VM
+	superseded bool
+	stats      Stats
+
+	// now, out and dirty belong to the step under way.
+	now   time.Time
+	out   Actions
+	dirty bool
+}
+
+// New makes a node that knows only itself.
+func New(now time.Time, opts Options) *Node {
+	n := &Node{
+		opts:   opts,
+		timing: opts.Timing.withDefaults(),
+		rand:   rand.New(rand.NewPCG(opts.Seed, opts.Self.Incarnation)),
+		table:  newTable(),
+		hot:    newQueue(),
+		relays: map[uint64]relay{},
+		now:    now,
+	}
+	n.budget = budget{rate: n.timing.UpdateRate, last: now, tokens: n.timing.UpdateRate}
+	n.self = newRecord(opts.Self, now)
+	n.self.State = pb.MemberState_ALIVE
+	n.self.refutation = 0
+	n.table.insert(n.self)
+	n.view = n.buildView()
+	return n
+}
+
+func (t Timing) withDefaults() Timing {
+	setDefault(&t.Period, DefaultPeriod)
+	setDefault(&t.DirectTimeout, DefaultDirectTimeout)
+	setDefault(&t.SuspicionFactor, DefaultSuspicionFactor)
+	setDefault(&t.Indirect, DefaultIndirect)
+	setDefault(&t.Tombstone, DefaultTombstone)
+	setDefault(&t.JoinGrace, DefaultJoinGrace)
+	setDefault(&t.Pause, DefaultPause)
+	setDefault(&t.AloneAfter, DefaultAloneAfter)
+	setDefault(&t.UpdateRate, DefaultUpdateRate)
+	return t
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// View is the members as this node sees them now.
+func (n *Node) View() *View { return n.view }
+
+// Stats is what the node did so far.
+func (n *Node) Stats() Stats { return n.stats }
+
+// SetRevision tells the node which configuration revision to announce.
+func (n *Node) SetRevision(revision uint64) { n.revision = revision }
+
+// Tick moves time on. It is to be called several times a period.
+func (n *Node) Tick(now time.Time) Actions {
+	n.begin(now)
+	n.notePause()
+	n.lastTick = now
+	n.expireSuspicions()
+	n.forgetDead()
+	n.advanceProbe()
+	n.advanceDoubt()
+	n.advanceSpread()
+	return n.end()
+}
+
+// Receive takes in a datagram that the driver has authenticated and checked.
+func (n *Node) Receive(now time.Time, d *pb.Datagram) Actions {
+	n.begin(now)
+	n.heardAt = now
+	n.learn(d.Sender)
+	for _, u := range d.Updates {
+		n.learn(u)
+	}
+	n.answer(d)
+	return n.end()
+}
+
+// Outdated answers a datagram of an incarnation that a newer one has replaced:
+// without it the old process would take itself for a member for ever. At most
+// one answer goes out a period.
+func (n *Node) Outdated(now time.Time, sender *pb.MemberUpdate) Actions {
+	n.begin(now)
+	r := n.table.get(sender.Vm)
+	if r != nil && r.Incarnation > sender.Incarnation && now.Sub(n.outdatedAt) >= n.timing.Period {
+		n.outdatedAt = now
+		n.stats.Outdated++
+		n.send(sender.PeerAddress, &pb.Datagram{Updates: []*pb.MemberUpdate{r.update()}}, nil)
+	}
+	return n.end()
+}
+
+// Leave announces a planned stop, at once and to several peers: each of them
+// passes this VM's upstreams on as soon as it hears of it.
+func (n *Node) Leave(now time.Time) Actions {
+	n.begin(now)
+	if n.self.State != pb.MemberState_LEAVING {
+		n.self.refutation++
+		n.change(n.self, pb.MemberState_LEAVING)
+	}
+	for _, r := range n.pick(leaveFanout, func(r *record) bool { return r.serves() }) {
+		n.send(r.PeerAddress, &pb.Datagram{}, r)
+	}
+	return n.end()
+}
+
+// leaveFanout is how many peers are told directly of a planned stop.
+const leaveFanout = 16
+
+func (n *Node) begin(now time.Time) {
+	n.now = now
+	n.out = Actions{}
+	n.budget.refill(now)
+}
+
+func (n *Node) end() Actions {
+	if n.dirty {
+		n.dirty = false
+		n.version++
+		n.view = n.buildView()
+		n.out.ViewChanged = true
+	}
+	return n.out
+}
+
+func (n *Node) buildView() *View {
+	v := &View{Version: n.version, Members: make([]Member, 0, len(n.table.names))}
+	for _, name := range n.table.names {
+		v.Members = append(v.Members, n.table.get(name).shown())
+	}
+	return v
+}
+
+// suspicionTimeout grows with the log of the members, as does the time an
+// update takes to reach them all.
+func (n *Node) suspicionTimeout() time.Duration {
+	scale := max(1, math.Log10(float64(len(n.table.names)+1)))
+	return time.Duration(n.timing.SuspicionFactor * scale * float64(n.timing.Period))
+}
+
+// pick chooses up to k members at random, never this node.
+func (n *Node) pick(k int, ok func(*record) bool) []*record {
+	var all []*record
+	for _, name := range n.table.names {
+		if r := n.table.get(name); r != n.self && ok(r) {
+			all = append(all, r)
+		}
+	}
+	n.rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(k, len(all))]
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,149 @@
+package membership
+
+import (
+	"encoding/binary"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// digestBuckets is how many words the digest of a table has: members are
+// compared bucket by bucket, so that two tables that differ in one member
+// exchange a sixteenth of them.
+const digestBuckets = 16
+
+// record is what a node holds of one member. Incarnation 0 is a member that is
+// listed and was never heard of.
+type record struct {
+	Member
+	refutation uint64
+	// suspectUntil ends a suspicion: the member is dead then.
+	suspectUntil time.Time
+	diedAt       time.Time
+	// firstSeen is when gossip first named this incarnation.
+	firstSeen   time.Time
+	listed      bool
+	listLeaving bool
+}
+
+func newRecord(u *pb.MemberUpdate, now time.Time) *record {
+	r := &record{Member: Member{VM: u.Vm}, firstSeen: now}
+	r.take(u)
+	return r
+}
+
+// take copies what an update says. Updates without addresses leave them.
+func (r *record) take(u *pb.MemberUpdate) {
+	r.Incarnation = u.Incarnation
+	r.refutation = u.Refutation
+	if u.PeerAddress == "" {
+		return
+	}
+	r.Region = u.Region
+	r.DataCentre = u.DataCentre
+	r.Rack = u.Rack
+	r.CallerAddress = u.CallerAddress
+	r.PeerAddress = u.PeerAddress
+}
+
+// update is the record as sent to others.
+func (r *record) update() *pb.MemberUpdate {
+	u := &pb.MemberUpdate{Vm: r.VM, Incarnation: r.Incarnation, Refutation: r.refutation, State: r.State}
+	if r.State == pb.MemberState_SUSPECT || r.State == pb.MemberState_DEAD {
+		return u
+	}
+	u.Region = r.Region
+	u.DataCentre = r.DataCentre
+	u.Rack = r.Rack
+	u.CallerAddress = r.CallerAddress
+	u.PeerAddress = r.PeerAddress
+	return u
+}
+
+// serves tells whether gossip holds the member alive.
+func (r *record) serves() bool {
+	return r.State == pb.MemberState_ALIVE || r.State == pb.MemberState_SUSPECT
+}
+
+// shown is the record as the view shows it: a VM that the platform's list calls
+// leaving is leaving, whatever gossip says.
+func (r *record) shown() Member {
+	m := r.Member
+	if r.listLeaving && r.serves() {
+		m.State = pb.MemberState_LEAVING
+	}
+	return m
+}
+
+// outranks tells whether an update is newer than the record: by incarnation,
+// then by refutation, then by how grave the state is.
+func outranks(incarnation, refutation uint64, state pb.MemberState, r *record) bool {
+	if incarnation != r.Incarnation {
+		return incarnation > r.Incarnation
+	}
+	if refutation != r.refutation {
+		return refutation > r.refutation
+	}
+	return state > r.State
+}
+
+// hash is the record's part of the digest. Suspicions and deaths are left out:
+// they end by themselves, at other moments on each node.
+func (r *record) hash() uint32 {
+	if r.Incarnation == 0 || r.State == pb.MemberState_DEAD {
+		return 0
+	}
+	b := make([]byte, 0, 64)
+	b = append(b, r.VM...)
+	b = binary.LittleEndian.AppendUint64(b, r.Incarnation)
+	b = binary.LittleEndian.AppendUint64(b, r.refutation)
+	if r.State == pb.MemberState_LEAVING {
+		b = append(b, 1)
+	}
+	return uint32(xxhash.Sum64(b))
+}
+
+func bucketOf(vm string) int {
+	return int(xxhash.Sum64String(vm) % digestBuckets)
+}
+
+// table holds the records by name and the digest of them all.
+type table struct {
+	records map[string]*record
+	// names is ascending.
+	names  []string
+	digest [digestBuckets]uint32
+}
+
+func newTable() table {
+	return table{records: map[string]*record{}}
+}
+
+func (t *table) get(vm string) *record { return t.records[vm] }
+
+func (t *table) insert(r *record) {
+	i := sort.SearchStrings(t.names, r.VM)
+	t.names = append(t.names, "")
+	copy(t.names[i+1:], t.names[i:])
+	t.names[i] = r.VM
+	t.records[r.VM] = r
+	t.digest[bucketOf(r.VM)] ^= r.hash()
+}
+
+func (t *table) remove(r *record) {
+	i := sort.SearchStrings(t.names, r.VM)
+	t.names = append(t.names[:i], t.names[i+1:]...)
+	delete(t.records, r.VM)
+	t.digest[bucketOf(r.VM)] ^= r.hash()
+}
+
+// edit changes a record and keeps the digest right.
+func (t *table) edit(r *record, change func()) {
+	b := bucketOf(r.VM)
+	t.digest[b] ^= r.hash()
+	change()
+	t.digest[b] ^= r.hash()
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -1,5 +1,3 @@
-// Package membership decides which VMs of the fleet are alive, suspected,
-// leaving or gone.
 package membership
 
 import (
@@ -18,11 +16,14 @@
 	Rack          string
 	CallerAddress string
 	PeerAddress   string
+	// Unlisted members are gone from the platform's list, or never came on it:
+	// they are not counted.
+	Unlisted bool
 }
 
 // Serves tells whether the member may be given new work.
 func (m *Member) Serves() bool {
-	return m.State == pb.MemberState_ALIVE || m.State == pb.MemberState_SUSPECT
+	return !m.Unlisted && (m.State == pb.MemberState_ALIVE || m.State == pb.MemberState_SUSPECT)
 }
 
 // View is the members at one moment, by VM name. It is immutable.
