Run non-idempotent requests at most once, by operation leases and forwarding

Cause: a non-idempotent request that a caller sent again ran again, on the same VM or on another one.

The incarnation keeps the first outcome of each key and gives it to every later copy; other VMs forward to it and never run the request themselves. A refusal by a VM that has not asked the table says "unknown" of a request that carries a key: an earlier copy may have run.

The caller interface gets timeouts for slow callers, a limit of connections from one IP, a reason of its own for each kind of unreadable request, and the request id as a header.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
@@ -16,6 +17,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/frontend"
+	"sycamorekeel.example/sycamorekeel/internal/once"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/refusal"
 )
@@ -25,18 +27,31 @@
 	EndpointsPath  = "/v1/endpoints"
 	QueryPath      = "/v1/query/"
 	HeaderDeadline = "X-Deadline-Ms"
+	// HeaderOperation names a non-idempotent request: lease prefix, full stop,
+	// counter.
+	HeaderOperation = "Idempotency-Key"
+	HeaderRequestID = "X-Request-Id"
 )
 
+// Timeouts of a connection. A caller that sends or reads too slowly would hold
+// one of the connections for as long as it likes.
 const (
-	readTimeout = 10 * time.Second
-	idleTimeout = 60 * time.Second
+	readTimeout  = 10 * time.Second
+	writeTimeout = 10 * time.Second
+	idleTimeout  = 60 * time.Second
 )
 
+// maxDeadline is the longest deadline a caller may ask for, in milliseconds. The
+// contract's counts where it is shorter.
+const maxDeadline = 3_600_000
+
 // Endpoints is the answer of EndpointsPath.
 type Endpoints struct {
 	Endpoints []Endpoint `json:"endpoints"`
 	// TTLMS is how long the answer may be kept.
 	TTLMS int64 `json:"ttl_ms"`
+	// OperationLease is absent when the customer has no non-idempotent kind.
+	OperationLease *OperationLease `json:"operation_lease,omitempty"`
 }
 
 // Endpoint is one address to send queries to, best first.
@@ -45,35 +60,45 @@
 	DataCentre string `json:"data_centre"`
 }
 
-// ErrorBody is the JSON of a refusal.
-type ErrorBody struct {
-	Error ErrorDetail `json:"error"`
+// OperationLease lets a caller name non-idempotent requests.
+type OperationLease struct {
+	// Prefix is followed by a full stop and a decimal counter, a new one for
+	// each request and the same one for a request sent again.
+	Prefix string `json:"prefix"`
+	// Address is the VM that runs the requests; others forward to it.
+	Address string `json:"address"`
+	// ExpiresInMS is how long to use the prefix for new requests.
+	ExpiresInMS int64 `json:"expires_in_ms"`
 }
 
-// ErrorDetail says why, whether the request ran, and when to come back.
-type ErrorDetail struct {
-	Reason       refusal.Reason     `json:"reason"`
-	Ran          refusal.Ran        `json:"ran"`
-	Message      string             `json:"message"`
-	RetryAfterMS int64              `json:"retry_after_ms,omitempty"`
-	RequestID    string             `json:"request_id,omitempty"`
-	Coverage     *frontend.Coverage `json:"coverage,omitempty"`
-}
+// ErrorBody and ErrorDetail are the JSON of a refusal.
+type (
+	ErrorBody   = frontend.ErrorBody
+	ErrorDetail = frontend.ErrorDetail
+)
 
 // Backend is what the interface serves.
 type Backend interface {
 	Snapshot() *contract.Snapshot
 	// NotReady is empty when requests can be served.
 	NotReady() string
+	// Stopping is true from the start of a planned stop: what is under way is
+	// answered, also to callers that ask again, and nothing new is taken.
+	Stopping() bool
+	// CallerAddress is this VM's address for callers, IP and port.
+	CallerAddress() string
 	Endpoints(c *contract.Customer) Endpoints
 }
 
 // Options is what a server needs.
 type Options struct {
-	Log      *zap.Logger
-	Limits   *pb.Limits
-	Backend  Backend
-	Frontend *frontend.Frontend
+	Log        *zap.Logger
+	Limits     *pb.Limits
+	Backend    Backend
+	Frontend   *frontend.Frontend
+	Operations *frontend.Operations
+	// ReadTimeout for a whole request; 0 takes the default.
+	ReadTimeout time.Duration
 }
 
 // Server is the caller interface of one daemon.
@@ -84,6 +109,9 @@
 
 // New makes a server.
 func New(opts Options) *Server {
+	if opts.ReadTimeout == 0 {
+		opts.ReadTimeout = readTimeout
+	}
 	s := &Server{opts: opts}
 	s.http = &fasthttp.Server{
 		Name:                  "sycamorekeel",
@@ -92,11 +120,15 @@
 		MaxRequestBodySize:    int(opts.Limits.MaxBodyBytes),
 		ReadBufferSize:        int(opts.Limits.MaxHeaderBytes),
 		Concurrency:           int(opts.Limits.MaxConnections),
-		ReadTimeout:           readTimeout,
+		MaxConnsPerIP:         int(opts.Limits.MaxConnectionsPerIp),
+		ReadTimeout:           opts.ReadTimeout,
+		WriteTimeout:          writeTimeout,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		Logger:                discard{},
+		// A body is passed on as it came: nothing is to parse it here.
+		DisablePreParseMultipartForm: true,
+		Logger:                       discard{},
 	}
 	return s
 }
@@ -119,25 +151,46 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	kind, isQuery := strings.CutPrefix(path, QueryPath)
 	switch {
-	case path == EndpointsPath && ctx.IsGet():
-		s.endpoints(ctx)
-	case strings.HasPrefix(path, QueryPath) && ctx.IsPost():
-		s.query(ctx, strings.TrimPrefix(path, QueryPath))
-	case path == EndpointsPath || strings.HasPrefix(path, QueryPath):
-		s.refuse(ctx, fasthttp.StatusMethodNotAllowed, refusal.New(refusal.BadRequest, "the method is not allowed here"))
+	case path == EndpointsPath:
+		s.only(ctx, fasthttp.MethodGet, s.endpoints)
+	case isQuery:
+		s.only(ctx, fasthttp.MethodPost, func(ctx *fasthttp.RequestCtx) { s.query(ctx, kind) })
 	default:
-		s.refuse(ctx, fasthttp.StatusNotFound, refusal.New(refusal.BadRequest, "no such path"))
+		s.refuse(ctx, refusal.New(refusal.NotFound, "no such path; there are "+EndpointsPath+" and "+QueryPath+"{kind}"))
 	}
 }
 
+func (s *Server) only(ctx *fasthttp.RequestCtx, method string, next fasthttp.RequestHandler) {
+	if string(ctx.Method()) != method {
+		ctx.Response.Header.Set(fasthttp.HeaderAllow, method)
+		s.refuse(ctx, refusal.New(refusal.MethodNotAllowed, "the method here is "+method))
+		return
+	}
+	next(ctx)
+}
+
 // unreadable answers a request whose head or body could not be read.
 func (s *Server) unreadable(ctx *fasthttp.RequestCtx, err error) {
-	e := refusal.New(refusal.BadRequest, "the request could not be read: "+err.Error())
-	if err == fasthttp.ErrBodyTooLarge {
-		e = refusal.New(refusal.BodyTooLarge, "the body is longer than "+strconv.Itoa(int(s.opts.Limits.MaxBodyBytes))+" bytes")
+	s.refuse(ctx, s.errUnreadable(err))
+}
+
+// errUnreadable says "not run" of a request that every copy of would be refused
+// for. A request that broke off may be a copy of one that ran.
+func (s *Server) errUnreadable(err error) *refusal.Error {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return refusal.New(refusal.BodyTooLarge, "the body is longer than "+strconv.Itoa(int(s.opts.Limits.MaxBodyBytes))+" bytes")
+	case errors.As(err, &small):
+		return refusal.New(refusal.HeaderTooLarge, "the headers are longer than "+strconv.Itoa(int(s.opts.Limits.MaxHeaderBytes))+" bytes")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return refusal.New(refusal.RequestTimeout, "the request did not come whole within "+s.opts.ReadTimeout.String()).Unproven()
+	default:
+		return refusal.New(refusal.BadRequest, "the request could not be read: "+err.Error()).Unproven()
 	}
-	s.refuse(ctx, e.Reason.Status(), e)
 }
 
 func (s *Server) endpoints(ctx *fasthttp.RequestCtx) {
@@ -145,7 +198,26 @@
 	if !ok {
 		return
 	}
-	writeJSON(ctx, fasthttp.StatusOK, s.opts.Backend.Endpoints(c))
+	e := s.opts.Backend.Endpoints(c)
+	if needsLease(c) && !s.opts.Backend.Stopping() {
+		prefix, use := s.opts.Operations.Lease(c.Name)
+		e.OperationLease = &OperationLease{Prefix: prefix, Address: s.opts.Backend.CallerAddress(), ExpiresInMS: use.Milliseconds()}
+	}
+	body, err := json.Marshal(e)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	write(ctx, &frontend.Reply{Status: fasthttp.StatusOK, Body: body})
+}
+
+func needsLease(c *contract.Customer) bool {
+	for _, k := range c.Kinds {
+		if !k.Idempotent {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *Server) query(ctx *fasthttp.RequestCtx, name string) {
@@ -155,86 +227,83 @@
 	}
 	k, ok := c.Kinds[name]
 	if !ok {
-		e := refusal.New(refusal.UnknownKind, "the contract of "+c.Name+" has no kind "+strconv.Quote(name))
-		s.refuse(ctx, e.Reason.Status(), e)
+		s.refuse(ctx, refusal.New(refusal.UnknownKind, "the contract of "+c.Name+" has no kind "+strconv.Quote(name)))
 		return
 	}
 	req, err := request(ctx)
 	if err != nil {
-		s.refuse(ctx, err.Reason.Status(), err)
+		s.refuse(ctx, err)
 		return
 	}
-	answer, failure := s.opts.Frontend.Query(context.Background(), k, req)
-	if failure != nil {
-		writeFailure(ctx, failure)
-		return
-	}
-	writeJSON(ctx, fasthttp.StatusOK, answer)
+	write(ctx, s.opts.Operations.Serve(context.Background(), k, req))
 }
 
 // request copies what outlives the handler: the library reuses its buffers.
 func request(ctx *fasthttp.RequestCtx) (*frontend.Request, *refusal.Error) {
-	req := &frontend.Request{Body: append([]byte(nil), ctx.PostBody()...)}
+	for _, name := range []string{HeaderOperation, HeaderDeadline} {
+		// With two values the library gives one and another reader may take
+		// the other: two keys for one request.
+		if len(ctx.Request.Header.PeekAll(name)) > 1 {
+			return nil, refusal.New(refusal.BadRequest, name+" must be given once")
+		}
+	}
+	req := &frontend.Request{
+		Body:      append([]byte(nil), ctx.PostBody()...),
+		Operation: string(ctx.Request.Header.Peek(HeaderOperation)),
+	}
 	text := string(ctx.Request.Header.Peek(HeaderDeadline))
 	if text == "" {
 		return req, nil
 	}
-	ms, err := strconv.ParseUint(text, 10, 31)
-	if err != nil || ms == 0 {
-		return nil, refusal.New(refusal.BadRequest, HeaderDeadline+" must be a whole number of milliseconds above 0")
+	ms, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || ms == 0 || ms > maxDeadline {
+		return nil, refusal.New(refusal.BadRequest, HeaderDeadline+" must be a whole number of milliseconds from 1 to "+strconv.Itoa(maxDeadline))
 	}
 	req.Deadline = time.Duration(ms) * time.Millisecond
 	return req, nil
 }
 
 func (s *Server) authenticate(ctx *fasthttp.RequestCtx) (*contract.Customer, bool) {
-	if why := s.opts.Backend.NotReady(); why != "" {
-		e := refusal.New(refusal.NotReady, why).After(time.Second)
-		s.refuse(ctx, e.Reason.Status(), e)
+	if why := s.opts.Backend.NotReady(); why != "" && !s.opts.Backend.Stopping() {
+		s.refuse(ctx, refusal.New(refusal.NotReady, why).After(time.Second))
 		return nil, false
 	}
-	token, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	token, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
 	if ok {
 		if c, found := s.opts.Backend.Snapshot().Authenticate(token); found {
 			return c, true
 		}
 	}
-	e := refusal.New(refusal.Unauthenticated, "a bearer token of a contract is needed")
-	s.refuse(ctx, e.Reason.Status(), e)
+	ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
+	s.refuse(ctx, refusal.New(refusal.Unauthenticated, "a bearer token of a contract is needed"))
 	return nil, false
 }
 
-func (s *Server) refuse(ctx *fasthttp.RequestCtx, status int, e *refusal.Error) {
+// refuse answers a request that did not reach the table of operations. When it
+// carries a key, an earlier copy may have reached it, here or on another VM, so
+// "not run" would be a guess: the caller would choose another key and the
+// request could run twice.
+func (s *Server) refuse(ctx *fasthttp.RequestCtx, e *refusal.Error) {
+	operation := string(ctx.Request.Header.Peek(HeaderOperation))
+	if _, err := once.ParseKey(operation); err != nil {
+		operation = ""
+	} else {
+		e = e.Unproven()
+	}
 	s.opts.Frontend.Refuse(e)
-	writeError(ctx, status, ErrorDetail{Reason: e.Reason, Ran: e.Ran, Message: e.Detail}, e.RetryAfter)
-}
-
-func writeFailure(ctx *fasthttp.RequestCtx, f *frontend.Failure) {
-	writeError(ctx, f.Reason.Status(), ErrorDetail{
-		Reason:    f.Reason,
-		Ran:       f.Ran,
-		Message:   f.Detail,
-		RequestID: f.RequestID,
-		Coverage:  f.Coverage,
-	}, f.RetryAfter)
+	write(ctx, frontend.Refused(&frontend.Failure{Error: e, Operation: operation}))
 }
 
-func writeError(ctx *fasthttp.RequestCtx, status int, d ErrorDetail, after time.Duration) {
-	if after > 0 {
-		d.RetryAfterMS = max(1, after.Milliseconds())
-		seconds := (after + time.Second - 1) / time.Second
-		ctx.Response.Header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+func write(ctx *fasthttp.RequestCtx, r *frontend.Reply) {
+	h := &ctx.Response.Header
+	if r.RequestID != "" {
+		h.Set(HeaderRequestID, r.RequestID)
 	}
-	writeJSON(ctx, status, ErrorBody{Error: d})
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + time.Second - 1) / time.Second
+		h.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
 	}
-	ctx.SetStatusCode(status)
+	ctx.SetStatusCode(r.Status)
 	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	ctx.Response.SetBodyRaw(r.Body)
 }
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// Stopping says that a planned stop is under way.
+func (d *Daemon) Stopping() bool {
+	return d.stopping.Load()
+}
+
+// CallerAddress is where callers reach this VM.
+func (d *Daemon) CallerAddress() string {
+	return d.settings.CallerAddress
+}
+
 // Status is what the operators see.
 func (d *Daemon) Status() operatorapi.Status {
 	snap := d.snapshot.Load()
@@ -70,12 +80,19 @@
 type receiver Daemon
 
 func (r *receiver) Frame(_ string, f *pb.Frame) {
-	if b, ok := f.Body.(*pb.Frame_Reply); ok {
+	switch b := f.Body.(type) {
+	case *pb.Frame_Reply:
 		r.engine.Deliver(b.Reply)
+	case *pb.Frame_ForwardReply:
+		r.forwards.replied(b.ForwardReply)
 	}
 }
 
 func (r *receiver) Lost(_ string, f *pb.Frame, written bool) {
+	if b, ok := f.Body.(*pb.Frame_Forward); ok {
+		r.forwards.lost(b.Forward, written)
+		return
+	}
 	req := f.GetRequest()
 	if req == nil {
 		return
@@ -96,6 +113,8 @@
 		h.owner.Submit(keyOf(from, b.Request.Id), b.Request, func(r *pb.SubReply) {
 			reply(&pb.Frame{Body: &pb.Frame_Reply{Reply: r}})
 		})
+	case *pb.Frame_Forward:
+		h.forwards.serve(b.Forward, reply)
 	case *pb.Frame_Cancel:
 		h.owner.Cancel(keyOf(from, b.Cancel.Id), b.Cancel.Upstream)
 	case *pb.Frame_ShareLoan:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,10 +66,13 @@
 	pool     *peer.Pool
 	server   *peer.Server
 	front    *frontend.Frontend
-	caller   *callerapi.Server
-	operator *operatorapi.Server
-	platform *platform.Client
-	gossip   *gossip.Driver
+	forwards *forwards
+	// operations answers callers through front, at most once where that counts.
+	operations *frontend.Operations
+	caller     *callerapi.Server
+	operator   *operatorapi.Server
+	platform   *platform.Client
+	gossip     *gossip.Driver
 	// ended has the reason for an end that was not asked for.
 	ended  chan error
 	shares *shares
@@ -152,11 +155,14 @@
 		MaxQueries: int(d.settings.Limits.MaxQueries),
 		Now:        time.Now,
 	})
+	d.forwards = newForwards(d)
+	d.operations = d.newOperations()
 	d.caller = callerapi.New(callerapi.Options{
-		Log:      d.log,
-		Limits:   d.settings.Limits,
-		Backend:  d,
-		Frontend: d.front,
+		Log:        d.log,
+		Limits:     d.settings.Limits,
+		Backend:    d,
+		Frontend:   d.front,
+		Operations: d.operations,
 	})
 	d.operator = operatorapi.New(operatorapi.Options{
 		Log:         d.log,
@@ -195,6 +201,7 @@
 		d.log.Error("daemon: must not go on", zap.Error(ended))
 	}
 	d.stop()
+	d.forwards.close()
 	cancel()
 	d.engine.Wait()
 	d.pool.Close()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -33,6 +33,9 @@
 	Body []byte
 	// Deadline, when set, is shorter than the contract's.
 	Deadline time.Duration
+	// Operation is the key of a non-idempotent request; empty when the caller
+	// gave none.
+	Operation string
 }
 
 // parameters are the fields of a body that sycamorekeel itself reads.
@@ -45,7 +48,9 @@
 
 // Answer is a caller's whole answer.
 type Answer struct {
-	RequestID string      `json:"request_id"`
+	RequestID string `json:"request_id"`
+	// Operation is the key a non-idempotent request ran under.
+	Operation string      `json:"operation,omitempty"`
 	Snapshot  Snapshot    `json:"snapshot"`
 	Coverage  Coverage    `json:"coverage"`
 	Hits      []query.Hit `json:"hits"`
@@ -77,6 +82,8 @@
 type Failure struct {
 	*refusal.Error
 	RequestID string
+	// Operation is the key of a non-idempotent request.
+	Operation string
 	Coverage  *Coverage
 }
 
@@ -201,7 +208,7 @@
 	}
 	outcome, runErr := w.front.opts.Engine.Run(ctx, plan)
 	if runErr != nil {
-		return nil, w.fail(&refusal.Error{Reason: refusal.DeadlineExceeded, Ran: refusal.Unknown, Detail: "the request was abandoned"})
+		return nil, w.fail(w.abandoned())
 	}
 	w.outcome = outcome
 	return w.finish(params)
@@ -230,7 +237,7 @@
 		Body:      w.req.Body,
 		Snapshot:  snapshot,
 		Shards:    shards.Shards,
-		Deadline:  w.started.Add(w.timeLeft()),
+		Deadline:  w.started.Add(timeLeft(w.kind, w.req)),
 	}
 	if soft := w.kind.SoftDeadline(); soft > 0 {
 		plan.SoftDeadline = w.started.Add(soft)
@@ -245,16 +252,6 @@
 	return plan, nil
 }
 
-// timeLeft is the shorter of the contract's and the caller's deadline, less
-// what the way back takes.
-func (w *walk) timeLeft() time.Duration {
-	d := w.kind.Deadline()
-	if w.req.Deadline > 0 && w.req.Deadline < d {
-		d = w.req.Deadline
-	}
-	return d - time.Duration(float64(d)*replyMargin)
-}
-
 func (w *walk) finish(p parameters) (*Answer, *Failure) {
 	cov := coverage(w.outcome)
 	if cov.ShardsAnswered == 0 || cov.Fraction < w.kind.CoverageFloor {
@@ -266,6 +263,7 @@
 	}
 	return &Answer{
 		RequestID: w.id,
+		Operation: w.operation(),
 		Snapshot:  Snapshot{Generation: w.outcome.Snapshot.Generation, Version: w.outcome.Snapshot.Version},
 		Coverage:  cov,
 		Hits:      hits,
@@ -295,6 +293,16 @@
 	return failure
 }
 
+// abandoned refuses a request that ended without an outcome: its sub-requests
+// may be anywhere.
+func (w *walk) abandoned() *refusal.Error {
+	e := &refusal.Error{Reason: refusal.DeadlineExceeded, Ran: refusal.Unknown, Detail: "the request was abandoned"}
+	if !w.kind.Idempotent {
+		e.Reason = refusal.OutcomeUnknown
+	}
+	return e
+}
+
 func ran(o *query.Outcome) refusal.Ran {
 	switch {
 	case o.Unsure:
@@ -307,7 +315,16 @@
 }
 
 func (w *walk) fail(e *refusal.Error) *Failure {
-	return &Failure{Error: e, RequestID: w.id}
+	return &Failure{Error: e, RequestID: w.id, Operation: w.operation()}
+}
+
+// operation is the key the request runs under; idempotent kinds need none and
+// ignore one.
+func (w *walk) operation() string {
+	if w.kind.Idempotent {
+		return ""
+	}
+	return w.req.Operation
 }
 
 func (w *walk) record(a *Answer, failure *Failure) {
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -14,7 +14,11 @@
 // Reasons, one for each way a request is turned away or fails.
 const (
 	BadRequest       Reason = "bad_request"
+	NotFound         Reason = "not_found"
+	MethodNotAllowed Reason = "method_not_allowed"
 	BodyTooLarge     Reason = "body_too_large"
+	HeaderTooLarge   Reason = "header_too_large"
+	RequestTimeout   Reason = "request_timeout"
 	Unauthenticated  Reason = "unauthenticated"
 	UnknownKind      Reason = "unknown_kind"
 	UnknownService   Reason = "unknown_service"
@@ -27,6 +31,9 @@
 	DeadlineTooShort Reason = "deadline_too_short"
 	ForeignOperation Reason = "foreign_operation"
 	OperationExpired Reason = "operation_expired"
+	OperationRunning Reason = "operation_running"
+	OperationAway    Reason = "operation_away"
+	AnswerNotKept    Reason = "answer_not_kept"
 	OutcomeUnknown   Reason = "outcome_unknown"
 	NoSnapshot       Reason = "no_snapshot"
 	CoverageTooLow   Reason = "coverage_too_low"
@@ -36,9 +43,11 @@
 
 // All is every reason, for metrics and the pages.
 var All = []Reason{
-	BadRequest, BodyTooLarge, Unauthenticated, UnknownKind, UnknownService,
+	BadRequest, NotFound, MethodNotAllowed, BodyTooLarge, HeaderTooLarge,
+	RequestTimeout, Unauthenticated, UnknownKind, UnknownService,
 	NotReady, Stopping, WrongVM, Overloaded, RateLimit, ConcurrencyLimit,
-	DeadlineTooShort, ForeignOperation, OperationExpired, OutcomeUnknown,
+	DeadlineTooShort, ForeignOperation, OperationExpired, OperationRunning,
+	OperationAway, AnswerNotKept, OutcomeUnknown,
 	NoSnapshot, CoverageTooLow, UpstreamFailed, DeadlineExceeded,
 }
 
@@ -74,6 +83,15 @@
 	return e
 }
 
+// Unproven withdraws the claim that the request did not run: this copy of it did
+// not, but nobody has looked for others.
+func (e *Error) Unproven() *Error {
+	if e.Ran == NotRun {
+		e.Ran = Unknown
+	}
+	return e
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	return string(e.Reason) + " (" + string(e.Ran) + "): " + e.Detail
@@ -98,10 +116,18 @@
 		return http.StatusRequestEntityTooLarge
 	case Unauthenticated:
 		return http.StatusUnauthorized
-	case UnknownKind:
+	case UnknownKind, NotFound:
 		return http.StatusNotFound
 	case WrongVM:
 		return http.StatusMisdirectedRequest
+	case MethodNotAllowed:
+		return http.StatusMethodNotAllowed
+	case HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case RequestTimeout:
+		return http.StatusRequestTimeout
+	case OperationRunning, AnswerNotKept:
+		return http.StatusConflict
 	case RateLimit, ConcurrencyLimit:
 		return http.StatusTooManyRequests
 	case OutcomeUnknown, UpstreamFailed:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,11 +20,13 @@
 	DefaultMaxBodyBytes   = 256 << 10
 	DefaultMaxHeaderBytes = 16 << 10
 	DefaultMaxConnections = 4096
-	DefaultMaxQueries     = 2048
-	DefaultMaxQueue       = 256
-	DefaultDrainMS        = 10_000
-	DefaultMaxReplyBytes  = 4 << 20
-	DefaultLogLevel       = "info"
+	// DefaultMaxConnectionsPerIP leaves room for others beside one caller.
+	DefaultMaxConnectionsPerIP = 1024
+	DefaultMaxQueries          = 2048
+	DefaultMaxQueue            = 256
+	DefaultDrainMS             = 10_000
+	DefaultMaxReplyBytes       = 4 << 20
+	DefaultLogLevel            = "info"
 )
 
 // Bounds of the settings.
@@ -81,6 +83,7 @@
 	setDefault(&l.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&l.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&l.MaxConnections, DefaultMaxConnections)
+	setDefault(&l.MaxConnectionsPerIp, DefaultMaxConnectionsPerIP)
 	setDefault(&l.MaxQueries, DefaultMaxQueries)
 	setDefault(&l.MaxQueue, DefaultMaxQueue)
 	setDefault(&l.DrainMs, DefaultDrainMS)
@@ -151,6 +154,7 @@
 	checkRange(src, "limits.max_body_bytes", l.MaxBodyBytes, maxBytes)
 	checkRange(src, "limits.max_header_bytes", l.MaxHeaderBytes, maxBytes)
 	checkRange(src, "limits.max_connections", l.MaxConnections, maxCount)
+	checkRange(src, "limits.max_connections_per_ip", l.MaxConnectionsPerIp, maxCount)
 	checkRange(src, "limits.max_queries", l.MaxQueries, maxCount)
 	checkRange(src, "limits.max_queue", l.MaxQueue, maxCount)
 	checkRange(src, "limits.drain_ms", l.DrainMs, maxDrainMS)
