Learn the time of a replica from attempts that were withdrawn

Cause: a withdrawn attempt taught the router nothing. A straggler whose every attempt lost to a hedge stayed unknown, looked as good as its peers and was chosen again; the hedge delay of 50 ms for an unknown upstream then set the median of every scattered kind of the demo.

Replicas are chosen by mean times open sub-requests and take turns when alike. A replica that got nothing for a while is tried once, after 2 s at first and twice as long after each slow trial, up to 64 s. The hedge delay of an unknown upstream is the tail of the shard's other replicas, else of the service; hedges planned on a guess are planned again when half of the query's shards have answered. The router has a lock for each upstream in place of one for all.

What remains of the tail of kinds of few shards is the guess of 50 ms while nothing at all is known.

--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -31,16 +31,43 @@
 // Fleet is what a query may read of the world. Its methods are quick and have
 // no effect that a query waits for.
 type Fleet interface {
-	// Replica is the best upstream for a shard that is not in except, or nil.
-	Replica(now time.Time, shard *contract.Shard, snapshot *pb.Snapshot, except []*contract.Upstream) *contract.Upstream
-	// HedgeDelay is how long to wait for an upstream before asking another.
-	HedgeDelay(u *contract.Upstream) time.Duration
-	// Observe learns from the reply of an upstream.
-	Observe(upstream string, r *pb.SubReply)
+	// Replica is the index of the best replica for a sub-request, NoReplica when
+	// there is none.
+	Replica(now time.Time, w Want) int
+	// Opened notes that a sub-request goes to an upstream.
+	Opened(now time.Time, u *contract.Upstream)
+	// HedgeDelay is how long to wait for a replica of the shard before asking
+	// another; sure is false when nothing is known and it is a guess.
+	HedgeDelay(now time.Time, shard *contract.Shard, replica int) (delay time.Duration, sure bool)
+	// Observe learns from the end of an attempt.
+	Observe(now time.Time, o Observation)
 	// Spend takes one extra sub-request from the kind's budget.
 	Spend(now time.Time, k *contract.Kind, cause Cause) bool
 }
 
+// NoReplica says that no replica can take a sub-request.
+const NoReplica = -1
+
+// Want is a sub-request in search of a replica.
+type Want struct {
+	Shard    *contract.Shard
+	Snapshot *pb.Snapshot
+	// Tried has bit i set when replica i was asked before.
+	Tried uint64
+	// Explore allows a replica of which nothing was heard for a while. It is
+	// for sub-requests that a hedge can save.
+	Explore bool
+}
+
+// Observation is the end of one attempt.
+type Observation struct {
+	Upstream *contract.Upstream
+	// Took is the time since it was sent.
+	Took time.Duration
+	// Reply is nil when the attempt was withdrawn: Took is then a lower bound.
+	Reply *pb.SubReply
+}
+
 // Cause is why a sub-request is sent.
 type Cause string
 
@@ -162,10 +189,15 @@
 	missing  Missing
 	closed   bool
 	hedgeAt  time.Time
+	// guessed says that hedgeAt rests on nothing known.
+	guessed bool
+	// tried has bit i set when replica i was asked.
+	tried uint64
 }
 
 type attempt struct {
 	upstream *contract.Upstream
+	replica  int
 	cause    Cause
 	sentAt   time.Time
 	took     time.Duration
@@ -205,7 +237,7 @@
 	a.result = r.Result
 	a.took = now.Sub(a.sentAt)
 	q.note(r.Result)
-	q.fleet.Observe(a.upstream.ID, r)
+	q.fleet.Observe(now, Observation{Upstream: a.upstream, Took: a.took, Reply: r})
 	if !sh.closed {
 		q.judge(now, id, r)
 	}
@@ -269,7 +301,7 @@
 			q.again(now, id.Shard, Retry, MissingWrongIndex)
 			return
 		}
-		q.answer(id, r)
+		q.answer(now, id, r)
 	case pb.Result_UPSTREAM_ERROR:
 		q.again(now, id.Shard, Retry, MissingFailed)
 	case pb.Result_UNKNOWN, pb.Result_RESULT_UNSPECIFIED:
@@ -285,11 +317,12 @@
 	}
 }
 
-func (q *Query) answer(id AttemptID, r *pb.SubReply) {
+func (q *Query) answer(now time.Time, id AttemptID, r *pb.SubReply) {
 	sh := &q.shards[id.Shard]
 	sh.body = r.Body
 	q.covered += q.plan.Shards[id.Shard].Documents
-	q.close(id.Shard)
+	q.close(now, id.Shard)
+	q.replanHedges()
 }
 
 // again sends a shard's sub-request once more where that is safe and allowed,
@@ -304,18 +337,24 @@
 	}
 	if !sh.anyOpen() {
 		sh.missing = why
-		q.close(shard)
+		q.close(now, shard)
 	}
 }
 
 // send starts an attempt at the best replica not yet tried.
 func (q *Query) send(now time.Time, shard int, cause Cause) bool {
 	sh := &q.shards[shard]
-	u := q.fleet.Replica(now, q.plan.Shards[shard], q.plan.Snapshot, sh.tried())
-	if u == nil {
+	target := q.plan.Shards[shard]
+	replica := q.fleet.Replica(now, Want{
+		Shard:    target,
+		Snapshot: q.plan.Snapshot,
+		Tried:    sh.tried,
+		Explore:  cause == First && q.hedges(),
+	})
+	if replica == NoReplica {
 		if len(sh.attempts) == 0 {
 			sh.missing = MissingNoReplica
-			q.close(shard)
+			q.close(now, shard)
 		}
 		return false
 	}
@@ -323,15 +362,48 @@
 		return false
 	}
 	id := AttemptID{Shard: shard, Try: len(sh.attempts)}
-	sh.attempts = append(sh.attempts, attempt{upstream: u, cause: cause, sentAt: now, open: true})
+	u := target.Replicas[replica]
+	q.fleet.Opened(now, u)
+	sh.tried |= 1 << replica
+	sh.attempts = append(sh.attempts, attempt{upstream: u, replica: replica, cause: cause, sentAt: now, open: true})
 	sh.hedgeAt = time.Time{}
-	if q.plan.Kind.Idempotent && q.plan.Kind.HedgePercent > 0 && cause != Hedge {
-		sh.hedgeAt = now.Add(q.fleet.HedgeDelay(u))
+	if q.hedges() && cause != Hedge {
+		q.planHedge(now, shard, replica)
 	}
-	q.actions = append(q.actions, Send{Attempt: id, Kind: q.plan.Kind, Shard: q.plan.Shards[shard], Upstream: u, Cause: cause})
+	q.actions = append(q.actions, Send{Attempt: id, Kind: q.plan.Kind, Shard: target, Upstream: u, Cause: cause})
 	return true
 }
 
+func (q *Query) hedges() bool {
+	return q.plan.Kind.Idempotent && q.plan.Kind.HedgePercent > 0
+}
+
+func (q *Query) planHedge(sentAt time.Time, shard, replica int) {
+	sh := &q.shards[shard]
+	delay, sure := q.fleet.HedgeDelay(sentAt, q.plan.Shards[shard], replica)
+	sh.hedgeAt = sentAt.Add(delay)
+	sh.guessed = !sure
+}
+
+// replanHedges moves the hedges that were planned on a guess to where the
+// answers of the other shards of this very query now put them. It runs after a
+// half and after nine tenths of the answers, so that a query of many shards
+// does not look at each shard after each answer.
+func (q *Query) replanHedges() {
+	n := len(q.shards)
+	if answered := n - q.open; answered != (n+1)/2 && answered != n*9/10 {
+		return
+	}
+	for i := range q.shards {
+		sh := &q.shards[i]
+		if sh.closed || !sh.guessed || sh.hedgeAt.IsZero() {
+			continue
+		}
+		a := &sh.attempts[len(sh.attempts)-1]
+		q.planHedge(a.sentAt, i, a.replica)
+	}
+}
+
 // hedge sends a second sub-request for every shard that has waited too long.
 func (q *Query) hedge(now time.Time) {
 	for i := range q.shards {
@@ -347,13 +419,15 @@
 }
 
 // close ends a shard and withdraws its open attempts.
-func (q *Query) close(shard int) {
+func (q *Query) close(now time.Time, shard int) {
 	sh := &q.shards[shard]
 	sh.closed = true
 	sh.hedgeAt = time.Time{}
 	q.open--
 	for try := range sh.attempts {
 		if a := &sh.attempts[try]; a.open {
+			a.took = now.Sub(a.sentAt)
+			q.fleet.Observe(now, Observation{Upstream: a.upstream, Took: a.took})
 			q.actions = append(q.actions, Cancel{Attempt: AttemptID{Shard: shard, Try: try}, Upstream: a.upstream})
 		}
 	}
@@ -394,7 +468,7 @@
 		if sh := &q.shards[i]; !sh.closed {
 			sh.missing = why
 			q.unsure = q.unsure || sh.anyOpen()
-			q.close(i)
+			q.close(now, i)
 		}
 		out.Shards = append(out.Shards, q.shardOutcome(i))
 	}
@@ -426,14 +500,6 @@
 	return a.result.String()
 }
 
-func (s *shardState) tried() []*contract.Upstream {
-	out := make([]*contract.Upstream, len(s.attempts))
-	for i := range s.attempts {
-		out[i] = s.attempts[i].upstream
-	}
-	return out
-}
-
 func (s *shardState) anyOpen() bool {
 	for i := range s.attempts {
 		if s.attempts[i].open {
--- /dev/null
+++ b/internal/router/replica.go
@@ -0,0 +1,287 @@
+package router
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sycamorekeel.example/sycamorekeel/internal/contract"
+	"sycamorekeel.example/sycamorekeel/internal/latency"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/query"
+)
+
+// Hedge delays.
+const (
+	hedgeQuantile = 0.95
+	// hedgeUnknown is the delay while nothing is known of the whole service.
+	hedgeUnknown = 50 * time.Millisecond
+	hedgeLeast   = time.Millisecond
+	// hedgeCap bounds an upstream's own delay by a multiple of its peers': one
+	// that is known to be slow is not waited for longer.
+	hedgeCap = 2
+	// hedgeEnough is the weight of observations that a tail is read from.
+	hedgeEnough = 8
+	// tailEvery is how many observations a computed tail is used for.
+	tailEvery = 8
+)
+
+// Exploration: a replica of which nothing was heard for a while gets one
+// sub-request, so that one that has recovered is found. Each trial that finds
+// it slow doubles the wait.
+const (
+	exploreLeast = 2 * time.Second
+	exploreMost  = 64 * time.Second
+	// exploreSlow is the multiple of the service's mean above which a replica
+	// counts as slow.
+	exploreSlow = 2
+)
+
+// alike is the ratio of costs below which replicas take turns: the histogram
+// and the mean tell no finer difference.
+const alike = 1.2
+
+// maxReplicas is how many replicas of a shard are looked at; query.Want has a
+// bit for each.
+const maxReplicas = 64
+
+// upstreamState is what this VM has learned of an upstream.
+type upstreamState struct {
+	mu    sync.Mutex
+	times latency.Tracker
+	tail  tail
+	// open is the sub-requests outstanding from here; sent counts them all.
+	open int
+	sent uint64
+	// exploreAt is when it may be tried although it looks slow.
+	exploreAt    time.Time
+	exploreEvery time.Duration
+}
+
+// tail is the computed hedge quantile.
+type tail struct {
+	value time.Duration
+	uses  int
+}
+
+// pool is the answer times of a service's upstreams together.
+type pool struct {
+	mu    sync.Mutex
+	times latency.Tracker
+	tail  tail
+}
+
+// read is the tail quantile; ok is false while too little was observed.
+func (t *tail) read(now time.Time, times *latency.Tracker) (time.Duration, bool) {
+	if times.Weight(now) < hedgeEnough {
+		return 0, false
+	}
+	if t.uses == 0 {
+		t.value = max(times.Quantile(hedgeQuantile), hedgeLeast)
+		t.uses = tailEvery
+	}
+	return t.value, true
+}
+
+func (t *tail) observed() {
+	t.uses = max(0, t.uses-1)
+}
+
+// candidate is a replica under comparison.
+type candidate struct {
+	index   int
+	cost    float64
+	open    int
+	sent    uint64
+	known   bool
+	explore bool
+}
+
+// Replica is the replica expected to answer first: the one with the least mean
+// time for each sub-request open from here. Those that are alike take turns.
+func (r *Router) Replica(now time.Time, w query.Want) int {
+	var room [8]candidate
+	list := r.candidates(now, w, room[:0])
+	if len(list) == 0 {
+		return query.NoReplica
+	}
+	return r.choose(list, w.Explore).index
+}
+
+// Opened notes that a sub-request goes to an upstream; Observe ends it.
+func (r *Router) Opened(now time.Time, u *contract.Upstream) {
+	st := r.upstream(u.ID)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.open++
+	st.sent++
+	st.sentTo(now)
+}
+
+func (r *Router) candidates(now time.Time, w query.Want, list []candidate) []candidate {
+	for i, u := range w.Shard.Replicas[:min(len(w.Shard.Replicas), maxReplicas)] {
+		if u.Leaving || w.Tried&(1<<i) != 0 {
+			continue
+		}
+		st := r.upstream(u.ID)
+		st.mu.Lock()
+		c := candidate{index: i, open: st.open, sent: st.sent, known: st.times.Mean() > 0}
+		c.cost = float64(st.times.Mean()) * float64(st.open+1)
+		c.explore = !st.exploreAt.IsZero() && !now.Before(st.exploreAt)
+		st.mu.Unlock()
+		list = append(list, c)
+	}
+	return list
+}
+
+// choose takes the least cost; an unknown replica costs as little as the best
+// known one for each sub-request open.
+func (r *Router) choose(list []candidate, explore bool) candidate {
+	least, turn := 0.0, r.turn
+	for i := range list {
+		turn += list[i].sent
+		if unit := list[i].cost / float64(list[i].open+1); list[i].known && (least == 0 || unit < least) {
+			least = unit
+		}
+	}
+	best := 0.0
+	for i := range list {
+		if !list[i].known {
+			list[i].cost = max(least, 1) * float64(list[i].open+1)
+		}
+		if i == 0 || list[i].cost < best {
+			best = list[i].cost
+		}
+	}
+	if explore {
+		for _, c := range list {
+			if c.explore && c.cost > alike*best {
+				return c
+			}
+		}
+	}
+	equals := 0
+	for _, c := range list {
+		if c.cost <= alike*best {
+			list[equals] = c
+			equals++
+		}
+	}
+	return list[turn%uint64(equals)]
+}
+
+// sentTo puts the next trial off. While it gets sub-requests an upstream needs
+// none; when one was due and this is it, the wait doubles until an answer shows
+// that it is fast.
+func (s *upstreamState) sentTo(now time.Time) {
+	switch {
+	case s.exploreEvery == 0:
+		s.exploreEvery = exploreLeast
+	case !now.Before(s.exploreAt):
+		s.exploreEvery = min(exploreMost, 2*s.exploreEvery)
+	}
+	s.exploreAt = now.Add(s.exploreEvery)
+}
+
+// HedgeDelay is the tail of the replica's own answers, capped by that of its
+// peers; while it is unknown it is the tail of the peers: the shard's other
+// replicas, or else the service's upstreams together.
+func (r *Router) HedgeDelay(now time.Time, shard *contract.Shard, replica int) (time.Duration, bool) {
+	own, known := r.tailOf(now, shard.Replicas[replica])
+	peers, peersKnown := r.peersTail(now, shard, replica)
+	switch {
+	case known && peersKnown:
+		return min(own, hedgeCap*peers), true
+	case known:
+		return own, true
+	case peersKnown:
+		return peers, true
+	default:
+		return hedgeUnknown, false
+	}
+}
+
+func (r *Router) tailOf(now time.Time, u *contract.Upstream) (time.Duration, bool) {
+	st := r.upstream(u.ID)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.tail.read(now, &st.times)
+}
+
+// peersTail is the shortest tail of the shard's other replicas: a hedge would
+// be answered by it.
+func (r *Router) peersTail(now time.Time, shard *contract.Shard, replica int) (time.Duration, bool) {
+	least, ok := time.Duration(0), false
+	for i, u := range shard.Replicas {
+		if i == replica || u.Leaving {
+			continue
+		}
+		if d, known := r.tailOf(now, u); known && (!ok || d < least) {
+			least, ok = d, true
+		}
+	}
+	if ok {
+		return least, true
+	}
+	p := r.pool(shard.Replicas[replica].Service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tail.read(now, &p.times)
+}
+
+// Observe learns from the end of an attempt.
+func (r *Router) Observe(now time.Time, o query.Observation) {
+	answered := o.Reply != nil && o.Reply.Result == pb.Result_OK
+	slow := false
+	if answered {
+		slow = r.observePool(now, o)
+	}
+	st := r.upstream(o.Upstream.ID)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.open = max(0, st.open-1)
+	switch {
+	case answered:
+		st.times.Observe(now, o.Took)
+		st.tail.observed()
+		if !slow {
+			st.exploreEvery = exploreLeast
+		}
+	case o.Reply == nil:
+		st.times.ObserveAtLeast(now, o.Took)
+		st.tail.observed()
+	}
+}
+
+// observePool adds an answer to its service's and tells whether it was slow.
+func (r *Router) observePool(now time.Time, o query.Observation) bool {
+	p := r.pool(o.Upstream.Service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.times.Observe(now, o.Took)
+	p.tail.observed()
+	return o.Took > exploreSlow*p.times.Mean()
+}
+
+func (r *Router) upstream(id string) *upstreamState {
+	if st, ok := r.upstreams.Load(id); ok {
+		return st.(*upstreamState)
+	}
+	st, _ := r.upstreams.LoadOrStore(id, &upstreamState{})
+	return st.(*upstreamState)
+}
+
+func (r *Router) pool(service string) *pool {
+	if p, ok := r.services.Load(service); ok {
+		return p.(*pool)
+	}
+	p, _ := r.services.LoadOrStore(service, &pool{})
+	return p.(*pool)
+}
+
+// turnOf starts the turns of each VM elsewhere, so that a fleet that knows
+// nothing does not send everything to each shard's first replica.
+func turnOf(vm string) uint64 {
+	return xxhash.Sum64String(vm)
+}
