--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -124,7 +124,13 @@
 	}
 }
 
-func (h *peerHandler) Gone(*pb.Hello) {}
+func (h *peerHandler) Opened(from *pb.Hello, reply func(*pb.Frame)) {
+	h.status.open(from, reply)
+}
+
+func (h *peerHandler) Gone(from *pb.Hello) {
+	h.status.gone(from)
+}
 
 func keyOf(from *pb.Hello, id uint64) dispatch.Key {
 	return dispatch.Key{VM: from.Vm, Incarnation: from.Incarnation, ID: id}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,9 +21,11 @@
 	"sycamorekeel.example/sycamorekeel/internal/callerapi"
 	"sycamorekeel.example/sycamorekeel/internal/config"
 	"sycamorekeel.example/sycamorekeel/internal/contract"
+	"sycamorekeel.example/sycamorekeel/internal/dispatch"
 	"sycamorekeel.example/sycamorekeel/internal/explain"
 	"sycamorekeel.example/sycamorekeel/internal/frontend"
 	"sycamorekeel.example/sycamorekeel/internal/gossip"
+	"sycamorekeel.example/sycamorekeel/internal/health"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/operatorapi"
 	"sycamorekeel.example/sycamorekeel/internal/owner"
@@ -76,6 +78,7 @@
 	// ended has the reason for an end that was not asked for.
 	ended  chan error
 	shares *shares
+	status *statusHub
 
 	// table is read by the owner while mu is held.
 	table    atomic.Pointer[ownership.Table]
@@ -100,6 +103,7 @@
 		platform:    platform.NewClient(s.PlatformAddress),
 	}
 	d.shares = newShares(d)
+	d.status = newStatusHub()
 	d.table.Store(ownership.Assign(nil, nil))
 	d.snapshot.Store(contract.Compile(0, nil))
 	d.view.Store(&membership.View{})
@@ -113,10 +117,14 @@
 	d.owner = owner.New(owner.Options{
 		Log:           d.log,
 		Registry:      d.registry,
-		Slots:         d.slots,
+		Grant:         d.grant,
+		Status:        d.status,
 		MaxQueue:      int(d.settings.Limits.MaxQueue),
 		MaxReplyBytes: int(d.settings.Limits.MaxReplyBytes),
 		Now:           time.Now,
+		Health:        health.Default(),
+		Ledger:        dispatch.DefaultLedger(),
+		Pause:         owner.DefaultPause(),
 	})
 	d.pool = peer.NewPool(peer.Options{
 		Log:      d.log,
@@ -188,6 +196,7 @@
 	group, run := errgroup.WithContext(run)
 	group.Go(func() error { return d.watch(run) })
 	group.Go(func() error { return d.shares.run(run) })
+	group.Go(func() error { return d.owner.Run(run) })
 	group.Go(func() error { return d.server.Serve(run, d.listeners.Peer) })
 	group.Go(func() error { return d.gossip.Run(run, d.listeners.Gossip) })
 	group.Go(func() error { return d.caller.Serve(d.listeners.Caller) })
@@ -286,19 +295,3 @@
 	d.router.Update(view, table)
 	d.owner.Apply(snap)
 }
-
-// slots is this VM's part of an upstream's slots.
-func (d *Daemon) slots(u *contract.Upstream) int {
-	if d.settings.Routing == pb.Routing_DIRECT {
-		return max(1, u.Slots/max(1, len(d.view.Load().Serving())))
-	}
-	p := d.table.Load().Place(u.ID)
-	switch d.settings.Vm {
-	case p.Owner:
-		return u.Slots
-	case p.Standby:
-		return 1
-	default:
-		return 0
-	}
-}
--- /dev/null
+++ b/internal/daemon/grant.go
@@ -0,0 +1,33 @@
+package daemon
+
+import (
+	"sycamorekeel.example/sycamorekeel/internal/contract"
+	"sycamorekeel.example/sycamorekeel/internal/owner"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// grant is what this VM may use of an upstream now.
+func (d *Daemon) grant(u *contract.Upstream) owner.Grant {
+	if d.settings.Routing == pb.Routing_DIRECT {
+		return directGrant(u, len(d.view.Load().Serving()))
+	}
+	p := d.table.Load().Place(u.ID)
+	switch d.settings.Vm {
+	case p.Owner:
+		return owner.GrantFor(owner.Main, u)
+	case p.Standby:
+		return owner.GrantFor(owner.Standby, u)
+	default:
+		return owner.GrantFor(owner.None, u)
+	}
+}
+
+// directGrant divides an upstream evenly over the VMs: the baseline.
+func directGrant(u *contract.Upstream, vms int) owner.Grant {
+	vms = max(1, vms)
+	return owner.Grant{
+		Role:        owner.Main,
+		Slots:       max(1, u.Slots/vms),
+		Connections: max(1, u.Connections/vms),
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,9 +1,10 @@
 // Package dispatch decides the order in which an owner gives an upstream's
-// slots to waiting sub-requests, and which of them can no longer be served.
+// slots to waiting sub-requests, which of them can no longer be served, how many
+// slots may be used, and which ids were seen before. Everything in it is a pure
+// state machine: the caller passes the time in and holds a lock around it.
 package dispatch
 
 import (
-	"container/heap"
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/pb"
@@ -23,7 +24,8 @@
 	Key      Key
 	Customer string
 	Priority pb.Priority
-	Weight   uint32
+	// Weight is the customer's share against other customers; 0 counts as 1.
+	Weight uint32
 	// Arrived is when it was queued; Deadline when its answer is due.
 	Arrived  time.Time
 	Deadline time.Time
@@ -31,108 +33,72 @@
 	// Reply answers the sender; it is called once.
 	Reply func(*pb.SubReply)
 
+	flow *flow
+	// due orders the items of a flow.
+	due time.Time
+	// index is the place in the flow's heap.
 	index int
+	// older and newer link the items of one flow by arrival.
+	older, newer *Item
+	// serial is the order of arrival over the whole queue.
+	serial uint64
 }
 
-// Options are the limits of one queue.
-type Options struct {
-	// Slots is how many requests the upstream runs at a time.
-	Slots int
-	// MaxQueue is how many may wait.
-	MaxQueue int
-}
-
-// Queue is the waiting sub-requests of one upstream. It is not safe for
-// concurrent use; the owner holds a lock around it.
-type Queue struct {
-	opts    Options
-	waiting itemHeap
-	byKey   map[Key]*Item
-	running int
-}
-
-// New makes an empty queue.
-func New(opts Options) *Queue {
-	return &Queue{opts: opts, byKey: map[Key]*Item{}}
-}
-
-// SetSlots changes the number of slots; requests that run are not cut off.
-func (q *Queue) SetSlots(n int) {
-	q.opts.Slots = n
-}
-
-// Push takes an item in. Any result but RESULT_UNSPECIFIED refuses it.
-func (q *Queue) Push(now time.Time, it *Item) pb.Result {
-	if !now.Before(it.Deadline) {
-		return pb.Result_TOO_LATE
-	}
-	if len(q.waiting) >= q.opts.MaxQueue {
-		return pb.Result_QUEUE_FULL
-	}
-	heap.Push(&q.waiting, it)
-	q.byKey[it.Key] = it
-	return pb.Result_RESULT_UNSPECIFIED
-}
-
-// Pop starts the next item when a slot is free. Late holds the items whose
-// deadline passed while they waited: they take no slot and did not run.
-func (q *Queue) Pop(now time.Time) (next *Item, late []*Item) {
-	for q.running < q.opts.Slots && len(q.waiting) > 0 {
-		it := heap.Pop(&q.waiting).(*Item)
-		delete(q.byKey, it.Key)
-		if !now.Before(it.Deadline) {
-			late = append(late, it)
-			continue
-		}
-		q.running++
-		return it, late
-	}
-	return nil, late
-}
+// Reason says why a sub-request was not run, in more detail than the result
+// that its sender gets.
+type Reason string
+
+// Reasons for not running a sub-request.
+const (
+	// DeadlinePassed: the time was up on arrival or while it waited.
+	DeadlinePassed Reason = "deadline_passed"
+	// CannotFinish: a free slot came, but too late for the service time.
+	CannotFinish Reason = "cannot_finish"
+	// PredictedWait: the queue ahead takes longer than the time left.
+	PredictedWait Reason = "predicted_wait"
+	// QueueFull: the queue is full and its customer has had its share of it.
+	QueueFull Reason = "queue_full"
+	// Displaced: it made room for a customer that was below its share.
+	Displaced Reason = "displaced"
+	// Withdrawn: cancelled while it waited.
+	Withdrawn Reason = "withdrawn"
+	// Tombstone: cancelled before it arrived.
+	Tombstone Reason = "tombstone"
+	// Duplicate: its id was dispatched before.
+	Duplicate Reason = "duplicate"
+	// LedgerFull: no room to remember its id, so it could run twice.
+	LedgerFull Reason = "ledger_full"
+	// NotOwner: this VM does not own the upstream, or does no longer.
+	NotOwner Reason = "not_owner"
+	// Leaving: the operators or the upstream itself announced its leaving.
+	Leaving Reason = "leaving"
+	// CircuitOpen: the upstream could not be reached a moment ago.
+	CircuitOpen Reason = "circuit_open"
+	// Stopping: this VM is stopping.
+	Stopping Reason = "stopping"
+	// Paused: this process was paused for longer than the time left.
+	Paused Reason = "paused"
+	// AtUpstream: the upstream itself refused.
+	AtUpstream Reason = "at_upstream"
+)
 
-// Done frees the slot of a started item.
-func (q *Queue) Done() {
-	q.running--
+// Reasons is every reason, for metrics and the pages.
+var Reasons = []Reason{
+	DeadlinePassed, CannotFinish, PredictedWait, QueueFull, Displaced,
+	Withdrawn, Tombstone, Duplicate, LedgerFull, NotOwner, Leaving,
+	CircuitOpen, Stopping, Paused, AtUpstream,
 }
 
-// Cancel removes a waiting item; it did not run.
-func (q *Queue) Cancel(key Key) (*Item, bool) {
-	it, ok := q.byKey[key]
-	if !ok {
-		return nil, false
-	}
-	heap.Remove(&q.waiting, it.index)
-	delete(q.byKey, key)
-	return it, true
+// Refusal tells a sender that its sub-request did not run.
+type Refusal struct {
+	Result pb.Result
+	Reason Reason
+	// RetryAfter is when room is expected; 0 when nothing is known.
+	RetryAfter time.Duration
 }
 
-// Len is how many wait; Running is how many hold a slot.
-func (q *Queue) Len() int     { return len(q.waiting) }
-func (q *Queue) Running() int { return q.running }
-
-// itemHeap orders by priority, then by deadline.
-type itemHeap []*Item
-
-func (h itemHeap) Len() int { return len(h) }
-func (h itemHeap) Less(i, j int) bool {
-	if h[i].Priority != h[j].Priority {
-		return h[i].Priority > h[j].Priority
-	}
-	return h[i].Deadline.Before(h[j].Deadline)
-}
-func (h itemHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *itemHeap) Push(x any) {
-	it := x.(*Item)
-	it.index = len(*h)
-	*h = append(*h, it)
-}
-func (h *itemHeap) Pop() any {
-	old := *h
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return it
+// Refused is an item taken out of the queue without running.
+type Refused struct {
+	Item *Item
+	Refusal
 }
--- /dev/null
+++ b/internal/dispatch/flow.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"container/heap"
+
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// classes is the number of priorities, the unspecified one included.
+const classes = int(pb.Priority_HIGH) + 1
+
+// flow is the waiting items of one customer in one class, by deadline.
+type flow struct {
+	customer *customer
+	class    *class
+	items    itemHeap
+	// newest ends the list of items by arrival.
+	newest *Item
+	weight float64
+	// start is the virtual time at which its next item is due.
+	start float64
+	// index is the place in the class's heap, -1 while it has no items.
+	index int
+}
+
+func (f *flow) add(it *Item) {
+	it.flow = f
+	it.older = f.newest
+	it.newer = nil
+	if f.newest != nil {
+		f.newest.newer = it
+	}
+	f.newest = it
+	heap.Push(&f.items, it)
+}
+
+func (f *flow) remove(it *Item) {
+	heap.Remove(&f.items, it.index)
+	if it.newer != nil {
+		it.newer.older = it.older
+	} else {
+		f.newest = it.older
+	}
+	if it.older != nil {
+		it.older.newer = it.newer
+	}
+	it.older, it.newer = nil, nil
+}
+
+// class is one priority. Its customers take turns by start-time fair queueing:
+// each served item moves its flow's start by 1/weight, and the flow with the
+// lowest start is next.
+type class struct {
+	index int
+	flows map[*customer]*flow
+	ready flowHeap
+	// virtual is the start of the flow served last.
+	virtual float64
+	// weight is the sum over the flows with items.
+	weight float64
+	len    int
+	// bypassed counts the items of higher classes served while this class
+	// had some waiting.
+	bypassed int
+}
+
+func (c *class) add(cu *customer, it *Item, weight float64) {
+	f := c.flows[cu]
+	if f == nil {
+		f = &flow{customer: cu, class: c, index: -1}
+		c.flows[cu] = f
+	}
+	if f.index < 0 {
+		f.start = max(f.start, c.virtual)
+		f.weight = weight
+		c.weight += weight
+		heap.Push(&c.ready, f)
+	}
+	f.add(it)
+	c.len++
+}
+
+func (c *class) remove(it *Item) {
+	f := it.flow
+	f.remove(it)
+	c.len--
+	if len(f.items) > 0 {
+		return
+	}
+	heap.Remove(&c.ready, f.index)
+	c.weight -= f.weight
+	if c.len == 0 {
+		c.weight = 0
+	}
+}
+
+// serve takes the earliest deadline of the flow whose turn it is.
+func (c *class) serve() *Item {
+	f := c.ready[0]
+	it := f.items[0]
+	c.virtual = f.start
+	f.start += 1 / f.weight
+	heap.Fix(&c.ready, 0)
+	c.remove(it)
+	return it
+}
+
+// sweep forgets the flows without items that are no longer ahead of their share.
+func (c *class) sweep() {
+	for cu, f := range c.flows {
+		if f.index < 0 && (f.start <= c.virtual || c.len == 0) {
+			delete(c.flows, cu)
+		}
+	}
+}
+
+// customer is one customer's part of the queue, over all classes.
+type customer struct {
+	name   string
+	weight float64
+	len    int
+	// waiting is how many items it has in each class.
+	waiting [classes]int
+	// index is the place in the heap of customers, -1 while it has no items.
+	index int
+}
+
+// use is what a customer holds of the queue against its weight.
+func (c *customer) use() float64 {
+	return float64(c.len) / c.weight
+}
+
+// itemHeap orders by when the items are due, then by arrival.
+type itemHeap []*Item
+
+func (h itemHeap) Len() int { return len(h) }
+func (h itemHeap) Less(i, j int) bool {
+	if !h[i].due.Equal(h[j].due) {
+		return h[i].due.Before(h[j].due)
+	}
+	return h[i].serial < h[j].serial
+}
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *itemHeap) Push(x any) {
+	it := x.(*Item)
+	it.index = len(*h)
+	*h = append(*h, it)
+}
+func (h *itemHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
+
+// flowHeap orders by start, then by name so that every run is the same.
+type flowHeap []*flow
+
+func (h flowHeap) Len() int { return len(h) }
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].customer.name < h[j].customer.name
+}
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+func (h *flowHeap) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	f.index = -1
+	*h = old[:len(old)-1]
+	return f
+}
+
+// customerHeap has the customer that holds most against its weight first.
+type customerHeap []*customer
+
+func (h customerHeap) Len() int { return len(h) }
+func (h customerHeap) Less(i, j int) bool {
+	if a, b := h[i].use(), h[j].use(); a != b {
+		return a > b
+	}
+	return h[i].name < h[j].name
+}
+func (h customerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *customerHeap) Push(x any) {
+	c := x.(*customer)
+	c.index = len(*h)
+	*h = append(*h, c)
+}
+func (h *customerHeap) Pop() any {
+	old := *h
+	c := old[len(old)-1]
+	old[len(old)-1] = nil
+	c.index = -1
+	*h = old[:len(old)-1]
+	return c
+}
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -7,27 +7,30 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
+	"sycamorekeel.example/sycamorekeel/internal/dispatch"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
 type metrics struct {
 	refusals *prometheus.CounterVec
-	calls    *prometheus.CounterVec
-	extra    prometheus.Counter
-	seconds  prometheus.Histogram
+	// calls is indexed by result: the path of each sub-request looks up no label.
+	calls      [len(labels)]prometheus.Counter
+	extra      prometheus.Counter
+	seconds    prometheus.Histogram
+	queued     prometheus.Histogram
+	duplicates prometheus.Counter
+	cancels    *prometheus.CounterVec
+	probes     *prometheus.CounterVec
+	pauses     prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	f := promauto.With(r)
-	return &metrics{
+	m := &metrics{
 		refusals: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamorekeel_owner_refusals_total",
-			Help: "Sub-requests the owner did not run, by result.",
-		}, []string{"result"}),
-		calls: f.NewCounterVec(prometheus.CounterOpts{
-			Name: "sycamorekeel_owner_calls_total",
-			Help: "Requests sent to upstreams, by result.",
-		}, []string{"result"}),
+			Help: "Sub-requests the owner did not run, by result and reason.",
+		}, []string{"result", "reason"}),
 		extra: f.NewCounter(prometheus.CounterOpts{
 			Name: "sycamorekeel_owner_extra_calls_total",
 			Help: "Requests sent to upstreams that were hedges or retries.",
@@ -37,21 +40,63 @@
 			Help:    "Time of a request at an upstream.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		}),
+		queued: f.NewHistogram(prometheus.HistogramOpts{
+			Name:    "sycamorekeel_owner_queue_seconds",
+			Help:    "Time a sub-request waited for a slot.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
+		}),
+		duplicates: f.NewCounter(prometheus.CounterOpts{
+			Name: "sycamorekeel_owner_duplicates_total",
+			Help: "Sub-requests that came again while the first was open, and were dropped.",
+		}),
+		cancels: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamorekeel_owner_cancels_total",
+			Help: "Cancellations, by what they met.",
+		}, []string{"met"}),
+		probes: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamorekeel_owner_probes_total",
+			Help: "Health probes sent to upstreams, by whether they were answered.",
+		}, []string{"outcome"}),
+		pauses: f.NewCounter(prometheus.CounterOpts{
+			Name: "sycamorekeel_owner_pauses_total",
+			Help: "Times this process did not run for long enough to distrust its queues.",
+		}),
+	}
+	calls := f.NewCounterVec(prometheus.CounterOpts{
+		Name: "sycamorekeel_owner_calls_total",
+		Help: "Requests sent to upstreams, by result.",
+	}, []string{"result"})
+	for i, l := range labels {
+		m.calls[i] = calls.WithLabelValues(l)
 	}
+	return m
 }
 
-func (m *metrics) refused(r pb.Result) {
-	m.refusals.WithLabelValues(label(r)).Inc()
+// What a cancellation met.
+const (
+	metWaiting = "waiting"
+	metRunning = "running"
+	metNothing = "nothing"
+	metBacklog = "backlog"
+)
+
+func (m *metrics) refused(r dispatch.Refusal) {
+	m.refusals.WithLabelValues(labels[r.Result], string(r.Reason)).Inc()
 }
 
-func (m *metrics) ran(r pb.Result, extra bool, d time.Duration) {
-	m.calls.WithLabelValues(label(r)).Inc()
-	m.seconds.Observe(d.Seconds())
+func (m *metrics) ran(r pb.Result, extra bool, waited, took time.Duration) {
+	m.calls[r].Inc()
+	m.queued.Observe(waited.Seconds())
+	m.seconds.Observe(took.Seconds())
 	if extra {
 		m.extra.Inc()
 	}
 }
 
-func label(r pb.Result) string {
-	return strings.ToLower(r.String())
-}
+// labels are the results as metric labels.
+var labels = func() (out [int(pb.Result_VM_STOPPING) + 1]string) {
+	for i := range out {
+		out[i] = strings.ToLower(pb.Result(i).String())
+	}
+	return out
+}()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -1,104 +1,210 @@
 // Package owner runs the sub-requests of the upstreams this VM owns: one queue,
-// one connection pool and one set of slots for each.
+// one set of slots, one view of its health and one set of connections for each.
+// It carries out what dispatch and health decide.
 //
-// Lock order: Owner.mu before station.mu; no lock is held across I/O.
+// Lock order: Owner.mu, then emitMu, then station.mu, then ledgerMu or pauseMu;
+// no lock is held across I/O.
 package owner
 
 import (
-	"fmt"
+	"context"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/dispatch"
+	"sycamorekeel.example/sycamorekeel/internal/health"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/upstream"
 )
 
+const (
+	// tickEvery is the time between two looks at every station.
+	tickEvery = 50 * time.Millisecond
+	// probers is how many probes are under way at a time, so that one that
+	// hangs does not hold up the rest.
+	probers = 4
+)
+
+// StatusSink is told what the owner believes of its upstreams. Its methods must
+// not block; calls for one upstream come in order.
+type StatusSink interface {
+	// UpstreamChanged gives the present status of an owned upstream.
+	UpstreamChanged(*pb.UpstreamStatus)
+	// UpstreamLost tells that this VM owns it no longer.
+	UpstreamLost(id string)
+}
+
 // Options is what an owner needs.
 type Options struct {
 	Log      *zap.Logger
 	Registry prometheus.Registerer
-	// Slots is how many slots of an upstream this VM may use; 0 for an upstream
-	// that it does not own.
-	Slots         func(*contract.Upstream) int
+	// Grant is what this VM may use of an upstream now.
+	Grant         func(*contract.Upstream) Grant
+	Status        StatusSink
 	MaxQueue      int
 	MaxReplyBytes int
 	Now           func() time.Time
+	Order         dispatch.Order
+	Limit         dispatch.LimitPolicy
+	Health        health.Options
+	Ledger        dispatch.LedgerOptions
+	Pause         dispatch.PauseOptions
+}
+
+// DefaultPause is a second without a tick, and a tenth to read what waited.
+func DefaultPause() dispatch.PauseOptions {
+	return dispatch.PauseOptions{Gap: time.Second, Settle: 100 * time.Millisecond}
 }
 
 // Owner is the stations of this VM.
 type Owner struct {
-	opts Options
-	log  *zap.Logger
-	met  *metrics
+	opts  Options
+	log   *zap.Logger
+	met   *metrics
+	conns *upstream.Metrics
 
 	mu       sync.Mutex
 	snapshot *contract.Snapshot
 	stations map[string]*station
+	// retiring are the stations of upstreams that are gone or replaced.
+	retiring map[*station]struct{}
 	stopping bool
-	workers  sync.WaitGroup
+
+	// emitMu keeps the calls of Status in order.
+	emitMu sync.Mutex
+
+	ledgerMu sync.Mutex
+	ledger   *dispatch.Ledger
+	// allClosed is signalled when no sub-request is open.
+	allClosed *sync.Cond
+
+	pauseMu sync.Mutex
+	pause   *dispatch.Pause
+	wasHeld bool
 }
 
-// New makes an owner with no stations; Apply gives it some.
+// New makes an owner with no stations; Apply gives it some and Run tends them.
 func New(opts Options) *Owner {
-	return &Owner{
+	o := &Owner{
 		opts:     opts,
 		log:      opts.Log,
 		met:      newMetrics(opts.Registry),
+		conns:    upstream.NewMetrics(opts.Registry),
 		snapshot: contract.Compile(0, nil),
 		stations: map[string]*station{},
+		retiring: map[*station]struct{}{},
+		ledger:   dispatch.NewLedger(opts.Ledger),
+		pause:    dispatch.NewPause(opts.Pause),
 	}
+	o.allClosed = sync.NewCond(&o.ledgerMu)
+	return o
 }
 
-// Apply takes on a new configuration or ownership: stations that are no longer
-// owned get no new work and end when what they run has ended.
+// Apply takes on a new configuration or ownership. A station that is no longer
+// granted answers what waits as not run, and ends when what it runs has ended.
+// Owned upstreams get a station at once, so that they are probed.
 func (o *Owner) Apply(snap *contract.Snapshot) {
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.snapshot = snap
+	var refused []dispatch.Refused
 	for id, st := range o.stations {
-		u, ok := snap.Upstream(id)
-		if !ok || st.replaced(u) {
-			delete(o.stations, id)
-			st.close()
+		refused = append(refused, o.regrant(id, st)...)
+	}
+	if !o.stopping {
+		o.startOwned(snap)
+	}
+	o.mu.Unlock()
+	for _, r := range refused {
+		o.refuse(r.Item, r.Refusal)
+	}
+	for _, st := range o.all() {
+		st.tick(o.opts.Now())
+	}
+}
+
+// regrant tells a station what it may use from now on. The caller holds mu.
+func (o *Owner) regrant(id string, st *station) []dispatch.Refused {
+	u, ok := o.snapshot.Upstream(id)
+	if ok && !st.replaced(u) {
+		return st.grant(u, o.opts.Grant(u))
+	}
+	delete(o.stations, id)
+	o.retiring[st] = struct{}{}
+	return st.grant(nil, Grant{})
+}
+
+// startOwned starts the missing stations of owned upstreams. The caller holds mu.
+func (o *Owner) startOwned(snap *contract.Snapshot) {
+	for _, u := range snap.Upstreams() {
+		if o.stations[u.ID] != nil {
 			continue
 		}
-		st.apply(u, o.opts.Slots(u))
+		if g := o.opts.Grant(u); g.Role == Main {
+			o.stations[u.ID] = o.newStation(u, g)
+		}
 	}
 }
 
-// Submit queues a sub-request; reply is called once, maybe before it returns.
+// Submit queues a sub-request. Reply is called once, maybe before Submit
+// returns; for an id that is open already it is not called, as the first call
+// answers.
 func (o *Owner) Submit(key dispatch.Key, req *pb.SubRequest, reply func(*pb.SubReply)) {
 	now := o.opts.Now()
-	st, result := o.station(req.Upstream)
-	if st == nil {
-		o.met.refused(result)
-		reply(&pb.SubReply{Id: req.Id, Result: result})
+	it := &dispatch.Item{Key: key, Customer: req.Customer, Arrived: now, Request: req, Reply: reply}
+	switch o.arrive(now, it) {
+	case dispatch.Open:
+		o.met.duplicates.Inc()
+		return
+	case dispatch.Answered:
+		// It may have run: only the first answer says.
+		reply(&pb.SubReply{Id: req.Id, Result: pb.Result_UNKNOWN, Detail: "this id was answered before"})
+		o.met.duplicates.Inc()
+		return
+	case dispatch.Cancelled:
+		o.refuse(it, dispatch.Refusal{Result: pb.Result_CANCELLED, Reason: dispatch.Tombstone})
+		return
+	case dispatch.Full:
+		o.refuse(it, dispatch.Refusal{Result: pb.Result_QUEUE_FULL, Reason: dispatch.LedgerFull})
 		return
 	}
-	it := &dispatch.Item{
-		Key:      key,
-		Customer: req.Customer,
-		Arrived:  now,
-		Deadline: now.Add(time.Duration(req.RemainingUs) * time.Microsecond),
-		Request:  req,
-		Reply:    reply,
+	st, refusal := o.prepare(now, it)
+	if refusal != nil {
+		o.refuse(it, *refusal)
+		return
 	}
-	o.rank(it)
 	st.push(now, it)
 }
 
-// rank fills in what the contract says of the item.
+// prepare finds the item's station and fills in its deadline and rank.
+func (o *Owner) prepare(now time.Time, it *dispatch.Item) (*station, *dispatch.Refusal) {
+	remaining := time.Duration(it.Request.RemainingUs) * time.Microsecond
+	if held, gap := o.held(now); held {
+		// It may have waited in a socket for the whole pause, with its
+		// remaining time standing still: without this an owner that wakes
+		// would run work that was given up long ago.
+		remaining -= gap
+		if remaining <= 0 {
+			return nil, &dispatch.Refusal{Result: pb.Result_TOO_LATE, Reason: dispatch.Paused}
+		}
+	}
+	it.Deadline = now.Add(remaining)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.rank(it)
+	return o.station(it.Request.Upstream)
+}
+
+// rank fills in what the contract says of the item. The caller holds mu.
 func (o *Owner) rank(it *dispatch.Item) {
 	it.Weight = 1
 	it.Priority = pb.Priority_LOW
-	o.mu.Lock()
-	c, ok := o.snapshot.Customer(it.Request.Customer)
-	o.mu.Unlock()
+	c, ok := o.snapshot.Customer(it.Customer)
 	if !ok {
 		return
 	}
@@ -108,9 +214,58 @@
 	}
 }
 
+// station finds the upstream's station, starting it on first use. The caller
+// holds mu.
+func (o *Owner) station(id string) (*station, *dispatch.Refusal) {
+	if o.stopping {
+		return nil, &dispatch.Refusal{Result: pb.Result_VM_STOPPING, Reason: dispatch.Stopping}
+	}
+	if st := o.stations[id]; st != nil {
+		return st, nil
+	}
+	u, ok := o.snapshot.Upstream(id)
+	if !ok {
+		return nil, &dispatch.Refusal{Result: pb.Result_NOT_OWNER, Reason: dispatch.NotOwner}
+	}
+	g := o.opts.Grant(u)
+	if g.Slots == 0 {
+		return nil, &dispatch.Refusal{Result: pb.Result_NOT_OWNER, Reason: dispatch.NotOwner}
+	}
+	st := o.newStation(u, g)
+	o.stations[id] = st
+	return st, nil
+}
+
+func (o *Owner) newStation(u *contract.Upstream, g Grant) *station {
+	st := &station{
+		owner:    o,
+		upstream: u,
+		granted:  g,
+		client: upstream.NewClient(upstream.Options{
+			Address:     u.Address,
+			Connections: g.Connections,
+			MaxReply:    o.opts.MaxReplyBytes,
+			Metrics:     o.conns,
+		}),
+		queue:   dispatch.New(dispatch.Options{Order: o.opts.Order, MaxQueue: o.opts.MaxQueue}),
+		limiter: dispatch.NewLimiter(o.opts.Limit, g.Slots),
+		health:  health.New(o.opts.Health, xxhash.Sum64String(u.ID)),
+	}
+	st.health.SetLeaving(u.Leaving)
+	return st
+}
+
 // Cancel withdraws a sub-request: a waiting one is answered as not run, one that
-// runs is cancelled at the upstream.
+// runs is cancelled at the upstream, and one that has not come yet is answered
+// as not run when it comes.
 func (o *Owner) Cancel(key dispatch.Key, upstreamID string) {
+	o.ledgerMu.Lock()
+	open := o.ledger.Cancel(o.opts.Now(), key)
+	o.ledgerMu.Unlock()
+	if !open {
+		o.met.cancels.WithLabelValues(metNothing).Inc()
+		return
+	}
 	o.mu.Lock()
 	st := o.stations[upstreamID]
 	o.mu.Unlock()
@@ -119,56 +274,158 @@
 	}
 }
 
-// Stop refuses new work and waits until what runs has ended.
-func (o *Owner) Stop() {
+// Run tends the stations until ctx ends: it probes them, answers what expired
+// while it waited, and notices when this process was paused.
+func (o *Owner) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	due := make(chan *station)
+	for range probers {
+		group.Go(func() error { return probe(ctx, due) })
+	}
+	group.Go(func() error {
+		ticker := time.NewTicker(tickEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				o.Tick(due)
+			}
+		}
+	})
+	return group.Wait()
+}
+
+func probe(ctx context.Context, due <-chan *station) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case st := <-due:
+			st.probe()
+		}
+	}
+}
+
+// Tick looks at every station once and offers those whose probe is due.
+func (o *Owner) Tick(due chan<- *station) {
+	now := o.opts.Now()
+	o.pauseMu.Lock()
+	held, gap := o.pause.Check(now)
+	o.pause.Tick(now)
+	woke := held && !o.wasHeld
+	o.wasHeld = held
+	o.pauseMu.Unlock()
+	if woke {
+		o.met.pauses.Inc()
+		o.log.Warn("owner: this process was paused; reading what waited first", zap.Duration("pause", gap))
+	}
+	if held {
+		return
+	}
+	for _, st := range o.all() {
+		st.tick(now)
+		o.offer(st, now, due)
+		o.reap(st)
+	}
+}
+
+func (o *Owner) offer(st *station, now time.Time, due chan<- *station) {
+	if !st.probeDue(now) {
+		return
+	}
+	select {
+	case due <- st:
+	default:
+		st.probeSkipped()
+	}
+}
+
+// reap ends a station that is no longer granted once nothing runs on it.
+func (o *Owner) reap(st *station) {
 	o.mu.Lock()
-	o.stopping = true
+	gone := st.ended()
+	if gone {
+		delete(o.retiring, st)
+	}
+	if gone && o.stations[st.upstream.ID] == st {
+		delete(o.stations, st.upstream.ID)
+	}
 	o.mu.Unlock()
-	o.workers.Wait()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, st := range o.stations {
-		st.client.Close()
+	if gone {
+		st.shut()
 	}
 }
 
-// station finds the upstream's station, starting it on first use.
-func (o *Owner) station(id string) (*station, pb.Result) {
+func (o *Owner) all() []*station {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.stopping {
-		return nil, pb.Result_VM_STOPPING
+	out := make([]*station, 0, len(o.stations))
+	for _, st := range o.stations {
+		out = append(out, st)
 	}
-	u, ok := o.snapshot.Upstream(id)
-	if !ok {
-		return nil, pb.Result_NOT_OWNER
+	for st := range o.retiring {
+		out = append(out, st)
 	}
-	if u.Leaving {
-		return nil, pb.Result_UPSTREAM_LEAVING
+	return out
+}
+
+// Stop refuses new work and waits until what was taken in is answered.
+func (o *Owner) Stop() {
+	o.mu.Lock()
+	o.stopping = true
+	o.mu.Unlock()
+	stations := o.all()
+	for _, st := range stations {
+		st.refuseNew()
 	}
-	st := o.stations[id]
-	if st != nil {
-		return st, pb.Result_RESULT_UNSPECIFIED
+	o.ledgerMu.Lock()
+	for o.ledger.OpenCount() > 0 {
+		o.allClosed.Wait()
 	}
-	slots := o.opts.Slots(u)
-	if slots == 0 {
-		return nil, pb.Result_NOT_OWNER
+	o.ledgerMu.Unlock()
+	for _, st := range stations {
+		st.shut()
 	}
-	st = o.newStation(u, slots)
-	o.stations[id] = st
-	return st, pb.Result_RESULT_UNSPECIFIED
 }
 
-func (o *Owner) newStation(u *contract.Upstream, slots int) *station {
-	return &station{
-		owner:    o,
-		upstream: u,
-		client:   upstream.NewClient(u.Address, u.Connections, o.opts.MaxReplyBytes),
-		queue:    dispatch.New(dispatch.Options{Slots: slots, MaxQueue: o.opts.MaxQueue}),
+func (o *Owner) arrive(now time.Time, it *dispatch.Item) dispatch.Sighting {
+	o.ledgerMu.Lock()
+	defer o.ledgerMu.Unlock()
+	return o.ledger.Arrive(now, it.Key, it.Request.Idempotent)
+}
+
+// held tells whether nothing is dispatched now since the process was paused.
+func (o *Owner) held(now time.Time) (bool, time.Duration) {
+	o.pauseMu.Lock()
+	defer o.pauseMu.Unlock()
+	return o.pause.Check(now)
+}
+
+// refuse answers an item that did not run.
+func (o *Owner) refuse(it *dispatch.Item, why dispatch.Refusal) {
+	o.met.refused(why)
+	o.answer(it, &pb.SubReply{
+		Id:           it.Request.Id,
+		Result:       why.Result,
+		RetryAfterMs: milliseconds(why.RetryAfter),
+		Detail:       string(why.Reason),
+	})
+}
+
+// answer gives the one reply of an item.
+func (o *Owner) answer(it *dispatch.Item, r *pb.SubReply) {
+	o.ledgerMu.Lock()
+	o.ledger.Close(it.Key)
+	if o.ledger.OpenCount() == 0 {
+		o.allClosed.Broadcast()
 	}
+	o.ledgerMu.Unlock()
+	it.Reply(r)
 }
 
-// requestID is the sub-request's name at the upstream.
-func requestID(k dispatch.Key) string {
-	return fmt.Sprintf("%s.%x.%x", k.VM, k.Incarnation, k.ID)
+// milliseconds rounds up, so that a short time does not become none.
+func milliseconds(d time.Duration) uint32 {
+	return uint32((d + time.Millisecond - 1) / time.Millisecond)
 }
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -1,25 +1,56 @@
 package owner
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/dispatch"
+	"sycamorekeel.example/sycamorekeel/internal/health"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/upstream"
 )
 
+// maxCancels bounds the cancellations that wait to be sent to one upstream; the
+// requests of those above it run to their end.
+const maxCancels = 64
+
 // station is one upstream: its queue, its workers and its connections. Workers
-// start with work and end when the queue is empty; there are never more than
-// the queue has slots.
+// start with the first work for them, wait for more, and end with the station;
+// there are never more than slots were in use at a time.
 type station struct {
 	owner  *Owner
 	client *upstream.Client
 
 	mu       sync.Mutex
 	upstream *contract.Upstream
+	granted  Grant
 	queue    *dispatch.Queue
+	limiter  *dispatch.Limiter
+	health   *health.Monitor
+	stopping bool
+	closed   bool
+	// trim says that connections were given up and are closed when idle.
+	trim bool
+	idle []*worker
+	// cancels are the upstream's names of requests to be cancelled.
+	cancels    []string
+	cancelling bool
+	emitted    status
+}
+
+// status is what was last told of the upstream.
+type status struct {
+	state     pb.UpstreamState
+	snapshots []*pb.Snapshot
+}
+
+// worker runs one request at a time; nil ends it.
+type worker struct {
+	next chan *dispatch.Item
 }
 
 // replaced tells whether u is another server under the same id.
@@ -29,62 +60,165 @@
 	return u.Address != s.upstream.Address || u.Connections != s.upstream.Connections
 }
 
-func (s *station) apply(u *contract.Upstream, slots int) {
+// grant takes on what may be used from now on, and returns what will not run
+// here; u is nil when the upstream is gone.
+func (s *station) grant(u *contract.Upstream, g Grant) []dispatch.Refused {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.granted
+	if u != nil {
+		s.upstream = u
+		s.health.SetLeaving(u.Leaving)
+	}
+	s.granted = g
+	s.limiter.Publish(g.Slots)
+	s.client.SetConnections(g.Connections)
+	if g.Role == Main && before.Role != Main {
+		s.limiter.Restart()
+	}
+	if g.Role == Main || before.Role != Main {
+		return nil
+	}
+	s.trim = true
+	return s.queue.Flush(dispatch.Refusal{Result: pb.Result_NOT_OWNER, Reason: dispatch.NotOwner})
+}
+
+// ended tells whether a station without a grant has nothing left to do.
+func (s *station) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.granted.Slots == 0 && s.queue.Running() == 0 && s.queue.Len() == 0
+}
+
+// refuseNew refuses what comes from now on.
+func (s *station) refuseNew() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
+// shut ends the workers and the connections of a station where nothing runs.
+func (s *station) shut() {
 	s.mu.Lock()
-	s.upstream = u
-	s.queue.SetSlots(slots)
+	s.closed = true
+	s.stopping = true
+	idle := s.idle
+	s.idle = nil
 	s.mu.Unlock()
-	s.startWorkers()
+	for _, w := range idle {
+		w.next <- nil
+	}
+	s.client.Close()
 }
 
 func (s *station) push(now time.Time, it *dispatch.Item) {
 	s.mu.Lock()
-	result := s.queue.Push(now, it)
+	refusal := s.refusal(now)
+	var displaced *dispatch.Refused
+	var rest []dispatch.Refused
+	if refusal == nil {
+		s.queue.SetSlots(s.limiter.Limit())
+		refusal, displaced = s.queue.Push(now, it)
+		rest = s.dispatch(now)
+	}
 	s.mu.Unlock()
-	if result != pb.Result_RESULT_UNSPECIFIED {
-		s.owner.met.refused(result)
-		it.Reply(&pb.SubReply{Id: it.Request.Id, Result: result})
-		return
+	if refusal != nil {
+		s.owner.refuse(it, *refusal)
+	}
+	if displaced != nil {
+		s.owner.refuse(displaced.Item, displaced.Refusal)
+	}
+	s.refuseAll(rest)
+}
+
+// refusal says why new work is not taken. The caller holds mu.
+func (s *station) refusal(now time.Time) *dispatch.Refusal {
+	if s.stopping {
+		return &dispatch.Refusal{Result: pb.Result_VM_STOPPING, Reason: dispatch.Stopping}
 	}
-	s.startWorkers()
+	return s.unusable(now)
 }
 
-// startWorkers starts one worker for each item that a free slot can take.
-func (s *station) startWorkers() {
+// unusable says why nothing may be sent to the upstream, not even what waits.
+// The caller holds mu.
+func (s *station) unusable(now time.Time) *dispatch.Refusal {
+	if s.granted.Slots == 0 {
+		return &dispatch.Refusal{Result: pb.Result_NOT_OWNER, Reason: dispatch.NotOwner}
+	}
+	switch s.health.Gate(now) {
+	case health.Leaving:
+		return &dispatch.Refusal{Result: pb.Result_UPSTREAM_LEAVING, Reason: dispatch.Leaving}
+	case health.Unreachable:
+		return &dispatch.Refusal{
+			Result:     pb.Result_UNREACHABLE,
+			Reason:     dispatch.CircuitOpen,
+			RetryAfter: s.health.RetryIn(now),
+		}
+	default:
+		return nil
+	}
+}
+
+// dispatch gives free slots to waiting items and returns those that will not
+// run. The caller holds mu.
+func (s *station) dispatch(now time.Time) []dispatch.Refused {
+	var out []dispatch.Refused
 	for {
-		it := s.next()
+		it, refused := s.next(now)
+		out = append(out, refused...)
 		if it == nil {
-			return
+			return out
 		}
-		s.owner.workers.Add(1)
-		go s.work(it)
+		s.hand(it)
 	}
 }
 
-func (s *station) work(it *dispatch.Item) {
-	defer s.owner.workers.Done()
-	for it != nil {
-		s.run(it)
-		s.mu.Lock()
-		s.queue.Done()
-		s.mu.Unlock()
-		it = s.next()
+// next takes the item for a free slot. When new work may not go to the upstream,
+// all that waits is given back instead. The caller holds mu.
+func (s *station) next(now time.Time) (*dispatch.Item, []dispatch.Refused) {
+	if s.queue.Len() == 0 {
+		return nil, nil
+	}
+	if held, _ := s.owner.held(now); held {
+		return nil, nil
+	}
+	if why := s.unusable(now); why != nil {
+		return nil, s.queue.Flush(*why)
+	}
+	s.queue.SetSlots(s.limiter.Limit())
+	it, late := s.queue.Pop(now)
+	if it != nil {
+		s.health.Started()
 	}
+	return it, late
 }
 
-// next starts the next item and answers those that came too late.
-func (s *station) next() *dispatch.Item {
-	s.mu.Lock()
-	it, late := s.queue.Pop(s.owner.opts.Now())
-	s.mu.Unlock()
-	for _, l := range late {
-		s.owner.met.refused(pb.Result_TOO_LATE)
-		l.Reply(&pb.SubReply{Id: l.Request.Id, Result: pb.Result_TOO_LATE})
+// hand gives an item to an idle worker or a new one. The caller holds mu.
+func (s *station) hand(it *dispatch.Item) {
+	if n := len(s.idle); n > 0 {
+		w := s.idle[n-1]
+		s.idle = s.idle[:n-1]
+		w.next <- it
+		return
 	}
-	return it
+	w := &worker{next: make(chan *dispatch.Item, 1)}
+	w.next <- it
+	go s.work(w)
 }
 
-func (s *station) run(it *dispatch.Item) {
+func (s *station) work(w *worker) {
+	for it := range w.next {
+		if it == nil {
+			return
+		}
+		for it != nil {
+			it = s.run(w, it)
+		}
+	}
+}
+
+// run carries one item out and returns the next; nil when the worker is idle.
+func (s *station) run(w *worker, it *dispatch.Item) *dispatch.Item {
 	start := s.owner.opts.Now()
 	s.mu.Lock()
 	path := s.upstream.Path
@@ -98,8 +232,9 @@
 		Deadline:  it.Deadline,
 	})
 	end := s.owner.opts.Now()
-	s.owner.met.ran(out.Result, it.Request.Extra, end.Sub(start))
-	it.Reply(&pb.SubReply{
+	next, refused := s.finish(w, it, &out, end, end.Sub(start))
+	s.owner.met.ran(out.Result, it.Request.Extra, start.Sub(it.Arrived), end.Sub(start))
+	s.owner.answer(it, &pb.SubReply{
 		Id:        it.Request.Id,
 		Result:    out.Result,
 		Snapshot:  out.Snapshot,
@@ -108,19 +243,229 @@
 		ServiceUs: uint32(end.Sub(start).Microseconds()),
 		Detail:    out.Detail,
 	})
+	s.refuseAll(refused)
+	s.emit()
+	return next
+}
+
+// finish frees the slot, learns from the outcome and takes the next item.
+func (s *station) finish(w *worker, it *dispatch.Item, out *upstream.Outcome, now time.Time, took time.Duration) (*dispatch.Item, []dispatch.Refused) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learn(it, out, now, took)
+	next, refused := s.next(now)
+	if next == nil && !s.closed {
+		s.idle = append(s.idle, w)
+		return nil, refused
+	}
+	if next == nil {
+		w.next <- nil
+		return nil, refused
+	}
+	// The limit may have grown by more than the slot that became free.
+	return next, append(refused, s.dispatch(now)...)
+}
+
+// learn takes the outcome in. The caller holds mu.
+func (s *station) learn(it *dispatch.Item, out *upstream.Outcome, now time.Time, took time.Duration) {
+	running := s.queue.Running()
+	switch out.Result {
+	case pb.Result_OK:
+		s.queue.Done(took, false)
+		s.limiter.Success(now, took, running)
+	case pb.Result_UPSTREAM_ERROR:
+		s.queue.Done(took, out.Cancelled)
+	case pb.Result_UNKNOWN:
+		s.queue.Done(took, true)
+	case pb.Result_SHED:
+		s.queue.Release()
+		s.limiter.Shed(now)
+	default:
+		s.queue.Release()
+	}
+	s.health.Observe(now, health.Reply{Result: out.Result, Draining: out.Draining, Snapshot: it.Request.Snapshot})
+	if out.Result == pb.Result_UNREACHABLE {
+		s.limiter.Restart()
+	}
+}
+
+// tick answers what expired and uses slots that became free otherwise.
+func (s *station) tick(now time.Time) {
+	s.mu.Lock()
+	refused := s.queue.Expire(now)
+	refused = append(refused, s.dispatch(now)...)
+	trim := (s.trim || s.closed) && s.queue.Running() == 0
+	s.trim = s.trim && !trim
+	s.mu.Unlock()
+	if trim {
+		s.client.Close()
+	}
+	s.refuseAll(refused)
+	s.emit()
+}
+
+func (s *station) refuseAll(refused []dispatch.Refused) {
+	for _, r := range refused {
+		s.owner.refuse(r.Item, r.Refusal)
+	}
 }
 
 func (s *station) cancel(key dispatch.Key) {
 	s.mu.Lock()
-	it, ok := s.queue.Cancel(key)
+	it, waiting := s.queue.Cancel(key)
+	sent := false
+	if !waiting {
+		sent = s.cancelRunning(key)
+	}
 	s.mu.Unlock()
-	if ok {
-		s.owner.met.refused(pb.Result_CANCELLED)
-		it.Reply(&pb.SubReply{Id: it.Request.Id, Result: pb.Result_CANCELLED})
+	switch {
+	case waiting:
+		s.owner.met.cancels.WithLabelValues(metWaiting).Inc()
+		s.owner.refuse(it, dispatch.Refusal{Result: pb.Result_CANCELLED, Reason: dispatch.Withdrawn})
+	case sent:
+		s.owner.met.cancels.WithLabelValues(metRunning).Inc()
+	default:
+		s.owner.met.cancels.WithLabelValues(metBacklog).Inc()
 	}
 }
 
-// close lets what waits run out; no new work reaches the station.
-func (s *station) close() {
-	s.client.Close()
+// cancelRunning queues a cancellation for the upstream. The caller holds mu.
+func (s *station) cancelRunning(key dispatch.Key) bool {
+	if len(s.cancels) >= maxCancels || s.closed {
+		return false
+	}
+	s.cancels = append(s.cancels, requestID(key))
+	if !s.cancelling {
+		s.cancelling = true
+		go s.sendCancels()
+	}
+	return true
+}
+
+// sendCancels sends the cancellations one after another on the control
+// connection and ends when there are none. The slot becomes free when the
+// request's own answer comes.
+func (s *station) sendCancels() {
+	for {
+		s.mu.Lock()
+		batch := s.cancels
+		s.cancels = nil
+		if len(batch) == 0 {
+			s.cancelling = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		for _, id := range batch {
+			if err := s.client.Cancel(id); err != nil {
+				s.owner.log.Debug("owner: cancellation not delivered", zap.Error(err))
+			}
+		}
+	}
+}
+
+func (s *station) probeDue(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.granted.Role == Main && !s.closed && s.health.ProbeDue(now)
+}
+
+func (s *station) probeSkipped() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.ProbeSkipped()
+}
+
+// probe asks for the upstream's health and takes the answer in.
+func (s *station) probe() {
+	sent := s.owner.opts.Now()
+	s.mu.Lock()
+	idle := s.granted.Connections-1 > s.granted.Slots
+	s.mu.Unlock()
+	answer, err := s.client.Probe(idle)
+	now := s.owner.opts.Now()
+	s.mu.Lock()
+	s.probed(now, sent, answer)
+	s.mu.Unlock()
+	outcome := "answered"
+	if err != nil {
+		outcome = "failed"
+		s.owner.log.Debug("owner: probe failed", zap.Error(err))
+	}
+	s.owner.met.probes.WithLabelValues(outcome).Inc()
+	s.tick(now)
+}
+
+// probed learns from the answer. The caller holds mu.
+func (s *station) probed(now, sent time.Time, answer *upstream.Health) {
+	if answer == nil {
+		s.health.Probed(now, sent, nil)
+		return
+	}
+	before := s.health.State()
+	state, snapshots := answer.Report()
+	s.health.Probed(now, sent, &health.Report{State: state, Snapshots: snapshots})
+	if s.health.State() == pb.UpstreamState_COLD && before != pb.UpstreamState_COLD {
+		s.limiter.Restart()
+	}
+}
+
+// emit tells of a change of what is believed, or of the loss of ownership.
+func (s *station) emit() {
+	s.mu.Lock()
+	same := s.settled()
+	s.mu.Unlock()
+	if same || s.owner.opts.Status == nil {
+		return
+	}
+	s.owner.emitMu.Lock()
+	defer s.owner.emitMu.Unlock()
+	s.mu.Lock()
+	if s.settled() {
+		s.mu.Unlock()
+		return
+	}
+	lost := s.granted.Role != Main
+	s.emitted = status{}
+	if !lost {
+		s.emitted = status{state: s.health.State(), snapshots: s.health.Snapshots()}
+	}
+	id, now := s.upstream.ID, s.emitted
+	s.mu.Unlock()
+	if lost {
+		s.owner.opts.Status.UpstreamLost(id)
+		return
+	}
+	s.owner.opts.Status.UpstreamChanged(&pb.UpstreamStatus{Upstream: id, State: now.state, Snapshots: now.snapshots})
+}
+
+// settled tells whether there is nothing new to tell. The caller holds mu.
+func (s *station) settled() bool {
+	if s.granted.Role != Main {
+		return s.emitted.state == pb.UpstreamState_UPSTREAM_STATE_UNSPECIFIED
+	}
+	return s.health.State() == s.emitted.state && sameSnapshots(s.health.Snapshots(), s.emitted.snapshots)
+}
+
+func sameSnapshots(a, b []*pb.Snapshot) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Generation != b[i].Generation || a[i].Version != b[i].Version {
+			return false
+		}
+	}
+	return true
+}
+
+// requestID is the sub-request's name at the upstream.
+func requestID(k dispatch.Key) string {
+	b := make([]byte, 0, len(k.VM)+2*17)
+	b = append(b, k.VM...)
+	b = append(b, '.')
+	b = strconv.AppendUint(b, k.Incarnation, 16)
+	b = append(b, '.')
+	b = strconv.AppendUint(b, k.ID, 16)
+	return string(b)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,9 @@
 // be called at any time, from any goroutine, and drops frames once the stream
 // has ended.
 type Handler interface {
+	// Opened tells that a peer's stream has opened; it comes before its first
+	// frame.
+	Opened(from *pb.Hello, reply func(*pb.Frame))
 	Frame(from *pb.Hello, f *pb.Frame, reply func(*pb.Frame))
 	// Gone tells that the peer's stream has ended.
 	Gone(from *pb.Hello)
@@ -80,6 +83,7 @@
 
 func (e *exchange) read(stream pb.DRPCPeer_ExchangeStream, hello *pb.Hello, out *outbox) error {
 	reply := func(f *pb.Frame) { out.add(f) }
+	e.server.handler.Opened(hello, reply)
 	for {
 		batch, err := stream.Recv()
 		if err != nil {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -3,20 +3,31 @@
 package upstream
 
 import (
+	"encoding/json"
 	"errors"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
 const (
-	dialTimeout   = time.Second
-	idleTimeout   = 30 * time.Second
-	healthTimeout = time.Second
+	dialTimeout    = time.Second
+	idleTimeout    = 30 * time.Second
+	controlTimeout = time.Second
+	// controlConnections are kept for probes and cancellations.
+	controlConnections = 1
+	// maxControlReply is the largest answer taken to either, in bytes.
+	maxControlReply = 64 << 10
+	// headerBuffer holds any header value that is built from numbers.
+	headerBuffer = 40
 )
 
 // dialError marks a failure before any byte was sent: the request did not run.
@@ -45,39 +56,116 @@
 	Body []byte
 	// Draining says that the upstream announced its leaving.
 	Draining bool
-	Detail   string
+	// Cancelled says that the upstream gave the request up while it ran.
+	Cancelled bool
+	Detail    string
 }
 
-// Client is the connection pool of one upstream.
+// Metrics counts what the clients of all upstreams do.
+type Metrics struct {
+	opened prometheus.Counter
+	open   prometheus.Gauge
+}
+
+// NewMetrics registers the counters.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	f := promauto.With(r)
+	return &Metrics{
+		opened: f.NewCounter(prometheus.CounterOpts{
+			Name: "sycamorekeel_upstream_connections_opened_total",
+			Help: "Connections opened to upstreams.",
+		}),
+		open: f.NewGauge(prometheus.GaugeOpts{
+			Name: "sycamorekeel_upstream_connections",
+			Help: "Connections to upstreams that are open.",
+		}),
+	}
+}
+
+// Options are what a client needs.
+type Options struct {
+	// Address is IP and port.
+	Address string
+	// Connections is the most that are open at a time. From 2 on, one is kept
+	// for probes and cancellations, so that neither waits for a request.
+	Connections int
+	// MaxReply is the largest reply taken, in bytes.
+	MaxReply int
+	Metrics  *Metrics
+}
+
+// Client is the connections to one upstream.
 type Client struct {
 	address string
-	http    *fasthttp.HostClient
+	met     *Metrics
+	// requests carries the requests, control the probes and cancellations.
+	requests *fasthttp.HostClient
+	control  *fasthttp.HostClient
 }
 
-// NewClient pools at most connections connections to address (IP and port) and
-// takes replies of at most maxReply bytes.
-func NewClient(address string, connections, maxReply int) *Client {
-	return &Client{address: address, http: &fasthttp.HostClient{
-		Addr:                     address,
+// NewClient makes a client with no connection; requests open them.
+func NewClient(opts Options) *Client {
+	c := &Client{address: opts.Address, met: opts.Metrics}
+	c.requests = c.pool(max(1, opts.Connections-controlConnections), opts.MaxReply)
+	c.control = c.requests
+	if opts.Connections > controlConnections {
+		c.control = c.pool(controlConnections, maxControlReply)
+		c.control.MaxConnWaitTimeout = controlTimeout
+	}
+	return c
+}
+
+func (c *Client) pool(connections, maxReply int) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                     c.address,
 		MaxConns:                 connections,
 		MaxIdleConnDuration:      idleTimeout,
 		MaxResponseBodySize:      maxReply,
 		NoDefaultUserAgentHeader: true,
-		Dial:                     dial,
+		DialTimeout:              c.dial,
+		// The connection idle longest is used next, so that a steady trickle
+		// of requests keeps all of them from idling out.
+		ConnPoolStrategy: fasthttp.FIFO,
 		// A retry inside the library would run a non-idempotent request
 		// twice without anyone noticing: a second execution at the upstream
 		// with no second dispatch here. Both of its switches are off.
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	}
 }
 
-func dial(address string) (net.Conn, error) {
-	conn, err := fasthttp.DialTimeout(address, dialTimeout)
+// SetConnections changes the most that are open; those in use are not cut off.
+func (c *Client) SetConnections(n int) {
+	c.requests.SetMaxConns(max(1, n-controlConnections))
+}
+
+// dial opens a connection within the request's own time.
+func (c *Client) dial(address string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 || timeout > dialTimeout {
+		timeout = dialTimeout
+	}
+	conn, err := net.DialTimeout("tcp", address, timeout)
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	return conn, nil
+	c.met.opened.Inc()
+	c.met.open.Inc()
+	return &countedConn{Conn: conn, met: c.met}, nil
+}
+
+// countedConn counts its closing once.
+type countedConn struct {
+	net.Conn
+	met    *Metrics
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.met.open.Dec()
+	}
+	return c.Conn.Close()
 }
 
 // Do sends the call once and waits for its outcome, at most to its deadline.
@@ -85,23 +173,78 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + c.address + call.Path)
+	c.fill(req, fasthttp.MethodPost, call.Path)
+	var buf [headerBuffer]byte
 	req.Header.Set(HeaderRequestID, call.RequestID)
-	req.Header.Set(HeaderSnapshot, FormatSnapshot(call.Snapshot))
-	req.Header.Set(HeaderShard, strconv.FormatUint(uint64(call.Shard), 10))
-	req.Header.Set(HeaderDeadline, strconv.FormatInt(call.Deadline.Sub(now).Milliseconds(), 10))
+	req.Header.SetBytesV(HeaderSnapshot, appendSnapshot(buf[:0], call.Snapshot))
+	req.Header.SetBytesV(HeaderShard, strconv.AppendUint(buf[:0], uint64(call.Shard), 10))
+	req.Header.SetBytesV(HeaderDeadline, strconv.AppendInt(buf[:0], call.Deadline.Sub(now).Milliseconds(), 10))
 	req.SetBodyRaw(call.Body)
-	if err := c.http.DoDeadline(req, resp, call.Deadline); err != nil {
+	if err := c.requests.DoDeadline(req, resp, call.Deadline); err != nil {
 		return failure(err)
 	}
 	return outcome(resp)
 }
 
+// fill fills in the parts of the URI without parsing a text.
+func (c *Client) fill(req *fasthttp.Request, method, path string) {
+	req.Header.SetMethod(method)
+	req.Header.SetHost(c.address)
+	req.SetRequestURI(path)
+}
+
+// Cancel asks the upstream to give up a request. The request itself is answered
+// on its own connection.
+func (c *Client) Cancel(requestID string) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	c.fill(req, fasthttp.MethodPost, CancelPath)
+	req.URI().QueryArgs().Set("id", requestID)
+	return c.control.DoTimeout(req, resp, controlTimeout)
+}
+
+// Probe reads the health endpoint. Idle says that no request needs the
+// connections now: the probe then goes over the one idle longest, which keeps it
+// warm and finds out here, and not with a request, that the upstream closed it.
+func (c *Client) Probe(idle bool) (*Health, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	c.fill(req, fasthttp.MethodGet, HealthPath)
+	pool := c.control
+	if idle {
+		pool = c.requests
+	}
+	if err := pool.DoTimeout(req, resp, controlTimeout); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, trace.BadParameter("health endpoint answered with status %d", resp.StatusCode())
+	}
+	h := &Health{}
+	if err := json.Unmarshal(resp.Body(), h); err != nil {
+		return nil, trace.Wrap(err, "health endpoint")
+	}
+	return h, nil
+}
+
+// Close gives up the idle connections; it is called when no request runs.
+func (c *Client) Close() {
+	c.requests.CloseIdleConnections()
+	c.control.CloseIdleConnections()
+}
+
 // failure classifies an error by whether bytes may have reached the upstream.
 func failure(err error) Outcome {
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return Outcome{Result: pb.Result_UPSTREAM_ERROR, Detail: "the reply is larger than max_reply_bytes"}
+	}
 	var de *dialError
-	if errors.As(err, &de) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return Outcome{Result: pb.Result_SHED, Detail: "no free connection"}
+	}
+	if errors.As(err, &de) {
 		return Outcome{Result: pb.Result_UNREACHABLE, Detail: err.Error()}
 	}
 	return Outcome{Result: pb.Result_UNKNOWN, Detail: err.Error()}
@@ -116,6 +259,7 @@
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		out.Result = pb.Result_UPSTREAM_ERROR
+		out.Cancelled = resp.StatusCode() == fasthttp.StatusGone
 		out.Detail = "upstream answered with status " + strconv.Itoa(resp.StatusCode())
 		return out
 	}
@@ -147,8 +291,3 @@
 		return pb.Result_UNKNOWN
 	}
 }
-
-// Close gives up the idle connections.
-func (c *Client) Close() {
-	c.http.CloseIdleConnections()
-}
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -36,6 +36,13 @@
 	CancelPath = "/cancel"
 )
 
+// States of the health endpoint.
+const (
+	StateReady    = "ready"
+	StateCold     = "cold"
+	StateDraining = "draining"
+)
+
 // Health is the JSON answer of HealthPath. It may lag.
 type Health struct {
 	// State is ready, cold or draining.
@@ -46,9 +53,34 @@
 	Snapshots []string `json:"snapshots"`
 }
 
+// Report is the health answer in the terms of the fleet; a state it does not
+// know counts as ready, and a snapshot it cannot read is left out.
+func (h *Health) Report() (pb.UpstreamState, []*pb.Snapshot) {
+	state := pb.UpstreamState_READY
+	switch h.State {
+	case StateCold:
+		state = pb.UpstreamState_COLD
+	case StateDraining:
+		state = pb.UpstreamState_DRAINING
+	}
+	var snapshots []*pb.Snapshot
+	for _, text := range h.Snapshots {
+		if s, err := ParseSnapshot(text); err == nil {
+			snapshots = append(snapshots, s)
+		}
+	}
+	return state, snapshots
+}
+
 // FormatSnapshot writes a snapshot as "generation/version".
 func FormatSnapshot(s *pb.Snapshot) string {
-	return strconv.FormatUint(uint64(s.GetGeneration()), 10) + "/" + strconv.FormatUint(s.GetVersion(), 10)
+	return string(appendSnapshot(nil, s))
+}
+
+func appendSnapshot(b []byte, s *pb.Snapshot) []byte {
+	b = strconv.AppendUint(b, uint64(s.GetGeneration()), 10)
+	b = append(b, '/')
+	return strconv.AppendUint(b, s.GetVersion(), 10)
 }
 
 // ParseSnapshot reads "generation/version".
