--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,7 +103,7 @@
 		platform:    platform.NewClient(s.PlatformAddress),
 	}
 	d.shares = newShares(d)
-	d.status = newStatusHub()
+	d.status = newStatusHub(d.learnStatus)
 	d.table.Store(ownership.Assign(nil, nil))
 	d.snapshot.Store(contract.Compile(0, nil))
 	d.view.Store(&membership.View{})
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -19,31 +19,21 @@
 	local   func(*pb.UpstreamStatus)
 }
 
-func newStatusHub() *statusHub {
+// newStatusHub gives every status to local, this VM's own router, as well.
+func newStatusHub(local func(*pb.UpstreamStatus)) *statusHub {
 	return &statusHub{
+		local:   local,
 		last:    map[string]*pb.UpstreamStatus{},
 		streams: map[*pb.Hello]func(*pb.Frame){},
 	}
 }
 
-// setLocal gives every status to this VM's own router as well.
-func (h *statusHub) setLocal(local func(*pb.UpstreamStatus)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.local = local
-	for _, st := range h.last {
-		local(st)
-	}
-}
-
 // UpstreamChanged implements owner.StatusSink.
 func (h *statusHub) UpstreamChanged(st *pb.UpstreamStatus) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.last[st.Upstream] = st
-	if h.local != nil {
-		h.local(st)
-	}
+	h.local(st)
 	f := statusFrame(st)
 	for _, reply := range h.streams {
 		reply(f)
@@ -73,6 +63,9 @@
 	delete(h.streams, from)
 }
 
+// learnStatus takes a status from this VM's owner.
+func (d *Daemon) learnStatus(*pb.UpstreamStatus) {}
+
 func statusFrame(st *pb.UpstreamStatus) *pb.Frame {
 	return &pb.Frame{Body: &pb.Frame_Status{Status: st}}
 }
