Pull configuration from peers and read the platform from few VMs

Cause: every VM watched the platform, so its reads grew with the fleet, and a VM whose platform was down or stale learnt nothing from its peers.

Change: a pure Syncer decides when to read, whom to ask and what to pull; two VMs of a data centre watch, push what they learn and are asked by the others. A daemon serves after it has asked peers as well. The watermark moves only when a page joins on to it, and a digest of all versions finds what was missed.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,27 +1,45 @@
-// Package config decides which published documents are in force. It is a pure
-// state: for each document the highest revision that passes the check counts,
-// from whoever it came, and no lower one ever replaces it.
+// Package config decides which published documents are in force and when a
+// daemon reads the platform or asks its peers. Both parts are pure: State holds
+// the documents, Syncer takes events and returns actions. For each document the
+// highest revision that passes the check counts, from whoever it came, and no
+// lower one ever replaces it.
 package config
 
 import (
-	"bytes"
+	"encoding/binary"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/finding"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
-// MaxPageBytes bounds the bodies of one page of changes.
+// MaxPageBytes bounds the bodies of one page of changes, unless a single
+// document is larger.
 const MaxPageBytes = 1 << 20
 
-// Page is a run of changes: every change above the revision asked for, up to
-// and with Revision.
+// Page is a run of changes.
 type Page struct {
+	// The page holds every change above After, up to and with Revision.
+	// Documents above Revision are a part of the next one.
+	After     uint64
 	Revision  uint64
 	Documents []*pb.PublishedDocument
 	// More says that the page was full.
 	More bool
+	// Digest covers all versions the sender holds; 0 when it gives none.
+	Digest uint64
+}
+
+// Next is where the page after this one starts: a revision and, inside the next
+// one, a name.
+func (p *Page) Next() (after uint64, name string) {
+	if n := len(p.Documents); n > 0 && p.Documents[n-1].Revision > p.Revision {
+		return p.Revision, p.Documents[n-1].Name
+	}
+	return p.Revision, ""
 }
 
 // Rejected is a revision that failed the check and so is not in force.
@@ -32,33 +50,89 @@
 }
 
 // State is the documents of one daemon. It is not safe for concurrent use.
+//
+// Two daemons that have seen the same versions hold the same state, in whatever
+// order they came and however often: per document it keeps the highest version
+// that passes the check and, above that one, the highest that fails.
 type State struct {
 	revision uint64
 	entries  map[string]*entry
+	digest   uint64
 }
 
 // entry holds one document's version in force and, when that is not the newest
 // one, the newest with its findings.
 type entry struct {
-	accepted *pb.PublishedDocument
+	accepted *version
 	document *pb.Document
-	rejected *pb.PublishedDocument
+	rejected *version
 	findings finding.List
 }
 
+// version is one published version. The hash of the body orders two bodies
+// under one revision, which a platform restored from a backup may publish: all
+// daemons then settle on the same one.
+type version struct {
+	*pb.PublishedDocument
+	sum uint64
+}
+
+func newVersion(d *pb.PublishedDocument) *version {
+	v := &version{PublishedDocument: d, sum: xxhash.Sum64(d.Body)}
+	if d.Deleted {
+		v.sum = ^uint64(0)
+	}
+	return v
+}
+
+// above tells whether v replaces o.
+func (v *version) above(o *version) bool {
+	if o == nil {
+		return true
+	}
+	if v.Revision != o.Revision {
+		return v.Revision > o.Revision
+	}
+	return v.sum > o.sum
+}
+
+// digest is the version's term in the state's digest. A deletion has none: a
+// daemon that started after it may never have seen it, and holds the same.
+func (v *version) digest() uint64 {
+	if v == nil || v.Deleted {
+		return 0
+	}
+	var tail [16]byte
+	binary.LittleEndian.PutUint64(tail[:], v.Revision)
+	binary.LittleEndian.PutUint64(tail[8:], v.sum)
+	h := xxhash.New()
+	_, _ = h.WriteString(v.Name)
+	_, _ = h.Write(tail[:])
+	return h.Sum64()
+}
+
 // New is a state that holds nothing.
 func New() *State {
 	return &State{entries: map[string]*entry{}}
 }
 
-// Revision is the watermark: every change up to it has been taken in.
+// Revision is the watermark: every change up to it has been taken in, or was
+// never given by the sources asked.
 func (s *State) Revision() uint64 {
 	return s.revision
 }
 
+// Digest covers every version held, accepted or rejected. Daemons of one
+// revision whose digests differ lack a version.
+func (s *State) Digest() uint64 {
+	return s.digest
+}
+
 // Merge takes in a page and reports whether anything in force changed. A page
 // from a source that lags behind changes nothing: each document is compared by
-// its own revision.
+// its own revision. The watermark moves only when the page joins on to it: a
+// page that starts above it leaves a gap, and a change in the gap would never be
+// asked for again.
 func (s *State) Merge(p Page) bool {
 	changed := false
 	for _, d := range p.Documents {
@@ -66,83 +140,120 @@
 			changed = true
 		}
 	}
-	if p.Revision > s.revision {
+	if p.After <= s.revision && p.Revision > s.revision {
 		s.revision = p.Revision
 	}
 	return changed
 }
 
 func (s *State) offer(d *pb.PublishedDocument) bool {
+	if d.Name == "" || d.Revision == 0 {
+		return false
+	}
 	e := s.entries[d.Name]
 	if e == nil {
 		e = &entry{}
 		s.entries[d.Name] = e
 	}
-	if e.accepted != nil && d.Revision <= e.accepted.Revision {
-		return false
-	}
-	if e.rejected != nil && d.Revision == e.rejected.Revision {
+	v := newVersion(d)
+	if !v.above(e.accepted) || e.holds(v) {
 		return false
 	}
+	s.digest -= e.digest()
+	defer func() { s.digest += e.digest() }()
 	if d.Deleted {
-		e.accept(d, &pb.Document{})
+		e.accept(v, &pb.Document{})
 		return true
 	}
 	doc, findings := contract.Check(d.Name, d.Body)
 	if len(findings) > 0 {
-		e.reject(d, findings)
+		e.reject(v, findings)
 		return false
 	}
-	e.accept(d, doc)
+	e.accept(v, doc)
 	return true
 }
 
-func (e *entry) accept(d *pb.PublishedDocument, doc *pb.Document) {
-	e.accepted = d
+func (e *entry) digest() uint64 {
+	return e.accepted.digest() + e.rejected.digest()
+}
+
+// holds tells whether v is the rejected version already checked.
+func (e *entry) holds(v *version) bool {
+	return e.rejected != nil && v.Revision == e.rejected.Revision && v.sum == e.rejected.sum
+}
+
+func (e *entry) accept(v *version, doc *pb.Document) {
+	e.accepted = v
 	e.document = doc
-	if e.rejected != nil && e.rejected.Revision < d.Revision {
+	if e.rejected != nil && v.above(e.rejected) {
 		e.rejected = nil
 		e.findings = nil
 	}
 }
 
-func (e *entry) reject(d *pb.PublishedDocument, findings finding.List) {
-	if e.rejected != nil && d.Revision < e.rejected.Revision {
+func (e *entry) reject(v *version, findings finding.List) {
+	if !v.above(e.rejected) {
 		return
 	}
-	e.rejected = d
+	e.rejected = v
 	e.findings = findings
 }
 
-// Since is the page of changes above a revision, lowest first. It holds the
-// version in force of each document and its rejected successor: a daemon that
-// starts learns both, so that what is in force here comes into force there.
-func (s *State) Since(after uint64) Page {
+// Since is the page of changes above a revision, lowest first; documents of the
+// next revision up to name are left out. It holds the version in force of each
+// document and its rejected successor: a daemon that starts learns both, so that
+// what is in force here comes into force there.
+func (s *State) Since(after uint64, name string) Page {
+	if after >= s.revision {
+		return Page{After: after, Revision: s.revision, Digest: s.digest}
+	}
 	var docs []*pb.PublishedDocument
 	for _, e := range s.entries {
-		docs = appendAbove(docs, e.accepted, after)
-		docs = appendAbove(docs, e.rejected, after)
+		for _, v := range [...]*version{e.accepted, e.rejected} {
+			if v != nil && v.follows(after, name) {
+				docs = append(docs, v.PublishedDocument)
+			}
+		}
 	}
-	sort.Slice(docs, func(i, j int) bool { return docs[i].Revision < docs[j].Revision })
+	sort.Slice(docs, func(i, j int) bool { return before(docs[i], docs[j]) })
 	return s.cut(docs, after)
 }
 
-func appendAbove(docs []*pb.PublishedDocument, d *pb.PublishedDocument, after uint64) []*pb.PublishedDocument {
-	if d == nil || d.Revision <= after {
-		return docs
+func (v *version) follows(after uint64, name string) bool {
+	if v.Revision == after+1 && name != "" {
+		return v.Name > name
+	}
+	return v.Revision > after
+}
+
+func before(a, b *pb.PublishedDocument) bool {
+	if a.Revision != b.Revision {
+		return a.Revision < b.Revision
 	}
-	return append(docs, d)
+	return a.Name < b.Name
 }
 
+// cut ends the page where its bodies grow too large. When that is between two
+// documents of one revision, the page's revision stays below it: a daemon that
+// stops here must still know that it lacks the rest.
 func (s *State) cut(docs []*pb.PublishedDocument, after uint64) Page {
+	page := Page{After: after, Revision: s.revision, Documents: docs, Digest: s.digest}
 	size := 0
 	for i, d := range docs {
 		size += len(d.Body)
-		if size > MaxPageBytes && i > 0 {
-			return Page{Revision: max(after, docs[i-1].Revision), Documents: docs[:i], More: true}
+		if size <= MaxPageBytes || i == 0 || !before(docs[i-1], d) {
+			continue
+		}
+		page.Documents = docs[:i]
+		page.More = true
+		page.Revision = docs[i-1].Revision
+		if d.Revision == page.Revision {
+			page.Revision--
 		}
+		break
 	}
-	return Page{Revision: s.revision, Documents: docs}
+	return page
 }
 
 // Snapshot compiles what is in force.
@@ -157,7 +268,7 @@
 	return contract.Compile(s.revision, docs)
 }
 
-// Rejected is every document whose newest revision failed the check.
+// Rejected is every document whose newest revision failed the check, by name.
 func (s *State) Rejected() []Rejected {
 	var out []Rejected
 	for name, e := range s.entries {
@@ -169,23 +280,11 @@
 	return out
 }
 
-// Equal tells whether two states hold the same documents, for tests and models.
-func (s *State) Equal(o *State) bool {
-	if len(s.entries) != len(o.entries) {
-		return false
-	}
-	for name, e := range s.entries {
-		other := o.entries[name]
-		if other == nil || !sameDocument(e.accepted, other.accepted) {
-			return false
-		}
-	}
-	return true
-}
-
-func sameDocument(a, b *pb.PublishedDocument) bool {
-	if a == nil || b == nil {
-		return a == b
+// InForce is the revision of a document in force, 0 when there is none.
+func (s *State) InForce(name string) uint64 {
+	e := s.entries[name]
+	if e == nil || e.accepted == nil {
+		return 0
 	}
-	return a.Revision == b.Revision && bytes.Equal(a.Body, b.Body)
+	return e.accepted.Revision
 }
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -20,10 +20,8 @@
 	switch {
 	case d.stopping.Load():
 		return "this VM is stopping"
-	case d.snapshot.Load().Revision == 0:
-		return "no configuration yet: neither the platform nor a peer has given one"
 	default:
-		return ""
+		return d.config.notReady()
 	}
 }
 
@@ -52,9 +50,7 @@
 		Conflicts:   snap.Conflicts,
 		Owned:       d.table.Load().Owned(d.settings.Vm),
 	}
-	d.mu.Lock()
-	st.Rejected = d.config.Rejected()
-	d.mu.Unlock()
+	d.config.describe(&st)
 	for _, m := range d.view.Load().Members {
 		st.Members = append(st.Members, operatorapi.Member{
 			VM:         m.VM,
@@ -85,6 +81,8 @@
 		r.engine.Deliver(b.Reply)
 	case *pb.Frame_ForwardReply:
 		r.forwards.replied(b.ForwardReply)
+	case *pb.Frame_ConfigDocuments:
+		r.config.answered(b.ConfigDocuments)
 	}
 }
 
@@ -93,6 +91,10 @@
 		r.forwards.lost(b.Forward, written)
 		return
 	}
+	if pull := f.GetConfigPull(); pull != nil {
+		r.config.lost(pull.Id)
+		return
+	}
 	req := f.GetRequest()
 	if req == nil {
 		return
@@ -115,6 +117,10 @@
 		})
 	case *pb.Frame_Forward:
 		h.forwards.serve(b.Forward, reply)
+	case *pb.Frame_ConfigPull:
+		h.config.serve(from, b.ConfigPull, reply)
+	case *pb.Frame_ConfigDocuments:
+		h.config.pushed(from, b.ConfigDocuments)
 	case *pb.Frame_Cancel:
 		h.owner.Cancel(keyOf(from, b.Cancel.Id), b.Cancel.Upstream)
 	case *pb.Frame_ShareLoan:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,7 +19,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"sycamorekeel.example/sycamorekeel/internal/callerapi"
-	"sycamorekeel.example/sycamorekeel/internal/config"
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/dispatch"
 	"sycamorekeel.example/sycamorekeel/internal/explain"
@@ -32,15 +31,12 @@
 	"sycamorekeel.example/sycamorekeel/internal/ownership"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/peer"
-	"sycamorekeel.example/sycamorekeel/internal/platform"
 	"sycamorekeel.example/sycamorekeel/internal/query"
 	"sycamorekeel.example/sycamorekeel/internal/router"
 )
 
 const (
 	explainRequests = 256
-	watchWait       = 10 * time.Second
-	watchRetry      = 500 * time.Millisecond
 )
 
 // Options is what a daemon needs besides its settings. A nil listener is opened
@@ -73,7 +69,6 @@
 	operations *frontend.Operations
 	caller     *callerapi.Server
 	operator   *operatorapi.Server
-	platform   *platform.Client
 	gossip     *gossip.Driver
 	// ended has the reason for an end that was not asked for.
 	ended  chan error
@@ -86,8 +81,9 @@
 	view     atomic.Pointer[membership.View]
 	stopping atomic.Bool
 
-	mu     sync.Mutex
-	config *config.State
+	config *configSync
+
+	mu sync.Mutex
 }
 
 // New wires a daemon; Run starts it.
@@ -98,9 +94,7 @@
 		incarnation: uint64(time.Now().UnixMicro()),
 		registry:    prometheus.NewRegistry(),
 		listeners:   opts,
-		config:      config.New(),
 		ended:       make(chan error, 1),
-		platform:    platform.NewClient(s.PlatformAddress),
 	}
 	d.shares = newShares(d)
 	d.status = newStatusHub(d.learnStatus)
@@ -108,6 +102,7 @@
 	d.snapshot.Store(contract.Compile(0, nil))
 	d.view.Store(&membership.View{})
 	d.gossip = d.newGossip()
+	d.config = newConfigSync(d)
 	d.wirePath()
 	return d, d.wireInterfaces()
 }
@@ -194,7 +189,7 @@
 	defer cancel()
 	d.engine.Start(run)
 	group, run := errgroup.WithContext(run)
-	group.Go(func() error { return d.watch(run) })
+	group.Go(func() error { return d.config.run(run) })
 	group.Go(func() error { return d.shares.run(run) })
 	group.Go(func() error { return d.owner.Run(run) })
 	group.Go(func() error { return d.server.Serve(run, d.listeners.Peer) })
@@ -244,49 +239,6 @@
 	return trace.NewAggregate(errs...)
 }
 
-// watch follows the platform's changes.
-func (d *Daemon) watch(ctx context.Context) error {
-	wait := time.Duration(0)
-	for ctx.Err() == nil {
-		d.mu.Lock()
-		after := d.config.Revision()
-		d.mu.Unlock()
-		page, err := d.platform.Changes(after, wait)
-		if err != nil {
-			d.log.Warn("config: platform did not answer", zap.Error(err))
-			sleep(ctx, watchRetry)
-			continue
-		}
-		d.merge(page)
-		wait = watchWait
-	}
-	return nil
-}
-
-func sleep(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(t):
-	}
-}
-
-// merge puts a page of changes in force.
-func (d *Daemon) merge(page config.Page) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	before := d.config.Revision()
-	changed := d.config.Merge(page)
-	if !changed && d.config.Revision() == before {
-		return
-	}
-	snap := d.config.Snapshot()
-	d.snapshot.Store(snap)
-	d.shares.configure(snap)
-	d.log.Info("config: in force", zap.Uint64("revision", snap.Revision))
-	d.gossip.SetRevision(d.config.Revision())
-	d.apply(d.gossip.SetList(snap.VMs()), snap)
-}
-
 // apply routes by a new view or snapshot. The caller holds mu.
 func (d *Daemon) apply(view *membership.View, snap *contract.Snapshot) {
 	d.view.Store(view)
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -38,6 +38,8 @@
 			Revalidate:  d.revalidate,
 			Revalidated: d.revalidated,
 			Superseded:  d.superseded,
+
+			PeerRevision: d.noteRevision,
 		},
 	})
 }
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -45,10 +45,24 @@
 	Revision    uint64            `json:"config_revision"`
 	Rejected    []config.Rejected `json:"rejected_documents,omitempty"`
 	Conflicts   []string          `json:"conflicts,omitempty"`
+	Platform    Platform          `json:"platform"`
 	Members     []Member          `json:"members"`
 	Owned       []string          `json:"owned_upstreams"`
 }
 
+// Platform is how this VM stands with the configuration service.
+type Platform struct {
+	// Reader says that this VM watches it; the others learn from peers.
+	Reader bool `json:"reader"`
+	// ConfirmedMS is how long ago it last confirmed the configuration, here or
+	// at the VM this one learnt from.
+	ConfirmedMS int64 `json:"confirmed_ms_ago"`
+	// Failures is the reads in a row that failed here, and Reason why the last
+	// one did.
+	Failures int    `json:"failures,omitempty"`
+	Reason   string `json:"reason,omitempty"`
+}
+
 // Member is one VM as this one sees it.
 type Member struct {
 	VM         string `json:"vm"`
