Test the caller interface over a real server, and read bodies strictly

Cause: a body with one member twice was read by its last value here, and may be read by its first at the upstream; the interface had no test.

Change: a body must be one JSON object with each member once.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -8,7 +8,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -38,14 +37,6 @@
 	Operation string
 }
 
-// parameters are the fields of a body that sycamorekeel itself reads.
-type parameters struct {
-	// Key chooses the shard of a kind that asks a single one.
-	Key string `json:"key"`
-	// Limit is the most hits wanted.
-	Limit int `json:"limit"`
-}
-
 // Answer is a caller's whole answer.
 type Answer struct {
 	RequestID string `json:"request_id"`
@@ -214,17 +205,6 @@
 	return w.finish(params)
 }
 
-func readParameters(body []byte) (parameters, *refusal.Error) {
-	var p parameters
-	if err := json.Unmarshal(body, &p); err != nil {
-		return p, refusal.New(refusal.BadRequest, "body: "+err.Error())
-	}
-	if p.Limit < 0 {
-		return p, refusal.New(refusal.BadRequest, "body: limit must not be negative")
-	}
-	return p, nil
-}
-
 // plan pins a snapshot and chooses the shards.
 func (w *walk) plan(p parameters) (*query.Plan, *refusal.Error) {
 	shards, snapshot, ok := w.front.opts.Pinner.Pin(w.started, w.kind.Service)
