Authenticate peer streams by mutual TLS from the shared peer keys

Cause: any process that reached a peer address could open a stream, name itself as any VM, and take slots or replies.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/ownership"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/peer"
+	"sycamorekeel.example/sycamorekeel/internal/peerauth"
 	"sycamorekeel.example/sycamorekeel/internal/query"
 	"sycamorekeel.example/sycamorekeel/internal/router"
 )
@@ -70,6 +71,7 @@
 	caller     *callerapi.Server
 	operator   *operatorapi.Server
 	gossip     *gossip.Driver
+	auth       *peerauth.Authority
 	// ended has the reason for an end that was not asked for.
 	ended  chan error
 	shares *shares
@@ -101,6 +103,11 @@
 	d.table.Store(ownership.Assign(nil, nil))
 	d.snapshot.Store(contract.Compile(0, nil))
 	d.view.Store(&membership.View{})
+	auth, err := peerauth.New(s.Vm, s.PeerKeys)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	d.auth = auth
 	d.gossip = d.newGossip()
 	d.config = newConfigSync(d)
 	d.wirePath()
@@ -126,7 +133,7 @@
 		Registry: d.registry,
 		Hello:    &pb.Hello{Vm: d.settings.Vm, Incarnation: d.incarnation},
 		Receiver: (*receiver)(d),
-		Dial:     peer.Dial,
+		Dial:     d.auth.Dial,
 	})
 	d.router = router.New(router.Options{
 		Log:         d.log,
@@ -175,8 +182,12 @@
 		TokenSHA256: d.settings.OperatorTokenSha256,
 	})
 	server, err := peer.NewServer(d.log, (*peerHandler)(d))
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	d.server = server
-	return trace.Wrap(err)
+	d.server.Identify(peerauth.PeerName)
+	return nil
 }
 
 // Run serves until ctx ends, then stops as planned: requests in flight finish.
@@ -192,7 +203,7 @@
 	group.Go(func() error { return d.config.run(run) })
 	group.Go(func() error { return d.shares.run(run) })
 	group.Go(func() error { return d.owner.Run(run) })
-	group.Go(func() error { return d.server.Serve(run, d.listeners.Peer) })
+	group.Go(func() error { return d.server.Serve(run, d.auth.Listen(d.listeners.Peer)) })
 	group.Go(func() error { return d.gossip.Run(run, d.listeners.Gossip) })
 	group.Go(func() error { return d.caller.Serve(d.listeners.Caller) })
 	group.Go(func() error { return d.operator.Serve(d.listeners.Operator) })
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -31,8 +34,15 @@
 	handler Handler
 	server  *drpcserver.Server
 	done    sync.WaitGroup
+	// identify tells which VM an authenticated connection belongs to; nil takes
+	// the hello's word.
+	identify func(transport any) (vm string, err error)
 }
 
+// acceptPause is the wait after an accept that failed, as for want of file
+// descriptors.
+const acceptPause = 100 * time.Millisecond
+
 // NewServer makes a server that hands frames to handler.
 func NewServer(log *zap.Logger, handler Handler) (*Server, error) {
 	s := &Server{log: log, handler: handler}
@@ -44,14 +54,70 @@
 	return s, nil
 }
 
+// Identify makes the server refuse a stream whose hello names another VM than
+// its connection was authenticated for. It is to be called before Serve.
+func (s *Server) Identify(f func(transport any) (vm string, err error)) {
+	s.identify = f
+}
+
 // Serve accepts streams until ctx ends.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	err := s.server.Serve(ctx, ln)
-	s.done.Wait()
-	if ctx.Err() != nil {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	defer s.done.Wait()
+	defer cancel()
+	for {
+		conn, err := ln.Accept()
+		switch {
+		case ctx.Err() != nil:
+			if err == nil {
+				_ = conn.Close()
+			}
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return trace.Wrap(err)
+		case err != nil:
+			s.log.Warn("peer: accept failed", zap.Error(err))
+			pause(ctx)
+		default:
+			s.done.Go(func() { s.serveOne(ctx, conn) })
+		}
+	}
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(acceptPause):
+	}
+}
+
+func (s *Server) serveOne(ctx context.Context, conn net.Conn) {
+	err := s.server.ServeOne(drpcctx.WithTransport(ctx, conn), conn)
+	if err != nil && ctx.Err() == nil {
+		s.log.Debug("peer: connection ended", zap.String("from", conn.RemoteAddr().String()), zap.Error(err))
+	}
+}
+
+// admit checks the hello against the connection's certificate: a VM under a
+// wrong name would get the replies, and free the requests, of another.
+func (s *Server) admit(ctx context.Context, hello *pb.Hello) error {
+	if s.identify == nil {
 		return nil
 	}
-	return trace.Wrap(err)
+	conn, _ := drpcctx.Transport(ctx)
+	vm, err := s.identify(conn)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if vm != hello.Vm {
+		s.log.Warn("peer: stream refused, its hello names another VM than its certificate",
+			zap.String("hello", hello.Vm), zap.String("certificate", vm))
+		return trace.AccessDenied("the hello names another VM than the certificate")
+	}
+	return nil
 }
 
 type exchange struct{ server *Server }
@@ -66,6 +132,9 @@
 	if hello == nil {
 		return trace.BadParameter("the first frame must be a hello")
 	}
+	if err := e.server.admit(stream.Context(), hello); err != nil {
+		return err
+	}
 	out := newOutbox()
 	ctx, cancel := context.WithCancel(stream.Context())
 	e.server.done.Add(1)
