Admit within leased shares, reserve room by customer, refuse hopeless deadlines

Cause: one customer could fill the whole VM, and a request whose own deadline cannot be met was let in and failed after its work was spent. Change: the buckets follow the shares moment by moment, also when a loan ends unseen. Half of max_queries is reserved by weight and the rest is a pool in which a customer may hold a multiple of what is free, less for low priorities. A deadline below what nine of ten answers take is refused as deadline_too_short. The daemon steps the share protocol four times a second and says that it is ready once a first request of each kind is let in. Conclusion: a start takes about 2 to 4 s longer before a VM is ready, as loans of a former incarnation must have ended.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -17,12 +17,13 @@
 
 // NotReady says why no request can be served, or is empty.
 func (d *Daemon) NotReady() string {
-	switch {
-	case d.stopping.Load():
+	if d.stopping.Load() {
 		return "this VM is stopping"
-	default:
-		return d.config.notReady()
 	}
+	if why := d.config.notReady(); why != "" {
+		return why
+	}
+	return d.shares.notReady()
 }
 
 // Stopping says that a planned stop is under way.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,14 +156,13 @@
 func (d *Daemon) wireInterfaces() error {
 	ring := explain.NewRing(explainRequests)
 	d.front = frontend.New(frontend.Options{
-		Log:        d.log,
-		Registry:   d.registry,
-		Engine:     d.engine,
-		Shares:     d.shares,
-		Pinner:     pinner{},
-		Explain:    ring,
-		MaxQueries: int(d.settings.Limits.MaxQueries),
-		Now:        time.Now,
+		Log:       d.log,
+		Registry:  d.registry,
+		Engine:    d.engine,
+		Admission: d.shares,
+		Pinner:    pinner{},
+		Explain:   ring,
+		Now:       time.Now,
 	})
 	d.forwards = newForwards(d)
 	d.operations = d.newOperations()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -15,7 +16,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
-	"sycamorekeel.example/sycamorekeel/internal/admission"
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/explain"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
@@ -23,15 +23,8 @@
 	"sycamorekeel.example/sycamorekeel/internal/refusal"
 )
 
-const (
-	// replyMargin of a deadline is kept for the merge and the way back.
-	replyMargin = 0.02
-	// confirmShare of a non-idempotent request's deadline, at most maxConfirm, is
-	// kept to learn from the owners what they never sent: a round trip between
-	// regions takes 24 ms.
-	confirmShare = 0.05
-	maxConfirm   = 50 * time.Millisecond
-)
+// replyMargin of a deadline is kept for the merge and the way back.
+const replyMargin = 0.02
 
 // Request is one caller's request.
 type Request struct {
@@ -44,6 +37,14 @@
 	Operation string
 }
 
+// parameters are the fields of a body that sycamorekeel itself reads.
+type parameters struct {
+	// Key chooses the shard of a kind that asks a single one.
+	Key string `json:"key"`
+	// Limit is the most hits wanted.
+	Limit int `json:"limit"`
+}
+
 // Answer is a caller's whole answer.
 type Answer struct {
 	RequestID string `json:"request_id"`
@@ -85,9 +86,12 @@
 	Coverage  *Coverage
 }
 
-// Shares tells this VM's part of a kind's limits, or why it has none.
-type Shares interface {
-	Share(k *contract.Kind) (admission.Share, *refusal.Error)
+// Admission decides whether a request may start.
+type Admission interface {
+	// Admit starts a request that has the given time, or says why it may not
+	// start. Done ends it; took counts when the request was answered.
+	Admit(k *contract.Kind, budget time.Duration) *refusal.Error
+	Done(k *contract.Kind, took time.Duration, answered bool)
 }
 
 // Pinner chooses the snapshot a query is pinned to.
@@ -97,14 +101,13 @@
 
 // Options is what a frontend needs.
 type Options struct {
-	Log        *zap.Logger
-	Registry   prometheus.Registerer
-	Engine     *query.Engine
-	Shares     Shares
-	Pinner     Pinner
-	Explain    *explain.Ring
-	MaxQueries int
-	Now        func() time.Time
+	Log       *zap.Logger
+	Registry  prometheus.Registerer
+	Engine    *query.Engine
+	Admission Admission
+	Pinner    Pinner
+	Explain   *explain.Ring
+	Now       func() time.Time
 }
 
 // Frontend answers requests.
@@ -114,14 +117,13 @@
 	met  *metrics
 
 	mu       sync.Mutex
-	admitted *admission.Controller
 	stopping bool
 	running  sync.WaitGroup
 }
 
 // New makes a frontend.
 func New(opts Options) *Frontend {
-	return &Frontend{opts: opts, log: opts.Log, met: newMetrics(opts.Registry), admitted: admission.New(opts.MaxQueries)}
+	return &Frontend{opts: opts, log: opts.Log, met: newMetrics(opts.Registry)}
 }
 
 // Stop refuses new requests and waits for those in flight or for ctx.
@@ -154,27 +156,25 @@
 	f.met.refused(e)
 }
 
-func (f *Frontend) admit(k *contract.Kind, now time.Time) *refusal.Error {
+// admit starts a request that has the given time. It counts as running before
+// it is admitted, so that a stop waits for it.
+func (f *Frontend) admit(k *contract.Kind, budget time.Duration) *refusal.Error {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	if f.stopping {
+		f.mu.Unlock()
 		return refusal.New(refusal.Stopping, "this VM is stopping; ask for endpoints again").After(time.Second)
 	}
-	share, err := f.opts.Shares.Share(k)
+	f.running.Add(1)
+	f.mu.Unlock()
+	err := f.opts.Admission.Admit(k, budget)
 	if err != nil {
-		return err
+		f.running.Done()
 	}
-	if err := f.admitted.Admit(now, k, share); err != nil {
-		return err
-	}
-	f.running.Add(1)
-	return nil
+	return err
 }
 
-func (f *Frontend) done(k *contract.Kind) {
-	f.mu.Lock()
-	f.admitted.Done(k)
-	f.mu.Unlock()
+func (f *Frontend) done(k *contract.Kind, took time.Duration, answered bool) {
+	f.opts.Admission.Done(k, took, answered)
 	f.running.Done()
 }
 
@@ -188,7 +188,7 @@
 	outcome *query.Outcome
 }
 
-func (w *walk) run(ctx context.Context) (*Answer, *Failure) {
+func (w *walk) run(ctx context.Context) (answer *Answer, failure *Failure) {
 	if w.kind.Service == nil {
 		return nil, w.fail(refusal.New(refusal.UnknownService, "service "+w.kind.Kind.Service+" is not defined").After(time.Minute))
 	}
@@ -196,10 +196,12 @@
 	if err != nil {
 		return nil, w.fail(err)
 	}
-	if err := w.front.admit(w.kind, w.started); err != nil {
+	if err := w.front.admit(w.kind, budget(w.kind, w.req)); err != nil {
 		return nil, w.fail(err)
 	}
-	defer w.front.done(w.kind)
+	defer func() {
+		w.front.done(w.kind, w.front.opts.Now().Sub(w.started), answer != nil)
+	}()
 	plan, err := w.plan(params)
 	if err != nil {
 		return nil, w.fail(err)
@@ -212,6 +214,17 @@
 	return w.finish(params)
 }
 
+func readParameters(body []byte) (parameters, *refusal.Error) {
+	var p parameters
+	if err := json.Unmarshal(body, &p); err != nil {
+		return p, refusal.New(refusal.BadRequest, "body: "+err.Error())
+	}
+	if p.Limit < 0 {
+		return p, refusal.New(refusal.BadRequest, "body: limit must not be negative")
+	}
+	return p, nil
+}
+
 // plan pins a snapshot and chooses the shards.
 func (w *walk) plan(p parameters) (*query.Plan, *refusal.Error) {
 	shards, snapshot, ok := w.front.opts.Pinner.Pin(w.started, w.kind.Service)
@@ -226,10 +239,6 @@
 		Shards:    shards.Shards,
 		Deadline:  w.started.Add(timeLeft(w.kind, w.req)),
 	}
-	if !w.kind.Idempotent {
-		plan.ConfirmBy = plan.Deadline
-		plan.Deadline = plan.Deadline.Add(-confirmTime(w.kind, w.req))
-	}
 	if soft := w.kind.SoftDeadline(); soft > 0 {
 		plan.SoftDeadline = w.started.Add(soft)
 	}
@@ -243,10 +252,6 @@
 	return plan, nil
 }
 
-func confirmTime(k *contract.Kind, req *Request) time.Duration {
-	return min(maxConfirm, time.Duration(confirmShare*float64(timeLeft(k, req))))
-}
-
 func (w *walk) finish(p parameters) (*Answer, *Failure) {
 	cov := coverage(w.outcome)
 	if cov.ShardsAnswered == 0 || cov.Fraction < w.kind.CoverageFloor {
--- a/internal/frontend/operations.go
+++ b/internal/frontend/operations.go
@@ -307,12 +307,16 @@
 	}
 }
 
-// timeLeft is the shorter of the contract's and the caller's deadline, less
-// what the way back takes.
+// timeLeft is the budget less what the way back takes.
 func timeLeft(k *contract.Kind, req *Request) time.Duration {
-	d := k.Deadline()
+	d := budget(k, req)
+	return d - time.Duration(float64(d)*replyMargin)
+}
+
+// budget is the shorter of the contract's and the caller's deadline.
+func budget(k *contract.Kind, req *Request) time.Duration {
 	if req.Deadline > 0 {
-		d = min(d, req.Deadline)
+		return min(k.Deadline(), req.Deadline)
 	}
-	return d - time.Duration(float64(d)*replyMargin)
+	return k.Deadline()
 }
--- a/internal/membership/doubt.go
+++ b/internal/membership/doubt.go
@@ -36,7 +36,8 @@
 	n.out.Revalidate = true
 	// What waited for answers meanwhile proves nothing.
 	n.pending = nil
-	for _, r := range n.table.sorted {
+	for _, name := range n.table.names {
+		r := n.table.get(name)
 		r.suspectUntil = r.suspectUntil.Add(gap)
 	}
 	n.doubt = &doubt{ids: map[uint64]bool{}, heard: map[string]bool{}}
--- a/internal/membership/learn.go
+++ b/internal/membership/learn.go
@@ -75,7 +75,6 @@
 func (n *Node) settle(r *record, state pb.MemberState) {
 	n.table.edit(r, func() { r.State = state })
 	n.dirty = true
-	r.accused = false
 	switch state {
 	case pb.MemberState_SUSPECT:
 		n.stats.Suspicions++
@@ -105,17 +104,14 @@
 	if !deaf {
 		n.spread(r)
 	}
-	if state == pb.MemberState_SUSPECT {
-		r.accused = true
-		n.probe(r)
-	}
 }
 
 func (n *Node) expireSuspicions() {
 	if n.doubt != nil {
 		return
 	}
-	for _, r := range n.table.sorted {
+	for _, name := range n.table.names {
+		r := n.table.get(name)
 		if r.State != pb.MemberState_SUSPECT || n.now.Before(r.suspectUntil) {
 			continue
 		}
@@ -129,7 +125,8 @@
 // forgetDead drops the dead that no list names once their tombstone is old.
 func (n *Node) forgetDead() {
 	var old []*record
-	for _, r := range n.table.sorted {
+	for _, name := range n.table.names {
+		r := n.table.get(name)
 		if r.State == pb.MemberState_DEAD && !r.listed && n.now.Sub(r.diedAt) >= n.timing.Tombstone {
 			old = append(old, r)
 		}
