--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -58,6 +58,8 @@
 	revision uint64
 	entries  map[string]*entry
 	digest   uint64
+	// pageBytes bounds the pages given out.
+	pageBytes int
 }
 
 // entry holds one document's version in force and, when that is not the newest
@@ -113,7 +115,7 @@
 
 // New is a state that holds nothing.
 func New() *State {
-	return &State{entries: map[string]*entry{}}
+	return &State{entries: map[string]*entry{}, pageBytes: MaxPageBytes}
 }
 
 // Revision is the watermark: every change up to it has been taken in, or was
@@ -128,24 +130,25 @@
 	return s.digest
 }
 
-// Merge takes in a page and reports whether anything in force changed. A page
-// from a source that lags behind changes nothing: each document is compared by
-// its own revision. The watermark moves only when the page joins on to it: a
-// page that starts above it leaves a gap, and a change in the gap would never be
-// asked for again.
-func (s *State) Merge(p Page) bool {
-	changed := false
+// Merge takes in a page and returns the documents that were news, accepted or
+// rejected. A page from a source that lags behind changes nothing: each document
+// is compared by its own revision. The watermark moves only when the page joins
+// on to it: a page that starts above it leaves a gap, and a change in the gap
+// would never be asked for again.
+func (s *State) Merge(p Page) []*pb.PublishedDocument {
+	var news []*pb.PublishedDocument
 	for _, d := range p.Documents {
 		if s.offer(d) {
-			changed = true
+			news = append(news, d)
 		}
 	}
 	if p.After <= s.revision && p.Revision > s.revision {
 		s.revision = p.Revision
 	}
-	return changed
+	return news
 }
 
+// offer takes in one version; false when it changed nothing.
 func (s *State) offer(d *pb.PublishedDocument) bool {
 	if d.Name == "" || d.Revision == 0 {
 		return false
@@ -167,8 +170,7 @@
 	}
 	doc, findings := contract.Check(d.Name, d.Body)
 	if len(findings) > 0 {
-		e.reject(v, findings)
-		return false
+		return e.reject(v, findings)
 	}
 	e.accept(v, doc)
 	return true
@@ -192,12 +194,13 @@
 	}
 }
 
-func (e *entry) reject(v *version, findings finding.List) {
+func (e *entry) reject(v *version, findings finding.List) bool {
 	if !v.above(e.rejected) {
-		return
+		return false
 	}
 	e.rejected = v
 	e.findings = findings
+	return true
 }
 
 // Since is the page of changes above a revision, lowest first; documents of the
@@ -242,7 +245,7 @@
 	size := 0
 	for i, d := range docs {
 		size += len(d.Body)
-		if size <= MaxPageBytes || i == 0 || !before(docs[i-1], d) {
+		if size <= s.pageBytes || i == 0 || !before(docs[i-1], d) {
 			continue
 		}
 		page.Documents = docs[:i]
--- a/internal/config/events.go
+++ b/internal/config/events.go
@@ -108,11 +108,15 @@
 // Count reports something for the metrics.
 type Count struct{ Event Counted }
 
-func (Read) action()       {}
-func (Pull) action()       {}
-func (Push) action()       {}
-func (PutInForce) action() {}
-func (Count) action()      {}
+func (Read) action()         {}
+func (Pull) action()         {}
+func (Push) action()         {}
+func (PutInForce) action()   {}
+func (Count) action()        {}
+func (CountFailure) action() {}
+
+// CountFailure reports a read that brought nothing.
+type CountFailure struct{ Reason FailureReason }
 
 // Counted is what a Count counts.
 type Counted string
--- a/internal/config/pulls.go
+++ b/internal/config/pulls.go
@@ -20,10 +20,9 @@
 	// maxPushBytes bounds what is pushed; beyond it only the revision is, and
 	// the peers pull.
 	maxPushBytes = 16 << 10
-	// repairBackoff is the delay after the first full pull that settled
-	// nothing; it doubles up to repairBackoffMost.
-	repairBackoff     = 30 * time.Second
-	repairBackoffMost = 30 * time.Minute
+	// maxFruitless bounds the remembered differences that a full pull did not
+	// settle.
+	maxFruitless = 64
 )
 
 // pullState is what this daemon asks of its peers.
@@ -34,12 +33,12 @@
 	nextAsk time.Time
 	// misses counts asks of readers that failed in a row.
 	misses int
-	// fruitless counts full pulls in a row after which the digests still
-	// differed. Two builds of the daemon that judge a document differently stay
-	// different: without a growing delay they would send each other everything
-	// with every change.
-	fruitless  int
-	nextRepair time.Time
+	// fruitless holds the differences between digests that a full pull did not
+	// settle. Two builds of the daemon that judge a document differently stay
+	// different: without this memory they would send each other everything, over
+	// and over. A digest is a sum over the versions held, so the difference
+	// stays the same while other documents change.
+	fruitless map[uint64]bool
 }
 
 // openPull is a pull that waits for its answer.
@@ -72,7 +71,7 @@
 }
 
 func newPullState() pullState {
-	return pullState{open: map[uint64]*openPull{}}
+	return pullState{open: map[uint64]*openPull{}, fruitless: map[uint64]bool{}}
 }
 
 func (s *Syncer) heard(address string, revision uint64) {
@@ -191,7 +190,7 @@
 	case asking:
 		s.pulls.misses = 0
 	case repairing:
-		s.endRepair(o, e.Page.Digest)
+		s.endRepair(o, e.Page)
 		return
 	case chasing:
 		s.endChase(o, e.Page.Revision)
@@ -216,33 +215,30 @@
 // versions. One of both lacks something: a partial answer of the platform, or
 // the former version of a document whose newest was rejected.
 func (s *Syncer) repair(address string, page Page) {
-	p := &s.pulls
-	if page.Revision != s.state.Revision() || page.Digest == 0 {
-		return
-	}
-	if page.Digest == s.state.Digest() {
-		p.fruitless = 0
-		p.nextRepair = time.Time{}
+	difference := page.Digest - s.state.Digest()
+	if page.Revision != s.state.Revision() || page.Digest == 0 || difference == 0 {
 		return
 	}
-	if s.now.Before(p.nextRepair) || s.pulling(repairing) {
+	if s.pulls.fruitless[difference] || s.pulling(repairing) {
 		return
 	}
 	s.pull(address, 0, "", repairing)
 }
 
-func (s *Syncer) endRepair(o *openPull, theirs uint64) {
+func (s *Syncer) endRepair(o *openPull, page Page) {
 	p := &s.pulls
 	if s.state.Digest() != o.digest {
 		s.do(Count{PullRepaired})
 	}
-	if s.state.Digest() == theirs {
+	difference := page.Digest - s.state.Digest()
+	if difference == 0 || page.Revision != s.state.Revision() {
 		return
 	}
 	s.do(Count{PullDiffers})
-	delay := min(repairBackoffMost, repairBackoff<<min(p.fruitless, maxDoublings))
-	p.fruitless++
-	p.nextRepair = s.now.Add(s.around(delay))
+	if len(p.fruitless) >= maxFruitless {
+		clear(p.fruitless)
+	}
+	p.fruitless[difference] = true
 }
 
 func (s *Syncer) pullLost(id uint64, why Counted) {
@@ -286,28 +282,45 @@
 	s.pull(s.whomToAsk().Address, s.state.Revision(), "", asking)
 }
 
-// whomToAsk is a reader of the own data centre; a reader, or a VM whose readers
-// did not answer, asks anyone, so that the data centres compare too.
+// whomToAsk is a reader of the own data centre. A reader asks another data
+// centre, so that they compare; a VM whose readers do not answer asks anyone.
 func (s *Syncer) whomToAsk() Peer {
 	from := s.peers
-	if local := Readers(s.local()); !s.reader && len(local) > 0 && s.pulls.misses < ReadersPerDataCentre {
+	local, remote := Readers(s.local()), s.remote()
+	switch {
+	case s.reader && len(remote) > 0:
+		from = remote
+	case !s.reader && len(local) > 0 && s.pulls.misses < ReadersPerDataCentre:
 		from = local
 	}
 	return from[s.opts.Random.IntN(len(from))]
 }
 
-// push tells the peers of the own data centre of news from the platform. Small
-// news travel in the push itself.
+// pushNews passes on a page that moved the revision. Small news travel in the
+// push itself; of larger ones only the revision does, and the peers pull.
+func (s *Syncer) pushNews(page Page) {
+	if page.More || bodyBytes(page.Documents) > maxPushBytes {
+		page = Page{After: s.state.Revision(), Revision: s.state.Revision()}
+	}
+	s.push(page)
+}
+
+// pushRepaired passes on versions that were missing below the revision held.
+func (s *Syncer) pushRepaired(news []*pb.PublishedDocument) {
+	if bodyBytes(news) > maxPushBytes {
+		news = nil
+	}
+	s.push(Page{After: s.state.Revision(), Revision: s.state.Revision(), Documents: news})
+}
+
+// push sends a page to the peers of the own data centre.
 func (s *Syncer) push(page Page) {
 	peers := s.local()
 	if len(peers) == 0 {
 		return
 	}
+	page.Digest = s.state.Digest()
 	push := Push{Page: page}
-	if page.More || bodyBytes(page.Documents) > maxPushBytes {
-		push.Page = Page{After: page.Revision, Revision: s.state.Revision()}
-	}
-	push.Page.Digest = s.state.Digest()
 	for _, p := range peers {
 		push.Addresses = append(push.Addresses, p.Address)
 	}
--- a/internal/config/syncer.go
+++ b/internal/config/syncer.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
 // Timing of the platform's reads. Delays are drawn around these values, so that
@@ -149,16 +151,22 @@
 
 // merge takes a page in. A reader passes on what was news to it, from wherever
 // it came.
-func (s *Syncer) merge(p Page) {
-	revision, digest := s.state.Revision(), s.state.Digest()
-	changed := s.state.Merge(p)
-	if !changed && s.state.Revision() == revision && s.state.Digest() == digest {
-		return
+func (s *Syncer) merge(p Page) []*pb.PublishedDocument {
+	revision := s.state.Revision()
+	news := s.state.Merge(p)
+	moved := s.state.Revision() > revision
+	if !moved && len(news) == 0 {
+		return nil
 	}
 	s.do(PutInForce{})
-	if s.reader && s.start.done && s.state.Revision() > revision {
-		s.push(p)
+	switch {
+	case !s.reader || !s.start.done:
+	case moved:
+		s.pushNews(p)
+	default:
+		s.pushRepaired(news)
 	}
+	return news
 }
 
 func (s *Syncer) setPeers(peers []Peer) {
@@ -186,6 +194,16 @@
 	return out
 }
 
+func (s *Syncer) remote() []Peer {
+	var out []Peer
+	for _, p := range s.peers {
+		if p.DataCentre != s.opts.DataCentre {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // readIfDue starts a read when one is wanted.
 func (s *Syncer) readIfDue() {
 	p := &s.platform
@@ -239,7 +257,20 @@
 		p.full, p.place = page.More, page.Revision
 		p.nextFull = s.now.Add(s.around(fullEvery))
 	}
-	s.merge(page)
+	if s.anyRejected(s.merge(page)) {
+		// The platform no longer has the version before the rejected one; a
+		// peer may hold a later one of it than this VM does.
+		s.pulls.nextAsk = s.now
+	}
+}
+
+func (s *Syncer) anyRejected(news []*pb.PublishedDocument) bool {
+	for _, d := range news {
+		if s.state.InForce(d.Name) < d.Revision {
+			return true
+		}
+	}
+	return false
 }
 
 // stale tells whether the platform fell behind what it, or another of its
@@ -272,6 +303,7 @@
 	}
 	p.open, p.tried, p.reason = nil, true, reason
 	p.failures++
+	s.do(CountFailure{reason})
 	most := backoff
 	if s.reader || s.state.Revision() == 0 {
 		most = readerBackoff
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -152,6 +152,8 @@
 			inForce = true
 		case config.Count:
 			c.met.pulls.WithLabelValues(string(a.Event)).Inc()
+		case config.CountFailure:
+			c.met.failures.WithLabelValues(string(a.Reason)).Inc()
 		}
 	}
 	if inForce {
@@ -256,7 +258,6 @@
 		return config.Answered{Page: page}
 	}
 	reason := platform.ReasonOf(err)
-	c.met.failures.WithLabelValues(string(reason)).Inc()
 	c.log.Warn("config: platform gave nothing", zap.Error(err))
 	return config.Failed{Reason: reason}
 }
