--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 PROTO := $(wildcard proto/sycamorekeel/v1/*.proto)
 
-.PHONY: all build demo test generate lint spec spec-mutants
+.PHONY: all build demo test processes generate lint spec spec-mutants
 
 all: build
 
@@ -15,6 +15,10 @@
 test:
 	$(GO) test ./...
 
+# Kills, freezes and stops daemons that run as separate processes.
+processes: build
+	scripts/processes.sh
+
 # Regenerates internal/pb. Needs protoc and the two generators below; the build
 # does not, as the generated code is committed.
 generate:
--- a/cmd/sycamorekeel/endpoints.go
+++ b/cmd/sycamorekeel/endpoints.go
@@ -28,5 +28,8 @@
 			out.printf("%s  %s\n", v.Address, v.DataCentre)
 		}
 		out.printf("keep for %d ms\n", e.TTLMS)
+		if l := e.OperationLease; l != nil {
+			out.printf("operation lease %s, run by %s, for %d ms\n", l.Prefix, l.Address, l.ExpiresInMS)
+		}
 	})
 }
--- a/cmd/sycamorekeel/query.go
+++ b/cmd/sycamorekeel/query.go
@@ -13,11 +13,12 @@
 
 type queryCommand struct {
 	callerFlags
-	Kind     string `arg:"" help:"Request kind of the contract."`
-	Text     string `arg:"" optional:"" help:"What to search for."`
-	Key      string `help:"Document key, for kinds that ask one shard."`
-	Limit    int    `help:"Most hits wanted."`
-	Deadline int    `help:"Deadline in milliseconds, when shorter than the contract's."`
+	Kind      string `arg:"" help:"Request kind of the contract."`
+	Text      string `arg:"" optional:"" help:"What to search for."`
+	Key       string `help:"Document key, for kinds that ask one shard."`
+	Limit     int    `help:"Most hits wanted."`
+	Operation string `help:"Operation key of a non-idempotent request: the lease's prefix, a full stop and a counter. Send the same one to send a request again."`
+	Deadline  int    `help:"Deadline in milliseconds, when shorter than the contract's."`
 }
 
 // queryBody is the JSON that is sent.
@@ -40,6 +41,9 @@
 		body:    body,
 		headers: map[string]string{},
 	}
+	if c.Operation != "" {
+		req.headers[callerapi.HeaderOperation] = c.Operation
+	}
 	if c.Deadline > 0 {
 		req.headers[callerapi.HeaderDeadline] = strconv.Itoa(c.Deadline)
 	}
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -50,7 +51,8 @@
 	Endpoints []Endpoint `json:"endpoints"`
 	// TTLMS is how long the answer may be kept.
 	TTLMS int64 `json:"ttl_ms"`
-	// OperationLease is absent when the customer has no non-idempotent kind.
+	// OperationLease is absent when the customer has no non-idempotent kind and
+	// when the VM that was asked is none of Endpoints: ask one of those.
 	OperationLease *OperationLease `json:"operation_lease,omitempty"`
 }
 
@@ -199,7 +201,7 @@
 		return
 	}
 	e := s.opts.Backend.Endpoints(c)
-	if needsLease(c) && !s.opts.Backend.Stopping() {
+	if needsLease(c) && s.serves(&e) {
 		prefix, use := s.opts.Operations.Lease(c.Name)
 		e.OperationLease = &OperationLease{Prefix: prefix, Address: s.opts.Backend.CallerAddress(), ExpiresInMS: use.Milliseconds()}
 	}
@@ -211,6 +213,16 @@
 	write(ctx, &frontend.Reply{Status: fasthttp.StatusOK, Body: body})
 }
 
+// serves tells whether a lease of this VM is of use: one of a VM that the
+// customer is sent away from would only give refusals.
+func (s *Server) serves(e *Endpoints) bool {
+	if s.opts.Backend.Stopping() {
+		return false
+	}
+	own := s.opts.Backend.CallerAddress()
+	return slices.ContainsFunc(e.Endpoints, func(v Endpoint) bool { return v.Address == own })
+}
+
 func needsLease(c *contract.Customer) bool {
 	for _, k := range c.Kinds {
 		if !k.Idempotent {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,8 +51,10 @@
 type VM struct {
 	Settings *pb.Settings
 	Daemon   *daemon.Daemon
-	cancel   context.CancelFunc
-	done     chan error
+	// Peers breaks the streams that other VMs opened to this one.
+	Peers  *PeerFault
+	cancel context.CancelFunc
+	done   chan error
 }
 
 // Start brings everything up and waits until every daemon is ready.
@@ -84,9 +86,11 @@
 		p.Publish(name, []byte(text))
 	}
 	for i := range listeners {
-		if err := f.startVM(i, listeners[i]); err != nil {
+		vm, err := f.startVM(i, listeners[i])
+		if err != nil {
 			return err
 		}
+		f.VMs = append(f.VMs, vm)
 	}
 	return f.waitReady()
 }
@@ -170,7 +174,7 @@
 
 func vmName(i int) string { return fmt.Sprintf("vm-%d", i+1) }
 
-func (f *Fleet) startVM(i int, l vmListeners) error {
+func (f *Fleet) startVM(i int, l vmListeners) (*VM, error) {
 	dc := f.opts.DataCentres[i%len(f.opts.DataCentres)]
 	s := &pb.Settings{
 		Vm:              vmName(i),
@@ -184,21 +188,50 @@
 		Routing:         f.opts.Routing,
 	}
 	settings.SetDefaults(s)
+	peers := newPeerFault(l.peer)
 	d, err := daemon.New(s, daemon.Options{
 		Log:      f.opts.Log.With(zap.String("vm", s.Vm)),
 		Caller:   l.caller,
 		Operator: l.operator,
-		Peer:     l.peer,
+		Peer:     peers,
 		Gossip:   l.gossip,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	vm := &VM{Settings: s, Daemon: d, cancel: cancel, done: make(chan error, 1)}
+	vm := &VM{Settings: s, Daemon: d, Peers: peers, cancel: cancel, done: make(chan error, 1)}
 	go func() { vm.done <- d.Run(ctx) }()
-	f.VMs = append(f.VMs, vm)
-	return nil
+	return vm, nil
+}
+
+// Replace stops a VM as planned and starts a new process with its name and
+// addresses.
+func (f *Fleet) Replace(i int) error {
+	old := f.VMs[i].Settings
+	if err := f.VMs[i].Stop(); err != nil {
+		return trace.Wrap(err)
+	}
+	l, err := relisten(old)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	vm, err := f.startVM(i, l)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.VMs[i] = vm
+	return f.waitReady()
+}
+
+func relisten(s *pb.Settings) (vmListeners, error) {
+	var l vmListeners
+	var errs [4]error
+	l.caller, errs[0] = net.Listen("tcp", s.CallerAddress)
+	l.operator, errs[1] = net.Listen("tcp", s.OperatorAddress)
+	l.peer, errs[2] = net.Listen("tcp", s.PeerAddress)
+	l.gossip, errs[3] = net.ListenPacket("udp", s.PeerAddress)
+	return l, trace.NewAggregate(errs[:]...)
 }
 
 func (f *Fleet) waitReady() error {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -8,7 +8,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -23,8 +22,15 @@
 	"sycamorekeel.example/sycamorekeel/internal/refusal"
 )
 
-// replyMargin of a deadline is kept for the merge and the way back.
-const replyMargin = 0.02
+const (
+	// replyMargin of a deadline is kept for the merge and the way back.
+	replyMargin = 0.02
+	// confirmShare of a non-idempotent request's deadline, at most maxConfirm, is
+	// kept to learn from the owners what they never sent: a round trip between
+	// regions takes 24 ms.
+	confirmShare = 0.05
+	maxConfirm   = 50 * time.Millisecond
+)
 
 // Request is one caller's request.
 type Request struct {
@@ -37,14 +43,6 @@
 	Operation string
 }
 
-// parameters are the fields of a body that sycamorekeel itself reads.
-type parameters struct {
-	// Key chooses the shard of a kind that asks a single one.
-	Key string `json:"key"`
-	// Limit is the most hits wanted.
-	Limit int `json:"limit"`
-}
-
 // Answer is a caller's whole answer.
 type Answer struct {
 	RequestID string `json:"request_id"`
@@ -214,17 +212,6 @@
 	return w.finish(params)
 }
 
-func readParameters(body []byte) (parameters, *refusal.Error) {
-	var p parameters
-	if err := json.Unmarshal(body, &p); err != nil {
-		return p, refusal.New(refusal.BadRequest, "body: "+err.Error())
-	}
-	if p.Limit < 0 {
-		return p, refusal.New(refusal.BadRequest, "body: limit must not be negative")
-	}
-	return p, nil
-}
-
 // plan pins a snapshot and chooses the shards.
 func (w *walk) plan(p parameters) (*query.Plan, *refusal.Error) {
 	shards, snapshot, ok := w.front.opts.Pinner.Pin(w.started, w.kind.Service)
@@ -239,6 +226,10 @@
 		Shards:    shards.Shards,
 		Deadline:  w.started.Add(timeLeft(w.kind, w.req)),
 	}
+	if !w.kind.Idempotent {
+		plan.ConfirmBy = plan.Deadline
+		plan.Deadline = plan.Deadline.Add(-confirmTime(w.kind, w.req))
+	}
 	if soft := w.kind.SoftDeadline(); soft > 0 {
 		plan.SoftDeadline = w.started.Add(soft)
 	}
@@ -252,6 +243,10 @@
 	return plan, nil
 }
 
+func confirmTime(k *contract.Kind, req *Request) time.Duration {
+	return min(maxConfirm, time.Duration(confirmShare*float64(timeLeft(k, req))))
+}
+
 func (w *walk) finish(p parameters) (*Answer, *Failure) {
 	cov := coverage(w.outcome)
 	if cov.ShardsAnswered == 0 || cov.Fraction < w.kind.CoverageFloor {
--- /dev/null
+++ b/internal/membership/capacity_test.go
@@ -0,0 +1,182 @@
+package membership_test
+
+import (
+	"fmt"
+	"runtime"
+	"sort"
+	"testing"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// sizes are the fleets that the slopes of docs/CAPACITY.md are fitted to.
+var sizes = []int{10, 50, 150, 550}
+
+// settling is how long a fleet runs before it is measured.
+const settling = 5 * time.Minute
+
+// BenchmarkNodes runs whole fleets in simulated time. It reports what one node
+// sends a second (UDP and IP headers included), its processor time for a second
+// and for a tick with the datagrams between two, and its heap.
+func BenchmarkNodes(b *testing.B) {
+	for _, count := range sizes {
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) { benchmarkNodes(b, count) })
+	}
+}
+
+func benchmarkNodes(b *testing.B, count int) {
+	const measured = 20 * time.Second
+	before := heapBytes()
+	w := newNetwork(1)
+	w.fill(count)
+	w.run(settling)
+	after := heapBytes()
+	w.bytes, w.datagrams = 0, 0
+	seconds := 0.0
+	b.ReportAllocs()
+	b.ResetTimer()
+	for b.Loop() {
+		w.run(measured)
+		seconds += measured.Seconds()
+	}
+	nodes := float64(count)
+	spent := float64(b.Elapsed().Nanoseconds())
+	b.ReportMetric(float64(w.bytes)/nodes/seconds, "bytes/s/node")
+	b.ReportMetric(float64(w.datagrams)/nodes/seconds, "datagrams/s/node")
+	b.ReportMetric(spent/nodes/seconds, "ns/s/node")
+	b.ReportMetric(spent/nodes/seconds/(time.Second.Seconds()/tick.Seconds()), "ns/tick")
+	b.ReportMetric((after-before)/nodes, "heap-bytes/node")
+	runtime.KeepAlive(w)
+}
+
+func heapBytes() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkPhases reports, in simulated time and so with the same figures each
+// run, how a fleet starts, notices a crash, spreads a planned stop, finds itself
+// again after a partition, and bears loss.
+func BenchmarkPhases(b *testing.B) {
+	for _, count := range sizes {
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				reportPhases(b, count)
+			}
+		})
+	}
+}
+
+func reportPhases(b *testing.B, count int) {
+	w := newNetwork(1)
+	w.fill(count)
+	w.run(time.Minute)
+	b.ReportMetric(w.rate(time.Minute), "start-bytes/s/node")
+	w.run(settling - time.Minute)
+
+	w.hosts[1].down = true
+	first, _ := w.until(limit, func() bool { return w.state(0, 1) == pb.MemberState_DEAD })
+	all, _ := w.until(limit, func() bool { return w.agree(upTo(count, 1)...) })
+	b.ReportMetric(first.Seconds(), "crash-seen-s")
+	b.ReportMetric((first + all).Seconds(), "crash-all-s")
+
+	w.do(w.hosts[2], func(n *membership.Node) membership.Actions { return n.Leave(w.now) })
+	left, _ := w.until(limit, func() bool { return w.agree(upTo(count, 1, 2)...) })
+	b.ReportMetric(left.Seconds(), "leave-all-s")
+
+	b.ReportMetric(w.rateOfChurn(b), "churn-bytes/s/node")
+	reportPartition(b, count)
+	reportLoss(b, count)
+}
+
+// rate is the bytes a second of a node since the last call.
+func (w *network) rate(d time.Duration) float64 {
+	r := float64(w.bytes) / d.Seconds() / float64(len(w.hosts))
+	w.bytes = 0
+	return r
+}
+
+// rateOfChurn replaces a VM every 78 seconds, as 1,100 a day.
+func (w *network) rateOfChurn(b *testing.B) float64 {
+	const every, times = 78 * time.Second, 3
+	w.bytes = 0
+	for i := range times {
+		h := w.hosts[3+i]
+		w.do(h, func(n *membership.Node) membership.Actions { return n.Leave(w.now) })
+		w.run(5 * time.Second)
+		h.down = true
+		w.run(2 * time.Second)
+		w.add(3 + i)
+		w.run(every - 7*time.Second)
+	}
+	return w.rate(every * times)
+}
+
+func reportPartition(b *testing.B, count int) {
+	w := newNetwork(2)
+	w.fill(count)
+	w.run(settling)
+	half := hostName(count / 2)
+	w.cut = func(from, to string) bool { return (from < half) != (to < half) }
+	w.run(5 * time.Minute)
+	w.cut = func(string, string) bool { return false }
+	w.bytes = 0
+	healed, ok := w.until(10*time.Minute, func() bool { return w.agree(upTo(count)...) })
+	if !ok {
+		b.Fatal("the halves did not find each other")
+	}
+	b.ReportMetric(healed.Seconds(), "heal-s")
+	b.ReportMetric(w.rate(healed), "heal-bytes/s/node")
+}
+
+// reportLoss counts what 5% loss each way does in ten minutes with nobody down.
+func reportLoss(b *testing.B, count int) {
+	const d = 10 * time.Minute
+	w := newNetwork(3)
+	w.loss = 0.05
+	w.fill(count)
+	w.run(settling)
+	failed, refuted, deaths := w.totals()
+	w.run(d)
+	failed2, refuted2, deaths2 := w.totals()
+	hours := d.Hours() * float64(count)
+	b.ReportMetric(float64(failed2-failed)/hours, "loss-failed-probes/node-h")
+	b.ReportMetric(float64(refuted2-refuted)/hours, "loss-refuted/node-h")
+	b.ReportMetric(float64(deaths2-deaths), "loss-false-deaths")
+}
+
+func (w *network) totals() (failed, refuted, deaths uint64) {
+	for _, h := range w.hosts {
+		s := h.node.Stats()
+		failed += s.FailedProbes
+		refuted += s.Refutations
+		deaths += s.Deaths
+	}
+	return failed, refuted, deaths
+}
+
+// BenchmarkDetection reports the distribution of the time until every node
+// holds a crashed one dead, in ticks of 200 ms.
+func BenchmarkDetection(b *testing.B) {
+	const runs = 40
+	for b.Loop() {
+		var took []float64
+		for seed := range runs {
+			w := newNetwork(uint64(seed))
+			w.fill(9)
+			w.run(20*time.Second + time.Duration(seed)*tick)
+			w.hosts[seed%9].down = true
+			d, _ := w.until(limit, func() bool { return w.agree(upTo(9, seed%9)...) })
+			took = append(took, float64(d/tick))
+		}
+		sort.Float64s(took)
+		b.ReportMetric(took[0], "least-ticks")
+		b.ReportMetric(took[runs/2], "median-ticks")
+		b.ReportMetric(took[runs-1], "most-ticks")
+	}
+}
--- a/internal/membership/doubt.go
+++ b/internal/membership/doubt.go
@@ -36,8 +36,7 @@
 	n.out.Revalidate = true
 	// What waited for answers meanwhile proves nothing.
 	n.pending = nil
-	for _, name := range n.table.names {
-		r := n.table.get(name)
+	for _, r := range n.table.sorted {
 		r.suspectUntil = r.suspectUntil.Add(gap)
 	}
 	n.doubt = &doubt{ids: map[uint64]bool{}, heard: map[string]bool{}}
--- a/internal/membership/learn.go
+++ b/internal/membership/learn.go
@@ -75,6 +75,7 @@
 func (n *Node) settle(r *record, state pb.MemberState) {
 	n.table.edit(r, func() { r.State = state })
 	n.dirty = true
+	r.accused = false
 	switch state {
 	case pb.MemberState_SUSPECT:
 		n.stats.Suspicions++
@@ -104,14 +105,17 @@
 	if !deaf {
 		n.spread(r)
 	}
+	if state == pb.MemberState_SUSPECT {
+		r.accused = true
+		n.probe(r)
+	}
 }
 
 func (n *Node) expireSuspicions() {
 	if n.doubt != nil {
 		return
 	}
-	for _, name := range n.table.names {
-		r := n.table.get(name)
+	for _, r := range n.table.sorted {
 		if r.State != pb.MemberState_SUSPECT || n.now.Before(r.suspectUntil) {
 			continue
 		}
@@ -125,8 +129,7 @@
 // forgetDead drops the dead that no list names once their tombstone is old.
 func (n *Node) forgetDead() {
 	var old []*record
-	for _, name := range n.table.names {
-		r := n.table.get(name)
+	for _, r := range n.table.sorted {
 		if r.State == pb.MemberState_DEAD && !r.listed && n.now.Sub(r.diedAt) >= n.timing.Tombstone {
 			old = append(old, r)
 		}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/pb"
@@ -25,8 +26,8 @@
 	for _, vm := range vms {
 		listed[vm.Id] = vm
 	}
-	for _, name := range append([]string(nil), n.table.names...) {
-		n.relist(n.table.get(name), listed[name])
+	for _, r := range slices.Clone(n.table.sorted) {
+		n.relist(r, listed[r.VM])
 	}
 	for _, vm := range vms {
 		if n.table.get(vm.Id) == nil {
@@ -69,7 +70,7 @@
 // expect adds a listed VM that was never heard of. It counts as alive until a
 // probe fails: at a start nobody has been heard of.
 func (n *Node) expect(vm *pb.VM) {
-	r := &record{Member: Member{VM: vm.Id, State: pb.MemberState_ALIVE}, listed: true}
+	r := &record{Member: Member{VM: vm.Id, State: pb.MemberState_ALIVE}, listed: true, bucket: bucketOf(vm.Id)}
 	r.listLeaving = vm.State == pb.VMState_VM_LEAVING
 	takeAddresses(r, vm)
 	n.table.insert(r)
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -258,9 +258,9 @@
 }
 
 func (n *Node) buildView() *View {
-	v := &View{Version: n.version, Members: make([]Member, 0, len(n.table.names))}
-	for _, name := range n.table.names {
-		v.Members = append(v.Members, n.table.get(name).shown())
+	v := &View{Version: n.version, Members: make([]Member, 0, len(n.table.sorted))}
+	for _, r := range n.table.sorted {
+		v.Members = append(v.Members, r.shown())
 	}
 	return v
 }
@@ -268,18 +268,22 @@
 // suspicionTimeout grows with the log of the members, as does the time an
 // update takes to reach them all.
 func (n *Node) suspicionTimeout() time.Duration {
-	scale := max(1, math.Log10(float64(len(n.table.names)+1)))
+	scale := max(1, math.Log10(float64(len(n.table.sorted)+1)))
 	return time.Duration(n.timing.SuspicionFactor * scale * float64(n.timing.Period))
 }
 
 // pick chooses up to k members at random, never this node.
 func (n *Node) pick(k int, ok func(*record) bool) []*record {
-	var all []*record
-	for _, name := range n.table.names {
-		if r := n.table.get(name); r != n.self && ok(r) {
+	all := make([]*record, 0, len(n.table.sorted))
+	for _, r := range n.table.sorted {
+		if r != n.self && ok(r) {
 			all = append(all, r)
 		}
 	}
-	n.rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(k, len(all))]
+	k = min(k, len(all))
+	for i := range k {
+		j := i + n.rand.IntN(len(all)-i)
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:k]
 }
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -42,6 +42,7 @@
 	n.endProbe()
 	n.nextProbe = n.now.Add(n.period())
 	n.startProbe()
+	n.probeAccused()
 	n.nextLost++
 	if n.nextLost >= lostEvery || n.unheard() {
 		n.nextLost = 0
@@ -122,12 +123,24 @@
 				return r
 			}
 		}
-		n.ring = append(n.ring[:0], n.table.names...)
+		n.ring = n.ring[:0]
+		for _, r := range n.table.sorted {
+			n.ring = append(n.ring, r.VM)
+		}
 		n.rand.Shuffle(len(n.ring), func(i, j int) { n.ring[i], n.ring[j] = n.ring[j], n.ring[i] })
 	}
 	return nil
 }
 
+// probeAccused asks the members that this node itself suspects again: one that
+// is alive learns of the suspicion and refutes it, in time for the refutation to
+// reach everybody. Left to chance, it would often hear of it too late.
+func (n *Node) probeAccused() {
+	for _, r := range n.pick(n.timing.Indirect, func(r *record) bool { return r.accused }) {
+		n.probe(r)
+	}
+}
+
 // enterRing puts a new or returned member at a random place of this round.
 func (n *Node) enterRing(vm string) {
 	n.ring = append(n.ring, vm)
@@ -139,8 +152,7 @@
 func (n *Node) probeLost() {
 	var addresses []string
 	known := map[string]bool{n.self.PeerAddress: true}
-	for _, name := range n.table.names {
-		r := n.table.get(name)
+	for _, r := range n.table.sorted {
 		if r == n.self || r.State != pb.MemberState_DEAD {
 			known[r.PeerAddress] = true
 			continue
@@ -163,8 +175,8 @@
 // byAddress finds the dead member at an address, so that it is told what is
 // held of it and can refute it.
 func (n *Node) byAddress(address string) *record {
-	for _, name := range n.table.names {
-		if r := n.table.get(name); r.PeerAddress == address && r.State == pb.MemberState_DEAD {
+	for _, r := range n.table.sorted {
+		if r.PeerAddress == address && r.State == pb.MemberState_DEAD {
 			return r
 		}
 	}
@@ -180,7 +192,7 @@
 			return
 		}
 		ack := &pb.Datagram{Body: &pb.Datagram_Ack{Ack: &pb.ProbeAck{Id: b.Probe.Id}}}
-		n.sendSync(d.Sender.PeerAddress, ack, sender, n.differing(b.Probe.Digest))
+		n.sendSync(d.Sender.PeerAddress, ack, sender, b.Probe.Digest)
 	case *pb.Datagram_Ack:
 		n.acked(b.Ack.Id, d.Sender.Vm)
 	case *pb.Datagram_ProbeRequest:
@@ -208,26 +220,6 @@
 	n.send(r.address, &pb.Datagram{Body: &pb.Datagram_Ack{Ack: &pb.ProbeAck{Id: r.id}}}, nil)
 }
 
-// differing lists the records of the buckets in which a peer's digest is
-// another one. Deaths among them are second hand.
-func (n *Node) differing(digest []uint32) []*pb.MemberUpdate {
-	if len(digest) != digestBuckets {
-		return nil
-	}
-	var out []*pb.MemberUpdate
-	for _, name := range n.table.names {
-		r := n.table.get(name)
-		if b := bucketOf(name); digest[b] == n.table.digest[b] || r.Incarnation == 0 || r == n.self {
-			continue
-		}
-		u := r.update()
-		u.SecondHand = r.State == pb.MemberState_DEAD
-		out = append(out, u)
-	}
-	n.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out
-}
-
 // advanceSpread sends news on its own, besides the probes, while there is any.
 func (n *Node) advanceSpread() {
 	if n.hot.empty() || n.now.Before(n.nextSpread) {
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -22,38 +21,68 @@
 	updatesField = 7
 )
 
-// queue holds the members whose state still has to be spread and how often it
-// was sent.
+// queue holds the members whose state still has to be spread.
 type queue struct {
-	sent map[string]int
+	news  []news
+	index map[string]int
 }
 
-func newQueue() queue { return queue{sent: map[string]int{}} }
+// news is one member and how often its state was sent.
+type news struct {
+	vm   string
+	sent int
+}
+
+func newQueue() queue { return queue{index: map[string]int{}} }
 
-func (q *queue) put(vm string)  { q.sent[vm] = 0 }
-func (q *queue) drop(vm string) { delete(q.sent, vm) }
-func (q *queue) empty() bool    { return len(q.sent) == 0 }
+func (q *queue) empty() bool { return len(q.news) == 0 }
 
-// order lists the members, least sent first.
-func (q *queue) order() []string {
-	names := make([]string, 0, len(q.sent))
-	for vm := range q.sent {
-		names = append(names, vm)
+func (q *queue) put(vm string) {
+	if i, ok := q.index[vm]; ok {
+		q.news[i].sent = 0
+		return
+	}
+	q.index[vm] = len(q.news)
+	q.news = append(q.news, news{vm: vm})
+}
+
+func (q *queue) drop(vm string) {
+	i, ok := q.index[vm]
+	if !ok {
+		return
 	}
-	sort.Slice(names, func(i, j int) bool {
-		if a, b := q.sent[names[i]], q.sent[names[j]]; a != b {
-			return a < b
+	last := len(q.news) - 1
+	q.news[i] = q.news[last]
+	q.index[q.news[i].vm] = i
+	q.news = q.news[:last]
+	delete(q.index, vm)
+}
+
+// first gives the members to send, least sent first, until take refuses one;
+// what was sent limit times is dropped.
+func (q *queue) first(limit int, take func(vm string) bool) {
+	var taken []string
+	defer func() { q.mark(taken, limit) }()
+	for level := range limit {
+		for i := range q.news {
+			if q.news[i].sent != level {
+				continue
+			}
+			if !take(q.news[i].vm) {
+				return
+			}
+			taken = append(taken, q.news[i].vm)
 		}
-		return names[i] < names[j]
-	})
-	return names
+	}
 }
 
-// mark counts one sending and drops what was sent often enough.
-func (q *queue) mark(vm string, limit int) {
-	q.sent[vm]++
-	if q.sent[vm] >= limit {
-		delete(q.sent, vm)
+func (q *queue) mark(taken []string, limit int) {
+	for _, vm := range taken {
+		n := &q.news[q.index[vm]]
+		n.sent++
+		if n.sent >= limit {
+			q.drop(vm)
+		}
 	}
 }
 
@@ -85,8 +114,9 @@
 }
 
 // sendSync completes a datagram with this node's own record, with what is held
-// against the receiver, and with as many updates as fit.
-func (n *Node) sendSync(address string, d *pb.Datagram, to *record, sync []*pb.MemberUpdate) {
+// against the receiver, and with as many updates as fit: news first, then the
+// members of the buckets in which the receiver's digest is another one.
+func (n *Node) sendSync(address string, d *pb.Datagram, to *record, digest []uint32) {
 	if n.superseded || address == "" {
 		return
 	}
@@ -96,12 +126,9 @@
 	if to != nil && to != n.self && !to.healthy() {
 		p.add(to.update())
 	}
-	n.addHot(&p, to)
-	for _, u := range sync {
-		if size := updateSize(u); size > p.room || !n.budget.spend(size) {
-			break
-		}
-		p.add(u)
+	n.addNews(&p, to)
+	if len(digest) == digestBuckets {
+		n.addDiffering(&p, digest)
 	}
 	n.out.Sends = append(n.out.Sends, Send{Address: address, Datagram: d})
 }
@@ -110,39 +137,58 @@
 	return r.State == pb.MemberState_ALIVE || r.State == pb.MemberState_LEAVING
 }
 
-func (n *Node) addHot(p *packer, to *record) {
-	limit := int(spreadFactor * math.Ceil(math.Log10(float64(len(n.table.names)+1))))
-	for _, vm := range n.hot.order() {
-		if to != nil && vm == to.VM {
-			continue
+func (n *Node) addNews(p *packer, to *record) {
+	limit := int(spreadFactor * math.Ceil(math.Log10(float64(len(n.table.sorted)+1))))
+	n.hot.first(limit, func(vm string) bool {
+		if vm == n.self.VM || to != nil && vm == to.VM {
+			// Every datagram carries the sender; the receiver knows itself.
+			return true
 		}
-		if vm == n.self.VM {
-			// Every datagram carries it already.
-			n.hot.mark(vm, limit)
+		return n.add(p, n.table.get(vm).update())
+	})
+}
+
+// addDiffering starts at a random member, so that a bucket that does not fit
+// is passed on in the end. Deaths in it are second hand.
+func (n *Node) addDiffering(p *packer, digest []uint32) {
+	count := len(n.table.sorted)
+	start := n.rand.IntN(count)
+	for i := range count {
+		r := n.table.sorted[(start+i)%count]
+		if digest[r.bucket] == n.table.digest[r.bucket] || r.Incarnation == 0 || r == n.self {
 			continue
 		}
-		u := n.table.get(vm).update()
-		if size := updateSize(u); size > p.room || !n.budget.spend(size) {
+		u := r.update()
+		u.SecondHand = r.State == pb.MemberState_DEAD
+		if !n.add(p, u) {
 			return
 		}
-		p.add(u)
-		n.hot.mark(vm, limit)
 	}
 }
 
+// add spends the budget on an update that fits.
+func (n *Node) add(p *packer, u *pb.MemberUpdate) bool {
+	size := updateSize(u)
+	if size > p.room || !n.budget.spend(size) {
+		return false
+	}
+	return p.add(u)
+}
+
 // packer fills a datagram up to its room.
 type packer struct {
 	datagram *pb.Datagram
 	room     int
 }
 
-func (p *packer) add(u *pb.MemberUpdate) {
+func (p *packer) add(u *pb.MemberUpdate) bool {
 	size := updateSize(u)
 	if size > p.room {
-		return
+		return false
 	}
 	p.room -= size
 	p.datagram.Updates = append(p.datagram.Updates, u)
+	return true
 }
 
 func updateSize(u *pb.MemberUpdate) int {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sort"
 	"time"
 
@@ -27,10 +28,13 @@
 	firstSeen   time.Time
 	listed      bool
 	listLeaving bool
+	// accused is a suspicion that this node raised itself.
+	accused bool
+	bucket  int
 }
 
 func newRecord(u *pb.MemberUpdate, now time.Time) *record {
-	r := &record{Member: Member{VM: u.Vm}, firstSeen: now}
+	r := &record{Member: Member{VM: u.Vm}, firstSeen: now, bucket: bucketOf(u.Vm)}
 	r.take(u)
 	return r
 }
@@ -113,8 +117,8 @@
 // table holds the records by name and the digest of them all.
 type table struct {
 	records map[string]*record
-	// names is ascending.
-	names  []string
+	// sorted is ascending by name.
+	sorted []*record
 	digest [digestBuckets]uint32
 }
 
@@ -124,26 +128,26 @@
 
 func (t *table) get(vm string) *record { return t.records[vm] }
 
+func (t *table) find(vm string) int {
+	return sort.Search(len(t.sorted), func(i int) bool { return t.sorted[i].VM >= vm })
+}
+
 func (t *table) insert(r *record) {
-	i := sort.SearchStrings(t.names, r.VM)
-	t.names = append(t.names, "")
-	copy(t.names[i+1:], t.names[i:])
-	t.names[i] = r.VM
+	t.sorted = slices.Insert(t.sorted, t.find(r.VM), r)
 	t.records[r.VM] = r
-	t.digest[bucketOf(r.VM)] ^= r.hash()
+	t.digest[r.bucket] ^= r.hash()
 }
 
 func (t *table) remove(r *record) {
-	i := sort.SearchStrings(t.names, r.VM)
-	t.names = append(t.names[:i], t.names[i+1:]...)
+	i := t.find(r.VM)
+	t.sorted = slices.Delete(t.sorted, i, i+1)
 	delete(t.records, r.VM)
-	t.digest[bucketOf(r.VM)] ^= r.hash()
+	t.digest[r.bucket] ^= r.hash()
 }
 
 // edit changes a record and keeps the digest right.
 func (t *table) edit(r *record, change func()) {
-	b := bucketOf(r.VM)
-	t.digest[b] ^= r.hash()
+	t.digest[r.bucket] ^= r.hash()
 	change()
-	t.digest[b] ^= r.hash()
+	t.digest[r.bucket] ^= r.hash()
 }
--- a/internal/query/loop.go
+++ b/internal/query/loop.go
@@ -109,6 +109,8 @@
 			l.send(r, now, &a)
 		case Cancel:
 			l.cancel(r, &a)
+		case Withdraw:
+			l.withdraw(r, &a)
 		case Finish:
 			r.finished <- a.Outcome
 		}
@@ -146,6 +148,13 @@
 	l.engine.opts.Sender.Cancel(c, id)
 }
 
+// withdraw sends a cancellation and keeps waiting for the reply.
+func (l *loop) withdraw(r *running, w *Withdraw) {
+	if id, ok := r.ids[w.Attempt]; ok {
+		l.engine.opts.Sender.Cancel(&Cancel{Attempt: w.Attempt, Upstream: w.Upstream}, id)
+	}
+}
+
 // schedule keeps the query's place among the timers.
 func (l *loop) schedule(r *running) {
 	r.wake = r.query.Next()
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -26,6 +26,11 @@
 	// when an answer at the coverage floor is given.
 	Deadline     time.Time
 	SoftDeadline time.Time
+	// ConfirmBy, when set, is after Deadline: until then the owners are asked to
+	// take back what is still open, and their word is waited for. It is for
+	// non-idempotent kinds, where "it never left the queue" is worth more than
+	// the time.
+	ConfirmBy time.Time
 }
 
 // Fleet is what a query may read of the world. Its methods are quick and have
@@ -98,12 +103,20 @@
 	Upstream *contract.Upstream
 }
 
+// Withdraw asks the owner to take an attempt back and goes on waiting for its
+// word: that it did not run, or what came of it.
+type Withdraw struct {
+	Attempt  AttemptID
+	Upstream *contract.Upstream
+}
+
 // Finish ends the query.
 type Finish struct{ Outcome *Outcome }
 
-func (Send) action()   {}
-func (Cancel) action() {}
-func (Finish) action() {}
+func (Send) action()     {}
+func (Cancel) action()   {}
+func (Withdraw) action() {}
+func (Finish) action()   {}
 
 // AttemptID names an attempt within its query.
 type AttemptID struct {
@@ -180,7 +193,9 @@
 	// softPassed says that Wake has acted on the soft deadline: from then on
 	// each reply may end the query.
 	softPassed bool
-	actions    []Action
+	// withdrawn says that the owners have been asked to take back what is open.
+	withdrawn bool
+	actions   []Action
 }
 
 type shardState struct {
@@ -272,6 +287,9 @@
 	if q.ended {
 		return time.Time{}
 	}
+	if q.withdrawn {
+		return q.plan.ConfirmBy
+	}
 	next := q.plan.Deadline
 	if soft := q.plan.SoftDeadline; !soft.IsZero() && !q.softPassed && soft.Before(next) {
 		next = soft
@@ -288,8 +306,21 @@
 	switch r {
 	case pb.Result_OK, pb.Result_UPSTREAM_ERROR:
 		q.ran = true
-	case pb.Result_UNKNOWN, pb.Result_RESULT_UNSPECIFIED:
-		q.unsure = true
+	default:
+		q.unsure = q.unsure || !provesNotRun(r)
+	}
+}
+
+// provesNotRun tells whether a result says that the sub-request ran nowhere. A
+// result that this daemon does not know, from a newer peer, proves nothing.
+func provesNotRun(r pb.Result) bool {
+	switch r {
+	case pb.Result_SHED, pb.Result_NOT_OWNER, pb.Result_NO_SNAPSHOT, pb.Result_QUEUE_FULL,
+		pb.Result_TOO_LATE, pb.Result_CANCELLED, pb.Result_UPSTREAM_LEAVING,
+		pb.Result_UNREACHABLE, pb.Result_VM_STOPPING:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -304,16 +335,16 @@
 		q.answer(now, id, r)
 	case pb.Result_UPSTREAM_ERROR:
 		q.again(now, id.Shard, Retry, MissingFailed)
-	case pb.Result_UNKNOWN, pb.Result_RESULT_UNSPECIFIED:
-		q.again(now, id.Shard, Retry, MissingUnknown)
 	case pb.Result_NO_SNAPSHOT:
 		q.again(now, id.Shard, Redirect, MissingSnapshot)
 	case pb.Result_TOO_LATE:
 		q.again(now, id.Shard, Redirect, MissingDeadline)
 	case pb.Result_UNREACHABLE, pb.Result_NOT_OWNER, pb.Result_VM_STOPPING, pb.Result_UPSTREAM_LEAVING:
 		q.again(now, id.Shard, Redirect, MissingNoReplica)
-	default:
+	case pb.Result_SHED, pb.Result_QUEUE_FULL, pb.Result_CANCELLED:
 		q.again(now, id.Shard, Redirect, MissingShed)
+	default:
+		q.again(now, id.Shard, Retry, MissingUnknown)
 	}
 }
 
@@ -441,12 +472,37 @@
 	case q.open == 0:
 		q.finish(now, MissingDeadline)
 	case !now.Before(q.plan.Deadline):
-		q.finish(now, MissingDeadline)
+		if !q.confirming(now) {
+			q.finish(now, MissingDeadline)
+		}
 	case q.softDue(now):
 		q.finish(now, MissingSoft)
 	}
 }
 
+// confirming asks the owners, once the deadline has passed, to take back what is
+// open, and tells whether their word is still waited for.
+func (q *Query) confirming(now time.Time) bool {
+	if !now.Before(q.plan.ConfirmBy) {
+		return false
+	}
+	if !q.withdrawn {
+		q.withdrawn = true
+		q.withdraw()
+	}
+	return true
+}
+
+func (q *Query) withdraw() {
+	for i := range q.shards {
+		for try := range q.shards[i].attempts {
+			if a := &q.shards[i].attempts[try]; a.open && !q.shards[i].closed {
+				q.actions = append(q.actions, Withdraw{Attempt: AttemptID{Shard: i, Try: try}, Upstream: a.upstream})
+			}
+		}
+	}
+}
+
 // softDue tells whether the soft deadline has passed with the floor reached.
 func (q *Query) softDue(now time.Time) bool {
 	soft := q.plan.SoftDeadline
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,6 +134,19 @@
 	return u.bodies[body]
 }
 
+// Runs is the number of executions of each request body that holds text.
+func (u *Upstream) Runs(text string) map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := map[string]int{}
+	for body, n := range u.bodies {
+		if strings.Contains(body, text) {
+			out[body] = n
+		}
+	}
+	return out
+}
+
 func (u *Upstream) connState(_ net.Conn, state fasthttp.ConnState) {
 	switch state {
 	case fasthttp.StateNew:
