--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -153,21 +152,6 @@
 	return &countedConn{Conn: conn, met: c.met}, nil
 }
 
-// countedConn counts its closing once.
-type countedConn struct {
-	net.Conn
-	met    *Metrics
-	closed atomic.Bool
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.met.open.Dec()
-	}
-	return c.Conn.Close()
-}
-
 // Do sends the call once and waits for its outcome, at most to its deadline.
 func (c *Client) Do(now time.Time, call *Call) Outcome {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
