Stop a VM only after its callers and peers have gone elsewhere

Cause: a planned stop refused new requests and closed its listeners at once, while callers kept its address for the endpoints' time to live and peers sent it sub-requests for upstreams it owned.

Change: the stop announces LEAVING to several peers, goes on with its upstreams for a second, serves callers until nobody can hold its address (limits.endpoints_ttl_ms plus two seconds), then refuses, finishes what is in flight, sends the replies that wait, and exits. A VM that is the last one to serve does not wait. The drain time bounds the whole end, Halt cuts it short.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,6 +82,7 @@
 	snapshot atomic.Pointer[contract.Snapshot]
 	view     atomic.Pointer[membership.View]
 	stopping atomic.Bool
+	stops    stops
 
 	config *configSync
 
@@ -97,6 +98,7 @@
 		registry:    prometheus.NewRegistry(),
 		listeners:   opts,
 		ended:       make(chan error, 1),
+		stops:       stops{halt: make(chan struct{})},
 	}
 	d.shares = newShares(d)
 	d.status = newStatusHub(d.learnStatus)
@@ -214,7 +216,7 @@
 	case ended = <-d.ended:
 		d.log.Error("daemon: must not go on", zap.Error(ended))
 	}
-	d.stop()
+	d.stop(ended == nil)
 	d.forwards.close()
 	cancel()
 	d.engine.Wait()
@@ -252,7 +254,9 @@
 // apply routes by a new view or snapshot. The caller holds mu.
 func (d *Daemon) apply(view *membership.View, snap *contract.Snapshot) {
 	d.view.Store(view)
-	table := ownership.Assign(view.Serving(), snap.Upstreams())
+	table := d.tableFor(view, func(serving []membership.Member) *ownership.Table {
+		return ownership.Assign(serving, snap.Upstreams())
+	})
 	d.table.Store(table)
 	d.router.Update(view, table)
 	d.owner.Apply(snap)
--- a/internal/daemon/endpoints.go
+++ b/internal/daemon/endpoints.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"sort"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,9 +12,6 @@
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
-// endpointsTTL is how long callers keep an answer of endpoints.
-const endpointsTTL = 5 * time.Second
-
 // homes is the home set of every customer under one revision. It is immutable.
 type homes struct {
 	sets map[string]homeset.Set
@@ -50,7 +46,7 @@
 		vms = append([]*pb.VM(nil), set.VMs...)
 	}
 	d.order(c.Name, vms)
-	out := callerapi.Endpoints{TTLMS: endpointsTTL.Milliseconds()}
+	out := callerapi.Endpoints{TTLMS: int64(d.settings.Limits.EndpointsTtlMs)}
 	for _, vm := range vms {
 		out.Endpoints = append(out.Endpoints, callerapi.Endpoint{Address: vm.CallerAddress, DataCentre: vm.DataCentre})
 	}
--- a/internal/daemon/grant.go
+++ b/internal/daemon/grant.go
@@ -11,7 +11,7 @@
 	if d.settings.Routing == pb.Routing_DIRECT {
 		return directGrant(u, len(d.view.Load().Serving()))
 	}
-	p := d.table.Load().Place(u.ID)
+	p := d.granting().Place(u.ID)
 	switch d.settings.Vm {
 	case p.Owner:
 		return owner.GrantFor(owner.Main, u)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,9 @@
 
 const secret = "a-secret-for-daemons-in-one-process"
 
+// endpointsTTLMS is short, as a planned stop takes as long.
+const endpointsTTLMS = 500
+
 // Options describe a deployment.
 type Options struct {
 	Log *zap.Logger
@@ -186,6 +189,7 @@
 		PlatformAddress: f.Platform.Address(),
 		PeerKeys:        []*pb.PeerKey{{Id: "k1", Secret: secret}},
 		Routing:         f.opts.Routing,
+		Limits:          &pb.Limits{EndpointsTtlMs: endpointsTTLMS},
 	}
 	settings.SetDefaults(s)
 	peers := newPeerFault(l.peer)
@@ -205,6 +209,12 @@
 	return vm, nil
 }
 
+// StopNow stops the daemon without a wait for callers to go elsewhere.
+func (v *VM) StopNow() error {
+	v.Daemon.Halt()
+	return v.Stop()
+}
+
 // Replace stops a VM as planned and starts a new process with its name and
 // addresses.
 func (f *Fleet) Replace(i int) error {
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -19,7 +19,9 @@
 	mu     sync.Mutex
 	frames []*pb.Frame
 	closed bool
-	ready  chan struct{}
+	// taken is set while a batch is being sent.
+	taken bool
+	ready chan struct{}
 }
 
 func newOutbox() *outbox {
@@ -45,12 +47,27 @@
 	n := min(len(o.frames), maxBatch)
 	batch := o.frames[:n:n]
 	o.frames = o.frames[n:]
+	o.taken = n > 0
 	if len(o.frames) > 0 {
 		o.signal()
 	}
 	return batch
 }
 
+// sent tells that the batch taken last is on its way.
+func (o *outbox) sent() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.taken = false
+}
+
+// empty tells whether every frame is on its way or given up.
+func (o *outbox) empty() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.closed || len(o.frames) == 0 && !o.taken
+}
+
 // close refuses further frames and returns those never taken.
 func (o *outbox) close() []*pb.Frame {
 	o.mu.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -37,6 +37,9 @@
 	// identify tells which VM an authenticated connection belongs to; nil takes
 	// the hello's word.
 	identify func(transport any) (vm string, err error)
+
+	mu       sync.Mutex
+	outboxes map[*outbox]struct{}
 }
 
 // acceptPause is the wait after an accept that failed, as for want of file
@@ -45,7 +48,7 @@
 
 // NewServer makes a server that hands frames to handler.
 func NewServer(log *zap.Logger, handler Handler) (*Server, error) {
-	s := &Server{log: log, handler: handler}
+	s := &Server{log: log, handler: handler, outboxes: map[*outbox]struct{}{}}
 	mux := drpcmux.New()
 	if err := pb.DRPCRegisterPeer(mux, &exchange{server: s}); err != nil {
 		return nil, trace.Wrap(err)
@@ -101,6 +104,46 @@
 	}
 }
 
+// flushPoll is how often Flush looks whether all is sent.
+const flushPoll = 2 * time.Millisecond
+
+// Flush waits until every reply is on its way, or until ctx ends: a stop that
+// closed the streams before would cut off answers that were ready.
+func (s *Server) Flush(ctx context.Context) {
+	t := time.NewTicker(flushPoll)
+	defer t.Stop()
+	for !s.flushed() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s *Server) flushed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for out := range s.outboxes {
+		if !out.empty() {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) track(out *outbox) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outboxes[out] = struct{}{}
+}
+
+func (s *Server) untrack(out *outbox) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.outboxes, out)
+}
+
 // admit checks the hello against the connection's certificate: a VM under a
 // wrong name would get the replies, and free the requests, of another.
 func (s *Server) admit(ctx context.Context, hello *pb.Hello) error {
@@ -136,6 +179,8 @@
 		return err
 	}
 	out := newOutbox()
+	e.server.track(out)
+	defer e.server.untrack(out)
 	ctx, cancel := context.WithCancel(stream.Context())
 	e.server.done.Add(1)
 	go func() {
@@ -178,6 +223,7 @@
 		if err := stream.Send(&pb.Batch{Frames: batch}); err != nil {
 			return
 		}
+		out.sent()
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,7 @@
 	DefaultMaxQueue            = 256
 	DefaultDrainMS             = 10_000
 	DefaultMaxReplyBytes       = 4 << 20
+	DefaultEndpointsTTLMS      = 5_000
 	DefaultLogLevel            = "info"
 )
 
@@ -35,6 +36,7 @@
 	maxBytes        = 64 << 20
 	maxCount        = 1 << 20
 	maxDrainMS      = 600_000
+	maxTTLMS        = 60_000
 )
 
 var (
@@ -88,6 +90,7 @@
 	setDefault(&l.MaxQueue, DefaultMaxQueue)
 	setDefault(&l.DrainMs, DefaultDrainMS)
 	setDefault(&l.MaxReplyBytes, DefaultMaxReplyBytes)
+	setDefault(&l.EndpointsTtlMs, DefaultEndpointsTTLMS)
 }
 
 func setDefault(v *uint32, def uint32) {
@@ -158,6 +161,7 @@
 	checkRange(src, "limits.max_queries", l.MaxQueries, maxCount)
 	checkRange(src, "limits.max_queue", l.MaxQueue, maxCount)
 	checkRange(src, "limits.drain_ms", l.DrainMs, maxDrainMS)
+	checkRange(src, "limits.endpoints_ttl_ms", l.EndpointsTtlMs, maxTTLMS)
 	checkRange(src, "limits.max_reply_bytes", l.MaxReplyBytes, maxBytes)
 }
 
