Give the fleet crashes, restarts and cuts between VMs

Cause: failures could only be provoked at upstreams, at the platform and on the accepting side of a peer stream.

Change: a fleet kills a daemon (all its connections and listeners at once, nothing drained), restarts it under its name with its old or new addresses, and cuts one or both directions between two VMs: streams are held and delivered after the cut heals, datagrams are lost. The daemon takes dialers for peers and upstreams, so that those connections can be cut. A paused process cannot be made in one process.

Found on the way: a VM stopped while it starts hung for ever, as a server that has not begun to serve forgets its shutdown; its listeners are now closed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,10 @@
 	Peer     net.Listener
 	// Gossip is the UDP socket at the peer address.
 	Gossip net.PacketConn
+	// DialPeer and DialUpstream open TCP connections; nil dials plainly. Tests
+	// of failures hand in dialers whose connections they can cut.
+	DialPeer     func(ctx context.Context, address string) (net.Conn, error)
+	DialUpstream func(address string, timeout time.Duration) (net.Conn, error)
 }
 
 // Daemon is one VM's process.
@@ -129,13 +133,14 @@
 		Health:        health.Default(),
 		Ledger:        dispatch.DefaultLedger(),
 		Pause:         owner.DefaultPause(),
+		Dial:          d.listeners.DialUpstream,
 	})
 	d.pool = peer.NewPool(peer.Options{
 		Log:      d.log,
 		Registry: d.registry,
 		Hello:    &pb.Hello{Vm: d.settings.Vm, Incarnation: d.incarnation},
 		Receiver: (*receiver)(d),
-		Dial:     d.auth.Dial,
+		Dial:     d.auth.Dialer(d.listeners.DialPeer),
 	})
 	d.router = router.New(router.Options{
 		Log:         d.log,
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -71,6 +71,11 @@
 	if err := d.operator.Shutdown(ctx); err != nil {
 		d.log.Warn("daemon: operators were cut off", zap.Error(err))
 	}
+	// A server that is told to shut down before it has begun to serve forgets
+	// that and serves for ever: the process of a VM that is stopped while it
+	// starts would hang. A closed listener ends it in either order.
+	_ = d.listeners.Caller.Close()
+	_ = d.listeners.Operator.Close()
 }
 
 // leave announces the stop and serves on until no caller can hold this VM's
--- /dev/null
+++ b/internal/fleet/crash_test.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/standin"
+)
+
+const services = `
+[[services]]
+name = "s"
+path = "/s"
+[[services.upstreams]]
+id = "a"
+address = "10.0.0.1:80"
+data_centre = "dc-1"
+slots = 2
+connections = 4
+[[services.maps]]
+generation = 1
+versions = [1]
+[[services.maps.shards]]
+id = 0
+documents = 10
+replicas = ["a"]
+`
+
+func startFleet(g *WithT, t *testing.T) *Fleet {
+	f, err := Start(Options{
+		Log:         zap.NewNop(),
+		Documents:   map[string]string{"services": services},
+		VMs:         3,
+		DataCentres: []string{"dc-1"},
+		Behaviour:   func(*pb.Upstream, string) standin.Behaviour { return standin.Behaviour{} },
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(f.Close)
+	return f
+}
+
+func TestAKilledVMRefusesAndComesBackAsANewProcess(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(g, t)
+	vm := f.VMs[0]
+	open, err := net.Dial("tcp", vm.Settings.CallerAddress)
+	g.Expect(err).NotTo(HaveOccurred())
+	first := vm.Daemon.Status().Incarnation
+
+	vm.Kill()
+
+	g.Expect(vm.Running()).To(BeFalse())
+	_, err = net.Dial("tcp", vm.Settings.CallerAddress)
+	g.Expect(err).To(HaveOccurred())
+	_, err = open.Read(make([]byte, 1))
+	g.Expect(err).To(HaveOccurred())
+	_, err = vm.wire.dialUpstream(f.Upstreams["s/a"].Address(), time.Second)
+	g.Expect(err).To(MatchError(net.ErrClosed))
+
+	g.Expect(f.Restart(0, true)).To(Succeed())
+	g.Expect(f.VMs[0].Settings.CallerAddress).To(Equal(vm.Settings.CallerAddress))
+	g.Expect(f.VMs[0].Daemon.Status().Incarnation).To(BeNumerically(">", first))
+	g.Eventually(f.VMs[0].Daemon.NotReady).WithTimeout(time.Minute).Should(BeEmpty())
+
+	g.Expect(f.Restart(0, false)).To(Succeed())
+	g.Expect(f.VMs[0].Settings.CallerAddress).NotTo(Equal(vm.Settings.CallerAddress))
+}
+
+// pair is a connection that vm-1 dialled to vm-2, and vm-2's end of it.
+func pair(g *WithT, n *network) (near, far net.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = ln.Close() }()
+	n.place("vm-2", ln.Addr().String())
+	near, err = newWire("vm-1", n).dialPeer(context.Background(), ln.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	far, err = newWire("vm-2", n).listen(ln).Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	return near, far
+}
+
+func TestACutHoldsOneDirectionUntilItIsHealed(t *testing.T) {
+	for _, cut := range []direction{{"vm-1", "vm-2"}, {"vm-2", "vm-1"}} {
+		g := NewWithT(t)
+		n := newNetwork()
+		near, far := pair(g, n)
+		from, to := near, far
+		if cut.from == "vm-2" {
+			from, to = far, near
+		}
+		n.set(cut, true)
+		got := make(chan byte, 2)
+		go receive(to, got)
+		go func() { _, _ = from.Write([]byte{7}) }()
+		go func() { _, _ = to.Write([]byte{8}) }()
+
+		var b [1]byte
+		_, err := from.Read(b[:])
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(b[0]).To(Equal(byte(8)), "the other direction stays open")
+		g.Consistently(got, 50*time.Millisecond).ShouldNot(Receive())
+
+		n.heal()
+		g.Eventually(got).WithTimeout(time.Minute).Should(Receive(Equal(byte(7))))
+		_ = near.Close()
+		_ = far.Close()
+	}
+}
+
+func receive(c net.Conn, got chan<- byte) {
+	var b [1]byte
+	if n, _ := c.Read(b[:]); n == 1 {
+		got <- b[0]
+	}
+}
+
+func TestACutLosesDatagrams(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork()
+	open := func(vm string) net.PacketConn {
+		raw, err := net.ListenPacket("udp", "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = raw.Close() })
+		n.place(vm, raw.LocalAddr().String())
+		return newWire(vm, n).packets(raw)
+	}
+	one, two := open("vm-1"), open("vm-2")
+	n.set(direction{"vm-1", "vm-2"}, true)
+	_, err := one.WriteTo([]byte{1}, two.LocalAddr())
+	g.Expect(err).NotTo(HaveOccurred())
+	n.heal()
+	_, err = one.WriteTo([]byte{2}, two.LocalAddr())
+	g.Expect(err).NotTo(HaveOccurred())
+
+	var b [1]byte
+	_, _, err = two.ReadFrom(b[:])
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b[0]).To(Equal(byte(2)))
+}
+
+// Symptom: a VM that is stopped while it starts never ends its process.
+// Sequence: the daemon starts its servers in the background; the stop comes at
+// once and shuts them down; one of them begins to serve only then.
+// Cause: a server that has not begun to serve has nothing to shut down and does
+// not remember that it was told to.
+func TestAVMThatIsStoppedWhileItStartsEnds(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(g, t)
+	const starts = 10
+	for range starts {
+		g.Expect(f.Restart(0, true)).To(Succeed())
+		ended := make(chan error, 1)
+		go func() { ended <- f.VMs[0].Stop() }()
+		g.Eventually(ended).WithTimeout(time.Minute).Should(Receive(BeNil()))
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -48,6 +49,10 @@
 	// Upstreams by "service/id".
 	Upstreams map[string]*standin.Upstream
 	documents map[string]string
+	network   *network
+	addresses []vmListeners
+	// retired are processes that a restart has replaced.
+	retired []*VM
 }
 
 // VM is one running daemon.
@@ -56,13 +61,17 @@
 	Daemon   *daemon.Daemon
 	// Peers breaks the streams that other VMs opened to this one.
 	Peers  *PeerFault
+	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan error
+
+	wire      *wire
+	listeners vmListeners
 }
 
 // Start brings everything up and waits until every daemon is ready.
 func Start(opts Options) (*Fleet, error) {
-	f := &Fleet{opts: opts, Upstreams: map[string]*standin.Upstream{}, documents: map[string]string{}}
+	f := &Fleet{opts: opts, Upstreams: map[string]*standin.Upstream{}, documents: map[string]string{}, network: newNetwork()}
 	if err := f.start(); err != nil {
 		f.Close()
 		return nil, trace.Wrap(err)
@@ -81,15 +90,15 @@
 			return err
 		}
 	}
-	listeners, err := f.publishVMs()
-	if err != nil {
+	if err := f.openPorts(); err != nil {
 		return err
 	}
+	f.documents["vms"] = f.listVMs()
 	for name, text := range f.documents {
 		p.Publish(name, []byte(text))
 	}
-	for i := range listeners {
-		vm, err := f.startVM(i, listeners[i])
+	for i, l := range f.addresses {
+		vm, err := f.startVM(i, l)
 		if err != nil {
 			return err
 		}
@@ -126,21 +135,37 @@
 	gossip                 net.PacketConn
 }
 
-func (f *Fleet) publishVMs() ([]vmListeners, error) {
-	var list strings.Builder
-	var out []vmListeners
-	for i := range f.opts.VMs {
+func (l vmListeners) close() {
+	_ = l.caller.Close()
+	_ = l.operator.Close()
+	_ = l.peer.Close()
+	_ = l.gossip.Close()
+}
+
+func (f *Fleet) openPorts() error {
+	for range f.opts.VMs {
 		l, err := listen()
 		if err != nil {
-			return nil, err
+			return err
 		}
-		out = append(out, l)
-		dc := f.opts.DataCentres[i%len(f.opts.DataCentres)]
+		f.addresses = append(f.addresses, l)
+	}
+	return nil
+}
+
+// listVMs is the platform's list of VMs.
+func (f *Fleet) listVMs() string {
+	var list strings.Builder
+	for i, l := range f.addresses {
+		dc := f.dataCentre(i)
 		fmt.Fprintf(&list, "[[vms]]\nid = %q\nregion = %q\ndata_centre = %q\ncaller_address = %q\npeer_address = %q\nstate = \"live\"\n",
 			vmName(i), dc, dc, l.caller.Addr(), l.peer.Addr())
 	}
-	f.documents["vms"] = list.String()
-	return out, nil
+	return list.String()
+}
+
+func (f *Fleet) dataCentre(vm int) string {
+	return f.opts.DataCentres[vm%len(f.opts.DataCentres)]
 }
 
 func listen() (vmListeners, error) {
@@ -178,7 +203,7 @@
 func vmName(i int) string { return fmt.Sprintf("vm-%d", i+1) }
 
 func (f *Fleet) startVM(i int, l vmListeners) (*VM, error) {
-	dc := f.opts.DataCentres[i%len(f.opts.DataCentres)]
+	dc := f.dataCentre(i)
 	s := &pb.Settings{
 		Vm:              vmName(i),
 		Region:          dc,
@@ -192,19 +217,32 @@
 		Limits:          &pb.Limits{EndpointsTtlMs: endpointsTTLMS},
 	}
 	settings.SetDefaults(s)
-	peers := newPeerFault(l.peer)
+	w := newWire(s.Vm, f.network)
+	f.network.place(s.Vm, s.PeerAddress)
+	peers := newPeerFault(w.listen(l.peer))
 	d, err := daemon.New(s, daemon.Options{
-		Log:      f.opts.Log.With(zap.String("vm", s.Vm)),
-		Caller:   l.caller,
-		Operator: l.operator,
-		Peer:     peers,
-		Gossip:   l.gossip,
+		Log:          f.opts.Log.With(zap.String("vm", s.Vm)),
+		Caller:       w.listen(l.caller),
+		Operator:     w.listen(l.operator),
+		Peer:         peers,
+		Gossip:       w.packets(l.gossip),
+		DialPeer:     w.dialPeer,
+		DialUpstream: w.dialUpstream,
 	})
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	vm := &VM{Settings: s, Daemon: d, Peers: peers, cancel: cancel, done: make(chan error, 1)}
+	vm := &VM{
+		Settings:  s,
+		Daemon:    d,
+		Peers:     peers,
+		ctx:       ctx,
+		cancel:    cancel,
+		done:      make(chan error, 1),
+		wire:      w,
+		listeners: l,
+	}
 	go func() { vm.done <- d.Run(ctx) }()
 	return vm, nil
 }
@@ -271,8 +309,9 @@
 	if f.Platform != nil {
 		f.Platform.SetDown(true)
 	}
+	f.Heal()
 	var wg sync.WaitGroup
-	for _, vm := range f.VMs {
+	for _, vm := range slices.Concat(f.VMs, f.retired) {
 		wg.Go(func() { _ = vm.Stop() })
 	}
 	wg.Wait()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -50,11 +51,13 @@
 	MaxQueue      int
 	MaxReplyBytes int
 	Now           func() time.Time
-	Order         dispatch.Order
-	Limit         dispatch.LimitPolicy
-	Health        health.Options
-	Ledger        dispatch.LedgerOptions
-	Pause         dispatch.PauseOptions
+	// Dial opens a connection to an upstream; nil dials plainly.
+	Dial   func(address string, timeout time.Duration) (net.Conn, error)
+	Order  dispatch.Order
+	Limit  dispatch.LimitPolicy
+	Health health.Options
+	Ledger dispatch.LedgerOptions
+	Pause  dispatch.PauseOptions
 }
 
 // DefaultPause is a second without a tick, and a tenth to read what waited.
@@ -246,6 +249,7 @@
 			Connections: g.Connections,
 			MaxReply:    o.opts.MaxReplyBytes,
 			Metrics:     o.conns,
+			Dial:        o.opts.Dial,
 		}),
 		queue:   dispatch.New(dispatch.Options{Order: o.opts.Order, MaxQueue: o.opts.MaxQueue}),
 		limiter: dispatch.NewLimiter(o.opts.Limit, g.Slots),
--- a/internal/peerauth/peerauth.go
+++ b/internal/peerauth/peerauth.go
@@ -119,18 +119,47 @@
 
 // Dial opens a stream to the peer at address.
 func (a *Authority) Dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
-	defer cancel()
-	d := &tls.Dialer{Config: &tls.Config{
+	return a.Dialer(nil)(ctx, address)
+}
+
+// DialFunc opens a TCP connection to a peer address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Dialer opens streams over the connections of dial; nil dials plainly.
+func (a *Authority) Dialer(dial DialFunc) DialFunc {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+		defer cancel()
+		raw, err := dial(ctx, address)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		conn := tls.Client(raw, a.clientConfig())
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, trace.Wrap(err)
+		}
+		return conn, nil
+	}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func (a *Authority) clientConfig() *tls.Config {
+	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{a.certificate},
 		// Peers are known by IP numbers that change: the chain is verified
 		// below, host names are not.
 		InsecureSkipVerify: true,
 		VerifyConnection:   a.verifyServer,
-	}}
-	conn, err := d.DialContext(ctx, "tcp", address)
-	return conn, trace.Wrap(err)
+	}
 }
 
 func (a *Authority) verifyServer(state tls.ConnectionState) error {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -91,12 +91,15 @@
 	// MaxReply is the largest reply taken, in bytes.
 	MaxReply int
 	Metrics  *Metrics
+	// Dial opens a connection; nil dials plainly.
+	Dial func(address string, timeout time.Duration) (net.Conn, error)
 }
 
 // Client is the connections to one upstream.
 type Client struct {
 	address string
 	met     *Metrics
+	open    func(address string, timeout time.Duration) (net.Conn, error)
 	// requests carries the requests, control the probes and cancellations.
 	requests *fasthttp.HostClient
 	control  *fasthttp.HostClient
@@ -104,7 +107,10 @@
 
 // NewClient makes a client with no connection; requests open them.
 func NewClient(opts Options) *Client {
-	c := &Client{address: opts.Address, met: opts.Metrics}
+	c := &Client{address: opts.Address, met: opts.Metrics, open: opts.Dial}
+	if c.open == nil {
+		c.open = dialTCP
+	}
 	c.requests = c.pool(max(1, opts.Connections-controlConnections), opts.MaxReply)
 	c.control = c.requests
 	if opts.Connections > controlConnections {
@@ -143,7 +149,7 @@
 	if timeout <= 0 || timeout > dialTimeout {
 		timeout = dialTimeout
 	}
-	conn, err := net.DialTimeout("tcp", address, timeout)
+	conn, err := c.open(address, timeout)
 	if err != nil {
 		return nil, &dialError{err}
 	}
@@ -152,6 +158,10 @@
 	return &countedConn{Conn: conn, met: c.met}, nil
 }
 
+func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, timeout)
+}
+
 // Do sends the call once and waits for its outcome, at most to its deadline.
 func (c *Client) Do(now time.Time, call *Call) Outcome {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
