--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -97,7 +97,8 @@
 	runs   map[string]int
 }
 
-func (s *shards) Send(_ *query.Send, r *pb.SubRequest) {
+func (s *shards) Send(_ *query.Action, f *pb.Frame) string {
+	r := f.GetRequest()
 	s.mu.Lock()
 	result := s.result
 	if result == pb.Result_OK || result == pb.Result_UNKNOWN {
@@ -105,9 +106,10 @@
 	}
 	s.mu.Unlock()
 	s.engine.Deliver(&pb.SubReply{Id: r.Id, Result: result, Snapshot: r.Snapshot, Body: []byte(`{"hits":[]}`)})
+	return vmName
 }
 
-func (s *shards) Cancel(*query.Cancel, uint64) {}
+func (s *shards) Cancel(string, string, uint64) {}
 
 func (s *shards) set(r pb.Result) {
 	s.mu.Lock()
@@ -170,9 +172,10 @@
 	}
 	return 0
 }
-func (fleet) Opened(time.Time, *contract.Upstream)              {}
-func (fleet) Observe(time.Time, query.Observation)              {}
-func (fleet) Spend(time.Time, *contract.Kind, query.Cause) bool { return true }
+func (fleet) Opened(time.Time, *contract.Upstream)   {}
+func (fleet) Observe(time.Time, query.Observation)   {}
+func (fleet) Earn(*contract.Kind, int)               {}
+func (fleet) Spend(*contract.Kind, query.Cause) bool { return true }
 func (fleet) HedgeDelay(time.Time, *contract.Shard, int) (time.Duration, bool) {
 	return time.Hour, true
 }
@@ -193,7 +196,7 @@
 		shards: &shards{result: pb.Result_OK, runs: map[string]int{}},
 	}
 	registry := prometheus.NewRegistry()
-	b.shards.engine = query.NewEngine(query.EngineOptions{Fleet: fleet{}, Sender: b.shards, Loops: 1, Now: time.Now, Stray: func(*pb.SubReply) {}})
+	b.shards.engine = query.NewEngine(query.EngineOptions{Fleet: fleet{}, Sender: b.shards, Loops: 1, Now: time.Now, Metrics: query.NewMetrics(prometheus.NewRegistry())})
 	ctx, cancel := context.WithCancel(context.Background())
 	b.shards.engine.Start(ctx)
 	b.front = frontend.New(frontend.Options{
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/dispatch"
@@ -62,17 +61,6 @@
 	return st
 }
 
-// pinner pins the newest published snapshot.
-type pinner struct{}
-
-func (pinner) Pin(_ time.Time, s *contract.Service) (*contract.ShardMap, *pb.Snapshot, bool) {
-	if len(s.Maps) == 0 {
-		return nil, nil, false
-	}
-	m := s.Maps[len(s.Maps)-1]
-	return m, &pb.Snapshot{Generation: m.Generation, Version: m.Versions[len(m.Versions)-1]}, true
-}
-
 // receiver takes the replies of peers.
 type receiver Daemon
 
@@ -80,6 +68,8 @@
 	switch b := f.Body.(type) {
 	case *pb.Frame_Reply:
 		r.engine.Deliver(b.Reply)
+	case *pb.Frame_Status:
+		(*Daemon)(r).learnStatus(b.Status)
 	case *pb.Frame_ForwardReply:
 		r.forwards.replied(b.ForwardReply)
 	case *pb.Frame_ConfigDocuments:
@@ -100,7 +90,7 @@
 	if req == nil {
 		return
 	}
-	result := pb.Result_UNREACHABLE
+	result := pb.Result_OWNER_UNREACHABLE
 	if written {
 		result = pb.Result_UNKNOWN
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -152,11 +152,11 @@
 		Deliver:     func(r *pb.SubReply) { d.engine.Deliver(r) },
 	})
 	d.engine = query.NewEngine(query.EngineOptions{
-		Fleet:  d.router,
-		Sender: d.router,
-		Loops:  runtime.GOMAXPROCS(0),
-		Now:    time.Now,
-		Stray:  func(*pb.SubReply) {},
+		Fleet:   d.router,
+		Sender:  d.router,
+		Loops:   runtime.GOMAXPROCS(0),
+		Now:     time.Now,
+		Metrics: query.NewMetrics(d.registry),
 	})
 }
 
@@ -167,7 +167,7 @@
 		Registry:  d.registry,
 		Engine:    d.engine,
 		Admission: d.shares,
-		Pinner:    pinner{},
+		Pinner:    d.router,
 		Explain:   ring,
 		Now:       time.Now,
 	})
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -63,9 +63,6 @@
 	delete(h.streams, from)
 }
 
-// learnStatus takes a status from this VM's owner.
-func (d *Daemon) learnStatus(*pb.UpstreamStatus) {}
-
 func statusFrame(st *pb.UpstreamStatus) *pb.Frame {
 	return &pb.Frame{Body: &pb.Frame_Status{Status: st}}
 }
--- a/internal/explain/ring.go
+++ b/internal/explain/ring.go
@@ -3,9 +3,11 @@
 package explain
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
+	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/query"
 )
 
@@ -22,7 +24,9 @@
 	Detail   string  `json:"detail,omitempty"`
 	Snapshot string  `json:"snapshot,omitempty"`
 	Coverage float64 `json:"coverage"`
-	Shards   []Shard `json:"shards,omitempty"`
+	// Restarts are the changes of the pinned snapshot.
+	Restarts []query.RestartRecord `json:"restarts,omitempty"`
+	Shards   []Shard               `json:"shards,omitempty"`
 }
 
 // Shard is what one shard did for a request.
@@ -73,3 +77,8 @@
 	}
 	return out
 }
+
+// Snapshot writes a snapshot as "generation/version".
+func Snapshot(s *pb.Snapshot) string {
+	return fmt.Sprintf("%d/%d", s.GetGeneration(), s.GetVersion())
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
@@ -218,12 +217,16 @@
 	if !ok {
 		return nil, refusal.New(refusal.NoSnapshot, "no snapshot of the service is ready").After(time.Second)
 	}
+	if w.kind.Merge == pb.Merge_SINGLE && p.Key == "" {
+		return nil, refusal.New(refusal.BadRequest, "body: key must name the document")
+	}
 	plan := &query.Plan{
 		Kind:      w.kind,
 		RequestID: w.id,
 		Body:      w.req.Body,
+		Key:       p.Key,
+		Map:       shards,
 		Snapshot:  snapshot,
-		Shards:    shards.Shards,
 		Deadline:  w.started.Add(timeLeft(w.kind, w.req)),
 	}
 	if !w.kind.Idempotent {
@@ -233,13 +236,6 @@
 	if soft := w.kind.SoftDeadline(); soft > 0 {
 		plan.SoftDeadline = w.started.Add(soft)
 	}
-	if w.kind.Merge == pb.Merge_SINGLE {
-		if p.Key == "" {
-			return nil, refusal.New(refusal.BadRequest, "body: key must name the document")
-		}
-		i := xxhash.Sum64String(p.Key) % uint64(len(shards.Shards))
-		plan.Shards = shards.Shards[i : i+1]
-	}
 	return plan, nil
 }
 
@@ -252,10 +248,7 @@
 	if cov.ShardsAnswered == 0 || cov.Fraction < w.kind.CoverageFloor {
 		return nil, w.tooLittle(cov)
 	}
-	hits, err := query.MergeHits(w.kind.Merge, w.outcome.Shards, limit(p.Limit, int(w.kind.MaxHits)))
-	if err != nil {
-		return nil, w.fail(&refusal.Error{Reason: refusal.UpstreamFailed, Ran: refusal.DidRun, Detail: err.Error()})
-	}
+	hits := query.MergeHits(w.kind.Merge, w.outcome.Shards, limit(p.Limit, int(w.kind.MaxHits)))
 	return &Answer{
 		RequestID: w.id,
 		Operation: w.operation(),
@@ -340,8 +333,10 @@
 	}
 	if w.outcome != nil {
 		rec.Coverage = w.outcome.Coverage()
+		rec.Snapshot = explain.Snapshot(w.outcome.Snapshot)
+		rec.Restarts = w.outcome.Restarts
 		rec.Shards = explain.Shards(w.outcome)
-		w.front.met.sends(w.outcome)
+		w.front.met.lost(w.outcome)
 	}
 	if a != nil {
 		w.front.met.answered(w.kind, elapsed, a.Coverage.Fraction)
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -16,7 +16,6 @@
 	answers  *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	coverage *prometheus.HistogramVec
-	requests *prometheus.CounterVec
 	missing  *prometheus.CounterVec
 }
 
@@ -41,10 +40,6 @@
 			Help:    "Share of the documents an answer covers.",
 			Buckets: []float64{0.5, 0.8, 0.9, 0.95, 0.99, 0.999, 1},
 		}, []string{"customer", "kind"}),
-		requests: f.NewCounterVec(prometheus.CounterOpts{
-			Name: "sycamorekeel_query_requests_total",
-			Help: "Sub-requests sent, by cause: hedge and retry are extra load.",
-		}, []string{"cause"}),
 		missing: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamorekeel_query_missing_shards_total",
 			Help: "Shards without an answer, by reason.",
@@ -62,13 +57,10 @@
 	m.coverage.WithLabelValues(k.Customer, k.Name).Observe(coverage)
 }
 
-func (m *metrics) sends(o *query.Outcome) {
+func (m *metrics) lost(o *query.Outcome) {
 	for _, s := range o.Shards {
 		if s.Missing != "" {
 			m.missing.WithLabelValues(string(s.Missing)).Inc()
 		}
-		for _, a := range s.Attempts {
-			m.requests.WithLabelValues(string(a.Cause)).Inc()
-		}
 	}
 }
--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -18,8 +18,10 @@
 // Sender carries sub-requests to the owners of their upstreams. It must not
 // block; every sub-request that is not cancelled is answered by Engine.Deliver.
 type Sender interface {
-	Send(s *Send, r *pb.SubRequest)
-	Cancel(c *Cancel, id uint64)
+	// Send carries the sub-request in f; vm is where it went.
+	Send(a *Action, f *pb.Frame) (vm string)
+	// Cancel withdraws the sub-request id from the VM it went to.
+	Cancel(vm, upstream string, id uint64)
 }
 
 // EngineOptions is what an engine needs.
@@ -27,10 +29,9 @@
 	Fleet  Fleet
 	Sender Sender
 	// Loops is the number of workers the queries are spread over.
-	Loops int
-	Now   func() time.Time
-	// Stray is called for each reply nobody waits for.
-	Stray func(*pb.SubReply)
+	Loops   int
+	Now     func() time.Time
+	Metrics *Metrics
 }
 
 // Engine runs queries on a fixed pool of workers. Each query belongs to one
@@ -68,17 +69,23 @@
 }
 
 // Run carries a plan out. When ctx ends first the query is abandoned and its
-// sub-requests are cancelled.
+// sub-requests are cancelled. The answers are decoded here, in the caller's
+// goroutine, while further ones are awaited: a large answer delays no other
+// query.
 func (e *Engine) Run(ctx context.Context, plan *Plan) (*Outcome, error) {
 	l := e.loops[e.next.Add(1)%uint64(len(e.loops))]
-	run := &running{query: New(plan, e.opts.Fleet), plan: plan, finished: make(chan *Outcome, 1)}
+	run := newRunning(New(plan, e.opts.Fleet), plan)
 	l.post(mail{start: run})
-	select {
-	case out := <-run.finished:
-		return out, nil
-	case <-ctx.Done():
-		l.post(mail{abandon: run})
-		return nil, ctx.Err()
+	for {
+		select {
+		case out := <-run.finished:
+			return out, nil
+		case <-run.bodies:
+			l.post(mail{decoded: run.decode(), run: run})
+		case <-ctx.Done():
+			l.post(mail{abandon: run})
+			return nil, ctx.Err()
+		}
 	}
 }
 
@@ -86,7 +93,7 @@
 func (e *Engine) Deliver(r *pb.SubReply) {
 	i := r.Id & (maxLoops - 1)
 	if i >= uint64(len(e.loops)) {
-		e.opts.Stray(r)
+		e.opts.Metrics.stray(foreign)
 		return
 	}
 	e.loops[i].post(mail{reply: r})
@@ -97,9 +104,52 @@
 	query    *Query
 	plan     *Plan
 	finished chan *Outcome
-	// ids of the attempts that are open, to cancel and forget them.
-	ids  map[AttemptID]uint64
-	wake time.Time
+	wake     time.Time
 	// slot is the place in the worker's timer heap, -1 when in none.
 	slot int
+
+	// bodies tells the caller's goroutine that there is something to decode.
+	bodies chan struct{}
+	mu     sync.Mutex
+	raw    []rawBody
+}
+
+// rawBody is an answer to decode.
+type rawBody struct {
+	attempt AttemptID
+	body    []byte
+}
+
+// decodedBody is an answer's hits, or why it could not be read.
+type decodedBody struct {
+	attempt AttemptID
+	hits    []Hit
+	err     error
+}
+
+func newRunning(q *Query, plan *Plan) *running {
+	return &running{query: q, plan: plan, finished: make(chan *Outcome, 1), bodies: make(chan struct{}, 1), slot: -1}
+}
+
+func (r *running) addBody(b rawBody) {
+	r.mu.Lock()
+	r.raw = append(r.raw, b)
+	r.mu.Unlock()
+	select {
+	case r.bodies <- struct{}{}:
+	default:
+	}
+}
+
+func (r *running) decode() []decodedBody {
+	r.mu.Lock()
+	raw := r.raw
+	r.raw = nil
+	r.mu.Unlock()
+	out := make([]decodedBody, len(raw))
+	for i, b := range raw {
+		hits, err := DecodeHits(b.body)
+		out[i] = decodedBody{attempt: b.attempt, hits: hits, err: err}
+	}
+	return out
 }
--- a/internal/query/loop.go
+++ b/internal/query/loop.go
@@ -9,11 +9,15 @@
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
-// mail is one event for a loop; exactly one field is set.
+// mail is one event for a loop; exactly one of start, abandon, reply and
+// decoded is set.
 type mail struct {
 	start   *running
 	abandon *running
 	reply   *pb.SubReply
+	// decoded belongs to run.
+	decoded []decodedBody
+	run     *running
 }
 
 // awaited is a sub-request whose reply is outstanding.
@@ -24,11 +28,12 @@
 
 // loop is one worker: it owns its queries and their timers.
 type loop struct {
-	engine *Engine
-	index  uint64
-	serial uint64
-	byID   map[uint64]awaited
-	timers timerHeap
+	engine    *Engine
+	index     uint64
+	serial    uint64
+	byID      map[uint64]awaited
+	withdrawn recent
+	timers    timerHeap
 
 	mu     sync.Mutex
 	inbox  []mail
@@ -36,7 +41,7 @@
 }
 
 func newLoop(e *Engine, index uint64) *loop {
-	return &loop{engine: e, index: index, byID: map[uint64]awaited{}, signal: make(chan struct{}, 1)}
+	return &loop{engine: e, index: index, byID: map[uint64]awaited{}, withdrawn: newRecent(), signal: make(chan struct{}, 1)}
 }
 
 // post never blocks: a loop posts to itself when an owner on this VM refuses.
@@ -54,6 +59,24 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var spare []mail
+	for {
+		spare = l.drain(spare)
+		l.wakeDue()
+		timer.Reset(l.untilWake())
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.signal:
+		case <-timer.C:
+		}
+	}
+}
+
+// drain handles mail until there is none. Time passes for the queries only
+// then: after a pause of the process the answers that came meanwhile count
+// before the deadline, else every query under way at the pause would end with
+// nothing although its answers are here.
+func (l *loop) drain(spare []mail) []mail {
 	for {
 		l.mu.Lock()
 		batch := l.inbox
@@ -64,100 +87,117 @@
 		}
 		clear(batch)
 		spare = batch
-		l.wakeDue()
-		timer.Reset(l.untilWake())
-		select {
-		case <-ctx.Done():
-			return
-		case <-l.signal:
-		case <-timer.C:
+		if len(batch) == 0 {
+			return spare
 		}
 	}
 }
 
-// handle takes the replies in before time passes for any query: after a pause
-// of the process the answers that came meanwhile count before the deadline.
 func (l *loop) handle(m mail) {
 	now := l.engine.opts.Now()
 	switch {
 	case m.start != nil:
-		m.start.slot = -1
-		m.start.ids = make(map[AttemptID]uint64, len(m.start.plan.Shards))
 		l.apply(m.start, now, m.start.query.Start(now))
 	case m.abandon != nil:
 		l.apply(m.abandon, now, m.abandon.query.Abandon(now))
-	default:
+	case m.reply != nil:
 		l.reply(now, m.reply)
+	default:
+		for _, d := range m.decoded {
+			l.apply(m.run, now, m.run.query.Decoded(now, d.attempt, d.hits, d.err))
+		}
 	}
 }
 
 func (l *loop) reply(now time.Time, r *pb.SubReply) {
 	w, ok := l.byID[r.Id]
 	if !ok {
-		l.engine.opts.Stray(r)
+		l.engine.opts.Metrics.stray(l.strayKind(r))
 		return
 	}
 	delete(l.byID, r.Id)
-	delete(w.run.ids, w.id)
 	l.apply(w.run, now, w.run.query.Reply(now, w.id, r))
 }
 
+// strayKind tells why nobody waits for a reply.
+func (l *loop) strayKind(r *pb.SubReply) strayKind {
+	withdrawn := l.withdrawn.take(r.Id)
+	switch {
+	case withdrawn && r.Result == pb.Result_CANCELLED:
+		return cancelled
+	case withdrawn:
+		return late
+	case r.Id>>loopBits != 0 && r.Id>>loopBits <= l.serial:
+		return duplicate
+	default:
+		return foreign
+	}
+}
+
 func (l *loop) apply(r *running, now time.Time, actions []Action) {
-	for _, a := range actions {
-		switch a := a.(type) {
-		case Send:
-			l.send(r, now, &a)
-		case Cancel:
-			l.cancel(r, &a)
-		case Withdraw:
-			l.withdraw(r, &a)
-		case Finish:
+	for i := range actions {
+		switch a := &actions[i]; a.Op {
+		case OpSend:
+			l.send(r, now, a)
+		case OpCancel:
+			l.cancel(a)
+		case OpWithdraw:
+			l.engine.opts.Sender.Cancel(a.VM, a.Upstream.ID, a.Wire)
+		case OpDecode:
+			r.addBody(rawBody{attempt: a.Attempt, body: a.Body})
+		case OpFinish:
+			l.engine.opts.Metrics.finished(a.Outcome)
 			r.finished <- a.Outcome
 		}
 	}
 	l.schedule(r)
 }
 
-func (l *loop) send(r *running, now time.Time, s *Send) {
+// outgoing is a sub-request with its frame in one piece of memory.
+type outgoing struct {
+	frame   pb.Frame
+	body    pb.Frame_Request
+	request pb.SubRequest
+}
+
+func (l *loop) send(r *running, now time.Time, a *Action) {
 	l.serial++
 	id := l.serial<<loopBits | l.index
-	l.byID[id] = awaited{run: r, id: s.Attempt}
-	r.ids[s.Attempt] = id
-	l.engine.opts.Sender.Send(s, &pb.SubRequest{
-		Id:          id,
-		Upstream:    s.Upstream.ID,
-		Shard:       s.Shard.ID,
-		Snapshot:    r.plan.Snapshot,
-		Customer:    r.plan.Kind.Customer,
-		Kind:        r.plan.Kind.Name,
-		RemainingUs: uint32(max(0, r.plan.Deadline.Sub(now).Microseconds())),
-		Idempotent:  r.plan.Kind.Idempotent,
-		Body:        r.plan.Body,
-		RequestId:   r.plan.RequestID,
-		Extra:       s.Cause == Hedge || s.Cause == Retry,
-	})
-}
-
-func (l *loop) cancel(r *running, c *Cancel) {
-	id, ok := r.ids[c.Attempt]
-	if !ok {
+	l.byID[id] = awaited{run: r, id: a.Attempt}
+	o := &outgoing{}
+	o.body.Request = &o.request
+	o.frame.Body = &o.body
+	req := &o.request
+	req.Id = id
+	req.Upstream = a.Upstream.ID
+	req.Shard = a.Shard.ID
+	req.Snapshot = a.Snapshot
+	req.Customer = r.plan.Kind.Customer
+	req.Kind = r.plan.Kind.Name
+	req.RemainingUs = uint32(max(0, r.plan.Deadline.Sub(now).Microseconds()))
+	req.Idempotent = r.plan.Kind.Idempotent
+	req.Body = r.plan.Body
+	req.RequestId = r.plan.RequestID
+	req.Extra = a.Cause.Extra()
+	r.query.Sent(a.Attempt, id, l.engine.opts.Sender.Send(a, &o.frame))
+}
+
+func (l *loop) cancel(a *Action) {
+	if _, ok := l.byID[a.Wire]; !ok {
 		return
 	}
-	delete(r.ids, c.Attempt)
-	delete(l.byID, id)
-	l.engine.opts.Sender.Cancel(c, id)
-}
-
-// withdraw sends a cancellation and keeps waiting for the reply.
-func (l *loop) withdraw(r *running, w *Withdraw) {
-	if id, ok := r.ids[w.Attempt]; ok {
-		l.engine.opts.Sender.Cancel(&Cancel{Attempt: w.Attempt, Upstream: w.Upstream}, id)
-	}
+	delete(l.byID, a.Wire)
+	l.withdrawn.add(a.Wire)
+	l.engine.opts.Sender.Cancel(a.VM, a.Upstream.ID, a.Wire)
 }
 
 // schedule keeps the query's place among the timers.
 func (l *loop) schedule(r *running) {
-	r.wake = r.query.Next()
+	wake := r.query.Next()
+	if wake.Equal(r.wake) && r.slot >= 0 {
+		return
+	}
+	r.wake = wake
 	switch {
 	case r.wake.IsZero() && r.slot >= 0:
 		heap.Remove(&l.timers, r.slot)
--- a/internal/query/once_test.go
+++ b/internal/query/once_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"pgregory.net/rapid"
 
 	"sycamorekeel.example/sycamorekeel/internal/contract"
@@ -14,8 +15,10 @@
 
 // TestMain fixes rapid's seed, so that every run draws the same events.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "11"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "11", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
@@ -31,9 +34,14 @@
 	}
 	return NoReplica
 }
-func (anyReplica) Opened(time.Time, *contract.Upstream)        {}
-func (anyReplica) Observe(time.Time, Observation)              {}
-func (anyReplica) Spend(time.Time, *contract.Kind, Cause) bool { return true }
+func (anyReplica) Opened(time.Time, *contract.Upstream) {}
+func (anyReplica) Observe(time.Time, Observation)       {}
+func (anyReplica) Earn(*contract.Kind, int)             {}
+func (anyReplica) Spend(*contract.Kind, Cause) bool     { return true }
+func (anyReplica) Repin(time.Time, *contract.Service, *pb.Snapshot) (*contract.ShardMap, *pb.Snapshot, bool) {
+	m := payment(time.Time{}).Map
+	return m, &pb.Snapshot{Generation: 1, Version: 2}, true
+}
 func (anyReplica) HedgeDelay(time.Time, *contract.Shard, int) (time.Duration, bool) {
 	return time.Millisecond, true
 }
@@ -48,7 +56,7 @@
 	return &Plan{
 		Kind:      &contract.Kind{Kind: &pb.Kind{HedgePercent: 100, RetryPercent: 100, CoverageFloor: 1}},
 		Snapshot:  &pb.Snapshot{Generation: 1, Version: 1},
-		Shards:    []*contract.Shard{shard},
+		Map:       &contract.ShardMap{Generation: 1, Shards: []*contract.Shard{shard}},
 		Deadline:  start.Add(100 * time.Millisecond),
 		ConfirmBy: start.Add(150 * time.Millisecond),
 	}
@@ -59,6 +67,7 @@
 	pb.Result_SHED: true, pb.Result_NOT_OWNER: true, pb.Result_NO_SNAPSHOT: true,
 	pb.Result_QUEUE_FULL: true, pb.Result_TOO_LATE: true, pb.Result_CANCELLED: true,
 	pb.Result_UPSTREAM_LEAVING: true, pb.Result_UNREACHABLE: true, pb.Result_VM_STOPPING: true,
+	pb.Result_OWNER_UNREACHABLE: true,
 }
 
 // caller follows one query and what each of its attempts came to.
@@ -66,13 +75,14 @@
 	query   *Query
 	results map[AttemptID]pb.Result
 	open    map[AttemptID]bool
+	decode  []AttemptID
 	outcome *Outcome
 }
 
 func (c *caller) take(t *rapid.T, actions []Action) {
 	for _, a := range actions {
-		switch a := a.(type) {
-		case Send:
+		switch a.Op {
+		case OpSend:
 			for id := range c.results {
 				if c.open[id] || !proofs[c.results[id]] {
 					t.Fatalf("attempt %v sent while %v is unproven (%s)", a.Attempt, id, c.results[id])
@@ -80,7 +90,9 @@
 			}
 			c.results[a.Attempt] = pb.Result_RESULT_UNSPECIFIED
 			c.open[a.Attempt] = true
-		case Finish:
+		case OpDecode:
+			c.decode = append(c.decode, a.Attempt)
+		case OpFinish:
 			c.outcome = a.Outcome
 		}
 	}
@@ -121,12 +133,22 @@
 			open = append(open, id)
 		}
 	}
+	if len(c.decode) > 0 && rapid.Bool().Draw(t, "decoded") {
+		id := c.decode[0]
+		c.decode = c.decode[1:]
+		var err error
+		if rapid.Bool().Draw(t, "malformed") {
+			err = trace.BadParameter("malformed")
+		}
+		c.take(t, c.query.Decoded(now, id, nil, err))
+		return
+	}
 	if len(open) == 0 || rapid.Bool().Draw(t, "time passes") {
 		c.take(t, c.query.Wake(now))
 		return
 	}
 	// 99 stands for a result that this daemon does not know.
-	r := pb.Result(rapid.SampledFrom([]int32{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 99}).Draw(t, "result"))
+	r := pb.Result(rapid.SampledFrom([]int32{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 99}).Draw(t, "result"))
 	snapshot := &pb.Snapshot{Generation: 1, Version: rapid.Uint64Range(1, 2).Draw(t, "version")}
 	c.results[open[0]] = r
 	c.open[open[0]] = false
@@ -158,15 +180,18 @@
 			if len(actions) != 1 {
 				t.Fatalf("%d actions at the deadline, want one Withdraw", len(actions))
 			}
-			w, ok := actions[0].(Withdraw)
-			if !ok {
-				t.Fatalf("%T, want Withdraw", actions[0])
+			w := actions[0]
+			if w.Op != OpWithdraw {
+				t.Fatalf("operation %d, want OpWithdraw", w.Op)
 			}
 			if !q.Next().Equal(plan.ConfirmBy) {
 				t.Fatalf("waits until %v, want %v", q.Next(), plan.ConfirmBy)
 			}
 			actions = q.Reply(plan.Deadline.Add(time.Millisecond), w.Attempt, &pb.SubReply{Result: c.word, Snapshot: plan.Snapshot})
-			out := actions[len(actions)-1].(Finish).Outcome
+			if last := actions[len(actions)-1]; last.Op == OpDecode {
+				actions = q.Decoded(plan.Deadline.Add(time.Millisecond), last.Attempt, nil, nil)
+			}
+			out := actions[len(actions)-1].Outcome
 			if out.Ran != c.ran || out.Unsure != c.unsure {
 				t.Fatalf("ran %v, unsure %v", out.Ran, out.Unsure)
 			}
@@ -178,7 +203,7 @@
 		q.Start(time.Unix(1000, 0))
 		q.Wake(plan.Deadline)
 		actions := q.Wake(plan.ConfirmBy)
-		if out := actions[len(actions)-1].(Finish).Outcome; !out.Unsure {
+		if out := actions[len(actions)-1].Outcome; !out.Unsure {
 			t.Fatal("an open attempt was taken for one that did not run")
 		}
 	})
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -1,6 +1,3 @@
-// Package query decides how one caller's request becomes sub-requests and an
-// answer: what to send where, when to send again, when to stop waiting, and
-// what the answer covers. Query is a pure state machine; Engine drives it.
 package query
 
 import (
@@ -13,253 +10,190 @@
 // maxAttempts bounds the sends of one shard's sub-request, refusals included.
 const maxAttempts = 4
 
-// Plan is what a query is to do, fixed before anything is sent.
-type Plan struct {
-	Kind      *contract.Kind
-	RequestID string
-	Body      []byte
-	// Snapshot is pinned: every sub-request carries it and a reply of another
-	// one is discarded.
-	Snapshot *pb.Snapshot
-	Shards   []*contract.Shard
-	// Deadline is when the caller's answer is due; SoftDeadline, when set, is
-	// when an answer at the coverage floor is given.
-	Deadline     time.Time
-	SoftDeadline time.Time
-	// ConfirmBy, when set, is after Deadline: until then the owners are asked to
-	// take back what is still open, and their word is waited for. It is for
-	// non-idempotent kinds, where "it never left the queue" is worth more than
-	// the time.
-	ConfirmBy time.Time
-}
-
-// Fleet is what a query may read of the world. Its methods are quick and have
-// no effect that a query waits for.
-type Fleet interface {
-	// Replica is the index of the best replica for a sub-request, NoReplica when
-	// there is none.
-	Replica(now time.Time, w Want) int
-	// Opened notes that a sub-request goes to an upstream.
-	Opened(now time.Time, u *contract.Upstream)
-	// HedgeDelay is how long to wait for a replica of the shard before asking
-	// another; sure is false when nothing is known and it is a guess.
-	HedgeDelay(now time.Time, shard *contract.Shard, replica int) (delay time.Duration, sure bool)
-	// Observe learns from the end of an attempt.
-	Observe(now time.Time, o Observation)
-	// Spend takes one extra sub-request from the kind's budget.
-	Spend(now time.Time, k *contract.Kind, cause Cause) bool
-}
-
-// NoReplica says that no replica can take a sub-request.
-const NoReplica = -1
-
-// Want is a sub-request in search of a replica.
-type Want struct {
-	Shard    *contract.Shard
-	Snapshot *pb.Snapshot
-	// Tried has bit i set when replica i was asked before.
-	Tried uint64
-	// Explore allows a replica of which nothing was heard for a while. It is
-	// for sub-requests that a hedge can save.
-	Explore bool
-}
-
-// Observation is the end of one attempt.
-type Observation struct {
-	Upstream *contract.Upstream
-	// Took is the time since it was sent.
-	Took time.Duration
-	// Reply is nil when the attempt was withdrawn: Took is then a lower bound.
-	Reply *pb.SubReply
-}
-
-// Cause is why a sub-request is sent.
-type Cause string
-
-// Causes of sends.
-const (
-	First Cause = "first"
-	Hedge Cause = "hedge"
-	Retry Cause = "retry"
-	// Redirect follows a refusal that did not run: no extra load upstream.
-	Redirect Cause = "redirect"
-)
-
-// Action is one thing the driver must do: Send, Cancel or Finish.
-type Action interface{ action() }
-
-// Send asks for one sub-request.
-type Send struct {
-	Attempt  AttemptID
-	Kind     *contract.Kind
-	Shard    *contract.Shard
-	Upstream *contract.Upstream
-	Cause    Cause
-}
-
-// Cancel withdraws an attempt whose answer is no longer wanted.
-type Cancel struct {
-	Attempt  AttemptID
-	Upstream *contract.Upstream
-}
-
-// Withdraw asks the owner to take an attempt back and goes on waiting for its
-// word: that it did not run, or what came of it.
-type Withdraw struct {
-	Attempt  AttemptID
-	Upstream *contract.Upstream
-}
-
-// Finish ends the query.
-type Finish struct{ Outcome *Outcome }
-
-func (Send) action()     {}
-func (Cancel) action()   {}
-func (Withdraw) action() {}
-func (Finish) action()   {}
-
-// AttemptID names an attempt within its query.
-type AttemptID struct {
-	Shard int
-	Try   int
-}
-
-// Outcome is what the shards gave.
-type Outcome struct {
-	Snapshot *pb.Snapshot
-	Shards   []ShardOutcome
-	// Documents are weights: answered and in the pinned map.
-	Covered, Total uint64
-	// Ran says that some sub-request ran; Unsure that some may have.
-	Ran, Unsure bool
-	// TimedOut says that the deadline ended the query.
-	TimedOut bool
-}
-
-// Coverage is the share of the documents answered, 0 to 1.
-func (o *Outcome) Coverage() float64 {
-	if o.Total == 0 {
-		return 0
-	}
-	return float64(o.Covered) / float64(o.Total)
-}
-
-// ShardOutcome is what one shard gave.
-type ShardOutcome struct {
-	Shard *contract.Shard
-	// Body is nil for a shard without an answer; Missing then says why.
-	Body    []byte
-	Missing Missing
-	// Attempts are every send, for explain.
-	Attempts []AttemptRecord
-}
-
-// Missing says why a shard gave nothing.
-type Missing string
-
-// Reasons for a missing shard.
-const (
-	MissingDeadline   Missing = "deadline"
-	MissingSoft       Missing = "soft_deadline"
-	MissingNoReplica  Missing = "no_replica"
-	MissingSnapshot   Missing = "snapshot_not_ready"
-	MissingShed       Missing = "shed"
-	MissingFailed     Missing = "failed"
-	MissingUnknown    Missing = "outcome_unknown"
-	MissingWrongIndex Missing = "wrong_snapshot"
-)
-
-// AttemptRecord is one send and how it ended.
-type AttemptRecord struct {
-	Upstream string        `json:"upstream"`
-	Cause    Cause         `json:"cause"`
-	Sent     time.Duration `json:"sent_ns"`
-	Took     time.Duration `json:"took_ns"`
-	Result   string        `json:"result"`
-}
-
 // Query is one request under way. It is not safe for concurrent use.
 type Query struct {
-	plan    *Plan
-	fleet   Fleet
-	started time.Time
-	shards  []shardState
-	open    int
-	covered uint64
-	total   uint64
-	ran     bool
-	unsure  bool
-	ended   bool
+	plan     *Plan
+	fleet    Fleet
+	started  time.Time
+	snapshot *pb.Snapshot
+	targets  []*contract.Shard
+	shards   []shardState
+	alarms   alarms
+	// open is the shards that are neither answered nor given up.
+	open     int
+	covered  uint64
+	total    uint64
+	ran      bool
+	unsure   bool
+	timedOut bool
+	// confirming says that the owners were asked to take back what is open.
+	confirming bool
+	ended      bool
 	// softPassed says that Wake has acted on the soft deadline: from then on
 	// each reply may end the query.
 	softPassed bool
-	// withdrawn says that the owners have been asked to take back what is open.
-	withdrawn bool
-	actions   []Action
+	restarts   []RestartRecord
+	tally      Tally
+	actions    []Action
 }
 
+// shardState is one shard of the query.
 type shardState struct {
 	attempts []attempt
-	body     []byte
+	hits     []Hit
 	missing  Missing
 	closed   bool
-	hedgeAt  time.Time
-	// guessed says that hedgeAt rests on nothing known.
+	// decoding is the answers being decoded; no hedge is sent meanwhile.
+	decoding int
+	// lacking says that a replica did not have the pinned snapshot.
+	lacking bool
+	// passing says that a replica failed for a reason that may be gone soon.
+	passing bool
+	// turn is when the shard is to be looked at, 0 for never: to send a hedge,
+	// or, when again is set, to try anew after a pause.
+	turn  time.Duration
+	again *next
+	// guessed says that turn rests on nothing known.
 	guessed bool
-	// tried has bit i set when replica i was asked.
-	tried uint64
+	// tried has bit i set when replica i was asked, standby when it was asked
+	// through its standby VM.
+	tried   uint64
+	standby uint64
+}
+
+// next is an attempt to come.
+type next struct {
+	cause Cause
+	// after is the result that a retry or redirect follows.
+	after pb.Result
+	// why the shard is missing when the attempt can't be made.
+	why Missing
+	// paid and refused say what its budget said, if it was asked.
+	paid, refused bool
 }
 
 type attempt struct {
-	upstream *contract.Upstream
 	replica  int
+	upstream *contract.Upstream
 	cause    Cause
-	sentAt   time.Time
-	took     time.Duration
-	result   pb.Result
-	open     bool
-}
+	// after is the result that a retry or redirect follows.
+	after   pb.Result
+	standby bool
+	sentAt  time.Duration
+	took    time.Duration
+	result  pb.Result
+	verdict verdict
+	open    bool
+	// wire and vm are where the driver sent it.
+	wire uint64
+	vm   string
+}
+
+// verdict is what became of a reply besides its result.
+type verdict uint8
+
+const (
+	taken verdict = iota
+	wrongSnapshot
+	malformed
+)
 
 // New makes a query that has sent nothing.
 func New(plan *Plan, fleet Fleet) *Query {
-	q := &Query{plan: plan, fleet: fleet, shards: make([]shardState, len(plan.Shards)), open: len(plan.Shards)}
-	for _, s := range plan.Shards {
+	q := &Query{plan: plan, fleet: fleet}
+	q.pin(plan.Map, plan.Snapshot)
+	return q
+}
+
+// pin sets the query up for a snapshot.
+func (q *Query) pin(m *contract.ShardMap, snapshot *pb.Snapshot) {
+	q.snapshot = snapshot
+	q.targets = q.plan.shardsOf(m)
+	q.shards = make([]shardState, len(q.targets))
+	room := make([]attempt, len(q.targets))
+	for i := range q.shards {
+		q.shards[i].attempts = room[i : i : i+1]
+	}
+	q.open = len(q.targets)
+	q.covered = 0
+	q.total = 0
+	for _, s := range q.targets {
 		q.total += s.Documents
 	}
-	return q
+	q.alarms = q.alarms[:0]
 }
 
 // Start sends the first sub-request of every shard.
 func (q *Query) Start(now time.Time) []Action {
 	q.started = now
-	q.actions = q.actions[:0]
-	for i := range q.shards {
-		q.send(now, i, First)
-	}
+	q.actions = make([]Action, 0, len(q.shards)+1)
+	q.fleet.Earn(q.plan.Kind, len(q.shards))
+	q.scatter(now, First)
 	q.settle(now)
 	return q.actions
 }
 
-// Reply takes the end of one attempt in.
+func (q *Query) scatter(now time.Time, cause Cause) {
+	for i := range q.shards {
+		if !q.send(now, i, &next{cause: cause}) {
+			q.giveUp(now, i, MissingNoReplica)
+		}
+	}
+}
+
+// Sent tells where an attempt went: its id on the wire and its VM.
+func (q *Query) Sent(id AttemptID, wire uint64, vm string) {
+	a := q.attempt(id)
+	a.wire = wire
+	a.vm = vm
+}
+
+// Reply takes the end of one attempt in. It never looks at the deadline: after
+// a pause of the process the replies that came meanwhile are all taken in
+// before Wake lets the time pass.
 func (q *Query) Reply(now time.Time, id AttemptID, r *pb.SubReply) []Action {
 	q.actions = q.actions[:0]
-	if q.ended {
+	if q.ended || id.Round != len(q.restarts) {
+		return nil
+	}
+	a := q.attempt(id)
+	if !a.open {
 		return nil
 	}
-	sh := &q.shards[id.Shard]
-	a := &sh.attempts[id.Try]
 	a.open = false
 	a.result = r.Result
-	a.took = now.Sub(a.sentAt)
+	a.took = q.since(now) - a.sentAt
 	q.note(r.Result)
-	q.fleet.Observe(now, Observation{Upstream: a.upstream, Took: a.took, Reply: r})
-	if !sh.closed {
+	q.fleet.Observe(now, Observation{Upstream: a.upstream, Snapshot: q.snapshot, Took: a.took, Reply: r})
+	if !q.shards[id.Shard].closed {
 		q.judge(now, id, r)
 	}
 	q.settle(now)
 	return q.actions
 }
 
+// Decoded takes the hits of an answer in, or that it could not be read.
+func (q *Query) Decoded(now time.Time, id AttemptID, hits []Hit, err error) []Action {
+	q.actions = q.actions[:0]
+	if q.ended || id.Round != len(q.restarts) || q.shards[id.Shard].closed {
+		return nil
+	}
+	sh := &q.shards[id.Shard]
+	sh.decoding--
+	if err != nil {
+		q.tally.Malformed++
+		q.attempt(id).verdict = malformed
+		q.again(now, id, next{cause: Retry, after: pb.Result_OK, why: MissingMalformed}, 0)
+	} else {
+		sh.hits = hits
+		q.covered += q.targets[id.Shard].Documents
+		q.close(now, id.Shard)
+		q.replanHedges()
+	}
+	q.settle(now)
+	return q.actions
+}
+
 // Wake lets time pass.
 func (q *Query) Wake(now time.Time) []Action {
 	q.actions = q.actions[:0]
@@ -267,12 +201,50 @@
 		return nil
 	}
 	if now.Before(q.plan.Deadline) {
-		q.hedge(now)
+		q.turns(now)
+	} else {
+		q.timedOut = true
+		q.deadline(now)
+	}
+	if soft := q.plan.SoftDeadline; !soft.IsZero() && !now.Before(soft) {
+		q.softPassed = true
 	}
 	q.settle(now)
 	return q.actions
 }
 
+// deadline gives up what is open. A query that has time to confirm first asks
+// the owners to take it back and waits for their word.
+func (q *Query) deadline(now time.Time) {
+	q.confirming = now.Before(q.plan.ConfirmBy)
+	q.stopWaiting(now, MissingDeadline)
+	if !q.confirming {
+		return
+	}
+	for i := range q.shards {
+		if !q.shards[i].closed {
+			q.takeBack(i)
+		}
+	}
+}
+
+func (q *Query) takeBack(shard int) {
+	sh := &q.shards[shard]
+	for try := range sh.attempts {
+		a := &sh.attempts[try]
+		if !a.open {
+			continue
+		}
+		q.actions = append(q.actions, Action{
+			Op:       OpWithdraw,
+			Attempt:  AttemptID{Round: len(q.restarts), Shard: shard, Try: try},
+			Upstream: a.upstream,
+			Wire:     a.wire,
+			VM:       a.vm,
+		})
+	}
+}
+
 // Abandon ends the query without an answer: its caller has gone.
 func (q *Query) Abandon(now time.Time) []Action {
 	q.actions = q.actions[:0]
@@ -282,24 +254,79 @@
 	return q.actions
 }
 
-// Next is when Wake is to be called; the zero time once the query has ended.
+// Next is when Wake is to be called; the zero time when no time passes for the
+// query any more.
 func (q *Query) Next() time.Time {
-	if q.ended {
+	switch {
+	case q.confirming:
+		return q.plan.ConfirmBy
+	case q.ended || q.timedOut:
 		return time.Time{}
 	}
-	if q.withdrawn {
-		return q.plan.ConfirmBy
+	at := q.plan.Deadline
+	if soft := q.plan.SoftDeadline; !soft.IsZero() && !q.softPassed && soft.Before(at) {
+		at = soft
 	}
-	next := q.plan.Deadline
-	if soft := q.plan.SoftDeadline; !soft.IsZero() && !q.softPassed && soft.Before(next) {
-		next = soft
+	if a, ok := q.nextAlarm(); ok {
+		if turn := q.started.Add(a.at); turn.Before(at) {
+			at = turn
+		}
 	}
-	for i := range q.shards {
-		if at := q.shards[i].hedgeAt; !at.IsZero() && at.Before(next) {
-			next = at
+	return at
+}
+
+// nextAlarm drops the alarms that were put off.
+func (q *Query) nextAlarm() (alarm, bool) {
+	for len(q.alarms) > 0 {
+		a := q.alarms[0]
+		if sh := &q.shards[a.shard]; !sh.closed && sh.turn == a.at {
+			return a, true
 		}
+		q.alarms.pop()
 	}
-	return next
+	return alarm{}, false
+}
+
+// turns looks at each shard whose turn has come.
+func (q *Query) turns(now time.Time) {
+	round := len(q.restarts)
+	for {
+		a, ok := q.nextAlarm()
+		if !ok || a.at > q.since(now) || round != len(q.restarts) {
+			return
+		}
+		q.alarms.pop()
+		q.shards[a.shard].turn = 0
+		q.turn(now, a.shard)
+	}
+}
+
+func (q *Query) turn(now time.Time, shard int) {
+	sh := &q.shards[shard]
+	waiting := sh.again
+	sh.again = nil
+	switch {
+	case waiting == nil:
+		q.hedge(now, shard)
+	case !q.send(now, shard, waiting):
+		q.giveUp(now, shard, waiting.why)
+	}
+}
+
+// wakeAt sets a shard's turn; 0 for none.
+func (q *Query) wakeAt(shard int, at time.Duration) {
+	q.shards[shard].turn = at
+	if at > 0 {
+		q.alarms.push(alarm{at: at, shard: shard})
+	}
+}
+
+func (q *Query) since(now time.Time) time.Duration {
+	return now.Sub(q.started)
+}
+
+func (q *Query) attempt(id AttemptID) *attempt {
+	return &q.shards[id.Shard].attempts[id.Try]
 }
 
 func (q *Query) note(r pb.Result) {
@@ -317,7 +344,7 @@
 	switch r {
 	case pb.Result_SHED, pb.Result_NOT_OWNER, pb.Result_NO_SNAPSHOT, pb.Result_QUEUE_FULL,
 		pb.Result_TOO_LATE, pb.Result_CANCELLED, pb.Result_UPSTREAM_LEAVING,
-		pb.Result_UNREACHABLE, pb.Result_VM_STOPPING:
+		pb.Result_UNREACHABLE, pb.Result_VM_STOPPING, pb.Result_OWNER_UNREACHABLE:
 		return true
 	default:
 		return false
@@ -326,234 +353,198 @@
 
 // judge decides what a reply means for its shard.
 func (q *Query) judge(now time.Time, id AttemptID, r *pb.SubReply) {
+	sh := &q.shards[id.Shard]
+	n := next{cause: Redirect, after: r.Result}
 	switch r.Result {
 	case pb.Result_OK:
-		if !sameSnapshot(r.Snapshot, q.plan.Snapshot) {
-			q.again(now, id.Shard, Retry, MissingWrongIndex)
-			return
-		}
-		q.answer(now, id, r)
+		q.answered(now, id, r)
+		return
 	case pb.Result_UPSTREAM_ERROR:
-		q.again(now, id.Shard, Retry, MissingFailed)
+		n.cause, n.why = Retry, MissingFailed
 	case pb.Result_NO_SNAPSHOT:
-		q.again(now, id.Shard, Redirect, MissingSnapshot)
+		sh.lacking = true
+		n.why = MissingSnapshot
 	case pb.Result_TOO_LATE:
-		q.again(now, id.Shard, Redirect, MissingDeadline)
-	case pb.Result_UNREACHABLE, pb.Result_NOT_OWNER, pb.Result_VM_STOPPING, pb.Result_UPSTREAM_LEAVING:
-		q.again(now, id.Shard, Redirect, MissingNoReplica)
+		n.why = MissingDeadline
+	case pb.Result_UNREACHABLE, pb.Result_OWNER_UNREACHABLE, pb.Result_NOT_OWNER, pb.Result_VM_STOPPING, pb.Result_UPSTREAM_LEAVING:
+		n.why = MissingNoReplica
 	case pb.Result_SHED, pb.Result_QUEUE_FULL, pb.Result_CANCELLED:
-		q.again(now, id.Shard, Redirect, MissingShed)
+		n.why = MissingShed
 	default:
-		q.again(now, id.Shard, Retry, MissingUnknown)
+		n.cause, n.why = Retry, MissingUnknown
 	}
-}
-
-func (q *Query) answer(now time.Time, id AttemptID, r *pb.SubReply) {
-	sh := &q.shards[id.Shard]
-	sh.body = r.Body
-	q.covered += q.plan.Shards[id.Shard].Documents
-	q.close(now, id.Shard)
-	q.replanHedges()
-}
-
-// again sends a shard's sub-request once more where that is safe and allowed,
-// else gives the shard up unless another attempt is still open.
-func (q *Query) again(now time.Time, shard int, cause Cause, why Missing) {
-	sh := &q.shards[shard]
-	safe := cause == Redirect || q.plan.Kind.Idempotent
-	if safe && len(sh.attempts) < maxAttempts && now.Before(q.plan.Deadline) {
-		if q.send(now, shard, cause) {
-			return
-		}
-	}
-	if !sh.anyOpen() {
-		sh.missing = why
-		q.close(now, shard)
+	if q.timedOut && n.cause == Redirect {
+		n.why = MissingDeadline
 	}
+	q.again(now, id, n, time.Duration(r.RetryAfterMs)*time.Millisecond)
 }
 
-// send starts an attempt at the best replica not yet tried.
-func (q *Query) send(now time.Time, shard int, cause Cause) bool {
-	sh := &q.shards[shard]
-	target := q.plan.Shards[shard]
-	replica := q.fleet.Replica(now, Want{
-		Shard:    target,
-		Snapshot: q.plan.Snapshot,
-		Tried:    sh.tried,
-		Explore:  cause == First && q.hedges(),
-	})
-	if replica == NoReplica {
-		if len(sh.attempts) == 0 {
-			sh.missing = MissingNoReplica
-			q.close(now, shard)
-		}
-		return false
-	}
-	if (cause == Hedge || cause == Retry) && !q.fleet.Spend(now, q.plan.Kind, cause) {
-		return false
-	}
-	id := AttemptID{Shard: shard, Try: len(sh.attempts)}
-	u := target.Replicas[replica]
-	q.fleet.Opened(now, u)
-	sh.tried |= 1 << replica
-	sh.attempts = append(sh.attempts, attempt{upstream: u, replica: replica, cause: cause, sentAt: now, open: true})
-	sh.hedgeAt = time.Time{}
-	if q.hedges() && cause != Hedge {
-		q.planHedge(now, shard, replica)
+// answered has a body decoded. A reply of another snapshot is discarded: were
+// it merged the answer would mix two states of the index.
+func (q *Query) answered(now time.Time, id AttemptID, r *pb.SubReply) {
+	sh := &q.shards[id.Shard]
+	if !sameSnapshot(r.Snapshot, q.snapshot) {
+		q.tally.WrongSnapshot++
+		q.attempt(id).verdict = wrongSnapshot
+		sh.lacking = true
+		q.again(now, id, next{cause: Retry, after: r.Result, why: MissingWrongIndex}, 0)
+		return
 	}
-	q.actions = append(q.actions, Send{Attempt: id, Kind: q.plan.Kind, Shard: target, Upstream: u, Cause: cause})
-	return true
+	sh.decoding++
+	q.actions = append(q.actions, Action{Op: OpDecode, Attempt: id, Body: r.Body})
 }
 
-func (q *Query) hedges() bool {
-	return q.plan.Kind.Idempotent && q.plan.Kind.HedgePercent > 0
-}
-
-func (q *Query) planHedge(sentAt time.Time, shard, replica int) {
+// giveUp ends a shard without an answer, unless the whole query can start again
+// at a snapshot that still serves.
+func (q *Query) giveUp(now time.Time, shard int, why Missing) {
 	sh := &q.shards[shard]
-	delay, sure := q.fleet.HedgeDelay(sentAt, q.plan.Shards[shard], replica)
-	sh.hedgeAt = sentAt.Add(delay)
-	sh.guessed = !sure
-}
-
-// replanHedges moves the hedges that were planned on a guess to where the
-// answers of the other shards of this very query now put them. It runs after a
-// half and after nine tenths of the answers, so that a query of many shards
-// does not look at each shard after each answer.
-func (q *Query) replanHedges() {
-	n := len(q.shards)
-	if answered := n - q.open; answered != (n+1)/2 && answered != n*9/10 {
+	if sh.closed {
 		return
 	}
-	for i := range q.shards {
-		sh := &q.shards[i]
-		if sh.closed || !sh.guessed || sh.hedgeAt.IsZero() {
-			continue
-		}
-		a := &sh.attempts[len(sh.attempts)-1]
-		q.planHedge(a.sentAt, i, a.replica)
-	}
-}
-
-// hedge sends a second sub-request for every shard that has waited too long.
-func (q *Query) hedge(now time.Time) {
-	for i := range q.shards {
-		sh := &q.shards[i]
-		if sh.closed || sh.hedgeAt.IsZero() || now.Before(sh.hedgeAt) {
-			continue
-		}
-		sh.hedgeAt = time.Time{}
-		if len(sh.attempts) < maxAttempts {
-			q.send(now, i, Hedge)
-		}
+	if sh.lacking && q.restart(now, shard) {
+		return
 	}
+	sh.missing = why
+	q.close(now, shard)
 }
 
 // close ends a shard and withdraws its open attempts.
 func (q *Query) close(now time.Time, shard int) {
 	sh := &q.shards[shard]
 	sh.closed = true
-	sh.hedgeAt = time.Time{}
+	sh.turn = 0
+	sh.again = nil
 	q.open--
+	q.withdraw(now, shard)
+}
+
+func (q *Query) withdraw(now time.Time, shard int) {
+	sh := &q.shards[shard]
 	for try := range sh.attempts {
-		if a := &sh.attempts[try]; a.open {
-			a.took = now.Sub(a.sentAt)
-			q.fleet.Observe(now, Observation{Upstream: a.upstream, Took: a.took})
-			q.actions = append(q.actions, Cancel{Attempt: AttemptID{Shard: shard, Try: try}, Upstream: a.upstream})
+		a := &sh.attempts[try]
+		if !a.open {
+			continue
 		}
+		a.took = q.since(now) - a.sentAt
+		q.fleet.Observe(now, Observation{Upstream: a.upstream, Snapshot: q.snapshot, Took: a.took})
+		q.actions = append(q.actions, Action{
+			Op:       OpCancel,
+			Attempt:  AttemptID{Round: len(q.restarts), Shard: shard, Try: try},
+			Upstream: a.upstream,
+			Wire:     a.wire,
+			VM:       a.vm,
+		})
 	}
 }
 
-// settle ends the query when nothing is open, the deadline has come, or an
-// early answer is good enough.
+// settle ends the query when nothing is open, or an early answer is good enough.
 func (q *Query) settle(now time.Time) {
-	switch {
-	case q.ended:
-	case q.open == 0:
+	if q.ended {
+		return
+	}
+	if q.open > 0 && q.softPassed && q.floorReached() {
+		q.stopWaiting(now, MissingSoft)
+	}
+	if q.open == 0 {
 		q.finish(now, MissingDeadline)
-	case !now.Before(q.plan.Deadline):
-		if !q.confirming(now) {
-			q.finish(now, MissingDeadline)
-		}
-	case q.softDue(now):
-		q.finish(now, MissingSoft)
 	}
 }
 
-// confirming asks the owners, once the deadline has passed, to take back what is
-// open, and tells whether their word is still waited for.
-func (q *Query) confirming(now time.Time) bool {
-	if !now.Before(q.plan.ConfirmBy) {
-		return false
-	}
-	if !q.withdrawn {
-		q.withdrawn = true
-		q.withdraw()
-	}
-	return true
+func (q *Query) floorReached() bool {
+	return float64(q.covered) >= q.plan.Kind.CoverageFloor*float64(q.total)
 }
 
-func (q *Query) withdraw() {
+// stopWaiting gives up every shard but those whose answer is here and is being
+// decoded: that takes no time of anybody else.
+func (q *Query) stopWaiting(now time.Time, why Missing) {
 	for i := range q.shards {
-		for try := range q.shards[i].attempts {
-			if a := &q.shards[i].attempts[try]; a.open && !q.shards[i].closed {
-				q.actions = append(q.actions, Withdraw{Attempt: AttemptID{Shard: i, Try: try}, Upstream: a.upstream})
-			}
+		sh := &q.shards[i]
+		if sh.closed || sh.decoding > 0 || (q.confirming && sh.anyOpen()) {
+			continue
 		}
+		sh.missing = why
+		q.unsure = q.unsure || sh.anyOpen()
+		q.close(now, i)
 	}
 }
 
-// softDue tells whether the soft deadline has passed with the floor reached.
-func (q *Query) softDue(now time.Time) bool {
-	soft := q.plan.SoftDeadline
-	if soft.IsZero() || now.Before(soft) {
-		return false
-	}
-	q.softPassed = true
-	return float64(q.covered) >= q.plan.Kind.CoverageFloor*float64(q.total)
-}
-
 func (q *Query) finish(now time.Time, why Missing) {
-	out := &Outcome{
-		Snapshot: q.plan.Snapshot,
-		Covered:  q.covered,
-		Total:    q.total,
-		TimedOut: q.open > 0 && why == MissingDeadline,
-	}
 	for i := range q.shards {
 		if sh := &q.shards[i]; !sh.closed {
 			sh.missing = why
 			q.unsure = q.unsure || sh.anyOpen()
 			q.close(now, i)
 		}
-		out.Shards = append(out.Shards, q.shardOutcome(i))
 	}
-	out.Ran = q.ran
-	out.Unsure = q.unsure
 	q.ended = true
-	q.actions = append(q.actions, Finish{Outcome: out})
+	q.confirming = false
+	q.actions = append(q.actions, Action{Op: OpFinish, Outcome: q.outcome()})
 }
 
-func (q *Query) shardOutcome(i int) ShardOutcome {
-	sh := &q.shards[i]
-	out := ShardOutcome{Shard: q.plan.Shards[i], Body: sh.body, Missing: sh.missing}
-	for _, a := range sh.attempts {
-		out.Attempts = append(out.Attempts, AttemptRecord{
+func (q *Query) outcome() *Outcome {
+	out := &Outcome{
+		Snapshot: q.snapshot,
+		Covered:  q.covered,
+		Total:    q.total,
+		Ran:      q.ran,
+		Unsure:   q.unsure,
+		Restarts: q.restarts,
+		Tally:    q.tally,
+		Shards:   make([]ShardOutcome, len(q.shards)),
+	}
+	room := make([]AttemptRecord, 0, len(q.shards))
+	for i := range q.shards {
+		sh := &q.shards[i]
+		from := len(room)
+		room = sh.record(room)
+		out.TimedOut = out.TimedOut || (q.timedOut && sh.missing == MissingDeadline)
+		out.Shards[i] = ShardOutcome{Shard: q.targets[i], Hits: sh.hits, Missing: sh.missing, Attempts: room[from:len(room):len(room)]}
+	}
+	return out
+}
+
+func (s *shardState) record(to []AttemptRecord) []AttemptRecord {
+	for i := range s.attempts {
+		a := &s.attempts[i]
+		to = append(to, AttemptRecord{
 			Upstream: a.upstream.ID,
 			Cause:    a.cause,
-			Sent:     a.sentAt.Sub(q.started),
+			Why:      s.why(i),
+			Standby:  a.standby,
+			Sent:     a.sentAt,
 			Took:     a.took,
 			Result:   a.label(),
 		})
 	}
-	return out
+	return to
+}
+
+// why explains an attempt.
+func (s *shardState) why(i int) string {
+	a := &s.attempts[i]
+	switch a.cause {
+	case First:
+		return ""
+	case Hedge:
+		return "no answer after " + (a.sentAt - s.attempts[0].sentAt).Round(time.Microsecond).String()
+	case Restart:
+		return "the snapshot retired"
+	default:
+		return "after " + label(a.after)
+	}
 }
 
 func (a *attempt) label() string {
-	if a.open {
+	switch {
+	case a.open:
 		return "withdrawn"
+	case a.verdict == wrongSnapshot:
+		return "ok, wrong snapshot"
+	case a.verdict == malformed:
+		return "ok, malformed"
+	default:
+		return label(a.result)
 	}
-	return a.result.String()
 }
 
 func (s *shardState) anyOpen() bool {
--- /dev/null
+++ b/internal/readiness/readiness_test.go
@@ -0,0 +1,140 @@
+package readiness
+
+import (
+	"testing"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/contract"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	v7    = Key{Generation: 1, Version: 7}
+	v8    = Key{Generation: 1, Version: 8}
+)
+
+func snapshot(k Key) *pb.Snapshot {
+	return &pb.Snapshot{Generation: k.Generation, Version: k.Version}
+}
+
+func TestFitness(t *testing.T) {
+	status := func(st pb.UpstreamState, keys ...Key) func(*State, time.Time) {
+		return func(s *State, now time.Time) {
+			msg := &pb.UpstreamStatus{State: st}
+			for _, k := range keys {
+				msg.Snapshots = append(msg.Snapshots, snapshot(k))
+			}
+			s.Status(now, msg)
+		}
+	}
+	reply := func(asked Key, r pb.Result, got Key) func(*State, time.Time) {
+		return func(s *State, now time.Time) {
+			s.Reply(now, asked, &pb.SubReply{Result: r, Snapshot: snapshot(got)})
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		events []func(*State, time.Time)
+		after  time.Duration
+		want   Fitness
+	}{
+		{name: "unknown", want: Ready},
+		{name: "ready with the snapshot", events: []func(*State, time.Time){status(pb.UpstreamState_READY, v7, v8)}, want: Ready},
+		{name: "ready without it", events: []func(*State, time.Time){status(pb.UpstreamState_READY, v7)}, want: Unfit},
+		{name: "ready, list not stated", events: []func(*State, time.Time){status(pb.UpstreamState_READY)}, want: Ready},
+		{name: "cold", events: []func(*State, time.Time){status(pb.UpstreamState_COLD, v8)}, want: Cold},
+		{name: "draining", events: []func(*State, time.Time){status(pb.UpstreamState_DRAINING, v8)}, want: Unfit},
+		{name: "draining and answering", events: []func(*State, time.Time){status(pb.UpstreamState_DRAINING), reply(v8, pb.Result_OK, v8)}, want: Unfit},
+		{name: "down", events: []func(*State, time.Time){status(pb.UpstreamState_DOWN)}, want: Down},
+		{name: "down and answering", events: []func(*State, time.Time){status(pb.UpstreamState_DOWN), reply(v8, pb.Result_OK, v8)}, want: Ready},
+		{name: "a status expires", events: []func(*State, time.Time){status(pb.UpstreamState_DRAINING)}, after: statusTTL, want: Ready},
+		{name: "refused for the snapshot", events: []func(*State, time.Time){reply(v8, pb.Result_NO_SNAPSHOT, Key{})}, want: Unfit},
+		{name: "refused for another snapshot", events: []func(*State, time.Time){reply(v7, pb.Result_NO_SNAPSHOT, Key{})}, want: Ready},
+		{name: "a refusal expires", events: []func(*State, time.Time){reply(v8, pb.Result_NO_SNAPSHOT, Key{})}, after: snapshotTTL, want: Ready},
+		{name: "a refusal outranks the lagging list", events: []func(*State, time.Time){reply(v8, pb.Result_NO_SNAPSHOT, Key{}), status(pb.UpstreamState_READY, v8)}, want: Unfit},
+		{name: "an answer outranks the lagging list", events: []func(*State, time.Time){status(pb.UpstreamState_READY, v7), reply(v8, pb.Result_OK, v8)}, want: Ready},
+		{name: "answered from another one", events: []func(*State, time.Time){reply(v8, pb.Result_OK, v7)}, want: Unfit},
+		{name: "said that it leaves", events: []func(*State, time.Time){reply(v8, pb.Result_UPSTREAM_LEAVING, Key{})}, want: Unfit},
+		{name: "unreachable", events: []func(*State, time.Time){reply(v8, pb.Result_UNREACHABLE, Key{})}, want: Down},
+		{name: "leaving is not undone by a lost connection", events: []func(*State, time.Time){reply(v8, pb.Result_UPSTREAM_LEAVING, Key{}), reply(v8, pb.Result_UNREACHABLE, Key{})}, after: time.Second, want: Unfit},
+		{name: "shed says nothing", events: []func(*State, time.Time){reply(v8, pb.Result_SHED, Key{})}, want: Ready},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s State
+			for _, e := range c.events {
+				e(&s, start)
+			}
+			if got := s.Fitness(start.Add(c.after), v8); got != c.want {
+				t.Errorf("fitness %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+func TestLessonsAreBounded(t *testing.T) {
+	var s State
+	for v := range uint64(100) {
+		s.Reply(start, Key{Version: v}, &pb.SubReply{Result: pb.Result_NO_SNAPSHOT})
+	}
+	if len(s.learned) > maxLearned {
+		t.Errorf("%d lessons are kept", len(s.learned))
+	}
+}
+
+// Symptom: after a version is published queries lose shards until every
+// upstream has loaded it.
+// Sequence: version 8 or map 2 is published; some replicas still lack it.
+// Cause: the newest published snapshot was pinned whoever served it.
+func TestChoose(t *testing.T) {
+	u := func(id string) *contract.Upstream { return &contract.Upstream{ID: id} }
+	a, b, c := u("a"), u("b"), u("c")
+	gone := &contract.Upstream{ID: "gone", Leaving: true}
+	shard := func(id uint32, docs uint64, r ...*contract.Upstream) *contract.Shard {
+		return &contract.Shard{ID: id, Documents: docs, Replicas: r}
+	}
+	one := &contract.ShardMap{Generation: 1, Versions: []uint64{7, 8}, Documents: 100,
+		Shards: []*contract.Shard{shard(0, 60, a, b), shard(1, 40, b, c, gone)}}
+	two := &contract.ShardMap{Generation: 2, Versions: []uint64{8}, Documents: 100,
+		Shards: []*contract.Shard{shard(0, 100, c)}}
+	g2 := Key{Generation: 2, Version: 8}
+	type lack struct {
+		id  string
+		key Key
+	}
+	for _, tc := range []struct {
+		name  string
+		maps  []*contract.ShardMap
+		lacks map[lack]Fitness
+		want  Key
+		whole bool
+		none  bool
+	}{
+		{name: "nothing known: the newest", maps: []*contract.ShardMap{one}, want: v8, whole: true},
+		{name: "one replica is enough", maps: []*contract.ShardMap{one}, lacks: map[lack]Fitness{{"a", v8}: Unfit, {"c", v8}: Unfit}, want: v8, whole: true},
+		{name: "a shard lacks the newest", maps: []*contract.ShardMap{one}, lacks: map[lack]Fitness{{"a", v8}: Unfit, {"b", v8}: Unfit}, want: v7, whole: true},
+		{name: "the new map is not ready", maps: []*contract.ShardMap{one, two}, lacks: map[lack]Fitness{{"c", g2}: Unfit}, want: v8, whole: true},
+		{name: "the new map is ready", maps: []*contract.ShardMap{one, two}, want: g2, whole: true},
+		{name: "cold serves", maps: []*contract.ShardMap{two}, lacks: map[lack]Fitness{{"c", g2}: Cold}, want: g2, whole: true},
+		{name: "a shard is lost in all: what covers most", maps: []*contract.ShardMap{one},
+			lacks: map[lack]Fitness{{"a", v8}: Unfit, {"b", v8}: Unfit, {"b", v7}: Unfit, {"c", v7}: Unfit}, want: v7},
+		{name: "everything down: the newest is tried", maps: []*contract.ShardMap{two}, lacks: map[lack]Fitness{{"c", g2}: Down}, want: g2, whole: true},
+		{name: "nobody serves", maps: []*contract.ShardMap{two}, lacks: map[lack]Fitness{{"c", g2}: Unfit}, none: true},
+		{name: "no map", none: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			choice, ok := Choose(&contract.Service{Maps: tc.maps}, func(u *contract.Upstream, k Key) Fitness {
+				if f, ok := tc.lacks[lack{u.ID, k}]; ok {
+					return f
+				}
+				return Ready
+			})
+			if ok == tc.none {
+				t.Fatalf("ok is %v", ok)
+			}
+			if ok && (KeyOf(choice.Snapshot) != tc.want || choice.Whole != tc.whole) {
+				t.Errorf("pinned %v, whole %v; want %v, %v", choice.Snapshot, choice.Whole, tc.want, tc.whole)
+			}
+		})
+	}
+}
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -10,6 +10,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/latency"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/query"
+	"sycamorekeel.example/sycamorekeel/internal/readiness"
 )
 
 // Hedge delays.
@@ -42,6 +43,10 @@
 // and the mean tell no finer difference.
 const alike = 1.2
 
+// coldFactor is how much slower a cold replica is taken to be: it gets work when
+// the others are busy, or nothing was heard of it for a while.
+const coldFactor = 4
+
 // maxReplicas is how many replicas of a shard are looked at; query.Want has a
 // bit for each.
 const maxReplicas = 64
@@ -51,6 +56,7 @@
 	mu    sync.Mutex
 	times latency.Tracker
 	tail  tail
+	ready readiness.State
 	// open is the sub-requests outstanding from here; sent counts them all.
 	open int
 	sent uint64
@@ -96,10 +102,13 @@
 	sent    uint64
 	known   bool
 	explore bool
+	cold    bool
 }
 
 // Replica is the replica expected to answer first: the one with the least mean
-// time for each sub-request open from here. Those that are alike take turns.
+// time for each sub-request open from here. Those that are alike take turns. One
+// that is down is asked only when there is no other, one that drains or lacks
+// the snapshot never.
 func (r *Router) Replica(now time.Time, w query.Want) int {
 	var room [8]candidate
 	list := r.candidates(now, w, room[:0])
@@ -120,21 +129,38 @@
 }
 
 func (r *Router) candidates(now time.Time, w query.Want, list []candidate) []candidate {
+	key := readiness.KeyOf(w.Snapshot)
+	best := readiness.Down
 	for i, u := range w.Shard.Replicas[:min(len(w.Shard.Replicas), maxReplicas)] {
 		if u.Leaving || w.Tried&(1<<i) != 0 {
 			continue
 		}
-		st := r.upstream(u.ID)
-		st.mu.Lock()
-		c := candidate{index: i, open: st.open, sent: st.sent, known: st.times.Mean() > 0}
-		c.cost = float64(st.times.Mean()) * float64(st.open+1)
-		c.explore = !st.exploreAt.IsZero() && !now.Before(st.exploreAt)
-		st.mu.Unlock()
+		c, fitness := r.upstream(u.ID).candidate(now, i, key)
+		if fitness < best {
+			continue
+		}
+		if best == readiness.Down && fitness > best {
+			best = readiness.Cold
+			list = list[:0]
+		}
 		list = append(list, c)
 	}
 	return list
 }
 
+func (s *upstreamState) candidate(now time.Time, index int, key readiness.Key) (candidate, readiness.Fitness) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := candidate{index: index, open: s.open, sent: s.sent, known: s.times.Mean() > 0}
+	c.cost = float64(s.times.Mean()) * float64(s.open+1)
+	c.explore = !s.exploreAt.IsZero() && !now.Before(s.exploreAt)
+	fitness := s.ready.Fitness(now, key)
+	if fitness == readiness.Cold {
+		c.cold = true
+	}
+	return c, fitness
+}
+
 // choose takes the least cost; an unknown replica costs as little as the best
 // known one for each sub-request open.
 func (r *Router) choose(list []candidate, explore bool) candidate {
@@ -150,6 +176,9 @@
 		if !list[i].known {
 			list[i].cost = max(least, 1) * float64(list[i].open+1)
 		}
+		if list[i].cold {
+			list[i].cost *= coldFactor
+		}
 		if i == 0 || list[i].cost < best {
 			best = list[i].cost
 		}
@@ -241,6 +270,9 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.open = max(0, st.open-1)
+	if o.Reply != nil && st.ready.Reply(now, readiness.KeyOf(o.Snapshot), o.Reply) {
+		r.changes.Add(1)
+	}
 	switch {
 	case answered:
 		st.times.Observe(now, o.Took)
--- a/internal/router/replica_test.go
+++ b/internal/router/replica_test.go
@@ -12,7 +12,10 @@
 
 const ms = time.Millisecond
 
-var start = time.Unix(1000, 0)
+var (
+	start   = time.Unix(1000, 0)
+	pinned7 = &pb.Snapshot{Generation: 1, Version: 7}
+)
 
 func shardOf(replicas int) *contract.Shard {
 	s := &contract.Shard{ID: 1, Documents: 10}
@@ -25,14 +28,14 @@
 // trial is one sub-request to a fleet where each replica has a fixed time and
 // a hedge withdraws what takes longer than patience.
 func trial(r *Router, now time.Time, s *contract.Shard, times []time.Duration, patience time.Duration) int {
-	i := r.Replica(now, query.Want{Shard: s, Explore: true})
+	i := r.Replica(now, query.Want{Shard: s, Snapshot: pinned7, Explore: true})
 	u := s.Replicas[i]
 	r.Opened(now, u)
 	if times[i] > patience {
 		r.Observe(now.Add(patience), query.Observation{Upstream: u, Took: patience})
 		return i
 	}
-	r.Observe(now.Add(times[i]), query.Observation{Upstream: u, Took: times[i], Reply: &pb.SubReply{Result: pb.Result_OK}})
+	r.Observe(now.Add(times[i]), query.Observation{Upstream: u, Took: times[i], Snapshot: pinned7, Reply: &pb.SubReply{Result: pb.Result_OK, Snapshot: pinned7}})
 	return i
 }
 
@@ -88,7 +91,7 @@
 	}
 	answer := func(u *contract.Upstream, d time.Duration) {
 		for range 20 {
-			r.Observe(start, query.Observation{Upstream: u, Took: d, Reply: &pb.SubReply{Result: pb.Result_OK}})
+			r.Observe(start, query.Observation{Upstream: u, Took: d, Snapshot: pinned7, Reply: &pb.SubReply{Result: pb.Result_OK, Snapshot: pinned7}})
 		}
 	}
 	answer(&contract.Upstream{ID: "search/9", Service: "search"}, 6*ms)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,7 +1,7 @@
-// Package router tells a query where its sub-requests go: which replica, which
-// owner VM, and over which way. It holds what this VM knows of the fleet.
+// Package router tells a query where its sub-requests go: which snapshot, which
+// replica, and through which VM. It holds what this VM knows of the fleet.
 //
-// Lock order: Router.mu, upstreamState.mu and pool.mu are leaves: each is held
+// Lock order: upstreamState.mu, pool.mu and budgets.mu are leaves: each is held
 // alone and none across a send. There is one upstreamState for each upstream, so
 // that no sub-request waits for one to another upstream.
 package router
@@ -9,7 +9,6 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -50,13 +49,15 @@
 	opts  Options
 	turn  uint64
 	world atomic.Pointer[world]
+	// changes counts what was learned of the upstreams' readiness.
+	changes atomic.Uint64
 
-	// upstreams holds *upstreamState by id, services the *pool of each.
+	// upstreams holds *upstreamState by id; services the *pool and pins the
+	// *pin of each service by name; budgets the *budgets by budgetKey.
 	upstreams sync.Map
 	services  sync.Map
-
-	mu      sync.Mutex
-	budgets map[budgetKey]*budgets
+	pins      sync.Map
+	budgets   sync.Map
 }
 
 // world is what the router routes by; it is replaced as a whole.
@@ -65,13 +66,9 @@
 	table *ownership.Table
 }
 
-type budgetKey struct{ customer, kind string }
-
-type budgets struct{ hedge, retry *retry.Budget }
-
 // New makes a router that knows no VM.
 func New(opts Options) *Router {
-	r := &Router{opts: opts, turn: turnOf(opts.VM), budgets: map[budgetKey]*budgets{}}
+	r := &Router{opts: opts, turn: turnOf(opts.VM)}
 	r.world.Store(&world{view: &membership.View{}, table: ownership.Assign(nil, nil)})
 	return r
 }
@@ -81,54 +78,34 @@
 	r.world.Store(&world{view: view, table: table})
 }
 
-// Spend takes one extra sub-request from the kind's budget.
-func (r *Router) Spend(_ time.Time, k *contract.Kind, cause query.Cause) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	b := r.budget(k.Customer, k.Name)
-	if cause == query.Hedge {
-		return b.hedge.Spend()
-	}
-	return b.retry.Spend()
-}
-
-// Send carries a sub-request to the owner of its upstream.
-func (r *Router) Send(s *query.Send, req *pb.SubRequest) {
-	r.noteSend(s, req)
+// Send carries a sub-request to the owner of its upstream, or to the standby.
+func (r *Router) Send(a *query.Action, f *pb.Frame) string {
+	req := f.GetRequest()
 	if r.opts.Direct {
 		r.local(req)
-		return
+		return r.opts.VM
 	}
 	w := r.world.Load()
-	place := w.table.Place(s.Upstream.ID)
-	if r.sendTo(w, place.Owner, req) || r.sendTo(w, place.Standby, req) {
-		return
+	place := w.table.Place(a.Upstream.ID)
+	vm := place.Owner
+	if a.Standby {
+		vm = place.Standby
 	}
-	r.opts.Deliver(&pb.SubReply{Id: req.Id, Result: pb.Result_UNREACHABLE})
-}
-
-func (r *Router) noteSend(s *query.Send, req *pb.SubRequest) {
-	if s.Cause != query.First {
-		return
+	if r.sendTo(w, vm, f) {
+		return vm
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	b := r.budget(req.Customer, req.Kind)
-	b.hedge.Earn(1, s.Kind.HedgePercent)
-	b.retry.Earn(1, s.Kind.RetryPercent)
+	r.opts.Deliver(&pb.SubReply{Id: req.Id, Result: pb.Result_OWNER_UNREACHABLE})
+	return ""
 }
 
 // sendTo is true when the VM took the sub-request, or may have.
-func (r *Router) sendTo(w *world, vm string, req *pb.SubRequest) bool {
+func (r *Router) sendTo(w *world, vm string, f *pb.Frame) bool {
 	if vm == r.opts.VM {
-		r.local(req)
+		r.local(f.GetRequest())
 		return true
 	}
 	m, ok := w.view.Find(vm)
-	if !ok {
-		return false
-	}
-	return r.opts.Peers.Send(m.PeerAddress, &pb.Frame{Body: &pb.Frame_Request{Request: req}})
+	return ok && r.opts.Peers.Send(m.PeerAddress, f)
 }
 
 func (r *Router) local(req *pb.SubRequest) {
@@ -139,25 +116,57 @@
 	return dispatch.Key{VM: r.opts.VM, Incarnation: r.opts.Incarnation, ID: id}
 }
 
-// Cancel withdraws a sub-request wherever it was sent.
-func (r *Router) Cancel(c *query.Cancel, id uint64) {
-	w := r.world.Load()
-	place := w.table.Place(c.Upstream.ID)
-	if r.opts.Direct || place.Owner == r.opts.VM {
-		r.opts.Owner.Cancel(r.key(id), c.Upstream.ID)
+// Cancel withdraws a sub-request from the VM it was sent to. The upstream may
+// have another owner by now: asked there, the cancel would find nothing and the
+// sub-request would keep its slot.
+func (r *Router) Cancel(vm, upstream string, id uint64) {
+	if vm == r.opts.VM {
+		r.opts.Owner.Cancel(r.key(id), upstream)
 		return
 	}
-	if m, ok := w.view.Find(place.Owner); ok {
-		r.opts.Peers.Send(m.PeerAddress, &pb.Frame{Body: &pb.Frame_Cancel{Cancel: &pb.Cancel{Id: id, Upstream: c.Upstream.ID}}})
+	if m, ok := r.world.Load().view.Find(vm); ok {
+		r.opts.Peers.Send(m.PeerAddress, &pb.Frame{Body: &pb.Frame_Cancel{Cancel: &pb.Cancel{Id: id, Upstream: upstream}}})
+	}
+}
+
+type budgetKey struct{ customer, kind string }
+
+// budgets are those of one customer and kind.
+type budgets struct {
+	mu           sync.Mutex
+	hedge, retry *retry.Budget
+}
+
+// Earn adds what n first sub-requests allow to the kind's budgets.
+func (r *Router) Earn(k *contract.Kind, n int) {
+	b := r.budget(k)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hedge.SetPercent(k.HedgePercent)
+	b.retry.SetPercent(k.RetryPercent)
+	b.hedge.Earn(n)
+	b.retry.Earn(n)
+}
+
+// Spend takes one extra sub-request from the kind's budget.
+func (r *Router) Spend(k *contract.Kind, cause query.Cause) bool {
+	b := r.budget(k)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if cause == query.Hedge {
+		return b.hedge.Spend()
 	}
+	return b.retry.Spend()
 }
 
-func (r *Router) budget(customer, kind string) *budgets {
-	key := budgetKey{customer, kind}
-	b := r.budgets[key]
-	if b == nil {
-		b = &budgets{hedge: retry.NewBudget(), retry: retry.NewBudget()}
-		r.budgets[key] = b
+func (r *Router) budget(k *contract.Kind) *budgets {
+	key := budgetKey{k.Customer, k.Name}
+	if b, ok := r.budgets.Load(key); ok {
+		return b.(*budgets)
 	}
-	return b
+	b, _ := r.budgets.LoadOrStore(key, &budgets{
+		hedge: retry.NewBudget(k.HedgePercent),
+		retry: retry.NewBudget(k.RetryPercent),
+	})
+	return b.(*budgets)
 }
