--- a/internal/query/again.go
+++ b/internal/query/again.go
@@ -219,6 +219,8 @@
 		}
 	}
 	q.restarts = append(q.restarts, rec)
+	// The callers up the stack still hold shards of the former round.
+	q.memory = &memory{}
 	q.pin(m, snapshot)
 	q.scatter(now, Restart)
 	return true
--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -112,6 +112,7 @@
 	bodies chan struct{}
 	mu     sync.Mutex
 	raw    []rawBody
+	spare  []rawBody
 }
 
 // rawBody is an answer to decode.
@@ -144,12 +145,14 @@
 func (r *running) decode() []decodedBody {
 	r.mu.Lock()
 	raw := r.raw
-	r.raw = nil
+	r.raw, r.spare = r.spare[:0], nil
 	r.mu.Unlock()
 	out := make([]decodedBody, len(raw))
 	for i, b := range raw {
 		hits, err := DecodeHits(b.body)
 		out[i] = decodedBody{attempt: b.attempt, hits: hits, err: err}
 	}
+	clear(raw)
+	r.spare = raw
 	return out
 }
--- a/internal/query/loop.go
+++ b/internal/query/loop.go
@@ -34,6 +34,8 @@
 	byID      map[uint64]awaited
 	withdrawn recent
 	timers    timerHeap
+	// spare is the memory of ended queries.
+	spare []*memory
 
 	mu     sync.Mutex
 	inbox  []mail
@@ -97,6 +99,7 @@
 	now := l.engine.opts.Now()
 	switch {
 	case m.start != nil:
+		m.start.query.use(l.memory())
 		l.apply(m.start, now, m.start.query.Start(now))
 	case m.abandon != nil:
 		l.apply(m.abandon, now, m.abandon.query.Abandon(now))
@@ -135,6 +138,7 @@
 }
 
 func (l *loop) apply(r *running, now time.Time, actions []Action) {
+	ended := false
 	for i := range actions {
 		switch a := &actions[i]; a.Op {
 		case OpSend:
@@ -148,9 +152,32 @@
 		case OpFinish:
 			l.engine.opts.Metrics.finished(a.Outcome)
 			r.finished <- a.Outcome
+			ended = true
 		}
 	}
 	l.schedule(r)
+	if ended {
+		l.keep(r.query.release())
+	}
+}
+
+// maxSpare bounds the memory kept for queries to come.
+const maxSpare = 32
+
+func (l *loop) memory() *memory {
+	n := len(l.spare)
+	if n == 0 {
+		return &memory{}
+	}
+	m := l.spare[n-1]
+	l.spare = l.spare[:n-1]
+	return m
+}
+
+func (l *loop) keep(m *memory) {
+	if len(l.spare) < maxSpare {
+		l.spare = append(l.spare, m)
+	}
 }
 
 // outgoing is a sub-request with its frame in one piece of memory.
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -35,6 +35,27 @@
 	restarts   []RestartRecord
 	tally      Tally
 	actions    []Action
+	// memory is what the slices above were cut from.
+	memory *memory
+}
+
+// memory is the slices of one query, kept for the next one on the same worker:
+// at hundreds of shards a query they are most of what it allocates.
+type memory struct {
+	shards   []shardState
+	attempts []attempt
+	alarms   alarms
+	actions  []Action
+}
+
+// cut gives n zeroed elements of a slice that is kept, growing it as needed.
+func cut[T any](kept *[]T, n int) []T {
+	if cap(*kept) < n {
+		*kept = make([]T, n)
+	}
+	out := (*kept)[:n]
+	clear(out)
+	return out
 }
 
 // shardState is one shard of the query.
@@ -100,17 +121,33 @@
 
 // New makes a query that has sent nothing.
 func New(plan *Plan, fleet Fleet) *Query {
-	q := &Query{plan: plan, fleet: fleet}
-	q.pin(plan.Map, plan.Snapshot)
-	return q
+	return &Query{plan: plan, fleet: fleet}
+}
+
+// use gives the query slices to work in; release takes them back when it has
+// ended, after which only its late events may reach the query.
+func (q *Query) use(m *memory) { q.memory = m }
+
+func (q *Query) release() *memory {
+	m := q.memory
+	if m == nil {
+		return nil
+	}
+	m.alarms = q.alarms[:0]
+	m.actions = q.actions[:0]
+	clear(m.shards)
+	clear(m.attempts)
+	clear(m.actions[:cap(m.actions)])
+	q.memory, q.shards, q.alarms, q.actions = nil, nil, nil, nil
+	return m
 }
 
 // pin sets the query up for a snapshot.
 func (q *Query) pin(m *contract.ShardMap, snapshot *pb.Snapshot) {
 	q.snapshot = snapshot
 	q.targets = q.plan.shardsOf(m)
-	q.shards = make([]shardState, len(q.targets))
-	room := make([]attempt, len(q.targets))
+	q.shards = cut(&q.memory.shards, len(q.targets))
+	room := cut(&q.memory.attempts, len(q.targets))
 	for i := range q.shards {
 		q.shards[i].attempts = room[i : i : i+1]
 	}
@@ -126,7 +163,12 @@
 // Start sends the first sub-request of every shard.
 func (q *Query) Start(now time.Time) []Action {
 	q.started = now
-	q.actions = make([]Action, 0, len(q.shards)+1)
+	if q.memory == nil {
+		q.memory = &memory{}
+	}
+	q.alarms = q.memory.alarms
+	q.actions = q.memory.actions[:0]
+	q.pin(q.plan.Map, q.plan.Snapshot)
 	q.fleet.Earn(q.plan.Kind, len(q.shards))
 	q.scatter(now, First)
 	q.settle(now)
