Send answers over 64 KiB across peers in chunks, checked and in turns

Cause: an answer crossed in one frame. A batch of large ones exceeded the transport's 4 MiB and ended the stream with all that waited on it; one of a few MiB held up every small answer behind it.

The reader joins them in bounded memory; a foreign, repeated, contradicting or wrong chunk is dropped and counted, and the shard fails as unknown where its answer can no longer be whole.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -45,12 +45,14 @@
 
 // Pool is the streams this daemon dialled, by peer address.
 type Pool struct {
-	opts   Options
-	log    *zap.Logger
-	met    *metrics
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	opts Options
+	log  *zap.Logger
+	met  *metrics
+	// chunkMet counts the dropped chunks.
+	chunkMet *chunkMetrics
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 
 	mu       sync.Mutex
 	links    map[string]*link
@@ -62,13 +64,14 @@
 func NewPool(opts Options) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
-		opts:    opts,
-		log:     opts.Log,
-		met:     newMetrics(opts.Registry),
-		ctx:     ctx,
-		cancel:  cancel,
-		links:   map[string]*link{},
-		retryAt: map[string]time.Time{},
+		opts:     opts,
+		log:      opts.Log,
+		met:      newMetrics(opts.Registry),
+		chunkMet: newChunkMetrics(opts.Registry),
+		ctx:      ctx,
+		cancel:   cancel,
+		links:    map[string]*link{},
+		retryAt:  map[string]time.Time{},
 	}
 }
 
@@ -98,7 +101,7 @@
 	if p.shutdown || time.Now().Before(p.retryAt[address]) {
 		return nil
 	}
-	l := &link{pool: p, address: address, out: newOutbox(), waiting: map[uint64]*pb.Frame{}}
+	l := &link{pool: p, address: address, out: newOutbox(), chunks: newJoiner(), waiting: map[uint64]*pb.Frame{}}
 	p.links[address] = l
 	p.done.Add(1)
 	go l.run()
@@ -128,6 +131,8 @@
 	pool    *Pool
 	address string
 	out     *outbox
+	// chunks belongs to the reader.
+	chunks *joiner
 
 	mu sync.Mutex
 	// waiting holds the written frames whose reply is outstanding, by id.
@@ -213,8 +218,9 @@
 		if err != nil {
 			return err
 		}
-		l.settle(batch.Frames)
-		for _, f := range batch.Frames {
+		frames := l.join(batch.Frames)
+		l.settle(frames)
+		for _, f := range frames {
 			l.pool.opts.Receiver.Frame(l.address, f)
 		}
 	}
@@ -264,8 +270,7 @@
 func replyID(f *pb.Frame) (uint64, bool) {
 	switch b := f.Body.(type) {
 	case *pb.Frame_Reply:
-		whole := b.Reply.Offset+uint64(len(b.Reply.Body)) >= b.Reply.Length
-		return b.Reply.Id, whole
+		return b.Reply.Id, true
 	case *pb.Frame_ForwardReply:
 		return b.ForwardReply.Id, true
 	case *pb.Frame_ConfigDocuments:
