--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -223,7 +223,7 @@
 	}
 	shard := string(ctx.Request.Header.Peek(upstream.HeaderShard))
 	ctx.Response.Header.Set(upstream.HeaderSnapshot, snapshot)
-	ctx.SetBody(u.hits(shard, &b))
+	ctx.SetBody(u.hits(shard, snapshot, &b))
 }
 
 // wait spends the service time; false when the request was cancelled or its
@@ -283,13 +283,13 @@
 	return time.Duration(t)
 }
 
-func (u *Upstream) hits(shard string, b *Behaviour) []byte {
+func (u *Upstream) hits(shard, snapshot string, b *Behaviour) []byte {
 	var h query.Hits
 	for i := range b.Hits {
 		h.Hits = append(h.Hits, query.Hit{
 			ID:     "doc-" + shard + "-" + strconv.Itoa(i),
 			Score:  1 / float64(i+1),
-			Fields: json.RawMessage(fmt.Sprintf(`{"shard":%q}`, shard)),
+			Fields: json.RawMessage(fmt.Sprintf(`{"shard":%q,"snapshot":%q}`, shard, snapshot)),
 		})
 	}
 	body, _ := json.Marshal(h)
