End a query over a lost shard without waiting for the owner's back-off

Cause: a query whose shard had no replica that could be reached paused for the owner's retry_after before each further try.

--- a/internal/fleet/query_test.go
+++ b/internal/fleet/query_test.go
@@ -20,9 +20,9 @@
 	"sycamorekeel.example/sycamorekeel/internal/standin"
 )
 
-// searches is a customer with a scattered kind over three shards of two replicas
+// scattered is a customer with a scattered kind over three shards of two replicas
 // each; shard i is at upstreams a<i> and b<i>.
-func searches() string {
+func scattered() string {
 	var b strings.Builder
 	b.WriteString(`
 [[customers]]
@@ -79,7 +79,7 @@
 func startSearches() *searcher {
 	f, err := fleet.Start(fleet.Options{
 		Log:         zap.NewNop(),
-		Documents:   map[string]string{"lease": searches()},
+		Documents:   map[string]string{"lease": scattered()},
 		VMs:         3,
 		DataCentres: []string{"d1", "d2", "d3"},
 		Seed:        5,
--- a/internal/query/again.go
+++ b/internal/query/again.go
@@ -132,10 +132,12 @@
 	return true
 }
 
-// passing tells whether the reason of a failure may be gone after a pause.
+// passing tells whether the reason of a failure may be gone after a pause. An
+// upstream that could not be reached is no such case: waiting for it would hold
+// every query over a lost shard up for the owner's whole back-off.
 func passing(r pb.Result) bool {
 	switch r {
-	case pb.Result_TOO_LATE, pb.Result_NO_SNAPSHOT, pb.Result_UPSTREAM_LEAVING:
+	case pb.Result_TOO_LATE, pb.Result_NO_SNAPSHOT, pb.Result_UPSTREAM_LEAVING, pb.Result_UNREACHABLE:
 		return false
 	default:
 		return true
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -55,6 +55,7 @@
 		{name: "the budget has one retry", result: pb.Result_UPSTREAM_ERROR, retries: 1, sent: 2, why: MissingFailed},
 		{name: "the budget is used up", result: pb.Result_UNKNOWN, sent: 1, why: MissingUnknown},
 		{name: "leaving", result: pb.Result_UPSTREAM_LEAVING, sent: 2, why: MissingNoReplica},
+		{name: "no replica can be reached", result: pb.Result_UNREACHABLE, sent: 2, why: MissingNoReplica},
 		{name: "too late", result: pb.Result_TOO_LATE, sent: 2, why: MissingDeadline},
 		{name: "no snapshot and none to restart at", result: pb.Result_NO_SNAPSHOT, sent: 2, why: MissingSnapshot},
 	} {
@@ -64,7 +65,7 @@
 			r.start()
 			r.answer("1a", v7)
 			for _, u := range []string{"0a", "0b"}[:c.sent] {
-				r.fail(u, c.result)
+				r.reply(u, &pb.SubReply{Result: c.result, RetryAfterMs: 20})
 			}
 			out := r.wantEnd(10, c.why, "")
 			if out.TimedOut || out.Coverage() != 0.5 {
