Share fleets between the tests of lost outcomes

Cause: a fleet takes two seconds to start and two to five to stop, and each case started one.

Change: cases that leave the streams whole share a fleet, and wait until a payment gets through before they begin.

--- a/internal/fleet/once_test.go
+++ b/internal/fleet/once_test.go
@@ -222,7 +222,7 @@
 	for _, u := range d.Upstreams {
 		u.Close()
 	}
-	Eventually(func() refusal.Ran { return d.send(0, d.operations(0, 1)[0], 0).err.Ran }).
+	Eventually(func() refusal.Ran { return d.send(1, d.operations(1, 1)[0], 0).err.Ran }).
 		WithTimeout(10 * time.Second).Should(Equal(refusal.NotRun))
 }
 
@@ -252,9 +252,17 @@
 
 const soon = 300 * time.Millisecond
 
-var _ = Describe("a non-idempotent request", func() {
+// settled waits until a payment gets through: the fault before is over.
+func (d *deployment) settled(vm int) {
+	Eventually(func() string { return d.send(vm, d.operations(vm, 1)[0], 0).String() }).
+		WithTimeout(20 * time.Second).Should(Equal("answered"))
+}
+
+// The cases share one fleet, as each start takes seconds; the last ones leave
+// parts of it stopped.
+var _ = Describe("a non-idempotent request", Ordered, func() {
 	var d *deployment
-	BeforeEach(func() { d = startPayments() })
+	BeforeAll(func() { d = startPayments() })
 
 	// Symptom: a payment is made twice.
 	// Sequence: the answer is lost; the caller sends the request again, to the VM
@@ -275,7 +283,9 @@
 	// while the first is under way.
 	// Cause: two VMs that both hold the key and both run it.
 	It("runs once when all VMs get copies at once", func() {
+		d.settled(0)
 		d.change(func(b *standin.Behaviour) { b.Median = 20 * time.Millisecond })
+		DeferCleanup(d.change, func(b *standin.Behaviour) { b.Median = time.Millisecond })
 		ops := d.operations(0, 20)
 		var wg sync.WaitGroup
 		for range 2 {
@@ -289,26 +299,12 @@
 		wg.Wait()
 	})
 
-	// Symptom: a payment is made twice, or "not run" is said of one that was made.
-	// Sequence: the VM is replaced by a process of the same name; the caller sends
-	// its request again to the new one and to another VM.
-	// Cause: a process that takes keys of a former incarnation for its own.
-	It("is never run again by a replaced VM", func() {
-		op := d.operations(0, 1)[0]
-		Expect(d.send(0, op, 0).String()).To(Equal("answered"))
-		Expect(d.Replace(0)).To(Succeed())
-		for vm := range d.VMs {
-			r := d.send(vm, op, soon)
-			Expect(r.err.Ran).To(Equal(refusal.Unknown), r.String())
-		}
-		Expect(d.send(0, d.operations(0, 1)[0], 0).String()).To(Equal("answered"))
-	})
-
 	// Symptom: a payment is made twice after an upstream was slow.
 	// Sequence: the upstream takes the request and does not answer in time; the
 	// caller is told "unknown" and sends it again, also when the upstream is well.
 	// Cause: a timeout taken for a failure.
 	It("stays unknown after a timeout of the upstream", func() {
+		d.settled(0)
 		d.change(func(b *standin.Behaviour) { b.Hang = true })
 		ops := d.operations(0, 5)
 		first := d.each(0, ops, soon)
@@ -321,19 +317,12 @@
 		}
 	})
 
-	// Symptom: a caller is told "unknown" of a payment that never left.
-	// Sequence: both upstreams refuse connections before any byte is sent.
-	// Cause: a refused connection taken for a timeout.
-	It("is proved not run when nothing was written", func() {
-		closeUpstreams(d)
-		Expect(d.each(0, d.operations(0, 5), 0)).To(HaveKeyWithValue(HaveSuffix("/not_run"), 5))
-	})
-
 	// Symptom: the caller is told "not run" and the owner runs the request later.
 	// Sequence: the owners are paused with the request in their sockets; its
 	// deadline passes; the owners wake.
 	// Cause: a cancellation that was sent taken for one that was confirmed.
 	It("is unknown while the owners are paused and runs at most once when they wake", func() {
+		d.settled(0)
 		from := d.notOwner()
 		ops := d.operations(from, 5)
 		for _, vm := range d.owners() {
@@ -352,6 +341,7 @@
 	// was handed over; the caller sends it again over a new stream.
 	// Cause: a forward that is repeated, or run by the VM that could not forward.
 	It("is asked for again after a forward was lost", func() {
+		d.settled(0)
 		ops := d.operations(0, 5)
 		d.VMs[0].Peers.HoldWrites()
 		lost := make(chan map[string]int, 1)
@@ -368,11 +358,28 @@
 		Eventually(func() map[string]int { return d.each(1, ops, 0) }).WithTimeout(10 * time.Second).Should(Equal(map[string]int{"answered": 5}))
 	})
 
+	// Symptom: a payment is made twice, or "not run" is said of one that was made.
+	// Sequence: the VM is replaced by a process of the same name; the caller sends
+	// its request again to the new one and to another VM.
+	// Cause: a process that takes keys of a former incarnation for its own.
+	It("is never run again by a replaced VM", func() {
+		d.settled(0)
+		op := d.operations(0, 1)[0]
+		Expect(d.send(0, op, 0).String()).To(Equal("answered"))
+		Expect(d.Replace(0)).To(Succeed())
+		for vm := range d.VMs {
+			r := d.send(vm, op, soon)
+			Expect(r.err.Ran).To(Equal(refusal.Unknown), r.String())
+		}
+		Expect(d.send(0, d.operations(0, 1)[0], 0).String()).To(Equal("answered"))
+	})
+
 	// Symptom: a payment in flight is cut off by a planned stop, or its caller
 	// cannot learn of it.
 	// Sequence: the VM is told to stop while requests run; a copy of one comes.
 	// Cause: a stop that refuses or ends what is under way.
 	It("is finished and answered during a planned stop", func() {
+		d.settled(0)
 		d.change(func(b *standin.Behaviour) { b.Median = 300 * time.Millisecond })
 		ops := d.operations(0, 5)
 		told := make(chan map[string]int, 2)
@@ -389,6 +396,14 @@
 		Expect(<-told).To(Equal(map[string]int{"answered": 5}))
 		Expect(<-told).To(Equal(map[string]int{"answered": 5}))
 	})
+
+	// Symptom: a caller is told "unknown" of a payment that never left.
+	// Sequence: both upstreams refuse connections before any byte is sent.
+	// Cause: a refused connection taken for a timeout.
+	It("is proved not run when nothing was written", func() {
+		closeUpstreams(d)
+		Expect(d.each(1, d.operations(1, 5), 0)).To(HaveKeyWithValue(HaveSuffix("/not_run"), 5))
+	})
 })
 
 // counter reads a counter of a VM from its operator address.
--- a/internal/fleet/unknown_test.go
+++ b/internal/fleet/unknown_test.go
@@ -34,71 +34,88 @@
 
 func nothing(*deployment) {}
 
-// The table counts what stays unknown, and how much of that a question to the
-// owner could resolve at best. Its figures stand in docs/design/005-at-most-once.md.
-var _ = Describe("the outcomes that stay unknown", func() {
-	const (
-		requests = 10
-		// asMany stay unknown, or are said to have run, as were executed at
-		// least: the others waited for a slot, and their owner says so when it is
-		// asked in time.
-		asMany = -1
-		// anyNumber stays unknown: it depends on what was written before the
-		// break was noticed.
-		anyNumber = -2
-	)
-	DescribeTable("under a fault", func(f fault, wantUnknown int) {
-		d := startPayments()
-		from := d.notOwner()
-		ops := d.operations(from, requests)
-		f.before(d)
-		told := make(chan map[string]int, 1)
-		go func() {
-			defer GinkgoRecover()
-			told <- d.each(from, ops, f.deadline)
-		}()
-		if f.runs {
-			for _, op := range ops {
-				Eventually(func() int { return d.runs(op.body) }).WithTimeout(20 * time.Second).Should(Equal(1))
-			}
-		}
-		f.underWay(d)
-		first := <-told
-		f.heal(d)
-		again := d.each(from, ops, 0)
-		Expect(again).To(Equal(first))
-		executed := 0
+const (
+	// lossRequests are sent under each fault.
+	lossRequests = 10
+	// asMany stay unknown, or are said to have run, as were executed at least:
+	// the others waited for a slot, and their owner says so when it is asked in
+	// time.
+	asMany = -1
+	// anyNumber stays unknown: it depends on what was written before the break
+	// was noticed.
+	anyNumber = -2
+)
+
+// lose counts what stays unknown under a fault, and how much of that a question
+// to the owner could resolve at best. The figures stand in
+// docs/design/005-at-most-once.md.
+func (d *deployment) lose(f fault, wantUnknown int) {
+	from := d.notOwner()
+	ops := d.operations(from, lossRequests)
+	f.before(d)
+	told := make(chan map[string]int, 1)
+	go func() {
+		defer GinkgoRecover()
+		told <- d.each(from, ops, f.deadline)
+	}()
+	if f.runs {
 		for _, op := range ops {
-			executed += d.runs(op.body)
-		}
-		unknown := again["outcome_unknown/unknown"]
-		switch wantUnknown {
-		case anyNumber:
-		case asMany:
-			Expect(unknown+again["upstream_failed/ran"]).To(BeNumerically(">=", executed), fmt.Sprint(first))
-		default:
-			Expect(unknown).To(Equal(wantUnknown), fmt.Sprint(first))
+			Eventually(func() int { return d.runs(op.body) }).WithTimeout(20 * time.Second).Should(Equal(1))
 		}
-		resolvable := 0
-		if f.ownerKnows {
-			resolvable = unknown
-		}
-		AddReportEntry(fmt.Sprintf("%d requests: first %v, resent %v, executed %d, unknown %d, the owner could tell of %d",
-			requests, first, again, executed, unknown, resolvable))
+	}
+	f.underWay(d)
+	first := <-told
+	f.heal(d)
+	again := d.each(from, ops, 0)
+	Expect(again).To(Equal(first))
+	executed := 0
+	for _, op := range ops {
+		executed += d.runs(op.body)
+	}
+	unknown := again["outcome_unknown/unknown"]
+	switch wantUnknown {
+	case anyNumber:
+	case asMany:
+		Expect(unknown+again["upstream_failed/ran"]).To(BeNumerically(">=", executed), fmt.Sprint(first))
+	default:
+		Expect(unknown).To(Equal(wantUnknown), fmt.Sprint(first))
+	}
+	resolvable := 0
+	if f.ownerKnows {
+		resolvable = unknown
+	}
+	AddReportEntry(fmt.Sprintf("%d requests: first %v, resent %v, executed %d, unknown %d, the owner could tell of %d",
+		lossRequests, first, again, executed, unknown, resolvable))
+}
+
+var _ = Describe("the outcomes that stay unknown", func() {
+	Context("with faults of upstreams", Ordered, func() {
+		var d *deployment
+		BeforeAll(func() { d = startPayments() })
+
+		DescribeTable("under a fault", func(f fault, wantUnknown int) {
+			d.settled(0)
+			d.lose(f, wantUnknown)
+		},
+			Entry("none", fault{before: nothing, underWay: nothing, heal: nothing, runs: true}, 0),
+			Entry("upstreams drain", fault{
+				before:   func(d *deployment) { d.change(func(b *standin.Behaviour) { b.Draining = true }) },
+				underWay: nothing,
+				heal:     func(d *deployment) { d.change(func(b *standin.Behaviour) { b.Draining = false }) },
+			}, 0),
+			Entry("upstreams never answer", fault{
+				before:   func(d *deployment) { d.change(func(b *standin.Behaviour) { b.Hang = true }) },
+				underWay: nothing,
+				heal:     func(d *deployment) { d.change(func(b *standin.Behaviour) { b.Hang = false }) },
+				deadline: time.Second,
+			}, asMany),
+			Entry("upstreams refuse connections", fault{before: closeUpstreams, underWay: nothing, heal: nothing}, 0),
+		)
+	})
+
+	DescribeTable("under a fault between VMs", func(f fault, wantUnknown int) {
+		startPayments().lose(f, wantUnknown)
 	},
-		Entry("none", fault{before: nothing, underWay: nothing, heal: nothing, runs: true}, 0),
-		Entry("upstreams refuse connections", fault{before: closeUpstreams, underWay: nothing, heal: nothing}, 0),
-		Entry("upstreams drain", fault{
-			before:   func(d *deployment) { d.change(func(b *standin.Behaviour) { b.Draining = true }) },
-			underWay: nothing,
-			heal:     func(d *deployment) { d.change(func(b *standin.Behaviour) { b.Draining = false }) },
-		}, 0),
-		Entry("upstreams never answer", fault{
-			before:   func(d *deployment) { d.change(func(b *standin.Behaviour) { b.Hang = true }) },
-			underWay: nothing,
-			heal:     func(d *deployment) { d.change(func(b *standin.Behaviour) { b.Hang = false }) },
-			deadline: time.Second,
-		}, asMany),
 		Entry("owners cut off just before", fault{
 			before: func(d *deployment) {
 				d.eachOwner((*fleet.PeerFault).Refuse)
@@ -114,7 +131,7 @@
 			heal:       release,
 			deadline:   soon,
 			ownerKnows: true,
-		}, requests),
+		}, lossRequests),
 		Entry("streams cut before dispatch", fault{
 			before: func(d *deployment) { d.eachOwner((*fleet.PeerFault).HoldReads) },
 			underWay: func(d *deployment) {
@@ -136,7 +153,7 @@
 			heal:       release,
 			runs:       true,
 			ownerKnows: true,
-		}, requests),
+		}, lossRequests),
 		Entry("owners crash between dispatch and reply", fault{
 			before: func(d *deployment) { d.eachOwner((*fleet.PeerFault).HoldWrites) },
 			underWay: func(d *deployment) {
@@ -145,6 +162,6 @@
 			},
 			heal: nothing,
 			runs: true,
-		}, requests),
+		}, lossRequests),
 	)
 })
