Check documents and settings in full, with bounded findings and warnings

Findings were unbounded. Of two documents with one customer the one edited last lost it, so that an edit handed the customer to a forgotten copy. A limit written as 0 silently became the default.

--- a/cmd/sycamorekeel/check.go
+++ b/cmd/sycamorekeel/check.go
@@ -19,6 +19,8 @@
 	Findings finding.List `json:"findings"`
 	// Conflicts are faults between the files.
 	Conflicts []string `json:"conflicts"`
+	// Warnings are permitted but hardly meant; they are not faults.
+	Warnings finding.List `json:"warnings"`
 }
 
 // Run checks each file and then what they say of each other.
@@ -34,6 +36,9 @@
 		for _, text := range report.Conflicts {
 			out.printf("%s\n", text)
 		}
+		for _, f := range report.Warnings {
+			out.printf("warning: %s\n", f)
+		}
 		if report.OK {
 			out.printf("%d files checked, nothing found\n", len(c.Files))
 		}
@@ -45,8 +50,9 @@
 }
 
 func (c *checkCommand) check() (*checkReport, error) {
-	report := &checkReport{Findings: finding.List{}, Conflicts: []string{}}
+	report := &checkReport{Findings: finding.List{}, Conflicts: []string{}, Warnings: finding.List{}}
 	var docs []contract.Accepted
+	var files []contract.File
 	for i, name := range c.Files {
 		body, err := os.ReadFile(name)
 		if err != nil {
@@ -55,8 +61,10 @@
 		doc, findings := contract.Check(name, body)
 		report.Findings = append(report.Findings, findings...)
 		docs = append(docs, contract.Accepted{Name: name, Revision: uint64(i + 1), Document: doc})
+		files = append(files, contract.File{Name: name, Body: body, Document: doc})
 	}
 	if len(report.Findings) == 0 {
+		report.Warnings = append(report.Warnings, contract.Warnings(files)...)
 		report.Conflicts = append(report.Conflicts, contract.Compile(1, docs).Conflicts...)
 	}
 	report.OK = len(report.Findings)+len(report.Conflicts) == 0
--- a/internal/contract/check.go
+++ b/internal/contract/check.go
@@ -22,18 +22,28 @@
 	MaxExtraPercent = 100
 	MaxSlots        = 10_000
 	MaxHits         = 10_000
+	// MaxDocuments keeps the sum over all shards exact.
+	MaxDocuments = 1e12
+	MaxReplicas  = 64
 )
 
 var (
 	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	pathPattern = regexp.MustCompile(`^/[A-Za-z0-9._~/-]{0,254}$`)
 )
 
 // Check decodes and checks one document. The document may be used only when
 // there are no findings.
 func Check(name string, body []byte) (*pb.Document, finding.List) {
 	doc := &pb.Document{}
-	c := checker{src: tomlpb.Decode(name, body, doc)}
+	c := checker{
+		src:         tomlpb.Decode(name, body, doc),
+		hashes:      names{},
+		addresses:   names{},
+		vmAddresses: names{},
+		regions:     map[string]string{},
+	}
 	if len(c.src.Findings()) > 0 {
 		return doc, c.src.Findings()
 	}
@@ -43,6 +53,12 @@
 
 type checker struct {
 	src *tomlpb.Source
+	// hashes remembers the token hashes of all customers.
+	hashes names
+	// addresses and vmAddresses remember those of upstreams and VMs.
+	addresses, vmAddresses names
+	// regions remembers the region of each data centre.
+	regions map[string]string
 }
 
 func (c *checker) document(doc *pb.Document) {
@@ -75,11 +91,15 @@
 		c.src.Addf(at, "must be 1 to 63 of a-z, 0-9, '.', '_', '-', starting with a letter or digit, not %q", name)
 		return
 	}
-	if first, ok := seen[name]; ok {
-		c.src.Addf(at, "%q is already used by %s", name, first)
+	c.once(seen, at, name)
+}
+
+func (c *checker) once(seen names, at, text string) {
+	if first, ok := seen[text]; ok {
+		c.src.Addf(at, "%q is already used by %s", text, first)
 		return
 	}
-	seen[name] = at
+	seen[text] = at
 }
 
 func (c *checker) customer(at string, v *pb.Customer) {
@@ -87,9 +107,12 @@
 		c.src.Addf(at+".token_sha256", "must hold at least one hash")
 	}
 	for i, h := range v.TokenSha256 {
+		place := fmt.Sprintf("%s.token_sha256[%d]", at, i)
 		if !hashPattern.MatchString(h) {
-			c.src.Addf(fmt.Sprintf("%s.token_sha256[%d]", at, i), "must be 64 lower-case hex digits")
+			c.src.Addf(place, "must be 64 lower-case hex digits")
+			continue
 		}
+		c.once(c.hashes, place, h)
 	}
 	if len(v.Kinds) == 0 {
 		c.src.Addf(at+".kinds", "must hold at least one request kind")
@@ -138,8 +161,8 @@
 }
 
 func (c *checker) service(at string, v *pb.Service) {
-	if len(v.Path) == 0 || v.Path[0] != '/' {
-		c.src.Addf(at+".path", "must start with '/', not %q", v.Path)
+	if !pathPattern.MatchString(v.Path) {
+		c.src.Addf(at+".path", "must be '/' and up to 254 of letters, digits, '.', '_', '~', '/', '-', not %q", v.Path)
 	}
 	if len(v.Upstreams) == 0 {
 		c.src.Addf(at+".upstreams", "must hold at least one upstream")
@@ -165,7 +188,7 @@
 }
 
 func (c *checker) upstream(at string, u *pb.Upstream) {
-	c.address(at+".address", u.Address)
+	c.address(c.addresses, at+".address", u.Address)
 	if !namePattern.MatchString(u.DataCentre) {
 		c.src.Addf(at+".data_centre", "must name a data centre")
 	}
@@ -176,9 +199,17 @@
 	}
 }
 
-func (c *checker) address(at, text string) {
-	if _, err := netip.ParseAddrPort(text); err != nil {
+// address checks an address that no other may share: two upstreams at one
+// address would each be given the connections that the server accepts once.
+func (c *checker) address(seen names, at, text string) {
+	addr, err := netip.ParseAddrPort(text)
+	switch {
+	case err != nil:
 		c.src.Addf(at, "must be an IP and port, not %q", text)
+	case addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast():
+		c.src.Addf(at, "must be an address that can be connected to, not %q", text)
+	default:
+		c.once(seen, at, text)
 	}
 }
 
@@ -206,11 +237,11 @@
 }
 
 func (c *checker) shard(at string, s *pb.Shard, upstreams names) {
-	if s.Documents == 0 {
-		c.src.Addf(at+".documents", "must be at least 1: it weighs the shard in coverage")
+	if s.Documents == 0 || s.Documents > MaxDocuments {
+		c.src.Addf(at+".documents", "must be from 1 to %g: it weighs the shard in coverage", float64(MaxDocuments))
 	}
-	if len(s.Replicas) == 0 {
-		c.src.Addf(at+".replicas", "must name at least one upstream")
+	if len(s.Replicas) == 0 || len(s.Replicas) > MaxReplicas {
+		c.src.Addf(at+".replicas", "must name from 1 to %d upstreams", MaxReplicas)
 	}
 	seen := map[string]bool{}
 	for i, r := range s.Replicas {
@@ -232,8 +263,16 @@
 	if !namePattern.MatchString(v.DataCentre) {
 		c.src.Addf(at+".data_centre", "must name a data centre")
 	}
-	c.address(at+".caller_address", v.CallerAddress)
-	c.address(at+".peer_address", v.PeerAddress)
+	if region, ok := c.regions[v.DataCentre]; ok && region != v.Region {
+		c.src.Addf(at+".region", "data centre %q is in region %q already, not in %q", v.DataCentre, region, v.Region)
+	} else {
+		c.regions[v.DataCentre] = v.Region
+	}
+	if v.Rack != "" && !namePattern.MatchString(v.Rack) {
+		c.src.Addf(at+".rack", "must name a rack or be left out")
+	}
+	c.address(c.vmAddresses, at+".caller_address", v.CallerAddress)
+	c.address(c.vmAddresses, at+".peer_address", v.PeerAddress)
 	if v.State == pb.VMState_VM_STATE_UNSPECIFIED {
 		c.src.Addf(at+".state", "must be set to live or vm_leaving")
 	}
--- a/internal/contract/snapshot.go
+++ b/internal/contract/snapshot.go
@@ -101,8 +101,9 @@
 	Document *pb.Document
 }
 
-// Compile builds a snapshot. Where two documents claim one name the older
-// revision keeps it, so that a new document cannot take over another's customer.
+// Compile builds a snapshot. Where two documents claim one name, the first by
+// document name keeps it. Were it the older revision, an edit of one document
+// would hand its customer over to a forgotten copy in another.
 func Compile(revision uint64, docs []Accepted) *Snapshot {
 	s := &Snapshot{
 		Revision:  revision,
@@ -111,10 +112,11 @@
 		upstreams: map[string]*Upstream{},
 		tokens:    map[[sha256.Size]byte]tokenOwner{},
 	}
-	sort.Slice(docs, func(i, j int) bool { return docs[i].Revision < docs[j].Revision })
+	sort.Slice(docs, func(i, j int) bool { return docs[i].Name < docs[j].Name })
+	addresses, vms := map[string]string{}, map[string]bool{}
 	for _, d := range docs {
-		s.addServices(d)
-		s.vms = append(s.vms, d.Document.Vms...)
+		s.addServices(d, addresses)
+		s.addVMs(d, vms)
 	}
 	for _, d := range docs {
 		s.addCustomers(d)
@@ -122,13 +124,34 @@
 	return s
 }
 
-func (s *Snapshot) addServices(d Accepted) {
+// addServices also tells of upstreams that share an address: the server there
+// accepts its connections once, not once for each.
+func (s *Snapshot) addServices(d Accepted, addresses map[string]string) {
 	for _, v := range d.Document.Services {
 		if _, ok := s.services[v.Name]; ok {
 			s.conflict(d, "service", v.Name)
 			continue
 		}
 		s.services[v.Name] = s.service(v)
+		for _, u := range v.Upstreams {
+			id := v.Name + "/" + u.Id
+			if first, ok := addresses[u.Address]; ok {
+				s.Conflicts = append(s.Conflicts, fmt.Sprintf("%s: upstream %s has the address %s of %s", d.Name, id, u.Address, first))
+				continue
+			}
+			addresses[u.Address] = id
+		}
+	}
+}
+
+func (s *Snapshot) addVMs(d Accepted, seen map[string]bool) {
+	for _, v := range d.Document.Vms {
+		if seen[v.Id] {
+			s.conflict(d, "VM", v.Id)
+			continue
+		}
+		seen[v.Id] = true
+		s.vms = append(s.vms, v)
 	}
 }
 
@@ -203,7 +226,7 @@
 }
 
 func (s *Snapshot) conflict(d Accepted, what, name string) {
-	s.Conflicts = append(s.Conflicts, fmt.Sprintf("%s: %s %s is already defined by an older document", d.Name, what, name))
+	s.Conflicts = append(s.Conflicts, fmt.Sprintf("%s: %s %s is already defined by another document", d.Name, what, name))
 }
 
 // Authenticate finds the customer a bearer token belongs to. Only the hash of
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,12 +3,14 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"regexp"
+	"slices"
+	"strings"
 
 	"github.com/gravitational/trace"
-	"go.uber.org/zap/zapcore"
 
 	"sycamorekeel.example/sycamorekeel/internal/finding"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
@@ -44,6 +46,9 @@
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
+// logLevels is every level that may be set.
+var logLevels = []string{"debug", "info", "warn", "error"}
+
 // Load reads and checks the settings file at path.
 func Load(path string) (*pb.Settings, error) {
 	data, err := os.ReadFile(path)
@@ -62,6 +67,7 @@
 	if len(src.Findings()) > 0 {
 		return s, src.Findings()
 	}
+	checkZeros(src, s.Limits)
 	SetDefaults(s)
 	check(src, s)
 	return s, src.Findings()
@@ -110,16 +116,45 @@
 	checkAddress(src, "operator_address", s.OperatorAddress)
 	checkAddress(src, "peer_address", s.PeerAddress)
 	checkAddress(src, "platform_address", s.PlatformAddress)
-	for _, seed := range s.Seeds {
-		checkAddress(src, "seeds", seed)
+	for i, seed := range s.Seeds {
+		checkAddress(src, fmt.Sprintf("seeds[%d]", i), seed)
 	}
+	checkDistinct(src, s)
 	if s.OperatorTokenSha256 != "" && !hashPattern.MatchString(s.OperatorTokenSha256) {
 		src.Addf("operator_token_sha256", "must be 64 lower-case hex digits")
 	}
 	checkKeys(src, s.PeerKeys)
 	checkLimits(src, s.Limits)
-	if _, err := zapcore.ParseLevel(s.Log.Level); err != nil {
-		src.Addf("log.level", "must be debug, info, warn or error, not %q", s.Log.Level)
+	if !slices.Contains(logLevels, s.Log.Level) {
+		src.Addf("log.level", "must be one of %s, not %q", strings.Join(logLevels, ", "), s.Log.Level)
+	}
+}
+
+// checkZeros refuses a limit that is written as 0: it would silently become the
+// default, while its writer meant none or no limit.
+func checkZeros(src *tomlpb.Source, l *pb.Limits) {
+	m := l.ProtoReflect()
+	fields := m.Descriptor().Fields()
+	for i := range fields.Len() {
+		at := "limits." + string(fields.Get(i).Name())
+		if src.Has(at) && !m.Has(fields.Get(i)) {
+			src.Addf(at, "must be at least 1; leave it out for the default")
+		}
+	}
+}
+
+// checkDistinct refuses two of the daemon's interfaces on one address.
+func checkDistinct(src *tomlpb.Source, s *pb.Settings) {
+	seen := map[string]string{}
+	for _, own := range []struct{ at, address string }{
+		{"caller_address", s.CallerAddress},
+		{"operator_address", s.OperatorAddress},
+		{"peer_address", s.PeerAddress},
+	} {
+		if first, ok := seen[own.address]; ok && own.address != "" {
+			src.Addf(own.at, "must differ from %s", first)
+		}
+		seen[own.address] = own.at
 	}
 }
 
@@ -141,14 +176,15 @@
 		src.Addf("peer_keys", "must hold at least one key: peers are let in by it")
 	}
 	seen := map[string]bool{}
-	for _, k := range keys {
-		checkName(src, "peer_keys", k.Id)
+	for i, k := range keys {
+		at := fmt.Sprintf("peer_keys[%d]", i)
+		checkName(src, at+".id", k.Id)
 		if seen[k.Id] {
-			src.Addf("peer_keys", "id %q is used twice", k.Id)
+			src.Addf(at+".id", "%q is used twice", k.Id)
 		}
 		seen[k.Id] = true
 		if len(k.Secret) < minSecretLength {
-			src.Addf("peer_keys", "the secret of %q must have at least %d characters", k.Id, minSecretLength)
+			src.Addf(at+".secret", "must have at least %d characters", minSecretLength)
 		}
 	}
 }
--- a/internal/tomlpb/tomlpb.go
+++ b/internal/tomlpb/tomlpb.go
@@ -20,11 +20,20 @@
 // MaxBytes is the largest input decoded: the platform's limit for a value.
 const MaxBytes = 1 << 20
 
+// MaxFindings bounds the findings of one input, and maxText the length of each
+// part of one: the findings of a rejected document are kept by every daemon.
+const (
+	MaxFindings = 200
+	maxText     = 300
+)
+
 // Source is a decoded input that still knows where each field stood.
 type Source struct {
 	name     string
 	lines    map[string]int
 	findings finding.List
+	// more counts the findings beyond MaxFindings.
+	more int
 }
 
 // Decode fills msg from data. name stands in the findings. The source is never
@@ -45,14 +54,33 @@
 	return s
 }
 
+// Locate makes a source of an input that was decoded before, to add findings
+// with their places.
+func Locate(name string, data []byte) *Source {
+	return &Source{name: name, lines: indexLines(data)}
+}
+
 // Addf records a finding at a field, for checks that follow decoding.
 func (s *Source) Addf(field, format string, args ...any) {
-	s.findings = append(s.findings, finding.Finding{
-		File:    s.name,
-		Line:    s.line(field),
-		Field:   field,
-		Message: fmt.Sprintf(format, args...),
-	})
+	s.add(finding.Finding{Line: s.line(field), Field: field, Message: fmt.Sprintf(format, args...)})
+}
+
+func (s *Source) add(f finding.Finding) {
+	if len(s.findings) >= MaxFindings {
+		s.more++
+		return
+	}
+	f.File = s.name
+	f.Field = shorten(f.Field)
+	f.Message = shorten(f.Message)
+	s.findings = append(s.findings, f)
+}
+
+func shorten(text string) string {
+	if len(text) <= maxText {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxText], "") + "..."
 }
 
 // Findings is everything found so far, by line.
@@ -60,7 +88,17 @@
 	sort.SliceStable(s.findings, func(i, j int) bool {
 		return s.findings[i].Line < s.findings[j].Line
 	})
-	return s.findings
+	if s.more == 0 {
+		return s.findings
+	}
+	rest := finding.Finding{File: s.name, Message: fmt.Sprintf("and %d more findings", s.more)}
+	return append(s.findings[:len(s.findings):len(s.findings)], rest)
+}
+
+// Has tells whether the field is written in the input.
+func (s *Source) Has(field string) bool {
+	_, ok := s.lines[field]
+	return ok
 }
 
 // line finds the field or, for one that was left out, its nearest table.
@@ -79,12 +117,12 @@
 }
 
 func (s *Source) addSyntax(err error) {
-	f := finding.Finding{File: s.name, Message: err.Error()}
+	f := finding.Finding{Message: err.Error()}
 	var de *toml.DecodeError
 	if errors.As(err, &de) {
 		f.Line, _ = de.Position()
 	}
-	s.findings = append(s.findings, f)
+	s.add(f)
 }
 
 func (s *Source) table(path string, tree map[string]any, msg protoreflect.Message) {
