Take no new work after a pause until peers have answered

Cause: a process that was paused wakes with the views it had: it would let requests in, serve forwarded ones and send what waits in its queues to upstreams that others own by now.

Change: a gap of two seconds between ticks, by the monotonic or the wall clock, puts the node in doubt. It asks its peers, up to three times, and goes on when three have answered or nobody has. Meanwhile the daemon is not ready, refuses forwards and its owner dispatches nothing. The check looks at the last tick itself, so work that wakes before the ticker is held too. Nodes that start together no longer probe in step.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/dispatch"
@@ -19,6 +20,9 @@
 	if d.stopping.Load() {
 		return "this VM is stopping"
 	}
+	if d.gossip.InDoubt(time.Now()) {
+		return "this process was paused and has not heard from its peers since"
+	}
 	if why := d.config.notReady(); why != "" {
 		return why
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -134,6 +134,7 @@
 		Ledger:        dispatch.DefaultLedger(),
 		Pause:         owner.DefaultPause(),
 		Dial:          d.listeners.DialUpstream,
+		InDoubt:       d.gossip.InDoubt,
 	})
 	d.pool = peer.NewPool(peer.Options{
 		Log:      d.log,
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -157,6 +157,10 @@
 // serve runs a forwarded request in a goroutine of its own: such requests come
 // at the rate of callers, not of sub-requests.
 func (f *forwards) serve(r *pb.Forward, reply func(*pb.Frame)) {
+	if f.d.gossip.InDoubt(time.Now()) {
+		answer(r, away(r, "the VM that the key names was paused and asks its peers first"), false, reply)
+		return
+	}
 	if !f.enter() {
 		answer(r, away(r, "the VM that the key names serves too many forwarded requests"), false, reply)
 		return
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -7,6 +7,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -60,8 +61,12 @@
 	met    *metrics
 	sealer *Sealer
 	period time.Duration
+	pause  time.Duration
 	// conn is nil until Run: what is sent before is dropped.
 	conn atomic.Pointer[net.PacketConn]
+	// ticked is when the node was last moved on; doubt is its own view of it.
+	ticked atomic.Pointer[time.Time]
+	doubt  atomic.Bool
 
 	mu       sync.Mutex
 	node     *membership.Node
@@ -78,10 +83,8 @@
 		sealer:  NewSealer(opts.Keys),
 		node:    membership.New(opts.Now(), opts.Node),
 		windows: NewWindows(),
-		period:  opts.Node.Timing.Period,
-	}
-	if d.period == 0 {
-		d.period = membership.DefaultPeriod
+		period:  cmp.Or(opts.Node.Timing.Period, membership.DefaultPeriod),
+		pause:   cmp.Or(opts.Node.Timing.Pause, membership.DefaultPause),
 	}
 	registerStats(opts.Registry, func() membership.Stats {
 		d.mu.Lock()
@@ -104,6 +107,15 @@
 	return group.Wait()
 }
 
+// InDoubt tells whether no new work may start at now because this process was
+// paused and has not heard from its peers since. It looks at the last tick
+// itself: what wakes before the ticker must not take the pause for no pause. It
+// takes no lock.
+func (d *Driver) InDoubt(now time.Time) bool {
+	last := d.ticked.Load()
+	return d.doubt.Load() || last != nil && membership.Gap(*last, now) >= d.pause
+}
+
 // View is the members as seen now.
 func (d *Driver) View() *membership.View {
 	d.mu.Lock()
@@ -139,7 +151,7 @@
 	t := time.NewTicker(d.period / ticksPerPeriod)
 	defer t.Stop()
 	for {
-		d.step(func(now time.Time) membership.Actions { return d.node.Tick(now) })
+		d.step(d.advance)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -148,6 +160,15 @@
 	}
 }
 
+// advance ticks. The caller holds mu. The doubt is raised before the tick is
+// noted, so that InDoubt never shows a moment of neither.
+func (d *Driver) advance(now time.Time) membership.Actions {
+	act := d.node.Tick(now)
+	d.doubt.Store(d.node.InDoubt())
+	d.ticked.Store(&now)
+	return act
+}
+
 func (d *Driver) receive(ctx context.Context, conn net.PacketConn) error {
 	// One byte more than a datagram may have shows those that are too long.
 	buf := make([]byte, membership.MaxDatagram+1)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +39,9 @@
 	conn     net.PacketConn
 	stop     func()
 	ended    chan uint64
+	// skipped is added to the clock: a pause of the process.
+	skipped atomic.Int64
+	doubts  chan string
 }
 
 func listen() net.PacketConn {
@@ -47,21 +52,21 @@
 
 func start(vm string, incarnation uint64, keys []*pb.PeerKey, seeds ...string) *station {
 	conn := listen()
-	s := &station{registry: prometheus.NewRegistry(), conn: conn, ended: make(chan uint64, 100)}
+	s := &station{registry: prometheus.NewRegistry(), conn: conn, ended: make(chan uint64, 100), doubts: make(chan string, 100)}
 	s.driver = gossip.New(gossip.Options{
 		Log:      zap.NewNop(),
 		Registry: s.registry,
 		Keys:     keys,
-		Now:      time.Now,
+		Now:      func() time.Time { return time.Now().Add(time.Duration(s.skipped.Load())) },
 		Node: membership.Options{
 			Self:   &pb.MemberUpdate{Vm: vm, Incarnation: incarnation, PeerAddress: conn.LocalAddr().String()},
 			Seeds:  seeds,
-			Timing: membership.Timing{Period: 50 * time.Millisecond, DirectTimeout: 20 * time.Millisecond},
+			Timing: membership.Timing{Period: 50 * time.Millisecond, DirectTimeout: 20 * time.Millisecond, AskAgain: 300 * time.Millisecond},
 		},
 		Callbacks: gossip.Callbacks{
 			View:        func(*membership.View) {},
-			Revalidate:  func() {},
-			Revalidated: func(bool) {},
+			Revalidate:  func() { s.doubts <- "paused" },
+			Revalidated: func(alone bool) { s.doubts <- fmt.Sprintf("alone=%t", alone) },
 			Superseded:  func(inc uint64) { s.ended <- inc },
 		},
 	})
@@ -233,4 +238,25 @@
 		Eventually(old.ended, 10*time.Second).Should(Receive(BeEquivalentTo(12)))
 		Expect(b.ended).To(BeEmpty())
 	})
+
+	// Symptom: two VMs send to one upstream, or a request is let in under an
+	// old configuration.
+	// Sequence: a process is paused, its peers declare it dead, it wakes.
+	// Cause: it acts on what it knew before the pause.
+	It("hold a paused process back until a peer has answered", func() {
+		a := start("vm-a", 10, []*pb.PeerKey{newKey})
+		defer a.stop()
+		b := start("vm-b", 12, []*pb.PeerKey{newKey}, a.address())
+		Eventually(a.serving, 10*time.Second).Should(HaveLen(2))
+		Expect(a.driver.InDoubt(time.Now())).To(BeFalse())
+		Expect(a.driver.InDoubt(time.Now().Add(time.Minute))).To(BeTrue(), "before the first tick after a pause")
+		a.skipped.Store(int64(time.Minute))
+		Eventually(a.doubts, 10*time.Second).Should(Receive(Equal("paused")))
+		Eventually(a.doubts, 10*time.Second).Should(Receive(Equal("alone=false")))
+		b.stop()
+		a.skipped.Store(int64(time.Hour))
+		Eventually(a.doubts, 10*time.Second).Should(Receive(Equal("paused")))
+		Eventually(a.doubts, 10*time.Second).Should(Receive(Equal("alone=true")))
+		Expect(a.driver.InDoubt(time.Now().Add(time.Hour))).To(BeFalse())
+	})
 })
--- a/internal/membership/doubt.go
+++ b/internal/membership/doubt.go
@@ -22,13 +22,18 @@
 	}
 }
 
-// notePause looks for a gap in this node's own ticks. Wall clocks count too: a
+// Gap is the time between two moments of this process. Wall clocks count too: a
 // monotonic clock may stand still while the whole VM is suspended.
+func Gap(before, after time.Time) time.Duration {
+	return max(after.Sub(before), after.Round(0).Sub(before.Round(0)))
+}
+
+// notePause looks for a gap in this node's own ticks.
 func (n *Node) notePause() {
 	if n.lastTick.IsZero() {
 		return
 	}
-	gap := max(n.now.Sub(n.lastTick), n.now.Round(0).Sub(n.lastTick.Round(0)))
+	gap := Gap(n.lastTick, n.now)
 	if gap < n.timing.Pause {
 		return
 	}
@@ -62,18 +67,16 @@
 	if d == nil {
 		return
 	}
-	waited := n.now.Sub(d.askedAt) >= n.timing.AloneAfter
+	waited := n.now.Sub(d.askedAt) >= n.timing.AskAgain
 	switch {
 	case len(d.heard) >= d.need:
-	case waited && len(d.heard) == 0:
-		n.out.Alone = true
-	case waited && d.round < doubtRounds:
-		n.askDoubt()
+	case !waited:
 		return
-	case waited:
-	default:
+	case d.round < doubtRounds:
+		n.askDoubt()
 		return
 	}
+	n.out.Alone = len(d.heard) == 0
 	n.doubt = nil
 	n.out.Revalidated = true
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -93,34 +93,135 @@
 	// Symptom: the whole fleet loses its members while one VM is ill.
 	// Sequence: a VM sends but receives nothing; it suspects everybody.
 	// Cause: it spreads conclusions that its own deafness explains.
-	It("does not believe a deaf node, neither while it is deaf nor after", func() {
+	DescribeTable("does not believe a node that heard nobody, neither meanwhile nor after",
+		func(cut func(from, to string) bool, deaths int) {
+			w := newNetwork(3)
+			w.fill(9)
+			w.run(20 * time.Second)
+			w.cut = cut
+			_, ok := w.until(limit, func() bool { return w.hosts[0].node.Stats().Deaths >= uint64(deaths) })
+			Expect(ok).To(BeTrue())
+			w.cut = func(string, string) bool { return false }
+			w.run(30 * time.Second)
+			Expect(w.agree(upTo(9)...)).To(BeTrue())
+			for _, h := range w.hosts[1:] {
+				Expect(h.node.Stats().Deaths).To(BeNumerically("<=", 1), "only its own")
+			}
+		},
+		Entry("deaf until all are dead to it", func(_, to string) bool { return to == hostName(0) }, 8),
+		Entry("deaf until one is", func(_, to string) bool { return to == hostName(0) }, 1),
+		Entry("alone until all are", func(from, to string) bool { return from == hostName(0) || to == hostName(0) }, 8),
+		Entry("alone until one is", func(from, to string) bool { return from == hostName(0) || to == hostName(0) }, 1),
+	)
+
+	It("does not pass on the suspicions of a deaf node", func() {
 		w := newNetwork(3)
 		w.fill(9)
 		w.run(20 * time.Second)
 		w.cut = func(_, to string) bool { return to == hostName(0) }
-		lost := 0
-		for range 300 {
-			w.run(tick)
-			for i := 1; i < 9; i++ {
-				for j := 1; j < 9; j++ {
-					if w.state(i, j) == pb.MemberState_DEAD {
-						lost++
-					}
-				}
-			}
+		w.run(time.Minute)
+		for _, h := range w.hosts[1:] {
+			Expect(h.node.Stats().Suspicions).To(BeEquivalentTo(1), "only of the deaf node")
 		}
-		w.cut = func(string, string) bool { return false }
-		for range 300 {
+	})
+
+	// Symptom: members are suspected again and again although they are well.
+	// Sequence: the path between two of them is cut, one way or both.
+	// Cause: one path is taken for the member.
+	DescribeTable("suspects nobody whom others reach",
+		func(cut func(from, to string) bool) {
+			w := newNetwork(6)
+			w.fill(9)
+			w.run(20 * time.Second)
+			w.cut = cut
+			w.run(2 * time.Minute)
+			for _, h := range w.hosts {
+				Expect(h.node.Stats().Suspicions).To(BeZero(), h.name)
+			}
+		},
+		Entry("one way", func(from, to string) bool { return from == hostName(0) && to == hostName(1) }),
+		Entry("both ways", func(from, to string) bool {
+			return from <= hostName(1) && to <= hostName(1)
+		}),
+	)
+
+	// Symptom: a VM that was paused serves on with its old views, and holds its
+	// peers dead because they were silent meanwhile.
+	// Sequence: one VM stands still for each row's time, then wakes.
+	// Cause: its timers ran out while nothing could reach it.
+	DescribeTable("a node that stood still",
+		func(prepare func(*network), pause time.Duration, events []string, alone bool) {
+			w := newNetwork(4)
+			w.fill(9)
+			w.run(20 * time.Second)
+			prepare(w)
+			w.hosts[0].paused = true
+			w.run(pause)
+			w.hosts[0].paused = false
+			dead := w.hosts[0].node.Stats().Deaths
 			w.run(tick)
-			for i := 1; i < 9; i++ {
-				for j := 1; j < 9; j++ {
-					if w.state(i, j) == pb.MemberState_DEAD {
-						lost++
-					}
-				}
+			Expect(w.hosts[0].node.InDoubt()).To(Equal(len(events) > 0))
+			w.until(limit, func() bool { return !w.hosts[0].node.InDoubt() })
+			Expect(w.hosts[0].events).To(Equal(events))
+			Expect(w.hosts[0].alone).To(Equal(alone))
+			if alone {
+				return
+			}
+			Expect(w.hosts[0].node.Stats().Deaths).To(Equal(dead), "no peer died")
+			_, ok := w.until(limit, func() bool { return w.agree(upTo(9)...) })
+			Expect(ok).To(BeTrue())
+		},
+		Entry("briefly notices nothing", nothing, time.Second, nil, false),
+		Entry("for three seconds asks its peers first", nothing, 3*time.Second, []string{"revalidate", "revalidated"}, false),
+		Entry("for a minute, held dead by all", nothing, time.Minute, []string{"revalidate", "revalidated"}, false),
+		Entry("while it suspected a peer", func(w *network) {
+			w.cut = func(_, to string) bool { return to == hostName(5) }
+			w.until(limit, func() bool { return w.state(0, 5) == pb.MemberState_SUSPECT })
+			w.cut = func(string, string) bool { return false }
+		}, 10*time.Second, []string{"revalidate", "revalidated"}, false),
+		Entry("and finds nobody", func(w *network) {
+			for _, h := range w.hosts[1:] {
+				h.down = true
 			}
+		}, 10*time.Second, []string{"revalidate", "revalidated"}, true),
+	)
+
+	It("does not count a pause as time that a suspect had to refute", func() {
+		w := newNetwork(7)
+		w.fill(2)
+		w.run(20 * time.Second)
+		w.cut = func(string, string) bool { return true }
+		w.until(limit, func() bool { return w.state(0, 1) == pb.MemberState_SUSPECT })
+		w.hosts[0].paused = true
+		w.run(time.Minute)
+		w.hosts[0].paused = false
+		w.until(limit, func() bool { return len(w.hosts[0].events) == 2 })
+		w.run(tick)
+		Expect(w.state(0, 1)).To(Equal(pb.MemberState_SUSPECT))
+		w.run(10 * time.Second)
+		Expect(w.state(0, 1)).To(Equal(pb.MemberState_DEAD))
+	})
+
+	// Symptom: a VM takes work after a pause that its newest peers know to be
+	// another's.
+	// Sequence: it wakes, and only two of eight peers can answer it.
+	// Cause: the first answer ends the doubt.
+	It("asks three times after a pause before fewer than three answers are enough", func() {
+		w := newNetwork(5)
+		w.fill(9)
+		w.run(20 * time.Second)
+		w.hosts[0].paused = true
+		w.run(10 * time.Second)
+		// Only two can answer: it asks again before it goes on.
+		w.cut = func(from, to string) bool {
+			return to == hostName(0) && from != hostName(1) && from != hostName(2)
 		}
-		Expect(lost).To(BeZero())
-		Expect(w.agree(upTo(9)...)).To(BeTrue())
+		w.hosts[0].paused = false
+		took, ok := w.until(limit, func() bool { return len(w.hosts[0].events) == 2 })
+		Expect(ok).To(BeTrue())
+		Expect(took).To(BeNumerically(">=", 3*membership.DefaultAskAgain))
+		Expect(w.hosts[0].alone).To(BeFalse())
 	})
 })
+
+func nothing(*network) {}
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -29,7 +29,7 @@
 	DefaultTombstone       = 2 * time.Hour
 	DefaultJoinGrace       = 2 * time.Minute
 	DefaultPause           = 2 * time.Second
-	DefaultAloneAfter      = 2 * time.Second
+	DefaultAskAgain        = time.Second
 	DefaultUpdateRate      = 1500
 )
 
@@ -51,8 +51,9 @@
 	JoinGrace time.Duration
 	// Pause is the gap between two ticks from which views are suspect.
 	Pause time.Duration
-	// AloneAfter is how long a node that was paused waits for a first answer.
-	AloneAfter time.Duration
+	// AskAgain is how long a node that was paused waits for answers before it
+	// asks again; after three rounds it goes on with those it has.
+	AskAgain time.Duration
 	// UpdateRate bounds the bytes a second spent on updates.
 	UpdateRate float64
 }
@@ -152,6 +153,9 @@
 	n.self.State = pb.MemberState_ALIVE
 	n.self.refutation = 0
 	n.table.insert(n.self)
+	// Nodes that start together must not all probe the same one at once.
+	n.nextProbe = now.Add(time.Duration(n.rand.Int64N(int64(n.timing.Period))))
+	n.nextLost = n.rand.IntN(lostEvery)
 	n.view = n.buildView()
 	return n
 }
@@ -164,7 +168,7 @@
 	setDefault(&t.Tombstone, DefaultTombstone)
 	setDefault(&t.JoinGrace, DefaultJoinGrace)
 	setDefault(&t.Pause, DefaultPause)
-	setDefault(&t.AloneAfter, DefaultAloneAfter)
+	setDefault(&t.AskAgain, DefaultAskAgain)
 	setDefault(&t.UpdateRate, DefaultUpdateRate)
 	return t
 }
@@ -182,6 +186,10 @@
 // Stats is what the node did so far.
 func (n *Node) Stats() Stats { return n.stats }
 
+// InDoubt tells whether this node was paused and has not heard from its peers
+// since.
+func (n *Node) InDoubt() bool { return n.doubt != nil }
+
 // SetRevision tells the node which configuration revision to announce.
 func (n *Node) SetRevision(revision uint64) { n.revision = revision }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -58,6 +58,9 @@
 	Health health.Options
 	Ledger dispatch.LedgerOptions
 	Pause  dispatch.PauseOptions
+	// InDoubt tells that this VM's views may be out of date, so that it may own
+	// nothing any more: nothing is dispatched meanwhile. Nil never does.
+	InDoubt func(now time.Time) bool
 }
 
 // DefaultPause is a second without a tick, and a tenth to read what waited.
@@ -403,8 +406,13 @@
 // held tells whether nothing is dispatched now since the process was paused.
 func (o *Owner) held(now time.Time) (bool, time.Duration) {
 	o.pauseMu.Lock()
-	defer o.pauseMu.Unlock()
-	return o.pause.Check(now)
+	held, gap := o.pause.Check(now)
+	o.pauseMu.Unlock()
+	if held || o.opts.InDoubt == nil {
+		return held, gap
+	}
+	// What arrives by now was sent after the pause: no time is taken off it.
+	return o.opts.InDoubt(now), 0
 }
 
 // refuse answers an item that did not run.
