Measure the policy against the plain baseline, and check properties under faults

Cause: the demo shows latency of a fleet in order; nothing measured the policy under load and faults, beside the plain alternative, with the properties checked.

--- a/cmd/sycamorekeel/main.go
+++ b/cmd/sycamorekeel/main.go
@@ -20,6 +20,7 @@
 	Explain   explainCommand   `cmd:"" help:"Show what a VM did for one request: what it sent where, and why."`
 	Standin   standinCommand   `cmd:"" help:"Serve stand-ins for the platform and the upstreams of contract files, to try daemons by hand."`
 	Demo      demoCommand      `cmd:"" help:"Run both users' deployments on loopback and print latency, coverage and extra load."`
+	Bench     benchCommand     `cmd:"" hidden:"" help:"Measure the policy against the plain baseline under load and faults."`
 }
 
 func main() {
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+
 	"github.com/gravitational/trace"
 
 	"sycamorekeel.example/sycamorekeel/internal/standin"
@@ -15,6 +17,7 @@
 func (v *VM) Kill() {
 	v.wire.kill()
 	v.listeners.close()
+	v.Daemon.Halt()
 	v.cancel()
 }
 
@@ -39,11 +42,33 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.retired = append(f.retired, old)
 	f.VMs[i] = vm
 	return nil
 }
 
+// Running is the VMs that were neither stopped nor killed.
+func (f *Fleet) Running() []*VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*VM
+	for _, vm := range f.VMs {
+		if vm.Running() {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// Processes is every daemon that ran, those that a restart replaced included.
+func (f *Fleet) Processes() []*VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Concat(f.VMs, f.retired)
+}
+
 func (f *Fleet) listenersFor(old *VM, same bool) (vmListeners, error) {
 	if !same {
 		return listen()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,7 +45,8 @@
 type Fleet struct {
 	opts     Options
 	Platform *standin.Platform
-	VMs      []*VM
+	// VMs is changed by Restart and Replace only.
+	VMs []*VM
 	// Upstreams by "service/id".
 	Upstreams map[string]*standin.Upstream
 	documents map[string]string
@@ -53,6 +54,8 @@
 	addresses []vmListeners
 	// retired are processes that a restart has replaced.
 	retired []*VM
+	// mu is held while VMs changes.
+	mu sync.Mutex
 }
 
 // VM is one running daemon.
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -115,6 +115,9 @@
 	if len(list) == 0 {
 		return query.NoReplica
 	}
+	if r.opts.Direct {
+		return lessLoaded(list)
+	}
 	return r.choose(list, w.Explore).index
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -37,7 +37,8 @@
 	Log         *zap.Logger
 	VM          string
 	Incarnation uint64
-	// Direct makes this VM the owner of every upstream: the baseline.
+	// Direct makes this VM the owner of every upstream: the baseline. It takes
+	// the less loaded of two replicas drawn at random and never hedges.
 	Direct  bool
 	Owner   LocalOwner
 	Peers   Peers
@@ -154,7 +155,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if cause == query.Hedge {
-		return b.hedge.Spend()
+		return !r.opts.Direct && b.hedge.Spend()
 	}
 	return b.retry.Spend()
 }
