Read explain's causes as written, show why each attempt was sent

Cause: causes of attempts were written as text and could not be read back, so that the explain command failed on every record. Each answer took its service's lock for the answer times of all its upstreams.

Change: causes are read from text; the command shows restarts, why each hedge, retry and redirect was sent, and whether it went through a standby. A service's answer times take one answer in eight once 64 were seen.

--- a/cmd/sycamorekeel/explain.go
+++ b/cmd/sycamorekeel/explain.go
@@ -7,6 +7,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/explain"
 	"sycamorekeel.example/sycamorekeel/internal/operatorapi"
+	"sycamorekeel.example/sycamorekeel/internal/query"
 )
 
 type explainCommand struct {
@@ -30,13 +31,29 @@
 	if rec.Detail != "" {
 		out.printf("%s (%s)\n", rec.Detail, rec.Ran)
 	}
+	for _, r := range rec.Restarts {
+		out.printf("  %8.1f ms  restart at snapshot %s: no replica of shard %d had %s any more, %d answers discarded\n",
+			ms(r.At), explain.Snapshot(r.To), r.Shard, explain.Snapshot(r.From), r.Discarded)
+	}
 	for _, s := range rec.Shards {
 		out.printf("shard %d %s\n", s.ID, s.Missing)
 		for _, a := range s.Attempts {
-			out.printf("  %8.1f ms  %-8s %-24s %s after %.1f ms\n",
-				ms(a.Sent), a.Cause, a.Upstream, a.Result, ms(a.Took))
+			out.printf("  %8.1f ms  %-8s %-24s %s after %.1f ms%s\n",
+				ms(a.Sent), a.Cause, a.Upstream, a.Result, ms(a.Took), reason(&a))
 		}
 	}
 }
 
+// reason says why an attempt was sent, unless it is a first one.
+func reason(a *query.AttemptRecord) string {
+	var out string
+	if a.Why != "" {
+		out = ", sent because: " + a.Why
+	}
+	if a.Standby {
+		out += ", through the standby VM"
+	}
+	return out
+}
+
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/query/plan.go
+++ b/internal/query/plan.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
 
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
@@ -113,6 +114,17 @@
 // MarshalText implements encoding.TextMarshaler.
 func (c Cause) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (c *Cause) UnmarshalText(text []byte) error {
+	for i, name := range causeNames {
+		if name == string(text) {
+			*c = Cause(i)
+			return nil
+		}
+	}
+	return trace.BadParameter("cause %q is unknown", text)
+}
+
 // Extra tells whether sends of this cause are extra load upstream.
 func (c Cause) Extra() bool { return c == Hedge || c == Retry || c == Restart }
 
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,11 +74,24 @@
 
 // pool is the answer times of a service's upstreams together.
 type pool struct {
+	// slow is the time in ns above which an answer is slow, seen the answers so
+	// far; both are read without the lock.
+	slow atomic.Int64
+	seen atomic.Uint64
+
 	mu    sync.Mutex
 	times latency.Tracker
 	tail  tail
 }
 
+// Once a pool has seen poolWarm answers it takes one of poolSample in: more do
+// not make it truer, and every sub-request of the service would wait for its
+// lock.
+const (
+	poolWarm   = 64
+	poolSample = 8
+)
+
 // read is the tail quantile; ok is false while too little was observed.
 func (t *tail) read(now time.Time, times *latency.Tracker) (time.Duration, bool) {
 	if times.Weight(now) < hedgeEnough {
@@ -292,11 +306,18 @@
 // observePool adds an answer to its service's and tells whether it was slow.
 func (r *Router) observePool(now time.Time, o query.Observation) bool {
 	p := r.pool(o.Upstream.Service)
+	if n := p.seen.Add(1); n <= poolWarm || n%poolSample == 0 {
+		p.observe(now, o.Took)
+	}
+	return int64(o.Took) > p.slow.Load()
+}
+
+func (p *pool) observe(now time.Time, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.times.Observe(now, o.Took)
+	p.times.Observe(now, took)
 	p.tail.observed()
-	return o.Took > exploreSlow*p.times.Mean()
+	p.slow.Store(int64(exploreSlow * p.times.Mean()))
 }
 
 func (r *Router) upstream(id string) *upstreamState {
