Derive the durations of shares from one lease, shorter in fleets of tests

Cause: a start waits until the loans of a former incarnation have ended, 2 s, and every test of a whole fleet paid for it. Change: share.Timing derives all durations from the lease; a daemon takes it from its options, and the fleet in one process uses 200 ms.

--- a/internal/admission/bucket.go
+++ b/internal/admission/bucket.go
@@ -16,6 +16,10 @@
 	last   time.Time
 }
 
+// emptyRetry is when a caller may come back to a VM that holds no rate: by then
+// it may have borrowed some.
+const emptyRetry = 250 * time.Millisecond
+
 // almostOne token is enough: sums of small parts come out just below 1.
 const almostOne = 1 - 1e-9
 
@@ -42,7 +46,7 @@
 	}
 	a := b.share.At(now)
 	if a.Burst < 1 || a.Rate <= 0 {
-		return share.TickEvery, false
+		return emptyRetry, false
 	}
 	return time.Duration((1 - b.tokens) / a.Rate * float64(time.Second)), false
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -34,6 +35,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/peerauth"
 	"sycamorekeel.example/sycamorekeel/internal/query"
 	"sycamorekeel.example/sycamorekeel/internal/router"
+	"sycamorekeel.example/sycamorekeel/internal/share"
 )
 
 const (
@@ -53,6 +55,9 @@
 	// of failures hand in dialers whose connections they can cut.
 	DialPeer     func(ctx context.Context, address string) (net.Conn, error)
 	DialUpstream func(address string, timeout time.Duration) (net.Conn, error)
+	// ShareLease is the life of loans between home VMs, the same on all VMs; 0
+	// is the default. Tests shorten it, as a start waits for it.
+	ShareLease time.Duration
 }
 
 // Daemon is one VM's process.
@@ -104,7 +109,7 @@
 		ended:       make(chan error, 1),
 		stops:       stops{halt: make(chan struct{})},
 	}
-	d.shares = newShares(d)
+	d.shares = newShares(d, share.Timing{Lease: cmp.Or(opts.ShareLease, share.DefaultLease)})
 	d.status = newStatusHub(d.learnStatus)
 	d.table.Store(ownership.Assign(nil, nil))
 	d.snapshot.Store(contract.Compile(0, nil))
--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -32,10 +32,11 @@
 // Lock order: shares.mu is a leaf. It guards the shares and the admission
 // together, so that a share is in force here before a peer hears of it.
 type shares struct {
-	d     *Daemon
-	homes atomic.Pointer[homes]
-	met   *shareMetrics
-	ready atomic.Bool
+	d      *Daemon
+	timing share.Timing
+	homes  atomic.Pointer[homes]
+	met    *shareMetrics
+	ready  atomic.Bool
 
 	mu         sync.Mutex
 	state      *share.State
@@ -44,11 +45,17 @@
 	served []share.Kind
 }
 
-func newShares(d *Daemon) *shares {
+func newShares(d *Daemon, timing share.Timing) *shares {
 	s := &shares{
-		d:          d,
-		met:        newShareMetrics(d.registry),
-		state:      share.New(d.settings.Vm, d.incarnation, time.Now()),
+		timing: timing,
+		d:      d,
+		met:    newShareMetrics(d.registry),
+		state: share.New(share.Options{
+			VM:          d.settings.Vm,
+			Incarnation: d.incarnation,
+			Started:     time.Now(),
+			Timing:      timing,
+		}),
 		controller: admission.New(int(d.settings.Limits.MaxQueries)),
 	}
 	s.homes.Store(&homes{})
@@ -122,7 +129,7 @@
 
 // run ticks until ctx ends.
 func (s *shares) run(ctx context.Context) error {
-	tick := time.NewTicker(share.TickEvery)
+	tick := time.NewTicker(s.timing.Tick())
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,9 @@
 // endpointsTTLMS is short, as a planned stop takes as long.
 const endpointsTTLMS = 500
 
+// shareLease keeps the start of a fleet short.
+const shareLease = 200 * time.Millisecond
+
 // Options describe a deployment.
 type Options struct {
 	Log *zap.Logger
@@ -231,6 +234,7 @@
 		Gossip:       w.packets(l.gossip),
 		DialPeer:     w.dialPeer,
 		DialUpstream: w.dialUpstream,
+		ShareLease:   shareLease,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/share/borrow.go
+++ b/internal/share/borrow.go
@@ -52,7 +52,7 @@
 	b.lowered = b.lowered || amount.lowers(b.amount)
 	b.sequence = m.Sequence
 	b.amount = amount
-	b.until = asked.Add(borrowedLife(min(Lease, time.Duration(m.RemainingMs)*time.Millisecond)))
+	b.until = asked.Add(borrowedLife(min(s.timing.Lease, time.Duration(m.RemainingMs)*time.Millisecond)))
 	if b.amount != (Amount{}) {
 		e.failed = 0
 	}
@@ -91,19 +91,19 @@
 		s.sendAck(now, e, vm, b, wantFrom(b, now, deficit, held))
 	}
 	if due {
-		e.askAt = now.Add(e.pause(held.covers(deficit)))
+		e.askAt = now.Add(s.pause(e, held.covers(deficit)))
 	}
 }
 
 // pause is the time until the next request: a fourth of a lease while loans
 // cover the need; otherwise soon, and later each time nothing came.
-func (e *entry) pause(covered bool) time.Duration {
+func (s *State) pause(e *entry, covered bool) time.Duration {
 	if covered {
 		e.failed = 0
-		return Lease / 4
+		return s.timing.Lease / 4
 	}
 	e.failed = min(e.failed+1, 3)
-	return TickEvery << (e.failed - 1)
+	return s.timing.Tick() << (e.failed - 1)
 }
 
 // confirm notes the loans whose earlier, larger ones are out of use.
--- a/internal/share/lend.go
+++ b/internal/share/lend.go
@@ -121,7 +121,7 @@
 // While no request would be let in here no rate is lent: what is kept of a low
 // rate needs many seconds for the first one.
 func (s *State) lend(now time.Time, e *entry, need Amount, u Usage) []SendLoan {
-	names := e.borrowers(now)
+	names := s.borrowers(now, e)
 	if len(names) == 0 {
 		return nil
 	}
@@ -137,7 +137,7 @@
 		l := e.lendings[vm]
 		held := l.charge(now)
 		amount := grants[i].min(held.plus(free))
-		if !l.due(now, amount) {
+		if !l.due(now, amount, s.fresh(now, l)) {
 			continue
 		}
 		free = free.minus(amount.minus(held))
@@ -147,10 +147,10 @@
 }
 
 // borrowers is the VMs that wait for a loan or hold one, by name.
-func (e *entry) borrowers(now time.Time) []string {
+func (s *State) borrowers(now time.Time, e *entry) []string {
 	var names []string
 	for vm, l := range e.lendings {
-		if now.Sub(l.askedAt) < Lease/2 || l.latest(now) != (Amount{}) {
+		if s.fresh(now, l) || l.latest(now) != (Amount{}) {
 			names = append(names, vm)
 		}
 	}
@@ -158,6 +158,12 @@
 	return names
 }
 
+// fresh tells whether a request is young enough that its loan still has most of
+// its life.
+func (s *State) fresh(now time.Time, l *lending) bool {
+	return now.Sub(l.askedAt) < s.timing.Lease/2
+}
+
 func (e *entry) wants(names []string) []Amount {
 	out := make([]Amount, len(names))
 	for i, vm := range names {
@@ -171,9 +177,9 @@
 
 // due tells whether a loan should be sent: it answers a request, or it takes
 // back part of one that is out. A request that gets nothing gets no answer.
-func (l *lending) due(now time.Time, amount Amount) bool {
+func (l *lending) due(now time.Time, amount Amount, fresh bool) bool {
 	latest := l.latest(now)
-	if !l.answered && now.Sub(l.askedAt) < Lease/2 {
+	if !l.answered && fresh {
 		return amount != (Amount{}) || latest != (Amount{})
 	}
 	return amount.lowers(latest)
@@ -188,7 +194,7 @@
 	s.sequence++
 	l.answered = true
 	// The borrower counts from its stamp, which is before askedAt.
-	expires := l.askedAt.Add(LentLife)
+	expires := l.askedAt.Add(s.timing.LentLife())
 	l.add(grant{sequence: s.sequence, amount: amount, expires: expires, released: expires.Add(e.hold())})
 	return SendLoan{To: vm, Message: &pb.ShareLoan{
 		Customer:            e.limit.Kind.Customer,
@@ -197,7 +203,7 @@
 		Rate:                amount.Rate,
 		Burst:               uint32(amount.Burst),
 		Concurrency:         uint32(amount.Concurrency),
-		RemainingMs:         uint32(Lease.Milliseconds()),
+		RemainingMs:         uint32(s.timing.Lease.Milliseconds()),
 		Incarnation:         s.incarnation,
 		StampUs:             l.stampUs,
 		BorrowerIncarnation: l.incarnation,
--- a/internal/share/network_test.go
+++ b/internal/share/network_test.go
@@ -27,6 +27,7 @@
 
 var (
 	search = share.Kind{Customer: "c", Name: "search"}
+	timing = share.Timing{Lease: share.DefaultLease}
 	epoch  = time.Unix(1_000_000, 0)
 )
 
@@ -88,7 +89,7 @@
 	n := &network{t: t, random: rand.New(rand.NewPCG(seed, 7)), longest: 30 * time.Millisecond, cut: map[[2]string]bool{}}
 	for i, name := range limit.Members {
 		v := &vm{name: name, rate: 1 + share.MaxDrift*float64(i%3-1), offset: time.Duration(i) * time.Hour, view: limit, length: limit.Hold}
-		v.nextTick = time.Duration(n.random.Int64N(int64(share.TickEvery)))
+		v.nextTick = time.Duration(n.random.Int64N(int64(timing.Tick())))
 		n.vms = append(n.vms, v)
 		n.restart(v)
 	}
@@ -111,7 +112,7 @@
 // restart replaces the process: its requests end, its state is forgotten.
 func (n *network) restart(v *vm) {
 	v.incarnation++
-	v.state = share.New(v.name, v.incarnation, n.clock(v))
+	v.state = share.New(share.Options{VM: v.name, Incarnation: v.incarnation, Started: n.clock(v), Timing: timing})
 	v.share, v.running, v.inbox, v.paused = share.Share{}, nil, nil, false
 	n.configure(v, v.view)
 }
@@ -194,7 +195,7 @@
 	}
 	v.inbox = nil
 	if n.now >= v.nextTick {
-		v.nextTick = n.now + share.TickEvery
+		v.nextTick = n.now + timing.Tick()
 		n.carry(v, v.state.Step(n.clock(v), share.Tick{Usage: func(share.Kind) share.Usage {
 			u := share.Usage{Rate: v.demand, Concurrency: max(v.peak, v.wants), Running: len(v.running), Ready: true}
 			v.peak = len(v.running)
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -29,8 +29,8 @@
 )
 
 const (
-	// Lease is the life of a loan.
-	Lease = 2 * time.Second
+	// DefaultLease is the life of a loan.
+	DefaultLease = 2 * time.Second
 	// MaxDrift bounds how much faster or slower than real time a VM's monotonic
 	// clock may run.
 	MaxDrift = 0.01
@@ -41,8 +41,6 @@
 	// lender gets lent concurrency back only when the borrower's requests under
 	// it have ended.
 	MaxHold = 5 * time.Second
-	// TickEvery is how often the driver steps with a Tick.
-	TickEvery = 250 * time.Millisecond
 	// maxMessages bounds the messages of one tick, loans and requests together.
 	maxMessages = 8
 	// minRatePart of the entitled rate is never lent.
@@ -54,16 +52,29 @@
 	newLenders = 2
 )
 
-// borrowedLife is how long a loan of the given life may be used, on the
-// borrower's clock.
-func borrowedLife(life time.Duration) time.Duration {
-	return life - time.Duration(MaxDrift*float64(life)) - margin
+// Timing derives every duration from the life of a loan, which must be the same
+// on all VMs.
+type Timing struct {
+	Lease time.Duration
+}
+
+// Tick is how often the driver steps with a Tick.
+func (t Timing) Tick() time.Duration {
+	return t.Lease / 8
 }
 
 // LentLife is how long a loan counts at the lender, on the lender's clock. It
 // is also how long a new incarnation, and a share that grows with a new list,
 // has to wait.
-const LentLife = Lease + time.Duration(MaxDrift*float64(Lease)) + margin
+func (t Timing) LentLife() time.Duration {
+	return t.Lease + time.Duration(MaxDrift*float64(t.Lease)) + margin
+}
+
+// borrowedLife is how long a loan of the given life may be used, on the
+// borrower's clock.
+func borrowedLife(life time.Duration) time.Duration {
+	return life - time.Duration(MaxDrift*float64(life)) - margin
+}
 
 // Kind names one request kind of one customer.
 type Kind struct{ Customer, Name string }
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -190,7 +190,7 @@
 	for _, v := range n.vms {
 		n.configure(v, three(60, 30))
 	}
-	n.run(share.LentLife + n.vms[0].length)
+	n.run(timing.LentLife() + n.vms[0].length)
 	n.most = share.Amount{}
 	n.run(10 * time.Second)
 	NewWithT(t).Expect(n.most.Rate).To(BeNumerically("<=", 60*(1+1e-9)))
@@ -209,7 +209,7 @@
 		n.run(3 * time.Second)
 		for _, i := range n.random.Perm(len(n.vms)) {
 			n.configure(n.vms[i], after)
-			n.run(share.Lease / 4)
+			n.run(timing.Lease / 4)
 		}
 		n.run(10 * time.Second)
 		NewWithT(t).Expect(n.vm("c").share.At(n.clock(n.vm("c")))).To(Equal(share.Amount{}))
@@ -230,7 +230,7 @@
 	for _, name := range []string{"a", "b", "d"} {
 		n.configure(n.vm(name), after)
 	}
-	n.run(share.LentLife - 100*time.Millisecond)
+	n.run(timing.LentLife() - 100*time.Millisecond)
 	n.t = &tolerant{}
 	n.most = share.Amount{}
 	n.run(10 * time.Second)
--- a/internal/share/state.go
+++ b/internal/share/state.go
@@ -12,6 +12,7 @@
 	vm          string
 	incarnation uint64
 	started     time.Time
+	timing      Timing
 	// sequence numbers the loans of this incarnation.
 	sequence uint64
 	entries  map[Kind]*entry
@@ -44,10 +45,25 @@
 	restart bool
 }
 
-// New is the state of a VM whose process started at the given time with the
-// given incarnation. It may use nothing yet.
-func New(vm string, incarnation uint64, started time.Time) *State {
-	return &State{vm: vm, incarnation: incarnation, started: started, entries: map[Kind]*entry{}}
+// Options are what a State needs.
+type Options struct {
+	VM string
+	// Incarnation is higher than that of every former process of the VM, and
+	// Started is when this one began.
+	Incarnation uint64
+	Started     time.Time
+	Timing      Timing
+}
+
+// New is the state of a VM that may use nothing yet.
+func New(opts Options) *State {
+	return &State{
+		vm:          opts.VM,
+		incarnation: opts.Incarnation,
+		started:     opts.Started,
+		timing:      opts.Timing,
+		entries:     map[Kind]*entry{},
+	}
 }
 
 // Step takes one event in and returns what to do.
@@ -68,7 +84,7 @@
 
 // Settled tells whether every loan of a former incarnation has ended.
 func (s *State) Settled(now time.Time) bool {
-	return !now.Before(s.started.Add(LentLife))
+	return !now.Before(s.started.Add(s.timing.LentLife()))
 }
 
 func (s *State) configure(now time.Time, limits []Limit) {
@@ -109,12 +125,12 @@
 	e.target = l.Part(slices.Index(l.Members, s.vm), len(l.Members))
 	if changed {
 		e.since = now
-		e.rateAt = now.Add(LentLife)
+		e.rateAt = now.Add(s.timing.LentLife())
 		e.restart = first && !s.Settled(now)
 		if e.restart {
 			// No list was known before: only loans of a former incarnation of
 			// this VM may be out, and they end a lease after the start.
-			e.rateAt = s.started.Add(LentLife)
+			e.rateAt = s.started.Add(s.timing.LentLife())
 		}
 		e.concurrencyAt = e.rateAt.Add(e.hold())
 		e.dropOthers(s.vm)
@@ -175,7 +191,7 @@
 
 func (s *State) tick(now time.Time, usage func(Kind) Usage) {
 	for _, kind := range s.order {
-		s.entries[kind].expire(now)
+		s.entries[kind].expire(now, s.timing.Lease)
 		s.entries[kind].raise(now)
 		s.update(now, kind)
 	}
@@ -218,16 +234,16 @@
 }
 
 // expire forgets loans that have ended on both sides.
-func (e *entry) expire(now time.Time) {
+func (e *entry) expire(now time.Time, lease time.Duration) {
 	for vm, b := range e.borrowings {
 		// Kept for a lease more, so that its sequence refuses late copies.
-		if now.After(b.until.Add(2 * Lease)) {
+		if now.After(b.until.Add(2 * lease)) {
 			delete(e.borrowings, vm)
 		}
 	}
 	for vm, l := range e.lendings {
 		l.expire(now)
-		if len(l.grants) == 0 && now.Sub(l.askedAt) > 2*Lease {
+		if len(l.grants) == 0 && now.Sub(l.askedAt) > 2*lease {
 			delete(e.lendings, vm)
 		}
 	}
