--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -311,7 +311,7 @@
 	return err
 }
 
-// Close stops the daemons and the stand-ins.
+// Close ends the daemons, without the waits of a planned stop, and the stand-ins.
 func (f *Fleet) Close() {
 	if f.Platform != nil {
 		f.Platform.SetDown(true)
@@ -319,6 +319,7 @@
 	f.Heal()
 	var wg sync.WaitGroup
 	for _, vm := range slices.Concat(f.VMs, f.retired) {
+		vm.Daemon.Halt()
 		wg.Go(func() { _ = vm.Stop() })
 	}
 	wg.Wait()
