--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,7 +135,7 @@
 		MaxQueue:      int(d.settings.Limits.MaxQueue),
 		MaxReplyBytes: int(d.settings.Limits.MaxReplyBytes),
 		Now:           time.Now,
-		Health:        health.Default(),
+		Health:        health.DefaultOptions(),
 		Ledger:        dispatch.DefaultLedger(),
 		Pause:         owner.DefaultPause(),
 		Dial:          d.listeners.DialUpstream,
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -30,8 +30,8 @@
 	ProbeFailures int
 }
 
-// Default is the timings of a daemon.
-func Default() Options {
+// DefaultOptions are the timings of a daemon.
+func DefaultOptions() Options {
 	return Options{
 		Interval:      time.Second,
 		Lag:           3 * time.Second,
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -25,6 +25,8 @@
 	Slow float64
 	// Slots is how many requests run at a time; more are shed. 0 means any.
 	Slots int
+	// ShedAll refuses every request for want of a slot.
+	ShedAll bool
 	// Draining refuses new work and says so.
 	Draining bool
 	// Hang takes requests and never answers them in time.
@@ -36,6 +38,17 @@
 	Snapshots []string
 	// Hits in each answer.
 	Hits int
+	// Padding is added to each answer, in bytes.
+	Padding int
+	// CloseAfterRead runs a request and closes its connection without answer.
+	CloseAfterRead bool
+	// AnnounceDrain says in every answer that it drains, and still serves.
+	AnnounceDrain bool
+	// OpenDelay is added to the first request of each connection: what opening
+	// one costs.
+	OpenDelay time.Duration
+	// HealthDown makes the health endpoint fail.
+	HealthDown bool
 	// LagHealth, when set, is what the health endpoint says in place of the truth.
 	LagHealth *upstream.Health
 }
@@ -51,6 +64,10 @@
 	shed    atomic.Int64
 	conns   atomic.Int64
 	peak    atomic.Int64
+	opened  atomic.Int64
+	probes  atomic.Int64
+	// cancelled counts the requests that ended by a cancellation.
+	cancelled atomic.Int64
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -60,6 +77,8 @@
 	// bodies counts the executions of each request body.
 	bodies  map[string]int
 	cancels map[string]chan struct{}
+	// releases end the service time of requests, by body.
+	releases map[string]chan struct{}
 }
 
 // StartUpstream serves on a free loopback port until Close.
@@ -81,6 +100,7 @@
 		runs:      map[string]int{},
 		bodies:    map[string]int{},
 		cancels:   map[string]chan struct{}{},
+		releases:  map[string]chan struct{}{},
 	}
 	u.http = &fasthttp.Server{Handler: u.handle, ConnState: u.connState, CloseOnShutdown: true}
 	go func() { _ = u.http.Serve(ln) }()
@@ -115,6 +135,16 @@
 func (u *Upstream) Shed() int64   { return u.shed.Load() }
 func (u *Upstream) Peak() int64   { return u.peak.Load() }
 
+// Open is the number of connections open now; Opened of those opened so far.
+func (u *Upstream) Open() int64   { return u.conns.Load() }
+func (u *Upstream) Opened() int64 { return u.opened.Load() }
+
+// Running is the number of requests under way; Cancelled of those ended by a
+// cancellation; Probes of the calls of the health endpoint.
+func (u *Upstream) Running() int64   { return u.running.Load() }
+func (u *Upstream) Cancelled() int64 { return u.cancelled.Load() }
+func (u *Upstream) Probes() int64    { return u.probes.Load() }
+
 // MostRuns is the highest number of executions of one request body.
 func (u *Upstream) MostRuns() int {
 	u.mu.Lock()
@@ -149,6 +179,7 @@
 func (u *Upstream) connState(_ net.Conn, state fasthttp.ConnState) {
 	switch state {
 	case fasthttp.StateNew:
+		u.opened.Add(1)
 		n := u.conns.Add(1)
 		for p := u.peak.Load(); n > p && !u.peak.CompareAndSwap(p, n); p = u.peak.Load() {
 		}
@@ -169,9 +200,14 @@
 }
 
 func (u *Upstream) health(ctx *fasthttp.RequestCtx) {
+	u.probes.Add(1)
 	u.mu.Lock()
 	b := u.behaviour
 	u.mu.Unlock()
+	if b.HealthDown {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
 	h := upstream.Health{State: "ready", Snapshots: b.Snapshots}
 	if b.Slots > 0 {
 		h.Load = float64(u.running.Load()) / float64(b.Slots)
@@ -179,7 +215,7 @@
 	if b.Cold > 0 {
 		h.State = "cold"
 	}
-	if b.Draining {
+	if b.Draining || b.AnnounceDrain {
 		h.State = "draining"
 	}
 	if b.LagHealth != nil {
@@ -213,40 +249,70 @@
 	took := u.serviceTime(&b)
 	u.runs[id]++
 	u.bodies[string(ctx.PostBody())]++
-	stop := make(chan struct{})
+	stop, release := make(chan struct{}), make(chan struct{})
 	u.cancels[id] = stop
+	u.releases[string(ctx.PostBody())] = release
 	u.mu.Unlock()
 	u.served.Add(1)
-	if !u.wait(ctx, id, took, stop) {
+	if b.CloseAfterRead {
+		_ = ctx.Conn().Close()
+		return
+	}
+	if b.OpenDelay > 0 && ctx.ConnRequestNum() == 1 {
+		time.Sleep(b.OpenDelay)
+	}
+	if b.AnnounceDrain {
+		ctx.Response.Header.Set(upstream.HeaderDraining, "1")
+	}
+	if !u.wait(ctx, id, took, stop, release) {
 		return
 	}
 	shard := string(ctx.Request.Header.Peek(upstream.HeaderShard))
 	ctx.Response.Header.Set(upstream.HeaderSnapshot, snapshot)
-	ctx.SetBody(hits(shard, snapshot, ctx.PostBody(), &b))
+	ctx.SetBody(append(hits(shard, snapshot, ctx.PostBody(), &b), make([]byte, b.Padding)...))
 }
 
 // wait spends the service time; false when the request was cancelled or its
 // deadline has passed.
-func (u *Upstream) wait(ctx *fasthttp.RequestCtx, id string, took time.Duration, stop chan struct{}) bool {
+func (u *Upstream) wait(ctx *fasthttp.RequestCtx, id string, took time.Duration, stop, release chan struct{}) bool {
 	timer := time.NewTimer(took)
 	defer timer.Stop()
+	defer u.forget(id, string(ctx.PostBody()))
 	select {
 	case <-timer.C:
-		u.mu.Lock()
-		delete(u.cancels, id)
-		u.mu.Unlock()
+		return true
+	case <-release:
 		return true
 	case <-stop:
+		u.cancelled.Add(1)
 		ctx.SetStatusCode(fasthttp.StatusGone)
 		return false
 	}
 }
 
+func (u *Upstream) forget(id, body string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.cancels, id)
+	delete(u.releases, body)
+}
+
+// Release ends the service time of the request with this body now; it is then
+// answered as usual.
+func (u *Upstream) Release(body string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if c, ok := u.releases[body]; ok {
+		close(c)
+		delete(u.releases, body)
+	}
+}
+
 func refuse(b *Behaviour, running int64, snapshot string) string {
 	switch {
 	case b.Draining:
 		return upstream.NotRunDraining
-	case b.Slots > 0 && running > int64(b.Slots):
+	case b.ShedAll || b.Slots > 0 && running > int64(b.Slots):
 		return upstream.NotRunShed
 	case b.Snapshots != nil && !contains(b.Snapshots, snapshot):
 		return upstream.NotRunSnapshot
