Probe for a further slot ever more slowly, and measure the owner's decisions

Cause: limits are small numbers, so that adding a slot after as many successes as there are slots tried a third slot on an upstream that bears two after every other request. Change: the additive step is divided by a patience that doubles with each cut and halves as slots are gained.

--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -27,6 +27,8 @@
 	// gradientFloor bounds one step of Gradient; gradientGain smooths it.
 	gradientFloor = 0.5
 	gradientGain  = 0.2
+	// maxPatience bounds the factor by which probing slows down.
+	maxPatience = 32
 	// cutPause is the least time between two cuts: replies under way when the
 	// limit was cut tell nothing of the new limit.
 	cutPause = 20 * time.Millisecond
@@ -45,8 +47,14 @@
 	limit     float64
 	ramping   bool
 	nextCut   time.Time
-	present   float64
-	usual     float64
+	// patience slows the probing for a further slot: it doubles with each cut,
+	// and halves when more than one slot was gained since. Limits are small
+	// numbers: without it an upstream that bears two of five slots would be
+	// tried with a third after every other request.
+	patience float64
+	gained   int
+	present  float64
+	usual    float64
 }
 
 // NewLimiter starts at one slot of the published number.
@@ -61,6 +69,7 @@
 func (l *Limiter) Restart() {
 	l.limit = 1
 	l.ramping = true
+	l.patience = 1
 }
 
 // Publish changes the published number of slots.
@@ -111,14 +120,25 @@
 }
 
 func (l *Limiter) raise() {
+	before := l.Limit()
 	step := 1.0
 	if !l.ramping {
-		step = 1 / l.limit
+		step = 1 / (l.limit * l.patience)
 	}
 	l.limit = min(float64(l.published), l.limit+step)
 	if l.limit >= float64(l.published) {
 		l.ramping = false
 	}
+	if l.Limit() > before {
+		l.gain()
+	}
+}
+
+func (l *Limiter) gain() {
+	l.gained++
+	if l.gained > 1 {
+		l.patience = max(1, l.patience/2)
+	}
 }
 
 func (l *Limiter) cut(now time.Time, factor float64) {
@@ -127,6 +147,8 @@
 	}
 	l.nextCut = now.Add(cutPause)
 	l.limit = max(1, l.limit*factor)
+	l.patience = min(maxPatience, 2*l.patience)
+	l.gained = 0
 }
 
 func (l *Limiter) follow() {
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -77,6 +77,8 @@
 	// bodies counts the executions of each request body.
 	bodies  map[string]int
 	cancels map[string]chan struct{}
+	// serving are the connections of requests that run, by body.
+	serving map[string]net.Conn
 	// releases end the service time of requests, by body.
 	releases map[string]chan struct{}
 }
@@ -101,6 +103,7 @@
 		bodies:    map[string]int{},
 		cancels:   map[string]chan struct{}{},
 		releases:  map[string]chan struct{}{},
+		serving:   map[string]net.Conn{},
 	}
 	u.http = &fasthttp.Server{Handler: u.handle, ConnState: u.connState, CloseOnShutdown: true}
 	go func() { _ = u.http.Serve(ln) }()
@@ -252,6 +255,7 @@
 	stop, release := make(chan struct{}), make(chan struct{})
 	u.cancels[id] = stop
 	u.releases[string(ctx.PostBody())] = release
+	u.serving[string(ctx.PostBody())] = ctx.Conn()
 	u.mu.Unlock()
 	u.served.Add(1)
 	if b.CloseAfterRead {
@@ -295,6 +299,21 @@
 	defer u.mu.Unlock()
 	delete(u.cancels, id)
 	delete(u.releases, body)
+	delete(u.serving, body)
+}
+
+// CloseConnection ends the connection of the request with this body and its
+// service time.
+func (u *Upstream) CloseConnection(body string) {
+	u.mu.Lock()
+	conn, release := u.serving[body], u.releases[body]
+	delete(u.releases, body)
+	u.mu.Unlock()
+	if conn == nil || release == nil {
+		return
+	}
+	_ = conn.Close()
+	close(release)
 }
 
 // Release ends the service time of the request with this body now; it is then
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net"
@@ -177,7 +178,7 @@
 	if err := c.requests.DoDeadline(req, resp, call.Deadline); err != nil {
 		return failure(err)
 	}
-	return outcome(resp)
+	return outcome(resp, call.Snapshot)
 }
 
 // fill fills in the parts of the URI without parsing a text.
@@ -244,7 +245,7 @@
 	return Outcome{Result: pb.Result_UNKNOWN, Detail: err.Error()}
 }
 
-func outcome(resp *fasthttp.Response) Outcome {
+func outcome(resp *fasthttp.Response, asked *pb.Snapshot) Outcome {
 	out := Outcome{Draining: len(resp.Header.Peek(HeaderDraining)) > 0}
 	if reason := string(resp.Header.Peek(HeaderNotRun)); reason != "" {
 		out.Result = notRun(reason)
@@ -257,7 +258,7 @@
 		out.Detail = "upstream answered with status " + strconv.Itoa(resp.StatusCode())
 		return out
 	}
-	snapshot, err := ParseSnapshot(string(resp.Header.Peek(HeaderSnapshot)))
+	snapshot, err := answered(resp.Header.Peek(HeaderSnapshot), asked)
 	if err != nil {
 		out.Result = pb.Result_UPSTREAM_ERROR
 		out.Detail = err.Error()
@@ -269,6 +270,16 @@
 	return out
 }
 
+// answered is the snapshot a reply states, which is nearly always the one that
+// was asked for.
+func answered(text []byte, asked *pb.Snapshot) (*pb.Snapshot, error) {
+	var buf [headerBuffer]byte
+	if bytes.Equal(text, appendSnapshot(buf[:0], asked)) {
+		return asked, nil
+	}
+	return ParseSnapshot(string(text))
+}
+
 func notRun(reason string) pb.Result {
 	switch reason {
 	case NotRunShed:
