Ask for grants before the owner's lock, test the ledger with random histories

Cause: a new configuration looked up every upstream's grant while sub-requests waited for the owner's lock. The ledger's rules were tested one by one only. Change: grants are looked up first; a property test sends, repeats, answers and cancels at random. Measured: nothing; the look-up is the same, outside the lock.

--- a/internal/dispatch/ledger_test.go
+++ b/internal/dispatch/ledger_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 )
 
 func key(id uint64) Key { return Key{VM: "vm-1", Incarnation: 7, ID: id} }
@@ -64,6 +65,49 @@
 	g.Expect(l.Arrive(at(10_000), key(3), false)).To(Equal(Fresh))
 }
 
+// TestLedgerProperties sends, repeats, answers and cancels at random: within the
+// age an id is let through at most once, never after its cancellation, and what
+// is remembered stays bounded.
+func TestLedgerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		opts := LedgerOptions{Tombstones: 4, TombstoneAge: time.Second, Idempotent: 4, NonIdempotent: 4, Age: 5 * time.Second}
+		l := NewLedger(opts)
+		now := 0
+		let := map[uint64]int{}
+		stopped := map[uint64]int{}
+		ids := rapid.Uint64Range(1, 12)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				id := ids.Draw(t, "id")
+				if l.Arrive(at(now), key(id), false) != Fresh {
+					return
+				}
+				if when, ok := let[id]; ok && now-when < 5000 {
+					t.Fatalf("id %d let through twice", id)
+				}
+				if when, ok := stopped[id]; ok && now-when < 1000 && len(stopped) <= opts.Tombstones {
+					t.Fatalf("id %d let through after its cancellation", id)
+				}
+				let[id] = now
+			},
+			"close": func(t *rapid.T) { l.Close(key(ids.Draw(t, "id"))) },
+			"cancel": func(t *rapid.T) {
+				id := ids.Draw(t, "id")
+				if _, ok := let[id]; !ok {
+					stopped[id] = now
+				}
+				l.Cancel(at(now), key(id))
+			},
+			"wait": func(t *rapid.T) { now += rapid.IntRange(0, 700).Draw(t, "ms") },
+			"": func(t *rapid.T) {
+				if l.Len() > 12 {
+					t.Fatalf("remembers %d ids", l.Len())
+				}
+			},
+		})
+	})
+}
+
 // Symptom: memory grows with each restart of a VM in the fleet.
 // Sequence: many processes send one request each.
 // Cause: processes were never forgotten.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -116,6 +116,7 @@
 // granted answers what waits as not run, and ends when what it runs has ended.
 // Owned upstreams get a station at once, so that they are probed.
 func (o *Owner) Apply(snap *contract.Snapshot) {
+	owned := o.owned(snap)
 	o.mu.Lock()
 	o.snapshot = snap
 	var refused []dispatch.Refused
@@ -123,7 +124,7 @@
 		refused = append(refused, o.regrant(id, st)...)
 	}
 	if !o.stopping {
-		o.startOwned(snap)
+		o.startOwned(owned)
 	}
 	o.mu.Unlock()
 	for _, r := range refused {
@@ -145,14 +146,22 @@
 	return st.grant(nil, Grant{})
 }
 
-// startOwned starts the missing stations of owned upstreams. The caller holds mu.
-func (o *Owner) startOwned(snap *contract.Snapshot) {
+// owned is the upstreams that this VM owns; sub-requests go on meanwhile.
+func (o *Owner) owned(snap *contract.Snapshot) []*contract.Upstream {
+	var out []*contract.Upstream
 	for _, u := range snap.Upstreams() {
-		if o.stations[u.ID] != nil {
-			continue
+		if o.opts.Grant(u).Role == Main {
+			out = append(out, u)
 		}
-		if g := o.opts.Grant(u); g.Role == Main {
-			o.stations[u.ID] = o.newStation(u, g)
+	}
+	return out
+}
+
+// startOwned starts the missing stations of owned upstreams. The caller holds mu.
+func (o *Owner) startOwned(owned []*contract.Upstream) {
+	for _, u := range owned {
+		if o.stations[u.ID] == nil {
+			o.stations[u.ID] = o.newStation(u, o.opts.Grant(u))
 		}
 	}
 }
