Stop the clock in the owner's tests

Cause: a check that a circuit is still open, or that no pause was noticed, would depend on how busy the machine is. Change: the tests' clock stands still and is moved by hand, but for the tests of probing and of two busy owners.

--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkSubmit: one sub-request from Submit to its reply, with the HTTP call
 // to the stand-in and the stand-in's own work in the same process.
 func BenchmarkSubmit(b *testing.B) {
-	r := newRig(b, rigConfig{slots: 5, connections: 40})
+	r := newRig(b, rigConfig{moving: true, slots: 5, connections: 40})
 	r.ramp()
 	done := make(chan struct{})
 	reply := func(*pb.SubReply) { done <- struct{}{} }
@@ -26,7 +26,7 @@
 
 // BenchmarkRefuse: one sub-request that is refused, so without the HTTP call.
 func BenchmarkRefuse(b *testing.B) {
-	r := newRig(b, rigConfig{slots: 5, connections: 40})
+	r := newRig(b, rigConfig{moving: true, slots: 5, connections: 40})
 	r.become(None)
 	id := uint64(1)
 	reply := func(*pb.SubReply) {}
@@ -61,7 +61,7 @@
 }
 
 func benchmarkCancel(b *testing.B, open time.Duration, closing bool) {
-	r := newRig(b, rigConfig{slots: 1, connections: 40, behaviour: standin.Behaviour{OpenDelay: open}})
+	r := newRig(b, rigConfig{moving: true, slots: 1, connections: 40, behaviour: standin.Behaviour{OpenDelay: open}})
 	<-r.send(1)
 	id := uint64(10)
 	b.ResetTimer()
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -165,9 +165,9 @@
 func TestTwoOwners(t *testing.T) {
 	g := NewWithT(t)
 	const slots, connections, each = 5, 40, 200
-	a := newRig(t, rigConfig{vm: "a", slots: slots, connections: connections,
+	a := newRig(t, rigConfig{vm: "a", moving: true, slots: slots, connections: connections,
 		behaviour: standin.Behaviour{Slots: slots, Median: time.Millisecond}})
-	b := newRig(t, rigConfig{vm: "b", slots: slots, connections: connections, server: a.server})
+	b := newRig(t, rigConfig{vm: "b", moving: true, slots: slots, connections: connections, server: a.server})
 	var mu sync.Mutex
 	results := map[pb.Result]int{}
 	var wg sync.WaitGroup
@@ -274,7 +274,7 @@
 
 func TestRunProbesAndTells(t *testing.T) {
 	g := NewWithT(t)
-	r := newRig(t, rigConfig{slots: 2, connections: 40, behaviour: standin.Behaviour{Snapshots: []string{"1/1"}}})
+	r := newRig(t, rigConfig{moving: true, slots: 2, connections: 40, behaviour: standin.Behaviour{Snapshots: []string{"1/1"}}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- r.owner.Run(ctx) }()
--- a/internal/owner/rig_test.go
+++ b/internal/owner/rig_test.go
@@ -31,7 +31,8 @@
 	owner  *Owner
 	server *standin.Upstream
 	role   atomic.Int32
-	// ahead is added to the clock.
+	// start and ahead make the clock, which stands still unless config.moving.
+	start  time.Time
 	ahead  atomic.Int64
 	config rigConfig
 
@@ -49,13 +50,14 @@
 	// server is shared with another rig when set.
 	server  *standin.Upstream
 	address string
+	moving  bool
 	limit   dispatch.LimitPolicy
 }
 
 // newRig starts an owner that owns the upstream.
 func newRig(t testing.TB, c rigConfig) *rig {
 	leaks := goleak.IgnoreCurrent()
-	r := &rig{t: t, config: c, server: c.server}
+	r := &rig{t: t, config: c, server: c.server, start: time.Now()}
 	if r.server == nil {
 		u, err := standin.StartUpstream(upstreamID, 1, c.behaviour)
 		if err != nil {
@@ -118,7 +120,12 @@
 	goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
 }
 
-func (r *rig) now() time.Time { return time.Now().Add(time.Duration(r.ahead.Load())) }
+func (r *rig) now() time.Time {
+	if r.config.moving {
+		return time.Now()
+	}
+	return r.start.Add(time.Duration(r.ahead.Load()))
+}
 
 func (r *rig) apply(leaving bool) {
 	r.owner.Apply(contract.Compile(1, []contract.Accepted{{Name: "d", Revision: 1, Document: &pb.Document{
