--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -386,6 +386,16 @@
 	}
 }
 
+// TestLimitSettles: an upstream that bears two of five slots sheds little.
+func TestLimitSettles(t *testing.T) {
+	s := base(Fair, scaled(0.7))
+	s.model.slots = 2
+	s.run()
+	if share := float64(s.sheds) / float64(s.sent); share > 0.03 {
+		t.Errorf("%.1f%% of what was sent was shed", 100*share)
+	}
+}
+
 func TestGoodputDoesNotFall(t *testing.T) {
 	most := 0.0
 	for _, load := range []float64{1, 1.5, 2, 3, 5} {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -241,6 +241,21 @@
 	g.Expect(r.runs(2) + r.runs(3) + r.runs(5)).To(BeZero())
 }
 
+// Symptom: a caller learns that its request did not run only when a straggler
+// ends.
+// Sequence: the only slot hangs; the deadline of one that waits passes.
+// Cause: deadlines were looked at only when a slot became free.
+func TestExpiredWhileTheSlotHangs(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, rigConfig{slots: 1, connections: 40})
+	_, let := r.hold(1)
+	waiting := r.sendFor(2, 500*time.Millisecond)
+	r.jump(500 * time.Millisecond)
+	r.tick()
+	g.Expect(waiting).To(Receive(HaveField("Result", pb.Result_TOO_LATE)))
+	let()
+}
+
 // Symptom: every request to a dead upstream waits for its own connect.
 // Sequence: nothing listens at its address; later it does.
 // Cause: no memory of the failure.
