Measure the slopes of capacity and the cost of the path

Cause: the capacity page has to be worked out from slopes measured here, and the path's cost beside a direct call was not known.

Change: internal/capacity measures assignments, frames and streams at several batch sizes, the merge of 380 shards, and simulates the tail of a 380-way fan-out; make capacity runs it with the benchmarks of membership and configuration. The bench measures the path over a direct call, and processor time and allocations per sub-request.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 PROTO := $(wildcard proto/sycamorekeel/v1/*.proto)
 
-.PHONY: all build demo bench test processes generate lint spec spec-mutants
+.PHONY: all build demo bench capacity test processes generate lint spec spec-mutants
 
 all: build
 
@@ -17,6 +17,12 @@
 bench: build
 	./bin/sycamorekeel bench --pairs --write bench-results
 
+# Measures the slopes of docs/CAPACITY.md.
+capacity: build
+	./bin/sycamorekeel capacity
+	$(GO) test -run '^$$' -bench Nodes -benchtime 1x ./internal/membership
+	$(GO) test -run '^$$' -bench Spread -benchtime 1x ./internal/config
+
 test:
 	$(GO) test ./...
 
--- a/cmd/sycamorekeel/main.go
+++ b/cmd/sycamorekeel/main.go
@@ -21,6 +21,7 @@
 	Standin   standinCommand   `cmd:"" help:"Serve stand-ins for the platform and the upstreams of contract files, to try daemons by hand."`
 	Demo      demoCommand      `cmd:"" help:"Run both users' deployments on loopback and print latency, coverage and extra load."`
 	Bench     benchCommand     `cmd:"" hidden:"" help:"Measure the policy against the plain baseline under load and faults."`
+	Capacity  capacityCommand  `cmd:"" hidden:"" help:"Measure the slopes of the capacity page on this machine."`
 }
 
 func main() {
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -41,6 +41,7 @@
 // Report is all scenarios.
 type Report struct {
 	Seed      uint64     `json:"seed"`
+	Path      *Path      `json:"path,omitempty"`
 	Scenarios []Scenario `json:"scenarios"`
 	Pairs     []Pair     `json:"pairs"`
 }
@@ -62,6 +63,13 @@
 // Run measures.
 func Run(opts Options) (*Report, error) {
 	report := &Report{Seed: opts.Seed}
+	if strings.Contains("path", opts.Only) {
+		path, err := measurePath(opts.Seed)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		report.Path = path
+	}
 	for _, s := range scenarios() {
 		if !strings.Contains(s.name, opts.Only) {
 			continue
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -11,6 +11,23 @@
 // Write prints the report for people.
 func (r *Report) Write(to io.Writer) {
 	fmt.Fprintln(to, "The machine is shared: compare the two policies of one scenario, not milliseconds between runs.")
+	if r.Path != nil {
+		r.Path.write(to)
+	}
+	if len(r.Scenarios) > 0 {
+		r.writeScenarios(to)
+	}
+	r.writePairs(to)
+}
+
+func (p *Path) write(to io.Writer) {
+	fmt.Fprintf(to, "path: direct call %.3f ms, one shard through a VM %.3f ms (%.1f times), %d shards %.3f ms (%.1f times); p50, idle\n",
+		p.DirectP50MS, p.SingleP50MS, ratio(p.SingleP50MS, p.DirectP50MS), p.Shards, p.ScanP50MS, ratio(p.ScanP50MS, p.DirectP50MS))
+	fmt.Fprintf(to, "path: busy, %.0f sub-requests/s, %.1f us of processor time and %.0f allocations each, callers and stand-ins included; a direct call alone %.1f us (%.1f times)\n\n",
+		p.SubRequestsPerSecond, p.ProcessorUS, p.Allocations, p.DirectProcessorUS, ratio(p.ProcessorUS, p.DirectProcessorUS))
+}
+
+func (r *Report) writeScenarios(to io.Writer) {
 	tw := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, "scenario\tgroup\tpolicy\toffered\tsuccess\tgoodput/s\tp50 ms\tp99 ms\tp99.9 ms\tcoverage\tp99 ratio")
 	for i := range r.Scenarios {
@@ -30,7 +47,6 @@
 		writeDetails(to, s.Name, s.Baseline)
 		writeDetails(to, s.Name, s.Current)
 	}
-	r.writePairs(to)
 }
 
 func (s *Scenario) write(to io.Writer) {
