--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,8 @@
 	Routing     pb.Routing
 	Behaviour   func(u *pb.Upstream, service string) standin.Behaviour
 	Seed        uint64
+	// Seeds lets each VM know the others' addresses from its settings.
+	Seeds bool
 }
 
 // Fleet is a running deployment.
@@ -220,6 +222,7 @@
 		PlatformAddress: f.Platform.Address(),
 		PeerKeys:        []*pb.PeerKey{{Id: "k1", Secret: secret}},
 		Routing:         f.opts.Routing,
+		Seeds:           f.seeds(i),
 		Limits:          &pb.Limits{EndpointsTtlMs: endpointsTTLMS},
 	}
 	settings.SetDefaults(s)
@@ -254,6 +257,17 @@
 	return vm, nil
 }
 
+// seeds is the peer addresses of the other VMs.
+func (f *Fleet) seeds(vm int) []string {
+	var out []string
+	for i, l := range f.addresses {
+		if f.opts.Seeds && i != vm {
+			out = append(out, l.peer.Addr().String())
+		}
+	}
+	return out
+}
+
 // StopNow stops the daemon without a wait for callers to go elsewhere.
 func (v *VM) StopNow() error {
 	v.Daemon.Halt()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -25,13 +25,21 @@
 
 	mu       sync.Mutex
 	revision uint64
-	docs     map[string]platform.Document
+	// versions is everything published, by document, ascending.
+	versions map[string][]platform.Document
 	changed  chan struct{}
 	down     bool
-	// served, when set, hides every revision above it: a stale reader.
+	// served, when set, hides every revision above it: a stale server.
 	served uint64
+	// garble, when set, changes the bytes of each answer.
+	garble func([]byte) []byte
+	// pageBytes bounds the bodies of one answer.
+	pageBytes int
 }
 
+// platformPageBytes is the size of the answers until SetPageBytes.
+const platformPageBytes = 1 << 20
+
 // StartPlatform serves on a free loopback port until Close.
 func StartPlatform() (*Platform, error) {
 	return StartPlatformAt("127.0.0.1:0")
@@ -43,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{ln: ln, docs: map[string]platform.Document{}, changed: make(chan struct{})}
+	p := &Platform{ln: ln, versions: map[string][]platform.Document{}, changed: make(chan struct{}), pageBytes: platformPageBytes}
 	p.http = &fasthttp.Server{Handler: p.handle, CloseOnShutdown: true}
 	go func() { _ = p.http.Serve(ln) }()
 	return p, nil
@@ -63,13 +71,37 @@
 
 // Publish writes a document and returns its revision.
 func (p *Platform) Publish(name string, body []byte) uint64 {
+	return p.write(platform.Document{Name: name, Body: body})
+}
+
+// Delete removes a document and returns the revision of that.
+func (p *Platform) Delete(name string) uint64 {
+	return p.write(platform.Document{Name: name, Deleted: true})
+}
+
+func (p *Platform) write(d platform.Document) uint64 {
 	p.mu.Lock()
 	p.revision++
-	rev := p.revision
-	p.docs[name] = platform.Document{Name: name, Revision: rev, Body: body}
+	d.Revision = p.revision
+	p.versions[d.Name] = append(p.versions[d.Name], d)
+	p.mu.Unlock()
+	p.wake()
+	return d.Revision
+}
+
+// SetGarble changes the bytes of each answer; nil ends that.
+func (p *Platform) SetGarble(garble func([]byte) []byte) {
+	p.mu.Lock()
+	p.garble = garble
 	p.mu.Unlock()
 	p.wake()
-	return rev
+}
+
+// SetPageBytes bounds the bodies of one answer; what is left out follows.
+func (p *Platform) SetPageBytes(n int) {
+	p.mu.Lock()
+	p.pageBytes = n
+	p.mu.Unlock()
 }
 
 // SetDown makes every call fail, or ends that.
@@ -116,7 +148,17 @@
 		return
 	}
 	body, _ := json.Marshal(reply)
-	ctx.SetBody(body)
+	ctx.SetBody(p.garbled(body))
+}
+
+func (p *Platform) garbled(body []byte) []byte {
+	p.mu.Lock()
+	garble := p.garble
+	p.mu.Unlock()
+	if garble == nil {
+		return body
+	}
+	return garble(body)
 }
 
 func (p *Platform) read(after uint64) (platform.Changes, chan struct{}, bool) {
@@ -127,11 +169,36 @@
 		revision = min(revision, p.served)
 	}
 	reply := platform.Changes{Revision: revision}
-	for _, d := range p.docs {
-		if d.Revision > after && d.Revision <= revision {
+	for _, versions := range p.versions {
+		if d, ok := newest(versions, revision); ok && d.Revision > after {
 			reply.Documents = append(reply.Documents, d)
 		}
 	}
 	sort.Slice(reply.Documents, func(i, j int) bool { return reply.Documents[i].Revision < reply.Documents[j].Revision })
+	p.cut(&reply)
 	return reply, p.changed, p.down
 }
+
+// newest is the last version up to a revision.
+func newest(versions []platform.Document, revision uint64) (platform.Document, bool) {
+	for i := len(versions) - 1; i >= 0; i-- {
+		if versions[i].Revision <= revision {
+			return versions[i], true
+		}
+	}
+	return platform.Document{}, false
+}
+
+// cut ends the answer before the document that makes it too large.
+func (p *Platform) cut(reply *platform.Changes) {
+	size := 0
+	for i, d := range reply.Documents {
+		size += len(d.Body)
+		if size > p.pageBytes && i > 0 {
+			reply.Documents = reply.Documents[:i]
+			reply.Revision = reply.Documents[i-1].Revision
+			reply.More = true
+			return
+		}
+	}
+}
