Test ended leases, large answers and a VM cut off from its peers

Cause: nothing tested that a lease which has ended is told from one that is forgotten, that kept answers are bounded in size, and that the other VMs neither run nor disown what a VM ran that they cannot reach.

Change: three tests, each opening with its failure; the caller tests look for goroutines left behind.

--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -11,12 +11,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
 	"sycamorekeel.example/sycamorekeel/internal/admission"
@@ -93,6 +95,7 @@
 type shards struct {
 	mu     sync.Mutex
 	result pb.Result
+	answer []byte
 	engine *query.Engine
 	runs   map[string]int
 }
@@ -100,12 +103,12 @@
 func (s *shards) Send(_ *query.Action, f *pb.Frame) string {
 	r := f.GetRequest()
 	s.mu.Lock()
-	result := s.result
+	result, answer := s.result, s.answer
 	if result == pb.Result_OK || result == pb.Result_UNKNOWN {
 		s.runs[string(r.Body)]++
 	}
 	s.mu.Unlock()
-	s.engine.Deliver(&pb.SubReply{Id: r.Id, Result: result, Snapshot: r.Snapshot, Body: []byte(`{"hits":[]}`)})
+	s.engine.Deliver(&pb.SubReply{Id: r.Id, Result: result, Snapshot: r.Snapshot, Body: answer})
 	return vmName
 }
 
@@ -186,14 +189,27 @@
 	shards *shards
 	front  *frontend.Frontend
 	addr   string
+	// ahead is how far the clock of the operations has been moved, in
+	// nanoseconds.
+	ahead atomic.Int64
 }
 
 func start(incarnation uint64) *bench {
+	leaks := []goleak.Option{
+		goleak.IgnoreCurrent(),
+		// Goroutines of the HTTP library that live as long as the process, or
+		// end by themselves after a sleep.
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+	}
+	DeferCleanup(func() {
+		Eventually(func() error { return goleak.Find(leaks...) }).WithTimeout(10 * time.Second).Should(Succeed())
+	})
 	doc, findings := contract.Check("d", []byte(document))
 	Expect(findings.Err()).NotTo(HaveOccurred())
 	b := &bench{
 		world:  &world{snap: contract.Compile(1, []contract.Accepted{{Name: "d", Revision: 1, Document: doc}})},
-		shards: &shards{result: pb.Result_OK, runs: map[string]int{}},
+		shards: &shards{result: pb.Result_OK, answer: []byte(`{"hits":[]}`), runs: map[string]int{}},
 	}
 	registry := prometheus.NewRegistry()
 	b.shards.engine = query.NewEngine(query.EngineOptions{Fleet: fleet{}, Sender: b.shards, Loops: 1, Now: time.Now, Metrics: query.NewMetrics(prometheus.NewRegistry())})
@@ -205,7 +221,8 @@
 	})
 	operations := frontend.NewOperations(frontend.OperationsOptions{
 		Registry: registry, Frontend: b.front, Forwarder: b.world, VM: vmName, Incarnation: incarnation,
-		Secret: make([]byte, once.KeySize), Life: time.Minute, Grace: time.Minute, Now: time.Now,
+		Secret: make([]byte, once.KeySize), Life: time.Minute, Grace: time.Minute,
+		Now: func() time.Time { return time.Now().Add(time.Duration(b.ahead.Load())) },
 	})
 	server := callerapi.New(callerapi.Options{
 		Log: zap.NewNop(), Backend: b.world, Frontend: b.front, Operations: operations, ReadTimeout: 200 * time.Millisecond,
@@ -416,6 +433,53 @@
 		Entry("unauthenticated", frontend.FateGone, func(w *world) { w.snap = contract.Compile(2, nil) }, "pay", refusal.Unauthenticated),
 	)
 
+	// Symptom: a caller goes on with another key for a payment that has run, or
+	// cannot learn of one whose answer was lost just before its lease ended.
+	// Sequence: a request runs; its lease ends; it is sent again soon, and late.
+	// Cause: "expired" taken for "not run" when the outcome has been forgotten.
+	It("tells a lease that has ended from one that is forgotten", func() {
+		prefix := b.lease().Prefix
+		first := b.post("pay", `{"key":"h"}`, withKey(prefix+".1")).answer()
+		b.ahead.Store(int64(61 * time.Second))
+		Expect(b.post("pay", `{"key":"h"}`, withKey(prefix+".1")).answer()).To(Equal(first))
+		unused := b.post("pay", `{"key":"i"}`, withKey(prefix+".2"))
+		Expect(unused.err().Reason).To(Equal(refusal.OperationExpired))
+		Expect(unused.err().Ran).To(Equal(refusal.NotRun))
+		b.ahead.Store(int64(121 * time.Second))
+		for _, n := range []string{".1", ".2"} {
+			r := b.post("pay", `{"key":"h"}`, withKey(prefix+n))
+			Expect(r.err().Reason).To(Equal(refusal.OperationExpired))
+			Expect(r.err().Ran).To(Equal(refusal.Unknown))
+		}
+		Expect(b.shards.ran(`{"key":"h"}`)).To(Equal(1))
+		Expect(b.shards.ran(`{"key":"i"}`)).To(BeZero())
+	})
+
+	// Symptom: the memory of a VM fills with answers that nobody asks for again.
+	// Sequence: requests with large answers, each kept until its lease ends.
+	// Cause: outcomes that are bounded in number and not in size.
+	It("keeps the fact and drops the answer when too much is held", func() {
+		b.shards.mu.Lock()
+		b.shards.answer = []byte(`{"hits":[{"id":"x","fields":"` + strings.Repeat("x", 3<<20) + `"}]}`)
+		b.shards.mu.Unlock()
+		prefix := b.lease().Prefix
+		kept, dropped := 0, 0
+		for n := range 4 {
+			body, key := fmt.Sprintf(`{"key":"large-%d"}`, n), withKey(fmt.Sprintf("%s.%d", prefix, n))
+			b.post("pay", body, key).answer()
+			again := b.post("pay", body, key)
+			Expect(b.shards.ran(body)).To(Equal(1))
+			if again.status == http.StatusOK {
+				kept++
+				continue
+			}
+			dropped++
+			Expect(again.err().Reason).To(Equal(refusal.AnswerNotKept))
+			Expect(again.err().Ran).To(Equal(refusal.DidRun))
+		}
+		Expect([]int{kept, dropped}).To(Equal([]int{2, 2}))
+	})
+
 	// Symptom: a caller cannot learn what became of its payment during a planned stop.
 	// Sequence: the answer is lost; the VM starts to stop; the caller sends the key
 	// again to it.
--- a/internal/fleet/once_test.go
+++ b/internal/fleet/once_test.go
@@ -358,6 +358,28 @@
 		Eventually(func() map[string]int { return d.each(1, ops, 0) }).WithTimeout(10 * time.Second).Should(Equal(map[string]int{"answered": 5}))
 	})
 
+	// Symptom: a payment is made twice, or "not run" is said of one that was made.
+	// Sequence: the VM that ran it can be reached by its callers and by no peer;
+	// the caller sends the request to the others; the VM comes back.
+	// Cause: a VM that runs what it cannot forward, or calls it "not run".
+	It("is never run elsewhere while its VM is cut off", func() {
+		d.settled(0)
+		ops := d.operations(0, 5)
+		Expect(d.each(0, ops, 0)).To(Equal(map[string]int{"answered": 5}))
+		d.VMs[0].Peers.Refuse()
+		d.VMs[0].Peers.Cut()
+		for vm := 1; vm < len(d.VMs); vm++ {
+			for _, op := range ops {
+				Expect(d.send(vm, op, soon).err.Ran).To(Equal(refusal.Unknown))
+			}
+		}
+		d.VMs[0].Peers.Release()
+		for vm := 1; vm < len(d.VMs); vm++ {
+			Eventually(func() map[string]int { return d.each(vm, ops, 0) }).
+				WithTimeout(10 * time.Second).Should(Equal(map[string]int{"answered": 5}))
+		}
+	})
+
 	// Symptom: a payment is made twice, or "not run" is said of one that was made.
 	// Sequence: the VM is replaced by a process of the same name; the caller sends
 	// its request again to the new one and to another VM.
