Split the owner by job, measure its shared locks

Cause: the owner's two files had grown to some 450 lines each, and tests of the limiter and of pauses stood with those of the ledger. Change: files for the tending loop, cancellations and statuses; tests moved, unchanged. A benchmark submits from all processors at once.

--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,3 +82,19 @@
 		b.StopTimer()
 	}
 }
+
+// BenchmarkRefuseParallel is BenchmarkRefuse from all processors at once: the
+// locks that every sub-request passes.
+func BenchmarkRefuseParallel(b *testing.B) {
+	r := newRig(b, rigConfig{moving: true, slots: 5, connections: 40})
+	r.become(None)
+	var id atomic.Uint64
+	reply := func(*pb.SubReply) {}
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			n := id.Add(1)
+			r.owner.Submit(r.key(n), request(n), reply)
+		}
+	})
+}
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/dispatch"
 	"sycamorekeel.example/sycamorekeel/internal/health"
@@ -14,10 +12,6 @@
 	"sycamorekeel.example/sycamorekeel/internal/upstream"
 )
 
-// maxCancels bounds the cancellations that wait to be sent to one upstream; the
-// requests of those above it run to their end.
-const maxCancels = 64
-
 // station is one upstream: its queue, its workers and its connections. Workers
 // start with the first work for them, wait for more, and end with the station;
 // there are never more than slots were in use at a time.
@@ -42,12 +36,6 @@
 	emitted    status
 }
 
-// status is what was last told of the upstream.
-type status struct {
-	state     pb.UpstreamState
-	snapshots []*pb.Snapshot
-}
-
 // worker runs one request at a time; nil ends it.
 type worker struct {
 	next chan *dispatch.Item
@@ -314,155 +302,6 @@
 	}
 }
 
-func (s *station) cancel(key dispatch.Key) {
-	s.mu.Lock()
-	it, waiting := s.queue.Cancel(key)
-	sent := false
-	if !waiting {
-		sent = s.cancelRunning(key)
-	}
-	s.mu.Unlock()
-	switch {
-	case waiting:
-		s.owner.met.cancels.WithLabelValues(metWaiting).Inc()
-		s.owner.refuse(it, dispatch.Refusal{Result: pb.Result_CANCELLED, Reason: dispatch.Withdrawn})
-	case sent:
-		s.owner.met.cancels.WithLabelValues(metRunning).Inc()
-	default:
-		s.owner.met.cancels.WithLabelValues(metBacklog).Inc()
-	}
-}
-
-// cancelRunning queues a cancellation for the upstream. The caller holds mu.
-func (s *station) cancelRunning(key dispatch.Key) bool {
-	if len(s.cancels) >= maxCancels || s.closed {
-		return false
-	}
-	s.cancels = append(s.cancels, requestID(key))
-	if !s.cancelling {
-		s.cancelling = true
-		go s.sendCancels()
-	}
-	return true
-}
-
-// sendCancels sends the cancellations one after another on the control
-// connection and ends when there are none. The slot becomes free when the
-// request's own answer comes.
-func (s *station) sendCancels() {
-	for {
-		s.mu.Lock()
-		batch := s.cancels
-		s.cancels = nil
-		if len(batch) == 0 {
-			s.cancelling = false
-			s.mu.Unlock()
-			return
-		}
-		s.mu.Unlock()
-		for _, id := range batch {
-			if err := s.client.Cancel(id); err != nil {
-				s.owner.log.Debug("owner: cancellation not delivered", zap.Error(err))
-			}
-		}
-	}
-}
-
-func (s *station) probeDue(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.granted.Role == Main && !s.closed && s.health.ProbeDue(now)
-}
-
-func (s *station) probeSkipped() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.health.ProbeSkipped()
-}
-
-// probe asks for the upstream's health and takes the answer in.
-func (s *station) probe() {
-	sent := s.owner.opts.Now()
-	s.mu.Lock()
-	idle := s.granted.Connections-1 > s.granted.Slots
-	s.mu.Unlock()
-	answer, err := s.client.Probe(idle)
-	now := s.owner.opts.Now()
-	s.mu.Lock()
-	s.probed(now, sent, answer)
-	s.mu.Unlock()
-	outcome := "answered"
-	if err != nil {
-		outcome = "failed"
-		s.owner.log.Debug("owner: probe failed", zap.Error(err))
-	}
-	s.owner.met.probes.WithLabelValues(outcome).Inc()
-	s.tick(now)
-}
-
-// probed learns from the answer. The caller holds mu.
-func (s *station) probed(now, sent time.Time, answer *upstream.Health) {
-	if answer == nil {
-		s.health.Probed(now, sent, nil)
-		return
-	}
-	before := s.health.State()
-	state, snapshots := answer.Report()
-	s.health.Probed(now, sent, &health.Report{State: state, Snapshots: snapshots})
-	if s.health.State() == pb.UpstreamState_COLD && before != pb.UpstreamState_COLD {
-		s.limiter.Restart()
-	}
-}
-
-// emit tells of a change of what is believed, or of the loss of ownership.
-func (s *station) emit() {
-	s.mu.Lock()
-	same := s.settled()
-	s.mu.Unlock()
-	if same || s.owner.opts.Status == nil {
-		return
-	}
-	s.owner.emitMu.Lock()
-	defer s.owner.emitMu.Unlock()
-	s.mu.Lock()
-	if s.settled() {
-		s.mu.Unlock()
-		return
-	}
-	lost := s.granted.Role != Main
-	s.emitted = status{}
-	if !lost {
-		s.emitted = status{state: s.health.State(), snapshots: s.health.Snapshots()}
-	}
-	id, now := s.upstream.ID, s.emitted
-	s.mu.Unlock()
-	if lost {
-		s.owner.opts.Status.UpstreamLost(id)
-		return
-	}
-	s.owner.opts.Status.UpstreamChanged(&pb.UpstreamStatus{Upstream: id, State: now.state, Snapshots: now.snapshots})
-}
-
-// settled tells whether there is nothing new to tell. The caller holds mu.
-func (s *station) settled() bool {
-	if s.granted.Role != Main {
-		return s.emitted.state == pb.UpstreamState_UPSTREAM_STATE_UNSPECIFIED
-	}
-	return s.health.State() == s.emitted.state && sameSnapshots(s.health.Snapshots(), s.emitted.snapshots)
-}
-
-func sameSnapshots(a, b []*pb.Snapshot) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].Generation != b[i].Generation || a[i].Version != b[i].Version {
-			return false
-		}
-	}
-	return true
-}
-
 // requestID is the sub-request's name at the upstream.
 func requestID(k dispatch.Key) string {
 	b := make([]byte, 0, len(k.VM)+2*17)
