Keep an upstream's connections when their published number changes

Cause: an upstream whose published connections changed was taken for another one: a second set of connections was opened beside those in use, above the new number. Change: only a new address makes another upstream; connections above a lowered number are closed as they become idle.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -140,6 +140,29 @@
 	}
 }
 
+// Symptom: an upstream's connections exceed what is published after a change.
+// Sequence: five connections are open, one of them in use, when four are
+// published in place of forty, which leaves the owner two, one of them a slot.
+// Cause: the changed upstream was taken for another one, with connections of its
+// own.
+func TestFewerConnectionsPublished(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, rigConfig{slots: 5, connections: 40})
+	r.ramp()
+	held, let := r.hold(1)
+	r.config.connections = 4
+	r.apply(false)
+	g.Eventually(r.server.Open, patience).Should(Equal(int64(1)))
+	waiting := r.send(2)
+	g.Expect(r.runs(2)).To(BeZero())
+	g.Expect(r.station().queue.Len()).To(Equal(1))
+	let()
+	g.Expect((<-held).Result).To(Equal(pb.Result_OK))
+	g.Expect((<-waiting).Result).To(Equal(pb.Result_OK))
+	r.burst()
+	g.Expect(r.server.Open()).To(BeNumerically("<=", 2))
+}
+
 // Symptom: an upstream is flooded when it changes hands.
 // Sequence: a standby takes over.
 // Cause: the new owner used every published slot at once.
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -27,7 +27,7 @@
 	health   *health.Monitor
 	stopping bool
 	closed   bool
-	// trim says that connections were given up and are closed when idle.
+	// trim says that connections were given up and are closed once idle.
 	trim bool
 	idle []*worker
 	// cancels are the upstream's names of requests to be cancelled.
@@ -45,7 +45,7 @@
 func (s *station) replaced(u *contract.Upstream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return u.Address != s.upstream.Address || u.Connections != s.upstream.Connections
+	return u.Address != s.upstream.Address
 }
 
 // grant takes on what may be used from now on, and returns what will not run
@@ -64,10 +64,12 @@
 	if g.Role == Main && before.Role != Main {
 		s.limiter.Restart()
 	}
+	if g.Connections < before.Connections {
+		s.trim = true
+	}
 	if g.Role == Main || before.Role != Main {
 		return nil
 	}
-	s.trim = true
 	return s.queue.Flush(dispatch.Refusal{Result: pb.Result_NOT_OWNER, Reason: dispatch.NotOwner})
 }
 
@@ -286,8 +288,8 @@
 	s.mu.Lock()
 	refused := s.queue.Expire(now)
 	refused = append(refused, s.dispatch(now)...)
-	trim := (s.trim || s.closed) && s.queue.Running() == 0
-	s.trim = s.trim && !trim
+	trim := s.trim || s.closed
+	s.trim = s.trim && s.queue.Running() > 0
 	s.mu.Unlock()
 	if trim {
 		s.client.Close()
