Draw faults of shares after the start and under load

Cause: the drawn histories were short: 100 of them held 4 minutes of simulated time, most of it the wait after a start, and saw few loans. Change: each begins with shares in force and takes 40 rounds of load, pauses, restarts, cuts and limits. Benchmarks of the decision at the door.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -225,3 +225,33 @@
 	g.Expect(let).To(Equal(5))
 	g.Expect(c.Admit(now, k, k.Deadline())).To(BeNil())
 }
+
+// BenchmarkRefuse is the cost of a request that is turned away.
+func BenchmarkRefuse(b *testing.B) {
+	k := kind("c", pb.Priority_NORMAL)
+	c := admission.New(100)
+	c.SetShare(epoch, admission.KindOf(k), share.Share{
+		Base:  share.Amount{Rate: 1e-9, Burst: 1, Concurrency: 10},
+		Loans: []share.Loan{{Amount: share.Amount{Concurrency: 1}, Until: epoch.Add(time.Hour)}},
+	})
+	now := epoch.Add(time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		_ = c.Admit(now, k, k.Deadline())
+	}
+}
+
+// BenchmarkAdmit is the cost of a request that is let in and ends.
+func BenchmarkAdmit(b *testing.B) {
+	k := kind("c", pb.Priority_NORMAL)
+	c := admission.New(100)
+	plenty(c, epoch, k)
+	now := epoch.Add(time.Second)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		_ = c.Admit(now, k, k.Deadline())
+		c.Done(now, k, time.Millisecond, true)
+	}
+}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -258,36 +258,44 @@
 // Sequence: drawn at random from every fault, load and delay.
 // Cause: a case that no row of the table above holds.
 func TestSumHoldsUnderDrawnFaults(t *testing.T) {
+	const rounds = 40
 	rapid.Check(t, func(t *rapid.T) {
-		n := newNetwork(t, rapid.Uint64().Draw(t, "seed"), three(120, rapid.IntRange(1, 30).Draw(t, "concurrency")))
-		n.longest = time.Duration(rapid.IntRange(20, 4000).Draw(t, "delay")) * time.Millisecond
-		n.loss = rapid.Float64Range(0, 0.5).Draw(t, "loss")
-		n.twice = rapid.Float64Range(0, 0.5).Draw(t, "twice")
-		one := func(t *rapid.T) *vm { return n.vms[rapid.IntRange(0, 2).Draw(t, "vm")] }
-		t.Repeat(map[string]func(*rapid.T){
-			"pass": func(t *rapid.T) {
-				n.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
-			},
-			"load": func(t *rapid.T) {
-				v := one(t)
-				v.demand = rapid.Float64Range(0, 200).Draw(t, "rate")
-				v.wants = rapid.IntRange(0, 40).Draw(t, "wants")
-			},
-			"pause":   func(t *rapid.T) { one(t).paused = true },
-			"wake":    func(t *rapid.T) { one(t).paused = false },
-			"restart": func(t *rapid.T) { n.restart(one(t)) },
-			"cut": func(t *rapid.T) {
-				n.cut[[2]string{one(t).name, one(t).name}] = rapid.Bool().Draw(t, "cut")
-			},
-			"limit": func(t *rapid.T) {
-				l := three(rapid.Float64Range(1, 120).Draw(t, "rate"), rapid.IntRange(1, 30).Draw(t, "concurrency"))
-				n.raise(l.Amount)
-				n.configure(one(t), l)
-			},
-		})
+		concurrency := rapid.IntRange(1, 30).Draw(t, "concurrency")
+		n := warm(t, rapid.Uint64().Draw(t, "seed"), three(120, concurrency))
+		n.longest = rapid.SampledFrom([]time.Duration{30, 300, 1500, 4000}).Draw(t, "delay") * time.Millisecond
+		n.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss")
+		n.twice = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "twice")
+		for range rounds {
+			n.disturb(t)
+			n.run(rapid.SampledFrom([]time.Duration{50, 250, 700, 1900, 2100}).Draw(t, "pass") * time.Millisecond)
+		}
 	})
 }
 
+// disturb draws one event at one VM. Load is drawn most often, as without it
+// nothing is lent.
+func (n *network) disturb(t *rapid.T) {
+	v := n.vms[rapid.IntRange(0, 2).Draw(t, "vm")]
+	switch rapid.SampledFrom([]string{"load", "idle", "load", "idle", "pause", "wake", "wake", "restart", "cut", "mend", "mend", "limit"}).Draw(t, "event") {
+	case "load":
+		v.demand, v.wants = 200, 40
+	case "idle":
+		v.demand, v.wants = 0, 0
+	case "pause":
+		v.paused = true
+	case "wake":
+		v.paused = false
+	case "restart":
+		n.restart(v)
+	case "cut":
+		n.cut[[2]string{v.name, n.vms[rapid.IntRange(0, 2).Draw(t, "to")].name}] = true
+	case "mend":
+		clear(n.cut)
+	case "limit":
+		n.configure(v, three(rapid.SampledFrom([]float64{30, 120}).Draw(t, "rate"), rapid.IntRange(1, 30).Draw(t, "concurrency")))
+	}
+}
+
 // BenchmarkTick is one tick of a VM that is home for many kinds, a tenth of
 // them with more demand than their part.
 func BenchmarkTick(b *testing.B) {
