Keep a customer's turn when its item is too late, and let small bursts go ahead

Cause: an item that was dropped as too late took its customer's turn with it. Under overload a customer of little weight lost nearly every turn: weights 4, 2 and 1 got 196, 93 and 1 parts. With the turn kept, a flood at ten times its share raised the others' p99 from 31.6 to 47.7 ms, and slots went to items that ended just too late. Change: a dropped item costs no turn; a customer below its share may take 8 turns ahead; while more wait than there are slots an item needs the mean service time and two deviations. The check of isolation takes in the p99, and that of goodput allows a fall of 2% in place of 5%.

--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -31,6 +31,12 @@
 	return time.Duration(e.mean)
 }
 
+// likely is a service time that most requests stay below: while others wait, a
+// request with less time left would probably waste its slot.
+func (e *estimate) likely() time.Duration {
+	return time.Duration(e.mean + 2*e.deviation)
+}
+
 // least is a service time that few requests go below: with less time left a
 // request is not worth its slot.
 func (e *estimate) least() time.Duration {
--- a/internal/dispatch/flow.go
+++ b/internal/dispatch/flow.go
@@ -47,6 +47,11 @@
 	it.older, it.newer = nil, nil
 }
 
+// burstTurns is how many turns a customer that was below its share may take
+// ahead. Without it the second request of a small burst waits for a turn of
+// every busy customer, and one customer's flood shows in the others' tail.
+const burstTurns = 8
+
 // class is one priority. Its customers take turns by start-time fair queueing:
 // each served item moves its flow's start by 1/weight, and the flow with the
 // lowest start is next.
@@ -71,7 +76,7 @@
 		c.flows[cu] = f
 	}
 	if f.index < 0 {
-		f.start = max(f.start, c.virtual)
+		f.start = max(f.start, c.virtual-burstTurns/weight)
 		f.weight = weight
 		c.weight += weight
 		heap.Push(&c.ready, f)
@@ -94,11 +99,16 @@
 	}
 }
 
+// head is the earliest deadline of the flow whose turn it is.
+func (c *class) head() *Item {
+	return c.ready[0].items[0]
+}
+
 // serve takes the earliest deadline of the flow whose turn it is.
 func (c *class) serve() *Item {
 	f := c.ready[0]
 	it := f.items[0]
-	c.virtual = f.start
+	c.virtual = max(c.virtual, f.start)
 	f.start += 1 / f.weight
 	heap.Fix(&c.ready, 0)
 	c.remove(it)
@@ -108,7 +118,7 @@
 // sweep forgets the flows without items that are no longer ahead of their share.
 func (c *class) sweep() {
 	for cu, f := range c.flows {
-		if f.index < 0 && (f.start <= c.virtual || c.len == 0) {
+		if f.index < 0 && (f.start <= c.virtual-burstTurns/f.weight || c.len == 0) {
 			delete(c.flows, cu)
 		}
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -182,12 +182,19 @@
 // way whose time no longer suffices: they take no slot.
 func (q *Queue) Pop(now time.Time) (next *Item, late []Refused) {
 	for q.running < q.opts.Slots && len(q.byKey) > 0 {
-		it := q.choose().serve()
-		q.unlink(it)
+		cl := q.choose()
+		it := cl.head()
 		if reason, ok := q.tooLate(now, it); ok {
+			// Its customer keeps the turn. Were the turn lost, a customer of
+			// little weight whose items are served just in time would lose
+			// turn after turn to items that are just too late.
+			q.remove(it)
 			late = append(late, Refused{Item: it, Refusal: Refusal{Result: pb.Result_TOO_LATE, Reason: reason}})
 			continue
 		}
+		q.countTurn(cl)
+		cl.serve()
+		q.unlink(it)
 		q.running++
 		return it, late
 	}
@@ -202,7 +209,11 @@
 	if q.opts.Order == Arrival || q.running == 0 {
 		return "", false
 	}
-	return CannotFinish, now.Add(q.service.least()).After(it.Deadline)
+	need := q.service.least()
+	if len(q.byKey) > q.opts.Slots {
+		need = q.service.likely()
+	}
+	return CannotFinish, now.Add(need).After(it.Deadline)
 }
 
 // choose is the class whose turn it is: the highest with items, unless a lower
@@ -219,13 +230,17 @@
 			best = c
 		}
 	}
-	for i := range best.index {
+	return best
+}
+
+// countTurn notes that the lower classes are passed by once more.
+func (q *Queue) countTurn(served *class) {
+	for i := range served.index {
 		if q.classes[i].len > 0 {
 			q.classes[i].bypassed++
 		}
 	}
-	best.bypassed = 0
-	return best
+	served.bypassed = 0
 }
 
 // Done frees the slot of a started item that took d. Cut off says that the
--- a/internal/dispatch/sim_test.go
+++ b/internal/dispatch/sim_test.go
@@ -381,6 +381,9 @@
 	if flooded.success() < 0.9*alone.success() {
 		t.Errorf("others' success fell from %.3f to %.3f", alone.success(), flooded.success())
 	}
+	if a, f := alone.quantile(0.99), flooded.quantile(0.99); float64(f) > 1.1*float64(a) {
+		t.Errorf("others' p99 rose from %v to %v", a, f)
+	}
 	if fifo := others(base(Arrival, eight(10)).run()); fifo.success() > 0.9*alone.success() {
 		t.Errorf("the baseline shows no harm (%.3f): the check cannot fail", fifo.success())
 	}
@@ -400,9 +403,64 @@
 	most := 0.0
 	for _, load := range []float64{1, 1.5, 2, 3, 5} {
 		got := base(Fair, scaled(load)).run().goodput()
-		if got < 0.95*most {
+		if got < 0.98*most {
 			t.Errorf("goodput fell to %.0f/s at %gx, from %.0f/s", got, load, most)
 		}
 		most = max(most, got)
 	}
 }
+
+// weighted are three customers that each offer the whole capacity.
+func weighted() []source {
+	var out []source
+	for _, w := range []uint32{4, 2, 1} {
+		out = append(out, source{fmt.Sprintf("w%d", w), capacity, w, pb.Priority_NORMAL, 200 * time.Millisecond})
+	}
+	return out
+}
+
+// classed are a low and a high kind; the high one alone offers most of the
+// capacity, the low one all of it.
+func classed(high float64) []source {
+	return []source{
+		{"high", high * capacity, 1, pb.Priority_HIGH, 200 * time.Millisecond},
+		{"low", capacity, 1, pb.Priority_LOW, 200 * time.Millisecond},
+	}
+}
+
+// BenchmarkShares: what customers get of the capacity, by weight and by class.
+func BenchmarkShares(b *testing.B) {
+	for name, sources := range map[string][]source{
+		"weights-4-2-1": weighted(), "high-at-0.8x": classed(0.8), "high-at-3x": classed(3),
+	} {
+		for _, o := range orders {
+			b.Run(name+"/"+o.name, func(b *testing.B) {
+				var s *simulation
+				for range b.N {
+					s = base(o.order, sources).run()
+				}
+				for _, src := range sources {
+					b.ReportMetric(100*float64(s.result[src.name].inTime)/simLength.Seconds()/capacity, src.name+"-%")
+				}
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
+// TestShares: by weight among equals; a higher class first, but never all.
+func TestShares(t *testing.T) {
+	s := base(Fair, weighted()).run()
+	one := float64(s.result["w1"].inTime)
+	for name, want := range map[string]float64{"w4": 4, "w2": 2} {
+		if got := float64(s.result[name].inTime) / one; math.Abs(got-want) > 0.1*want {
+			t.Errorf("%s got %.2f times the share of weight 1", name, got)
+		}
+	}
+	if got := base(Fair, classed(0.8)).run().result["high"].success(); got < 0.99 {
+		t.Errorf("the high class succeeded %.3f below its capacity", got)
+	}
+	if got := base(Fair, classed(3)).run().result["low"].inTime; got == 0 {
+		t.Error("the low class got nothing")
+	}
+}
--- a/internal/frontend/operations.go
+++ b/internal/frontend/operations.go
@@ -154,9 +154,8 @@
 	return key, nil
 }
 
-// here needs no lock: what the table compares never changes.
 func (o *Operations) here(key *once.Key) bool {
-	return o.table.Names(&key.Lease)
+	return key.VM == o.opts.VM && key.Incarnation == o.opts.Incarnation
 }
 
 // Local answers a request whose key names this VM, whoever sent it. It never
--- a/internal/once/table.go
+++ b/internal/once/table.go
@@ -136,8 +136,7 @@
 	return t.issuer.issue(customer, t.now+t.opts.Life)
 }
 
-// Names tells whether the lease is of this incarnation, by its text alone. It
-// may be called at any time, beside the other methods.
+// Names tells whether the lease is of this incarnation, by its text alone.
 func (t *Table[O]) Names(l *Lease) bool {
 	return t.issuer.names(l)
 }
