--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -88,6 +88,7 @@
 	vmName   = "vm-1"
 	bodyMax  = 1000
 	headMax  = 2000
+	perIP    = 20
 	ownPlace = "127.0.0.1:9"
 )
 
@@ -226,7 +227,7 @@
 	})
 	server := callerapi.New(callerapi.Options{
 		Log: zap.NewNop(), Backend: b.world, Frontend: b.front, Operations: operations, ReadTimeout: 200 * time.Millisecond,
-		Limits: &pb.Limits{MaxBodyBytes: bodyMax, MaxHeaderBytes: headMax, MaxConnections: 100, MaxConnectionsPerIp: 100},
+		Limits: &pb.Limits{MaxBodyBytes: bodyMax, MaxHeaderBytes: headMax, MaxConnections: 100, MaxConnectionsPerIp: perIP},
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -276,6 +277,22 @@
 	return &reply{status: resp.StatusCode, header: resp.Header, body: body}
 }
 
+// turnedAway opens a connection and tells whether the server answers it with 429
+// within the patience. It sends nothing: a server that closes with bytes unread
+// resets the connection, and its answer may be lost.
+func (b *bench) turnedAway(patience time.Duration) bool {
+	conn, err := net.Dial("tcp", b.addr)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	Expect(conn.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusTooManyRequests
+}
+
 // head is a request's head with a right token; extra lines end in CRLF.
 func head(method, path string, length int, extra string) string {
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n%s\r\n", method, path, token, length, extra)
@@ -351,6 +368,26 @@
 		Expect(seconds).To(BeEquivalentTo((r.err().RetryAfterMS + 999) / 1000))
 	})
 
+	// Symptom: nobody else gets a connection.
+	// Sequence: one caller opens connections without end and sends nothing.
+	// Cause: no limit but that of the whole VM.
+	It("refuses the connections of one address above its limit and takes them when others close", func() {
+		var conns []net.Conn
+		for range perIP {
+			conn, err := net.Dial("tcp", b.addr)
+			Expect(err).NotTo(HaveOccurred())
+			conns = append(conns, conn)
+		}
+		// Those that were opened are counted one after the other, in order.
+		Expect(b.turnedAway(time.Minute)).To(BeTrue())
+		for _, conn := range conns {
+			Expect(conn.Close()).To(Succeed())
+		}
+		Eventually(func() bool { return b.turnedAway(300 * time.Millisecond) }).
+			WithTimeout(20 * time.Second).Should(BeFalse())
+		Expect(b.raw(head("GET", callerapi.EndpointsPath, 0, "")).status).To(Equal(http.StatusOK))
+	})
+
 	It("ignores a key of an idempotent kind", func() {
 		for range 2 {
 			Expect(b.post("search", `{"limit":4}`, withKey(b.lease().Prefix+".1")).answer().Operation).To(BeEmpty())
