Bound the queries that are scattered at a time by what the upstreams can take

Change: package congestion, a pure state machine. A query of which a quarter of the shards found no room cuts its service's limit, once for the queries that ran side by side; full use without congestion raises it. The rest is refused at once as overloaded, not run, low priorities first. One lost shard is no congestion. The baseline has no limit.

The limit counts queries of all customers together: weights act at the owners and in the room of a VM only.

--- /dev/null
+++ b/internal/congestion/congestion.go
@@ -0,0 +1,99 @@
+// Package congestion decides how many queries of one service may be scattered at
+// a time from this VM. It is pure: time is handed in.
+//
+// Without it, above the upstreams' capacity the owners refuse single
+// sub-requests, so that most queries lose some shard and the work done for their
+// others is wasted: the more is offered, the fewer whole answers come. One would
+// notice coverage_too_low rising and whole answers falling while the upstreams
+// are busy. Refusing whole queries first keeps the work for those that can end.
+package congestion
+
+import (
+	"math"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// Policy is how the limit moves.
+type Policy struct {
+	// Share of a query's shards that found no room, from which on the query
+	// counts as congested: a lost shard or a straggler alone stays below it.
+	Share float64
+	// LeastShards of a query for it to tell anything.
+	LeastShards int
+	// Cut is the part of the limit taken off when every shard found no room;
+	// less of it when fewer did.
+	Cut float64
+	// Least is the lowest limit.
+	Least float64
+}
+
+// DefaultPolicy is the policy that the bench was run with.
+func DefaultPolicy() Policy {
+	return Policy{Share: 0.25, LeastShards: 4, Cut: 0.5, Least: 2}
+}
+
+// Limiter is the limit of one service. It is not safe for concurrent use.
+type Limiter struct {
+	policy  Policy
+	limit   float64
+	running int
+	cutAt   time.Time
+}
+
+// New makes a limiter that has seen no congestion and so has no limit.
+func New(p Policy) *Limiter {
+	return &Limiter{policy: p, limit: math.Inf(1)}
+}
+
+// reserve is the part of the limit that a priority leaves to those above it.
+func reserve(p pb.Priority) float64 {
+	switch p {
+	case pb.Priority_HIGH:
+		return 0
+	case pb.Priority_NORMAL:
+		return 0.1
+	default:
+		return 0.3
+	}
+}
+
+// Start begins a query, or is false when there is no room for its priority.
+func (l *Limiter) Start(p pb.Priority) bool {
+	if float64(l.running) >= max(1, l.limit*(1-reserve(p))) {
+		return false
+	}
+	l.running++
+	return true
+}
+
+// Done ends a query that was started at started; noRoom of its shards were
+// refused for want of room at least once.
+func (l *Limiter) Done(now, started time.Time, shards, noRoom int) {
+	running := l.running
+	l.running--
+	switch {
+	case shards < l.policy.LeastShards:
+	case float64(noRoom) >= l.policy.Share*float64(shards):
+		l.cut(now, started, running, float64(noRoom)/float64(shards))
+	case float64(running) >= l.limit*(1-reserve(pb.Priority_LOW)):
+		l.limit += 1 / l.limit
+	}
+}
+
+// cut lowers the limit once for all queries that ran side by side: those that
+// began before the last cut tell nothing of its effect.
+func (l *Limiter) cut(now, started time.Time, running int, share float64) {
+	if started.Before(l.cutAt) {
+		return
+	}
+	l.cutAt = now
+	l.limit = max(l.policy.Least, min(l.limit, float64(running))*(1-l.policy.Cut*share))
+}
+
+// Abandon ends a query that told nothing.
+func (l *Limiter) Abandon() { l.running-- }
+
+// Limit is how many may run; infinite before the first congestion.
+func (l *Limiter) Limit() float64 { return l.limit }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -176,6 +176,7 @@
 		Pinner:    d.router,
 		Explain:   ring,
 		Now:       time.Now,
+		Unbounded: d.settings.Routing == pb.Routing_DIRECT,
 	})
 	d.forwards = newForwards(d)
 	d.operations = d.newOperations()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/explain"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
@@ -105,6 +106,8 @@
 	Pinner    Pinner
 	Explain   *explain.Ring
 	Now       func() time.Time
+	// Unbounded scatters every admitted query at once: the baseline.
+	Unbounded bool
 }
 
 // Frontend answers requests.
@@ -116,11 +119,13 @@
 	mu       sync.Mutex
 	stopping bool
 	running  sync.WaitGroup
+	// scatters bounds the queries of each service that run at a time.
+	scatters map[string]*congestion.Limiter
 }
 
 // New makes a frontend.
 func New(opts Options) *Frontend {
-	return &Frontend{opts: opts, log: opts.Log, met: newMetrics(opts.Registry)}
+	return &Frontend{opts: opts, log: opts.Log, met: newMetrics(opts.Registry), scatters: map[string]*congestion.Limiter{}}
 }
 
 // Stop refuses new requests and waits for those in flight or for ctx.
@@ -203,7 +208,11 @@
 	if err != nil {
 		return nil, w.fail(err)
 	}
+	if err := w.front.startScatter(w.kind); err != nil {
+		return nil, w.fail(err)
+	}
 	outcome, runErr := w.front.opts.Engine.Run(ctx, plan)
+	w.front.endScatter(w.kind, w.started, outcome)
 	if runErr != nil {
 		return nil, w.fail(w.abandoned())
 	}
