--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -81,6 +81,9 @@
 // stop stops a VM as planned, beside the load.
 func (r *run) stop(vm int) {
 	v := r.fleet.VMs[vm]
+	if !v.Running() {
+		return
+	}
 	r.stopped.Add(1)
 	go func() {
 		defer r.stopped.Done()
