--- a/internal/query/again.go
+++ b/internal/query/again.go
@@ -10,6 +10,12 @@
 	// pauseLeast is the pause before the same replica is asked again; it
 	// doubles with each attempt.
 	pauseLeast = 5 * time.Millisecond
+	// downPause is the pause after a connection could not be opened, downMost the
+	// longest one that is waited for. It is waited for once: an upstream that
+	// restarts, or closed its idle connections, is back by then; over one that is
+	// gone the owner's back-off grows past it and queries end at once.
+	downPause = 110 * time.Millisecond
+	downMost  = 250 * time.Millisecond
 	// restartShare of the whole time must be left for a restart.
 	restartShare = 0.25
 	// maxRestarts bounds the restarts of one query.
@@ -121,6 +127,13 @@
 		return false
 	}
 	pause := max(retryAfter, pauseLeast<<(len(sh.attempts)-1))
+	if n.after == pb.Result_UNREACHABLE {
+		pause = max(retryAfter, downPause)
+		if sh.downWaited || pause > downMost {
+			return false
+		}
+		sh.downWaited = true
+	}
 	if !now.Add(pause).Before(q.plan.Deadline) || !q.pay(n) {
 		return false
 	}
@@ -132,12 +145,10 @@
 	return true
 }
 
-// passing tells whether the reason of a failure may be gone after a pause. An
-// upstream that could not be reached is no such case: waiting for it would hold
-// every query over a lost shard up for the owner's whole back-off.
+// passing tells whether the reason of a failure may be gone after a pause.
 func passing(r pb.Result) bool {
 	switch r {
-	case pb.Result_TOO_LATE, pb.Result_NO_SNAPSHOT, pb.Result_UPSTREAM_LEAVING, pb.Result_UNREACHABLE:
+	case pb.Result_TOO_LATE, pb.Result_NO_SNAPSHOT, pb.Result_UPSTREAM_LEAVING:
 		return false
 	default:
 		return true
--- a/internal/query/outcome.go
+++ b/internal/query/outcome.go
@@ -69,6 +69,8 @@
 	Sent    time.Duration `json:"sent_ns"`
 	Took    time.Duration `json:"took_ns"`
 	Result  string        `json:"result"`
+	// Detail is what the owner or the upstream said of a failure.
+	Detail string `json:"detail,omitempty"`
 }
 
 // RestartRecord is one change of the pinned snapshot.
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -70,6 +70,8 @@
 	lacking bool
 	// passing says that a replica failed for a reason that may be gone soon.
 	passing bool
+	// downWaited says that an upstream that was down was waited for.
+	downWaited bool
 	// turn is when the shard is to be looked at, 0 for never: to send a hedge,
 	// or, when again is set, to try anew after a pause.
 	turn  time.Duration
@@ -103,6 +105,7 @@
 	sentAt  time.Duration
 	took    time.Duration
 	result  pb.Result
+	detail  string
 	verdict verdict
 	open    bool
 	// wire and vm are where the driver sent it.
@@ -204,6 +207,7 @@
 	}
 	a.open = false
 	a.result = r.Result
+	a.detail = r.Detail
 	a.took = q.since(now) - a.sentAt
 	q.note(r.Result)
 	q.fleet.Observe(now, Observation{Upstream: a.upstream, Snapshot: q.snapshot, Took: a.took, Reply: r})
@@ -556,6 +560,7 @@
 			Sent:     a.sentAt,
 			Took:     a.took,
 			Result:   a.label(),
+			Detail:   a.detail,
 		})
 	}
 	return to
