Tell listed members without their addresses, assign owners only when VMs change

Cause: a fleet of 550 spent its update rate on addresses that the list had told already, so that news waited. Each suspicion made every VM assign all upstreams again. A peer address that only serves to listen on, such as 0.0.0.0, was accepted and would have been probed in vain.

Change: a member that is as listed is told without addresses. A view that gives the same VMs work keeps the table of owners. The settings refuse a caller or peer address that others cannot connect to.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -53,9 +54,24 @@
 		return
 	}
 	d.logChanges(before, v)
+	if sameServing(before.Serving(), v.Serving()) {
+		// A suspicion, or the death of a VM that was leaving: nobody owns
+		// anything else by it, so 2,500 upstreams need not be assigned again.
+		d.view.Store(v)
+		d.router.Update(v, d.table.Load())
+		return
+	}
 	d.apply(v, d.snapshot.Load())
 }
 
+// sameServing tells whether two views give the same VMs work at the same places.
+func sameServing(a, b []membership.Member) bool {
+	return slices.EqualFunc(a, b, func(m, n membership.Member) bool {
+		m.State, n.State = 0, 0
+		return m == n
+	})
+}
+
 // logChanges tells which members changed their state.
 func (d *Daemon) logChanges(before, after *membership.View) {
 	for i := range after.Members {
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -159,7 +159,7 @@
 		if digest[r.bucket] == n.table.digest[r.bucket] || r.Incarnation == 0 || r == n.self {
 			continue
 		}
-		u := r.update()
+		u := r.difference()
 		u.SecondHand = r.State == pb.MemberState_DEAD
 		// News needs room at once; a difference can wait.
 		if !n.add(p, u, n.budget.rate) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -57,15 +57,35 @@
 // addresses of an incarnation that has refuted or is no longer alive, or gets
 // them with the next difference of digests; a third of the bytes are left.
 func (r *record) news() *pb.MemberUpdate {
-	if r.refutation == 0 && r.State == pb.MemberState_ALIVE {
-		return r.update()
+	if r.refutation > 0 || r.State != pb.MemberState_ALIVE {
+		return r.brief()
 	}
+	return r.difference()
+}
+
+// difference is the record as sent to those that may not know the member: the
+// list has told them the addresses if they are as listed.
+func (r *record) difference() *pb.MemberUpdate {
+	if r.asListed() {
+		return r.brief()
+	}
+	return r.update()
+}
+
+func (r *record) asListed() bool {
+	vm := r.listed
+	return vm != nil && r.PeerAddress == vm.PeerAddress && r.CallerAddress == vm.CallerAddress &&
+		r.Region == vm.Region && r.DataCentre == vm.DataCentre && r.Rack == vm.Rack
+}
+
+// brief is the record without its addresses.
+func (r *record) brief() *pb.MemberUpdate {
 	return &pb.MemberUpdate{Vm: r.VM, Incarnation: r.Incarnation, Refutation: r.refutation, State: r.State}
 }
 
-// update is the record as sent to those that may not know the member.
+// update is the record with its addresses, unless it is suspected or dead.
 func (r *record) update() *pb.MemberUpdate {
-	u := &pb.MemberUpdate{Vm: r.VM, Incarnation: r.Incarnation, Refutation: r.refutation, State: r.State}
+	u := r.brief()
 	if r.State == pb.MemberState_SUSPECT || r.State == pb.MemberState_DEAD {
 		return u
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,9 +112,9 @@
 	if s.Rack != "" {
 		checkName(src, "rack", s.Rack)
 	}
-	checkAddress(src, "caller_address", s.CallerAddress)
+	checkTold(src, "caller_address", s.CallerAddress)
 	checkAddress(src, "operator_address", s.OperatorAddress)
-	checkAddress(src, "peer_address", s.PeerAddress)
+	checkTold(src, "peer_address", s.PeerAddress)
 	checkAddress(src, "platform_address", s.PlatformAddress)
 	for i, seed := range s.Seeds {
 		checkAddress(src, fmt.Sprintf("seeds[%d]", i), seed)
@@ -170,6 +170,18 @@
 	}
 }
 
+// checkTold checks an address that others are told to connect to: with one that
+// only serves to listen on, this VM would be probed in vain and held dead.
+func checkTold(src *tomlpb.Source, at, text string) {
+	address, err := netip.ParseAddrPort(text)
+	switch {
+	case err != nil:
+		checkAddress(src, at, text)
+	case address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast():
+		src.Addf(at, "must be an address that others can connect to, not %q", text)
+	}
+}
+
 // checkKeys never repeats a secret in a finding.
 func checkKeys(src *tomlpb.Source, keys []*pb.PeerKey) {
 	if len(keys) == 0 {
