--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,9 +74,20 @@
 	return r
 }
 
-// Update routes by a new view and table from now on.
+// Update routes by a new view and table from now on, and forgets the upstreams
+// that are no longer placed: they are replaced all the time, and what was learned of
+// each would stay for the life of the process.
 func (r *Router) Update(view *membership.View, table *ownership.Table) {
 	r.world.Store(&world{view: view, table: table})
+	if len(view.Serving()) == 0 {
+		return
+	}
+	r.upstreams.Range(func(id, _ any) bool {
+		if table.Place(id.(string)) == (ownership.Place{}) {
+			r.upstreams.Delete(id)
+		}
+		return true
+	})
 }
 
 // Send carries a sub-request to the owner of its upstream, or to the standby.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -120,3 +120,22 @@
 		t.Errorf("pinned %d after what was learned has expired", v)
 	}
 }
+
+// Symptom: a daemon's memory grows for as long as upstreams are replaced.
+// Sequence: an upstream is learned of, then it is taken out of the configuration.
+// Cause: nothing forgot it.
+func TestForgetsUpstreamsThatAreGone(t *testing.T) {
+	r := New(Options{VM: "vm-0"})
+	v := viewOf("vm-1")
+	kept, gone := &contract.Upstream{ID: "search/0"}, &contract.Upstream{ID: "search/1"}
+	r.Update(v, ownership.Assign(v.Serving(), []*contract.Upstream{kept, gone}))
+	r.Opened(start, kept)
+	r.Opened(start, gone)
+	r.Update(v, ownership.Assign(v.Serving(), []*contract.Upstream{kept}))
+	if _, ok := r.upstreams.Load(gone.ID); ok {
+		t.Error("what was learned of a removed upstream is still there")
+	}
+	if _, ok := r.upstreams.Load(kept.ID); !ok {
+		t.Error("what was learned of a published upstream is lost")
+	}
+}
