--- a/internal/readiness/readiness.go
+++ b/internal/readiness/readiness.go
@@ -18,10 +18,17 @@
 // How long what was learned holds.
 const (
 	// statusTTL is for an owner's status. Owners send changes only, so it is
-	// long; replies correct it meanwhile.
-	statusTTL = time.Minute
-	// snapshotTTL is for what a reply tells of one snapshot.
-	snapshotTTL = 5 * time.Second
+	// long, and replies that agree with it renew it: were it to lapse while a
+	// version takes long to spread, every query under way would restart.
+	statusTTL = 2 * time.Minute
+	// snapshotTTL is for what a reply tells of one snapshot. It doubles, up to
+	// snapshotMost, each time the snapshot is still missing when it is asked for
+	// again.
+	snapshotTTL  = 5 * time.Second
+	snapshotMost = 20 * time.Second
+	// settled is the age from which a lesson gives way to a new status: the
+	// owner has weighed its own replies against the lagging health endpoint.
+	settled = time.Second
 	// leavingTTL is for a reply that announces leaving.
 	leavingTTL = 10 * time.Second
 	// downLeast and downMost bound how long a connection that could not be
@@ -73,6 +80,7 @@
 	key   Key
 	has   bool
 	until time.Time
+	ttl   time.Duration
 }
 
 // Status takes an owner's status in. A status without snapshots says nothing of
@@ -85,6 +93,9 @@
 		s.listed = append(s.listed, KeyOf(snap))
 	}
 	s.listUntil = now.Add(statusTTL)
+	s.learned = slices.DeleteFunc(s.learned, func(l lesson) bool {
+		return now.Sub(l.until.Add(-l.ttl)) >= settled
+	})
 }
 
 // Reply takes the end of a sub-request for a snapshot in; changed tells whether
@@ -94,6 +105,7 @@
 	case pb.Result_OK:
 		return s.answered(now, KeyOf(r.Snapshot), asked)
 	case pb.Result_NO_SNAPSHOT:
+		s.renew(now, !slices.Contains(s.listed, asked))
 		return s.learn(now, asked, false)
 	case pb.Result_UPSTREAM_LEAVING:
 		s.state = pb.UpstreamState_DRAINING
@@ -118,6 +130,7 @@
 		s.learn(now, got, true)
 		return s.learn(now, asked, false)
 	}
+	s.renew(now, slices.Contains(s.listed, asked))
 	changed := false
 	if s.current(now) == pb.UpstreamState_DOWN {
 		s.state = pb.UpstreamState_READY
@@ -129,15 +142,26 @@
 	return changed
 }
 
+// renew keeps the owner's list for longer when a reply agrees with it.
+func (s *State) renew(now time.Time, agrees bool) {
+	if agrees && len(s.listed) > 0 && now.Before(s.listUntil) {
+		s.listUntil = now.Add(statusTTL)
+	}
+}
+
 func (s *State) learn(now time.Time, key Key, has bool) bool {
 	before := s.has(now, key)
+	ttl := snapshotTTL
 	s.learned = slices.DeleteFunc(s.learned, func(l lesson) bool {
-		return l.key == key || !now.Before(l.until)
+		if l.key == key && !l.has && !has && !now.Before(l.until) {
+			ttl = min(2*l.ttl, snapshotMost)
+		}
+		return l.key == key || !now.Before(l.until.Add(snapshotMost))
 	})
 	if len(s.learned) >= maxLearned {
 		s.learned = slices.Delete(s.learned, 0, 1)
 	}
-	s.learned = append(s.learned, lesson{key: key, has: has, until: now.Add(snapshotTTL)})
+	s.learned = append(s.learned, lesson{key: key, has: has, until: now.Add(ttl), ttl: ttl})
 	return before != has
 }
 
--- a/internal/readiness/readiness_test.go
+++ b/internal/readiness/readiness_test.go
@@ -72,6 +72,46 @@
 	}
 }
 
+// Symptom: while a version takes minutes to spread every query restarts again and
+// again.
+// Sequence: the owner's list is minutes old, or there is none, and the upstream
+// goes on refusing the new version.
+// Cause: what was known lapsed although every reply confirmed it.
+func TestConfirmedBeliefsLast(t *testing.T) {
+	refusals := func(s *State, every, during time.Duration) int {
+		n := 0
+		for at := every; at <= during; at += every {
+			now := start.Add(at)
+			asked, r := v7, pb.Result_OK
+			if s.Fitness(now, v8) == Ready {
+				asked, r = v8, pb.Result_NO_SNAPSHOT
+				n++
+			}
+			s.Reply(now, asked, &pb.SubReply{Result: r, Snapshot: snapshot(asked)})
+		}
+		return n
+	}
+	var told State
+	told.Status(start, &pb.UpstreamStatus{State: pb.UpstreamState_READY, Snapshots: []*pb.Snapshot{snapshot(v7)}})
+	if n := refusals(&told, time.Second, 10*time.Minute); n != 0 {
+		t.Errorf("an upstream whose list is confirmed was asked %d times for what it lacks", n)
+	}
+	var untold State
+	if n := refusals(&untold, time.Second, 10*time.Minute); n > 35 {
+		t.Errorf("an upstream without a list was asked %d times in ten minutes", n)
+	}
+}
+
+func TestNewStatusOutranksOldRefusal(t *testing.T) {
+	var s State
+	s.Reply(start, v8, &pb.SubReply{Result: pb.Result_NO_SNAPSHOT})
+	later := start.Add(settled)
+	s.Status(later, &pb.UpstreamStatus{State: pb.UpstreamState_READY, Snapshots: []*pb.Snapshot{snapshot(v7), snapshot(v8)}})
+	if f := s.Fitness(later, v8); f != Ready {
+		t.Errorf("fitness %d after the owner said that the snapshot was loaded", f)
+	}
+}
+
 func TestLessonsAreBounded(t *testing.T) {
 	var s State
 	for v := range uint64(100) {
