Keep rendezvous weights and the gap of a pause in one place each

Cause: the mixing function stood in ownership and homeset, the gap between two clock readings in membership and dispatch. Change: packages rendezvous and pause hold them; behaviour is the same.

--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/pause"
+)
 
 // PauseOptions tell when a gap in a process's own ticks counts as a pause.
 type PauseOptions struct {
@@ -40,7 +44,7 @@
 // socket for as long.
 func (p *Pause) Check(now time.Time) (held bool, gap time.Duration) {
 	if !p.last.IsZero() {
-		if away := since(now, p.last); away >= p.opts.Gap {
+		if away := pause.Gap(p.last, now); away >= p.opts.Gap {
 			p.gap = away
 			p.held = now.Add(p.opts.Settle)
 			p.last = now
@@ -48,9 +52,3 @@
 	}
 	return now.Before(p.held), p.gap
 }
-
-// since takes the larger of what both clocks say: the monotonic clock stands
-// still while a VM is suspended, and the wall clock may be set back.
-func since(now, then time.Time) time.Duration {
-	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
-}
--- a/internal/dispatch/pause_test.go
+++ b/internal/dispatch/pause_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sycamorekeel.example/sycamorekeel/internal/pause"
 )
 
 // Symptom: an owner that wakes runs what was cancelled while it slept.
@@ -40,5 +42,5 @@
 func TestSuspend(t *testing.T) {
 	g := NewWithT(t)
 	then := time.Now()
-	g.Expect(since(then.Add(time.Millisecond), then.Add(-time.Hour).Round(0))).To(BeNumerically(">=", time.Hour))
+	g.Expect(pause.Gap(then.Add(-time.Hour).Round(0), then.Add(time.Millisecond))).To(BeNumerically(">=", time.Hour))
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pause"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
@@ -113,7 +114,7 @@
 // takes no lock.
 func (d *Driver) InDoubt(now time.Time) bool {
 	last := d.ticked.Load()
-	return d.doubt.Load() || last != nil && membership.Gap(*last, now) >= d.pause
+	return d.doubt.Load() || last != nil && pause.Gap(*last, now) >= d.pause
 }
 
 // View is the members as seen now.
--- a/internal/homeset/homeset.go
+++ b/internal/homeset/homeset.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/rendezvous"
 )
 
 const (
@@ -148,7 +149,7 @@
 	key := xxhash.Sum64String(customer)
 	weights := make(map[string]uint64, len(c.vms))
 	for i, vm := range c.vms {
-		weights[vm.Id] = mix(key ^ c.hashes[i])
+		weights[vm.Id] = rendezvous.Weight(key, c.hashes[i])
 	}
 	out := append([]*pb.VM(nil), c.vms...)
 	sort.Slice(out, func(i, j int) bool {
@@ -160,13 +161,3 @@
 	})
 	return out
 }
-
-// mix spreads the bits of a combined hash (the finalizer of MurmurHash3).
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	h ^= h >> 33
-	return h
-}
--- a/internal/membership/doubt.go
+++ b/internal/membership/doubt.go
@@ -1,6 +1,10 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/pause"
+)
 
 // doubtRounds bounds how often a node that was paused asks again while fewer
 // peers answer than it wants to hear from.
@@ -22,18 +26,12 @@
 	}
 }
 
-// Gap is the time between two moments of this process. Wall clocks count too: a
-// monotonic clock may stand still while the whole VM is suspended.
-func Gap(before, after time.Time) time.Duration {
-	return max(after.Sub(before), after.Round(0).Sub(before.Round(0)))
-}
-
 // notePause looks for a gap in this node's own ticks.
 func (n *Node) notePause() {
 	if n.lastTick.IsZero() {
 		return
 	}
-	gap := Gap(n.lastTick, n.now)
+	gap := pause.Gap(n.lastTick, n.now)
 	if gap < n.timing.Pause {
 		return
 	}
--- a/internal/ownership/assignment.go
+++ b/internal/ownership/assignment.go
@@ -8,6 +8,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/rendezvous"
 )
 
 // nobody marks an upstream that has no owner yet.
@@ -127,12 +128,12 @@
 	groups := make([]group, (len(items)+size-1)/size)
 	seed := xxhash.Sum64String(name)
 	for i := range groups {
-		groups[i].hash = mix(seed + uint64(i))
+		groups[i].hash = rendezvous.Mix(seed + uint64(i))
 	}
 	for _, i := range items {
 		best := nobody
 		for g := range groups {
-			if len(groups[g].items) < size && (best == nobody || weight(a.items[i].hash, groups[g].hash) > weight(a.items[i].hash, groups[best].hash)) {
+			if len(groups[g].items) < size && (best == nobody || rendezvous.Weight(a.items[i].hash, groups[g].hash) > rendezvous.Weight(a.items[i].hash, groups[best].hash)) {
 				best = g
 			}
 		}
@@ -228,7 +229,7 @@
 		if a.vms[v].load > most {
 			continue
 		}
-		if w := weight(key, a.vms[v].hash); best == nobody || w > bestWeight {
+		if w := rendezvous.Weight(key, a.vms[v].hash); best == nobody || w > bestWeight {
 			best, bestWeight = v, w
 		}
 	}
@@ -248,7 +249,7 @@
 			continue
 		}
 		rank := a.standbyRank(v, owner, most)
-		w := weight(key, a.vms[v].hash)
+		w := rendezvous.Weight(key, a.vms[v].hash)
 		if best == nobody || rank > bestRank || (rank == bestRank && w > bestWeight) {
 			best, bestRank, bestWeight = v, rank, w
 		}
@@ -275,18 +276,3 @@
 	}
 	return a.vms[v].name
 }
-
-// weight is the rendezvous weight of two hashes.
-func weight(a, b uint64) uint64 {
-	return mix(a ^ b)
-}
-
-// mix spreads the bits of a combined hash (the finalizer of MurmurHash3).
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	h ^= h >> 33
-	return h
-}
