--- a/cmd/sycamorekeel/status.go
+++ b/cmd/sycamorekeel/status.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"time"
+
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/operatorapi"
@@ -33,6 +35,7 @@
 	}
 	out.printf("%s (%s, %s): %s\n", st.VM, st.DataCentre, st.Region, state)
 	out.printf("configuration revision %d\n", st.Revision)
+	printPlatform(out, &st.Platform)
 	for _, r := range st.Rejected {
 		out.printf("rejected: %s revision %d\n%s\n", r.Name, r.Revision, r.Findings)
 	}
@@ -47,3 +50,15 @@
 		out.printf("  %s\n", id)
 	}
 }
+
+func printPlatform(out *output, p *operatorapi.Platform) {
+	way := "through peers"
+	if p.Reader {
+		way = "by watching it"
+	}
+	confirmed := time.Duration(p.ConfirmedMS) * time.Millisecond
+	out.printf("the platform confirmed it %s ago, %s\n", confirmed.Round(time.Second), way)
+	if p.Failures > 0 {
+		out.printf("the platform is %s: %d reads failed in a row\n", p.Reason, p.Failures)
+	}
+}
