Use a connection again after the deadline of the request before

Cause: the look whether an idle connection was closed went through Read, which fails once the former request's read deadline has passed. Every connection idle for longer than a deadline passed for closed: its request was refused as unreachable, the circuit opened, and a shard whose replicas were idle went missing. Ruled out: closes by the upstream, interrupted system calls (none was seen). Change: the look goes through Control, which no deadline stops; a request that did meet a closed connection goes out on a new one, as nothing was written. Conclusion: the cause was ours, not the upstreams'.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -30,6 +30,10 @@
 	headerBuffer = 40
 )
 
+// maxClosedIdle bounds how often one request may meet a connection that was
+// closed while it was idle.
+const maxClosedIdle = 3
+
 // dialError marks a failure before any byte was sent: the request did not run.
 type dialError struct{ err error }
 
@@ -175,7 +179,7 @@
 	req.Header.SetBytesV(HeaderShard, strconv.AppendUint(buf[:0], uint64(call.Shard), 10))
 	req.Header.SetBytesV(HeaderDeadline, strconv.AppendInt(buf[:0], call.Deadline.Sub(now).Milliseconds(), 10))
 	req.SetBodyRaw(call.Body)
-	if err := c.requests.DoDeadline(req, resp, call.Deadline); err != nil {
+	if err := c.do(req, resp, call.Deadline); err != nil {
 		return failure(err)
 	}
 	return outcome(resp, call.Snapshot)
@@ -224,6 +228,19 @@
 	return h, nil
 }
 
+// do sends the request, and again where it met a connection that the upstream
+// had closed before: nothing was written to that. Its like are given up first.
+// Without this, an upstream that was restarted would look unreachable once for
+// each connection it had, and a shard with three of them would go missing.
+func (c *Client) do(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
+	err := c.requests.DoDeadline(req, resp, deadline)
+	for again := 0; again < maxClosedIdle && errors.Is(err, errClosedIdle); again++ {
+		c.requests.CloseIdleConnections()
+		err = c.requests.DoDeadline(req, resp, deadline)
+	}
+	return err
+}
+
 // Close gives up the idle connections; it is called when no request runs.
 func (c *Client) Close() {
 	c.requests.CloseIdleConnections()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -63,11 +63,12 @@
 		return true
 	}
 	useless := true
-	err = raw.Read(func(fd uintptr) bool {
+	// Control and not Read: Read fails once the read deadline of the request
+	// before has passed, and every connection idle for longer would look closed.
+	err = raw.Control(func(fd uintptr) {
 		var buf [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		useless = !errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return useless || err != nil
 }
