Let the queue's three heaps share their bookkeeping

Cause: places in a heap were kept three times over. Change: one generic heap of items that know their place; each item says its order.

--- a/internal/dispatch/flow.go
+++ b/internal/dispatch/flow.go
@@ -13,7 +13,7 @@
 type flow struct {
 	customer *customer
 	class    *class
-	items    itemHeap
+	items    placedHeap[*Item]
 	// newest ends the list of items by arrival.
 	newest *Item
 	weight float64
@@ -58,7 +58,7 @@
 type class struct {
 	index int
 	flows map[*customer]*flow
-	ready flowHeap
+	ready placedHeap[*flow]
 	// virtual is the start of the flow served last.
 	virtual float64
 	// weight is the sum over the flows with items.
@@ -139,86 +139,3 @@
 func (c *customer) use() float64 {
 	return float64(c.len) / c.weight
 }
-
-// itemHeap orders by when the items are due, then by arrival.
-type itemHeap []*Item
-
-func (h itemHeap) Len() int { return len(h) }
-func (h itemHeap) Less(i, j int) bool {
-	if !h[i].due.Equal(h[j].due) {
-		return h[i].due.Before(h[j].due)
-	}
-	return h[i].serial < h[j].serial
-}
-func (h itemHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *itemHeap) Push(x any) {
-	it := x.(*Item)
-	it.index = len(*h)
-	*h = append(*h, it)
-}
-func (h *itemHeap) Pop() any {
-	old := *h
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return it
-}
-
-// flowHeap orders by start, then by name so that every run is the same.
-type flowHeap []*flow
-
-func (h flowHeap) Len() int { return len(h) }
-func (h flowHeap) Less(i, j int) bool {
-	if h[i].start != h[j].start {
-		return h[i].start < h[j].start
-	}
-	return h[i].customer.name < h[j].customer.name
-}
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *flowHeap) Push(x any) {
-	f := x.(*flow)
-	f.index = len(*h)
-	*h = append(*h, f)
-}
-func (h *flowHeap) Pop() any {
-	old := *h
-	f := old[len(old)-1]
-	old[len(old)-1] = nil
-	f.index = -1
-	*h = old[:len(old)-1]
-	return f
-}
-
-// customerHeap has the customer that holds most against its weight first.
-type customerHeap []*customer
-
-func (h customerHeap) Len() int { return len(h) }
-func (h customerHeap) Less(i, j int) bool {
-	if a, b := h[i].use(), h[j].use(); a != b {
-		return a > b
-	}
-	return h[i].name < h[j].name
-}
-func (h customerHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *customerHeap) Push(x any) {
-	c := x.(*customer)
-	c.index = len(*h)
-	*h = append(*h, c)
-}
-func (h *customerHeap) Pop() any {
-	old := *h
-	c := old[len(old)-1]
-	old[len(old)-1] = nil
-	c.index = -1
-	*h = old[:len(old)-1]
-	return c
-}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -39,7 +39,7 @@
 	classes   [classes]class
 	customers map[string]*customer
 	// holders are the customers with items.
-	holders customerHeap
+	holders placedHeap[*customer]
 	// weight is the sum over the holders.
 	weight  float64
 	byKey   map[Key]*Item
@@ -273,7 +273,7 @@
 func (q *Queue) Expire(now time.Time) []Refused {
 	var late []Refused
 	for i := range q.classes {
-		for _, f := range append(flowHeap(nil), q.classes[i].ready...) {
+		for _, f := range append(placedHeap[*flow](nil), q.classes[i].ready...) {
 			for len(f.items) > 0 && !now.Before(f.items[0].Deadline) {
 				it := f.items[0]
 				q.remove(it)
