Give each fleet of one process its own peer key

Cause: fleets that run side by side have VMs of the same names and had one key; a port that a killed VM left may be taken by another fleet, whose daemons would then pass for its peers.

Change: the key holds an address of the fleet, and stand-ins drop the library's own lines.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,7 +22,10 @@
 	"sycamorekeel.example/sycamorekeel/internal/standin"
 )
 
-const secret = "a-secret-for-daemons-in-one-process"
+// secret is followed by an address of the fleet: several fleets of one process
+// have VMs of the same names, and a port that one has left may be taken by
+// another, whose daemons must not pass for peers.
+const secret = "a-secret-for-daemons-of-the-fleet-at-"
 
 // endpointsTTLMS is short, as a planned stop takes as long.
 const endpointsTTLMS = 500
@@ -220,7 +223,7 @@
 		OperatorAddress: l.operator.Addr().String(),
 		PeerAddress:     l.peer.Addr().String(),
 		PlatformAddress: f.Platform.Address(),
-		PeerKeys:        []*pb.PeerKey{{Id: "k1", Secret: secret}},
+		PeerKeys:        []*pb.PeerKey{{Id: "k1", Secret: secret + f.Platform.Address()}},
 		Routing:         f.opts.Routing,
 		Seeds:           f.seeds(i),
 		Limits:          &pb.Limits{EndpointsTtlMs: endpointsTTLMS},
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -105,7 +105,7 @@
 		releases:  map[string]chan struct{}{},
 		serving:   map[string]net.Conn{},
 	}
-	u.http = &fasthttp.Server{Handler: u.handle, ConnState: u.connState, CloseOnShutdown: true}
+	u.http = &fasthttp.Server{Handler: u.handle, ConnState: u.connState, CloseOnShutdown: true, Logger: quiet{}}
 	go func() { _ = u.http.Serve(ln) }()
 	return u, nil
 }
