--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -391,22 +391,22 @@
 func newConfigMetrics(r prometheus.Registerer) *configMetrics {
 	f := promauto.With(r)
 	counter := func(name, help string) prometheus.Counter {
-		return f.NewCounter(prometheus.CounterOpts{Name: "sycamorekeel_config_" + name, Help: help})
+		return f.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
 	}
 	gauge := func(name, help string) prometheus.Gauge {
-		return f.NewGauge(prometheus.GaugeOpts{Name: "sycamorekeel_config_" + name, Help: help})
+		return f.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
 	}
 	m := &configMetrics{
-		reads:    counter("platform_reads_total", "Reads and watches of the platform."),
+		reads:    counter("sycamorekeel_config_platform_reads_total", "Reads and watches of the platform."),
 		failures: f.NewCounterVec(prometheus.CounterOpts{Name: "sycamorekeel_config_platform_failures_total", Help: "Reads of the platform that brought nothing, by reason."}, []string{"reason"}),
 		pulls:    f.NewCounterVec(prometheus.CounterOpts{Name: "sycamorekeel_config_pull_events_total", Help: "Pulls from peers that did not go as planned, by what happened."}, []string{"event"}),
-		pushes:   counter("pushes_total", "Changes told to peers unasked."),
-		served:   counter("pulls_served_total", "Pulls of peers answered."),
-		dropped:  counter("events_dropped_total", "Events dropped because too many waited."),
-		rejected: counter("rejected_total", "Revisions of documents that failed the check."),
-		revision: gauge("revision", "Highest revision taken in."),
-		reader:   gauge("reader", "1 while this VM watches the platform."),
-		age:      gauge("confirmed_age_seconds", "Time since the platform last confirmed the configuration, here or at a peer."),
+		pushes:   counter("sycamorekeel_config_pushes_total", "Changes told to peers unasked."),
+		served:   counter("sycamorekeel_config_pulls_served_total", "Pulls of peers answered."),
+		dropped:  counter("sycamorekeel_config_events_dropped_total", "Events dropped because too many waited."),
+		rejected: counter("sycamorekeel_config_rejected_total", "Revisions of documents that failed the check."),
+		revision: gauge("sycamorekeel_config_revision", "Highest revision taken in."),
+		reader:   gauge("sycamorekeel_config_reader", "1 while this VM watches the platform."),
+		age:      gauge("sycamorekeel_config_confirmed_age_seconds", "Time since the platform last confirmed the configuration, here or at a peer."),
 	}
 	for _, reason := range config.FailureReasons {
 		m.failures.WithLabelValues(string(reason))
--- a/internal/gossip/metrics.go
+++ b/internal/gossip/metrics.go
@@ -33,18 +33,18 @@
 func registerStats(r prometheus.Registerer, stats func() membership.Stats) {
 	f := promauto.With(r)
 	export := func(name, help string, value func(membership.Stats) uint64) {
-		f.NewCounterFunc(prometheus.CounterOpts{Name: "sycamorekeel_membership_" + name + "_total", Help: help}, func() float64 {
+		f.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 {
 			return float64(value(stats()))
 		})
 	}
-	export("probes", "Members probed.", func(s membership.Stats) uint64 { return s.Probes })
-	export("indirect_probes", "Peers asked to probe a member that did not answer.", func(s membership.Stats) uint64 { return s.IndirectProbes })
-	export("failed_probes", "Probes answered neither directly nor through peers.", func(s membership.Stats) uint64 { return s.FailedProbes })
-	export("suspicions", "Members suspected, here or by peers.", func(s membership.Stats) uint64 { return s.Suspicions })
-	export("refutations", "Suspicions of this VM that it refuted.", func(s membership.Stats) uint64 { return s.Refutations })
-	export("deaths", "Members held dead.", func(s membership.Stats) uint64 { return s.Deaths })
-	export("pauses", "Gaps in this process's own ticks.", func(s membership.Stats) uint64 { return s.Pauses })
-	export("outdated_answers", "Old processes told that a newer one has their name.", func(s membership.Stats) uint64 { return s.Outdated })
+	export("sycamorekeel_membership_probes_total", "Members probed.", func(s membership.Stats) uint64 { return s.Probes })
+	export("sycamorekeel_membership_indirect_probes_total", "Peers asked to probe a member that did not answer.", func(s membership.Stats) uint64 { return s.IndirectProbes })
+	export("sycamorekeel_membership_failed_probes_total", "Probes answered neither directly nor through peers.", func(s membership.Stats) uint64 { return s.FailedProbes })
+	export("sycamorekeel_membership_suspicions_total", "Members suspected, here or by peers.", func(s membership.Stats) uint64 { return s.Suspicions })
+	export("sycamorekeel_membership_refutations_total", "Suspicions of this VM that it refuted.", func(s membership.Stats) uint64 { return s.Refutations })
+	export("sycamorekeel_membership_deaths_total", "Members held dead.", func(s membership.Stats) uint64 { return s.Deaths })
+	export("sycamorekeel_membership_pauses_total", "Gaps in this process's own ticks.", func(s membership.Stats) uint64 { return s.Pauses })
+	export("sycamorekeel_membership_outdated_answers_total", "Old processes told that a newer one has their name.", func(s membership.Stats) uint64 { return s.Outdated })
 }
 
 func (m *metrics) show(v *membership.View) {
