Let each of three replicas refuse and be asked once more

Cause: a shard whose three replicas were reported unreachable at once had one attempt left after the pause, and that one met the owner's open circuit.

Change: six attempts for a shard in place of four; retries and hedges are bounded by their budgets as before.

--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -7,8 +7,9 @@
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
-// maxAttempts bounds the sends of one shard's sub-request, refusals included.
-const maxAttempts = 4
+// maxAttempts bounds the sends of one shard's sub-request, refusals included:
+// enough for each of three replicas to refuse and be asked once more.
+const maxAttempts = 6
 
 // Query is one request under way. It is not safe for concurrent use.
 type Query struct {
