--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -137,7 +137,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	rpc := drpcconn.New(conn)
 	// A server that serves what it should refuse would leave Recv waiting.
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	t.Cleanup(cancel)
 	stream, err := pb.NewDRPCPeerClient(rpc).Exchange(ctx)
 	g.Expect(err).NotTo(HaveOccurred())
