Count from where the counter stood in the test of a stop under way

Cause: the test took a counter of its VM for 0; run after some of the other tests alone, it had counted before, and the test failed though nothing was wrong. Change: it counts from the value it finds.

--- a/internal/fleet/once_test.go
+++ b/internal/fleet/once_test.go
@@ -418,6 +418,8 @@
 		d.settled(0)
 		d.change(func(b *standin.Behaviour) { b.Median = 300 * time.Millisecond })
 		ops := d.operations(0, 5)
+		waiting := func() int { return d.counter(0, `sycamorekeel_once_operations_total{verdict="running"}`) }
+		before := waiting()
 		told := make(chan map[string]int, 2)
 		sendAll := func(vm int) {
 			defer GinkgoRecover()
@@ -426,8 +428,7 @@
 		// The second copies come by another VM, which forwards them.
 		go sendAll(0)
 		go sendAll(1)
-		Eventually(func() int { return d.counter(0, `sycamorekeel_once_operations_total{verdict="running"}`) }).
-			WithTimeout(10 * time.Second).Should(Equal(5))
+		Eventually(waiting).WithTimeout(10 * time.Second).Should(Equal(before + 5))
 		Expect(d.VMs[0].Stop()).To(Succeed())
 		Expect(<-told).To(Equal(map[string]int{"answered": 5}))
 		Expect(<-told).To(Equal(map[string]int{"answered": 5}))
