Give up silent peers by heartbeat, and let no frame wait for one in doubt

Cause: a VM that was cut off or frozen kept its connections; frames to it waited until gossip noticed, further ones for the limit of the next dial.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 PROTO := $(wildcard proto/sycamorekeel/v1/*.proto)
 
-.PHONY: all build demo bench capacity test processes generate lint spec spec-mutants
+.PHONY: all build demo bench capacity test race processes generate lint spec spec-mutants
 
 all: build
 
@@ -26,6 +26,11 @@
 test:
 	$(GO) test ./...
 
+# The drivers, where goroutines share state, under the race detector.
+race:
+	$(GO) test -race $(addprefix ./internal/,callerapi daemon explain frontend gossip health operatorapi owner peer peerauth platform query readiness router upstream)
+	$(GO) test -race ./internal/fleet -ginkgo.focus='whole path|stop'
+
 # Kills, freezes and stops daemons that run as separate processes.
 processes: build
 	scripts/processes.sh
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -9,6 +9,7 @@
 	frames  prometheus.Counter
 	batches prometheus.Counter
 	lost    prometheus.Counter
+	stalled prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -17,6 +18,7 @@
 		frames:  f.NewCounter(prometheus.CounterOpts{Name: "sycamorekeel_peer_frames_total", Help: "Frames sent to peers."}),
 		batches: f.NewCounter(prometheus.CounterOpts{Name: "sycamorekeel_peer_batches_total", Help: "Batches sent to peers."}),
 		lost:    f.NewCounter(prometheus.CounterOpts{Name: "sycamorekeel_peer_streams_lost_total", Help: "Streams to peers that ended."}),
+		stalled: f.NewCounter(prometheus.CounterOpts{Name: "sycamorekeel_peer_streams_stalled_total", Help: "Streams given up because the peer was silent though asked."}),
 	}
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	redialAfter = 200 * time.Millisecond
 )
 
+// errStalled ends a stream whose peer says nothing though it was asked.
+var errStalled = errors.New("the peer is silent")
+
 // Receiver takes what comes back from peers. Its methods must not block.
 type Receiver interface {
 	// Frame is one frame of the peer.
@@ -54,16 +58,19 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 
-	mu       sync.Mutex
-	links    map[string]*link
-	retryAt  map[string]time.Time
+	mu      sync.Mutex
+	links   map[string]*link
+	retryAt map[string]time.Time
+	// doubted are the peers whose last stream broke: until one of them is heard
+	// again, no frame waits for it.
+	doubted  map[string]bool
 	shutdown bool
 }
 
 // NewPool makes a pool with no streams; Send opens them.
 func NewPool(opts Options) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Pool{
+	p := &Pool{
 		opts:     opts,
 		log:      opts.Log,
 		met:      newMetrics(opts.Registry),
@@ -72,7 +79,10 @@
 		cancel:   cancel,
 		links:    map[string]*link{},
 		retryAt:  map[string]time.Time{},
+		doubted:  map[string]bool{},
 	}
+	p.done.Go(p.look)
+	return p
 }
 
 // Dial is the plain dialler for tests and for fleets without keys.
@@ -82,7 +92,9 @@
 }
 
 // Send queues a frame for the peer and opens a stream if there is none. False
-// means that the frame was not queued and so never sent.
+// means that the frame was not queued and so never sent. A peer whose last
+// stream broke is tried without frames first: a dial into a cut takes as long as
+// its time limit, and what waited for it would be late.
 func (p *Pool) Send(address string, f *pb.Frame) bool {
 	l := p.link(address)
 	if l == nil {
@@ -91,29 +103,70 @@
 	return l.out.add(f)
 }
 
-// link finds the live stream of a peer or starts one.
+// look asks silent peers and gives up those that stay silent.
+func (p *Pool) look() {
+	tick := time.NewTicker(heartbeatEvery)
+	defer tick.Stop()
+	var links []*link
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		p.mu.Lock()
+		links = links[:0]
+		for _, l := range p.links {
+			links = append(links, l)
+		}
+		p.mu.Unlock()
+		for _, l := range links {
+			l.look(time.Now())
+		}
+	}
+}
+
+// link finds the stream of a peer that takes frames, and starts one if there is
+// none.
 func (p *Pool) link(address string) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l := p.links[address]; l != nil {
+		if p.doubted[address] {
+			return nil
+		}
 		return l
 	}
 	if p.shutdown || time.Now().Before(p.retryAt[address]) {
 		return nil
 	}
 	l := &link{pool: p, address: address, out: newOutbox(), chunks: newJoiner(), waiting: map[uint64]*pb.Frame{}}
+	l.proving = p.doubted[address]
+	l.ctx, l.cancel = context.WithCancelCause(p.ctx)
 	p.links[address] = l
-	p.done.Add(1)
-	go l.run()
+	p.done.Go(l.run)
+	if p.doubted[address] {
+		return nil
+	}
 	return l
 }
 
+// trust lets frames wait for a peer that was heard.
+func (p *Pool) trust(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.links[l.address] == l {
+		delete(p.doubted, l.address)
+	}
+}
+
 func (p *Pool) drop(l *link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.links[l.address] == l {
 		delete(p.links, l.address)
 		p.retryAt[l.address] = time.Now().Add(redialAfter)
+		p.doubted[l.address] = true
 	}
 }
 
@@ -134,14 +187,25 @@
 	// chunks belongs to the reader.
 	chunks *joiner
 
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
 	mu sync.Mutex
 	// waiting holds the written frames whose reply is outstanding, by id.
 	waiting map[uint64]*pb.Frame
+	// silence is watched once the stream is open.
+	silence heartbeat
+	open    bool
+	// proving is set until the peer is heard, after its last stream broke.
+	proving bool
 }
 
 func (l *link) run() {
-	defer l.pool.done.Done()
 	err := l.exchange()
+	if cause := context.Cause(l.ctx); errors.Is(cause, errStalled) {
+		err = cause
+	}
+	l.cancel(nil)
 	l.pool.drop(l)
 	if l.pool.ctx.Err() == nil {
 		l.pool.log.Info("peer: stream ended", zap.String("peer", l.address), zap.Error(err))
@@ -152,12 +216,15 @@
 
 // exchange runs the stream until either direction breaks.
 func (l *link) exchange() error {
-	ctx, cancel := context.WithCancel(l.pool.ctx)
+	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
 	conn, err := l.pool.opts.Dial(ctx, l.address)
 	if err != nil {
 		return err
 	}
+	// A write to a peer that reads no more blocks: only closing ends it.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
 	rpc := drpcconn.New(conn)
 	defer func() { _ = rpc.Close() }()
 	stream, err := pb.NewDRPCPeerClient(rpc).Exchange(ctx)
@@ -167,6 +234,7 @@
 	if err := stream.Send(&pb.Batch{Frames: []*pb.Frame{{Body: &pb.Frame_Hello{Hello: l.pool.opts.Hello}}}}); err != nil {
 		return err
 	}
+	l.opened(time.Now())
 	readErr := make(chan error, 1)
 	go func() {
 		readErr <- l.read(stream)
@@ -181,6 +249,48 @@
 	return err
 }
 
+// opened asks the peer at once: its answer ends the doubt after a broken stream.
+func (l *link) opened(now time.Time) {
+	l.mu.Lock()
+	l.open = true
+	l.silence = heartbeat{heard: now, asked: now}
+	l.mu.Unlock()
+	l.out.add(newHeartbeat())
+}
+
+// look asks a silent peer, and breaks the stream of one that stays silent. With
+// doubt about the peer, the answer to the first heartbeat is owed.
+func (l *link) look(now time.Time) {
+	l.mu.Lock()
+	what := leave
+	if l.open {
+		what = l.silence.look(now, l.proving || len(l.waiting) > 0)
+	}
+	l.mu.Unlock()
+	switch what {
+	case ask:
+		l.out.add(newHeartbeat())
+	case giveUp:
+		l.pool.met.stalled.Inc()
+		l.cancel(errStalled)
+	}
+}
+
+func (l *link) hear(now time.Time) {
+	l.mu.Lock()
+	l.silence.hear(now)
+	proved := l.proving
+	l.proving = false
+	l.mu.Unlock()
+	if proved {
+		l.pool.trust(l)
+	}
+}
+
+func newHeartbeat() *pb.Frame {
+	return &pb.Frame{Body: &pb.Frame_Heartbeat{Heartbeat: &pb.Heartbeat{}}}
+}
+
 func (l *link) write(ctx context.Context, stream pb.DRPCPeer_ExchangeClient) error {
 	for {
 		select {
@@ -218,10 +328,13 @@
 		if err != nil {
 			return err
 		}
+		l.hear(time.Now())
 		frames := l.join(batch.Frames)
 		l.settle(frames)
 		for _, f := range frames {
-			l.pool.opts.Receiver.Frame(l.address, f)
+			if f.GetHeartbeat() == nil {
+				l.pool.opts.Receiver.Frame(l.address, f)
+			}
 		}
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -204,6 +204,10 @@
 			return err
 		}
 		for _, f := range batch.Frames {
+			if f.GetHeartbeat() != nil {
+				reply(newHeartbeat())
+				continue
+			}
 			e.server.handler.Frame(hello, f, reply)
 		}
 	}
--- /dev/null
+++ b/internal/peer/stalled_test.go
@@ -0,0 +1,62 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/peer"
+)
+
+// losses hands on whether each lost frame was written.
+type losses struct{ written chan bool }
+
+func (l *losses) Frame(string, *pb.Frame) {}
+func (l *losses) Lost(_ string, _ *pb.Frame, written bool) {
+	l.written <- written
+}
+
+// Symptom: sub-requests wait for seconds for a VM that is frozen.
+// Sequence: its connection stays open, so frames are written and none is
+// answered; after the stream was given up, further frames wait for the next one.
+// Cause: an open connection taken for a peer that runs.
+func TestASilentPeerIsGivenUpAndTakenBackOnceItAnswers(t *testing.T) {
+	g := NewWithT(t)
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := frozen.Addr().String()
+	lost := &losses{written: make(chan bool, 1)}
+	pool := peer.NewPool(peer.Options{
+		Log:      zap.NewNop(),
+		Registry: prometheus.NewRegistry(),
+		Hello:    &pb.Hello{Vm: "vm-a", Incarnation: 1},
+		Receiver: lost,
+		Dial:     peer.Dial,
+	})
+	defer pool.Close()
+	request := &pb.Frame{Body: &pb.Frame_Request{Request: &pb.SubRequest{Id: 1}}}
+	// The kernel takes the connection; nobody ever reads from it.
+	g.Expect(pool.Send(address, request)).To(BeTrue())
+	g.Eventually(lost.written).WithTimeout(patience).Should(Receive(BeTrue()))
+	g.Consistently(func() bool { return pool.Send(address, request) }).Should(BeFalse())
+
+	g.Expect(frozen.Close()).To(Succeed())
+	ln, err := net.Listen("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	server, err := peer.NewServer(zap.NewNop(), &answerer{reply: make(chan func(*pb.Frame), 100)})
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, ln) }()
+	g.Eventually(func() bool { return pool.Send(address, request) }).WithTimeout(patience).Should(BeTrue())
+	pool.Close()
+	cancel()
+	g.Expect(<-done).To(Succeed())
+}
