Let frames that only a doubted peer can serve wait for it

Cause: after a broken stream nothing waited for the peer, forwards of operations neither; a VM that was replaced got none of the first ones, and they were refused as operation_away though the new process ran. Change: only sub-requests, which another VM or replica can serve, are held back. What is known of broken streams is forgotten after a minute.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -23,6 +23,8 @@
 	dialTimeout = time.Second
 	// redialAfter is how long a peer that could not be reached is left alone.
 	redialAfter = 200 * time.Millisecond
+	// forgetAfter is how long a broken stream is remembered.
+	forgetAfter = time.Minute
 )
 
 // errStalled ends a stream whose peer says nothing though it was asked.
@@ -92,12 +94,15 @@
 }
 
 // Send queues a frame for the peer and opens a stream if there is none. False
-// means that the frame was not queued and so never sent. A peer whose last
-// stream broke is tried without frames first: a dial into a cut takes as long as
-// its time limit, and what waited for it would be late.
+// means that the frame was not queued and so never sent.
+//
+// A peer whose last stream broke is tried without sub-requests first: a dial
+// into a cut takes as long as its time limit, and they would be late, while
+// another VM or replica can serve them. All else is for that peer alone and
+// waits for the dial.
 func (p *Pool) Send(address string, f *pb.Frame) bool {
-	l := p.link(address)
-	if l == nil {
+	l, doubted := p.link(address)
+	if l == nil || doubted && f.GetRequest() != nil {
 		return false
 	}
 	return l.out.add(f)
@@ -119,6 +124,7 @@
 		for _, l := range p.links {
 			links = append(links, l)
 		}
+		p.forget(time.Now())
 		p.mu.Unlock()
 		for _, l := range links {
 			l.look(time.Now())
@@ -126,29 +132,34 @@
 	}
 }
 
-// link finds the stream of a peer that takes frames, and starts one if there is
-// none.
-func (p *Pool) link(address string) *link {
+// link finds the stream of a peer or starts one, and tells whether the peer is
+// doubted. It is nil while the peer is left alone.
+func (p *Pool) link(address string) (*link, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	doubted := p.doubted[address]
 	if l := p.links[address]; l != nil {
-		if p.doubted[address] {
-			return nil
-		}
-		return l
+		return l, doubted
 	}
 	if p.shutdown || time.Now().Before(p.retryAt[address]) {
-		return nil
+		return nil, doubted
 	}
-	l := &link{pool: p, address: address, out: newOutbox(), chunks: newJoiner(), waiting: map[uint64]*pb.Frame{}}
-	l.proving = p.doubted[address]
+	l := &link{pool: p, address: address, out: newOutbox(), chunks: newJoiner(), waiting: map[uint64]*pb.Frame{}, proving: doubted}
 	l.ctx, l.cancel = context.WithCancelCause(p.ctx)
 	p.links[address] = l
 	p.done.Go(l.run)
-	if p.doubted[address] {
-		return nil
+	return l, doubted
+}
+
+// forget drops what is known of peers that nobody tried to reach for long: they
+// may have been replaced under other addresses. The caller holds mu.
+func (p *Pool) forget(now time.Time) {
+	for address, at := range p.retryAt {
+		if p.links[address] == nil && now.Sub(at) > forgetAfter {
+			delete(p.retryAt, address)
+			delete(p.doubted, address)
+		}
 	}
-	return l
 }
 
 // trust lets frames wait for a peer that was heard.
--- a/internal/peer/stalled_test.go
+++ b/internal/peer/stalled_test.go
@@ -32,7 +32,7 @@
 	frozen, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	address := frozen.Addr().String()
-	lost := &losses{written: make(chan bool, 1)}
+	lost := &losses{written: make(chan bool, 100)}
 	pool := peer.NewPool(peer.Options{
 		Log:      zap.NewNop(),
 		Registry: prometheus.NewRegistry(),
@@ -46,11 +46,14 @@
 	g.Expect(pool.Send(address, request)).To(BeTrue())
 	g.Eventually(lost.written).WithTimeout(patience).Should(Receive(BeTrue()))
 	g.Consistently(func() bool { return pool.Send(address, request) }).Should(BeFalse())
+	// What only this peer can do waits for it.
+	forward := &pb.Frame{Body: &pb.Frame_Forward{Forward: &pb.Forward{Id: 2}}}
+	g.Eventually(func() bool { return pool.Send(address, forward) }).WithTimeout(patience).Should(BeTrue())
 
 	g.Expect(frozen.Close()).To(Succeed())
 	ln, err := net.Listen("tcp", address)
 	g.Expect(err).NotTo(HaveOccurred())
-	server, err := peer.NewServer(zap.NewNop(), &answerer{reply: make(chan func(*pb.Frame), 100)})
+	server, err := peer.NewServer(zap.NewNop(), &answerer{reply: make(chan func(*pb.Frame), 1000)})
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
