Let hedges wait for a tail that their budget pays for

Cause: a hedge for every answer beyond p95 uses a budget of 5% up on ordinary answers, and nothing is left for one that stalls. Change: hedges wait for the earliest of p95, p97.5 and p99 beyond which at most half of the kind's budget lies.

--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -180,7 +180,7 @@
 func (fleet) Observe(time.Time, query.Observation)   {}
 func (fleet) Earn(*contract.Kind, int)               {}
 func (fleet) Spend(*contract.Kind, query.Cause) bool { return true }
-func (fleet) HedgeDelay(time.Time, *contract.Shard, int) (time.Duration, bool) {
+func (fleet) HedgeDelay(time.Time, *contract.Kind, *contract.Shard, int) (time.Duration, bool) {
 	return time.Hour, true
 }
 
--- a/internal/capacity/fanout.go
+++ b/internal/capacity/fanout.go
@@ -28,7 +28,7 @@
 // fanOut simulates how the slowest of many upstreams sets a query's time.
 func (r *Report) fanOut() {
 	for _, n := range []int{10, 100, targetFanOut} {
-		for _, h := range []hedge{{}, {quantile: 0.95, budget: 0.05}, {quantile: 0.99, budget: 0.02}, {quantile: 0.99, budget: 0.005}} {
+		for _, h := range []hedge{{}, {quantile: 0.95, budget: 0.05}, {quantile: 0.975, budget: 0.05}, {quantile: 0.99, budget: 0.02}, {quantile: 0.99, budget: 0.005}} {
 			p99, extra := simulate(n, h)
 			name := "without hedges"
 			if h.budget > 0 {
--- a/internal/query/again.go
+++ b/internal/query/again.go
@@ -167,7 +167,7 @@
 	if !q.hedges() || a.cause == Hedge || len(sh.attempts) >= maxAttempts {
 		return
 	}
-	delay, sure := q.fleet.HedgeDelay(now, q.targets[shard], a.replica)
+	delay, sure := q.fleet.HedgeDelay(now, q.plan.Kind, q.targets[shard], a.replica)
 	sh.guessed = !sure
 	q.wakeAt(shard, a.sentAt+delay)
 }
--- a/internal/query/once_test.go
+++ b/internal/query/once_test.go
@@ -42,7 +42,7 @@
 	m := payment(time.Time{}).Map
 	return m, &pb.Snapshot{Generation: 1, Version: 2}, true
 }
-func (anyReplica) HedgeDelay(time.Time, *contract.Shard, int) (time.Duration, bool) {
+func (anyReplica) HedgeDelay(time.Time, *contract.Kind, *contract.Shard, int) (time.Duration, bool) {
 	return time.Millisecond, true
 }
 
--- a/internal/query/plan.go
+++ b/internal/query/plan.go
@@ -56,7 +56,7 @@
 	Opened(now time.Time, u *contract.Upstream)
 	// HedgeDelay is how long to wait for a replica of the shard before asking
 	// another; sure is false when nothing is known and it is a guess.
-	HedgeDelay(now time.Time, shard *contract.Shard, replica int) (delay time.Duration, sure bool)
+	HedgeDelay(now time.Time, k *contract.Kind, shard *contract.Shard, replica int) (delay time.Duration, sure bool)
 	// Observe learns from the end of an attempt.
 	Observe(now time.Time, o Observation)
 	// Earn adds what n first sub-requests allow to the kind's budgets.
--- a/internal/query/rig_test.go
+++ b/internal/query/rig_test.go
@@ -75,7 +75,7 @@
 	return NoReplica
 }
 func (r *rig) Opened(time.Time, *contract.Upstream) {}
-func (r *rig) HedgeDelay(time.Time, *contract.Shard, int) (time.Duration, bool) {
+func (r *rig) HedgeDelay(time.Time, *contract.Kind, *contract.Shard, int) (time.Duration, bool) {
 	return 10 * ms, true
 }
 func (r *rig) Observe(_ time.Time, o Observation) { r.observed = append(r.observed, o) }
--- a/internal/router/replica.go
+++ b/internal/router/replica.go
@@ -16,7 +16,6 @@
 
 // Hedge delays.
 const (
-	hedgeQuantile = 0.95
 	// hedgeUnknown is the delay while nothing is known of the whole service.
 	hedgeUnknown = 50 * time.Millisecond
 	hedgeLeast   = time.Millisecond
@@ -29,6 +28,30 @@
 	tailEvery = 8
 )
 
+// hedgeQuantiles are the tails a hedge may wait for, ascending.
+var hedgeQuantiles = [...]float64{0.95, 0.975, 0.99}
+
+// quantileIndex is a place in hedgeQuantiles.
+type quantileIndex int
+
+// hedgeTail is the tail that a kind's hedges wait for: the earliest that on an
+// ordinary day uses at most half of the kind's budget. A hedge for each answer
+// beyond a quantile of 1 - budget would use all of it, and by the time a replica
+// stalls nothing would be left: noticed as a p99 of wide queries that no hedge
+// shortens.
+func hedgeTail(k *contract.Kind) quantileIndex {
+	const percent, half = 100, 2
+	for i, q := range hedgeQuantiles {
+		if 1-q <= k.HedgePercent/percent/half+rounding {
+			return quantileIndex(i)
+		}
+	}
+	return quantileIndex(len(hedgeQuantiles) - 1)
+}
+
+// rounding of quantiles as floating-point numbers.
+const rounding = 1e-9
+
 // Exploration: a replica of which nothing was heard for a while gets one
 // sub-request, so that one that has recovered is found. Each trial that finds
 // it slow doubles the wait.
@@ -66,10 +89,10 @@
 	exploreEvery time.Duration
 }
 
-// tail is the computed hedge quantile.
+// tail is the computed hedge quantiles.
 type tail struct {
-	value time.Duration
-	uses  int
+	values [len(hedgeQuantiles)]time.Duration
+	uses   int
 }
 
 // pool is the answer times of a service's upstreams together.
@@ -92,16 +115,18 @@
 	poolSample = 8
 )
 
-// read is the tail quantile; ok is false while too little was observed.
-func (t *tail) read(now time.Time, times *latency.Tracker) (time.Duration, bool) {
+// read is a tail quantile; ok is false while too little was observed.
+func (t *tail) read(now time.Time, times *latency.Tracker, q quantileIndex) (time.Duration, bool) {
 	if times.Weight(now) < hedgeEnough {
 		return 0, false
 	}
 	if t.uses == 0 {
-		t.value = max(times.Quantile(hedgeQuantile), hedgeLeast)
+		for i, q := range hedgeQuantiles {
+			t.values[i] = max(times.Quantile(q), hedgeLeast)
+		}
 		t.uses = tailEvery
 	}
-	return t.value, true
+	return t.values[q], true
 }
 
 func (t *tail) observed() {
@@ -233,9 +258,10 @@
 // HedgeDelay is the tail of the replica's own answers, capped by that of its
 // peers; while it is unknown it is the tail of the peers: the shard's other
 // replicas, or else the service's upstreams together.
-func (r *Router) HedgeDelay(now time.Time, shard *contract.Shard, replica int) (time.Duration, bool) {
-	own, known := r.tailOf(now, shard.Replicas[replica])
-	peers, peersKnown := r.peersTail(now, shard, replica)
+func (r *Router) HedgeDelay(now time.Time, k *contract.Kind, shard *contract.Shard, replica int) (time.Duration, bool) {
+	q := hedgeTail(k)
+	own, known := r.tailOf(now, shard.Replicas[replica], q)
+	peers, peersKnown := r.peersTail(now, shard, replica, q)
 	switch {
 	case known && peersKnown:
 		return min(own, hedgeCap*peers), true
@@ -248,22 +274,22 @@
 	}
 }
 
-func (r *Router) tailOf(now time.Time, u *contract.Upstream) (time.Duration, bool) {
+func (r *Router) tailOf(now time.Time, u *contract.Upstream, q quantileIndex) (time.Duration, bool) {
 	st := r.upstream(u.ID)
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.tail.read(now, &st.times)
+	return st.tail.read(now, &st.times, q)
 }
 
 // peersTail is the shortest tail of the shard's other replicas: a hedge would
 // be answered by it.
-func (r *Router) peersTail(now time.Time, shard *contract.Shard, replica int) (time.Duration, bool) {
+func (r *Router) peersTail(now time.Time, shard *contract.Shard, replica int, q quantileIndex) (time.Duration, bool) {
 	least, ok := time.Duration(0), false
 	for i, u := range shard.Replicas {
 		if i == replica || u.Leaving {
 			continue
 		}
-		if d, known := r.tailOf(now, u); known && (!ok || d < least) {
+		if d, known := r.tailOf(now, u, q); known && (!ok || d < least) {
 			least, ok = d, true
 		}
 	}
@@ -273,7 +299,7 @@
 	p := r.pool(shard.Replicas[replica].Service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.tail.read(now, &p.times)
+	return p.tail.read(now, &p.times, q)
 }
 
 // Observe learns from the end of an attempt.
--- a/internal/router/replica_test.go
+++ b/internal/router/replica_test.go
@@ -86,7 +86,8 @@
 func TestHedgeDelay(t *testing.T) {
 	r := New(Options{VM: "vm-1"})
 	s := shardOf(3)
-	if d, sure := r.HedgeDelay(start, s, 0); d != hedgeUnknown || sure {
+	kind := hedgedKind(5)
+	if d, sure := r.HedgeDelay(start, kind, s, 0); d != hedgeUnknown || sure {
 		t.Errorf("nothing known: %v, %v", d, sure)
 	}
 	answer := func(u *contract.Upstream, d time.Duration) {
@@ -95,15 +96,33 @@
 		}
 	}
 	answer(&contract.Upstream{ID: "search/9", Service: "search"}, 6*ms)
-	if d, sure := r.HedgeDelay(start, s, 0); d < 6*ms || d > 8*ms || !sure {
+	if d, sure := r.HedgeDelay(start, kind, s, 0); d < 6*ms || d > 8*ms || !sure {
 		t.Errorf("the service is known: %v, %v", d, sure)
 	}
 	answer(s.Replicas[1], 2*ms)
-	if d, _ := r.HedgeDelay(start, s, 0); d < 2*ms || d > 3*ms {
+	if d, _ := r.HedgeDelay(start, kind, s, 0); d < 2*ms || d > 3*ms {
 		t.Errorf("the shard's peers are known: %v", d)
 	}
 	answer(s.Replicas[0], 80*ms)
-	if d, _ := r.HedgeDelay(start, s, 0); d > 6*ms {
+	if d, _ := r.HedgeDelay(start, kind, s, 0); d > 6*ms {
 		t.Errorf("a known straggler is waited for %v", d)
 	}
 }
+
+func hedgedKind(percent float64) *contract.Kind {
+	return &contract.Kind{Kind: &pb.Kind{HedgePercent: percent}}
+}
+
+// Symptom: a query of hundreds of shards is as late as its slowest replica, though
+// the kind may hedge.
+// Sequence: every answer a little slower than most is hedged; then one stalls.
+// Cause: waiting for the quantile 1 - budget uses the budget up on ordinary days.
+func TestHedgesUseAtMostHalfOfTheBudget(t *testing.T) {
+	for _, c := range []struct{ percent, quantile float64 }{
+		{1, 0.99}, {2, 0.99}, {3, 0.99}, {5, 0.975}, {8, 0.975}, {10, 0.95}, {100, 0.95},
+	} {
+		if got := hedgeQuantiles[hedgeTail(hedgedKind(c.percent))]; got != c.quantile {
+			t.Errorf("with %g%% a hedge waits for the quantile %g, want %g", c.percent, got, c.quantile)
+		}
+	}
+}
