Give each process's stand-ins and daemons a loopback IP of their own

Cause: a killed VM's port could be given to a stand-in of another test process; the callers of the dead VM were then answered by a stranger. Ruled out: an answer of ours: it had the stand-in's own form. Change: listeners take a loopback IP that follows from the process id. Conclusion: the fault was the tests', and no check was changed.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -182,7 +182,7 @@
 func listen() (vmListeners, error) {
 	var l vmListeners
 	for _, ln := range []*net.Listener{&l.caller, &l.operator} {
-		opened, err := net.Listen("tcp", "127.0.0.1:0")
+		opened, err := net.Listen("tcp", standin.FreePort())
 		if err != nil {
 			return l, err
 		}
@@ -197,7 +197,7 @@
 	const attempts = 20
 	var last error
 	for range attempts {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", standin.FreePort())
 		if err != nil {
 			return err
 		}
