Give each fleet a loopback IP of its own, not each process

Cause: fleets that run side by side in one process could still meet on a port that a killed VM had left. Change: a fleet draws its IP; the stand-ins outside fleets are back on the common one.

--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -71,7 +71,7 @@
 
 func (f *Fleet) listenersFor(old *VM, same bool) (vmListeners, error) {
 	if !same {
-		return listen()
+		return f.listen()
 	}
 	return relisten(old.Settings)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,8 @@
 
 // Fleet is a running deployment.
 type Fleet struct {
+	// host is the loopback IP of all its listeners, with any free port.
+	host string
 	opts     Options
 	Platform *standin.Platform
 	// VMs is changed by Restart and Replace only.
@@ -82,7 +84,7 @@
 
 // Start brings everything up and waits until every daemon is ready.
 func Start(opts Options) (*Fleet, error) {
-	f := &Fleet{opts: opts, Upstreams: map[string]*standin.Upstream{}, documents: map[string]string{}, network: newNetwork()}
+	f := &Fleet{opts: opts, Upstreams: map[string]*standin.Upstream{}, documents: map[string]string{}, network: newNetwork(), host: standin.NewHost()}
 	if err := f.start(); err != nil {
 		f.Close()
 		return nil, trace.Wrap(err)
@@ -91,7 +93,7 @@
 }
 
 func (f *Fleet) start() error {
-	p, err := standin.StartPlatform()
+	p, err := standin.StartPlatformAt(f.host)
 	if err != nil {
 		return err
 	}
@@ -128,7 +130,7 @@
 	for _, s := range doc.Services {
 		for _, u := range s.Upstreams {
 			id := s.Name + "/" + u.Id
-			up, err := standin.StartUpstream(id, f.opts.Seed+uint64(len(f.Upstreams)), f.opts.Behaviour(u, s.Name))
+			up, err := standin.StartUpstreamAt(f.host, id, f.opts.Seed+uint64(len(f.Upstreams)), f.opts.Behaviour(u, s.Name))
 			if err != nil {
 				return err
 			}
@@ -155,7 +157,7 @@
 
 func (f *Fleet) openPorts() error {
 	for range f.opts.VMs {
-		l, err := listen()
+		l, err := f.listen()
 		if err != nil {
 			return err
 		}
@@ -179,25 +181,25 @@
 	return f.opts.DataCentres[vm%len(f.opts.DataCentres)]
 }
 
-func listen() (vmListeners, error) {
+func (f *Fleet) listen() (vmListeners, error) {
 	var l vmListeners
 	for _, ln := range []*net.Listener{&l.caller, &l.operator} {
-		opened, err := net.Listen("tcp", standin.FreePort())
+		opened, err := net.Listen("tcp", f.host)
 		if err != nil {
 			return l, err
 		}
 		*ln = opened
 	}
-	return l, l.listenPeer()
+	return l, l.listenPeer(f.host)
 }
 
 // listenPeer opens TCP and UDP on one port: another process may hold the UDP
 // port that goes with a free TCP port.
-func (l *vmListeners) listenPeer() error {
+func (l *vmListeners) listenPeer(host string) error {
 	const attempts = 20
 	var last error
 	for range attempts {
-		ln, err := net.Listen("tcp", standin.FreePort())
+		ln, err := net.Listen("tcp", host)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -42,7 +42,7 @@
 
 // StartPlatform serves on a free loopback port until Close.
 func StartPlatform() (*Platform, error) {
-	return StartPlatformAt(FreePort())
+	return StartPlatformAt("127.0.0.1:0")
 }
 
 // StartPlatformAt serves at address until Close.
