--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,7 +52,7 @@
 // Fleet is a running deployment.
 type Fleet struct {
 	// host is the loopback IP of all its listeners, with any free port.
-	host string
+	host     string
 	opts     Options
 	Platform *standin.Platform
 	// VMs is changed by Restart and Replace only.
