--- /dev/null
+++ b/internal/direct/call.go
@@ -0,0 +1,116 @@
+// Package direct carries requests over a VM's own connections to upstreams: each
+// request once, on a connection that carries one request at a time, within the
+// VM's share of the connections that an upstream takes. It never sends anything
+// again by itself.
+//
+// Lock order: Pools.mu, then Pool.mu, then Call.mu. No callback runs and no I/O
+// is done while one of them is held.
+package direct
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/scatter"
+)
+
+// Message is a caller's request as it goes to upstreams. It is shared by all
+// sends of the request and never changed.
+type Message struct {
+	// ID is the caller's id of the attempt.
+	ID string
+	// Header holds method, target, host and the end-to-end headers.
+	Header *fasthttp.RequestHeader
+	Body   []byte
+}
+
+// Reply is how a call ended.
+type Reply struct {
+	Result scatter.Result
+	// Detail says why there is no answer, in a few words for logs.
+	Detail string
+	// Proof is the upstream's signature of its answer.
+	Proof string
+	// Response is the upstream's answer: set when Result is Answered or Failed.
+	Response *fasthttp.Response
+	// Took is the time from the start of the write to the end of the answer.
+	Took time.Duration
+}
+
+// Protocol is how upstreams are spoken to.
+type Protocol interface {
+	// Encode fills in a request; left is the time that the upstream is given.
+	Encode(req *fasthttp.Request, m *Message, u *catalog.Upstream, left time.Duration)
+	// Decode judges a whole response: its result, the proof of the answer, and
+	// why it is none.
+	Decode(resp *fasthttp.Response, m *Message) (r scatter.Result, proof, detail string)
+}
+
+// Call is one send of a message to one upstream.
+type Call struct {
+	Message  *Message
+	Upstream *catalog.Upstream
+	// Deadline is when nobody waits for the answer any more.
+	Deadline time.Time
+	// Priority orders calls that wait for a connection; 0 goes first.
+	Priority int
+	// Done gets the reply, once, from another goroutine; not after Withdraw.
+	Done func(Reply)
+
+	mu        sync.Mutex
+	conn      net.Conn
+	withdrawn bool
+	finished  bool
+}
+
+// Withdraw ends the call's interest: Done is not called any more. A call that
+// waits for a connection is dropped; one that is under way may go on for linger,
+// so that the connection can be used again, and then loses its connection, which
+// makes the upstream stop.
+func (c *Call) Withdraw(linger time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.withdrawn || c.finished {
+		return
+	}
+	c.withdrawn = true
+	if c.conn != nil {
+		// An error means that the connection is closed already.
+		_ = c.conn.SetDeadline(time.Now().Add(linger))
+	}
+}
+
+// start binds the call to a connection; false when it was withdrawn.
+func (c *Call) start(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.withdrawn {
+		return false
+	}
+	c.conn = conn
+	// An error shows again at the write.
+	_ = conn.SetDeadline(c.Deadline)
+	return true
+}
+
+// finish hands over the reply unless the call was withdrawn.
+func (c *Call) finish(r Reply) {
+	c.mu.Lock()
+	done := !c.withdrawn && !c.finished
+	c.finished = true
+	c.conn = nil
+	c.mu.Unlock()
+	if done {
+		c.Done(r)
+	}
+}
+
+func (c *Call) isWithdrawn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.withdrawn
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,212 @@
+// Package edge serves callers' requests on one VM: it finds the route, plans the
+// query, drives it over direct connections to upstreams, and gives the answer or
+// a refusal that says why.
+//
+// Lock order: Engine.mu is a leaf; no I/O is done and no callback made while it
+// is held.
+package edge
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/replica"
+	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
+	"sycamorekeel.example/sycamorekeel/internal/scatter"
+)
+
+const (
+	// answerMargin is taken off the objective, which callers count from before
+	// their connection is open: two round trips to a caller at 3 ms one way, and
+	// the wait for a turn of the processor.
+	answerMargin = 20 * time.Millisecond
+	// giveUpMargin is taken off the caller's deadline, so that the final answer
+	// still reaches it: the way to a caller in another region.
+	giveUpMargin = 15 * time.Millisecond
+	// noDeadline bounds requests whose caller sets no deadline and whose route
+	// has no timeout.
+	noDeadline = 30 * time.Second
+	// goneEvery is how often a long request looks whether its caller is still
+	// there. Upstreams should stop within half a second of its leaving.
+	goneEvery = 200 * time.Millisecond
+	// linger is how long a send that nobody waits for may still run so that its
+	// connection can be used again: an upstream's usual pause.
+	linger = 400 * time.Millisecond
+	// capShare is the part of an upstream's connections that the VMs share out;
+	// the rest covers VMs whose views differ.
+	capShare = 0.9
+	// capUnknown is the connections to an upstream that publishes no bound.
+	capUnknown = 32
+	// usualShare is the part of the objective taken for the usual answer time of
+	// a kind of which no answer has been seen.
+	usualShare = 0.25
+)
+
+// Options is what an engine needs.
+type Options struct {
+	Log      *zap.Logger
+	Metrics  *Metrics
+	Protocol direct.Protocol
+	Place    replica.Place
+	// Budget bounds extra sends over all VMs.
+	Budget retrybudget.Limit
+	// MaxRequests bounds the requests in flight on this VM.
+	MaxRequests int
+	// Random spreads choices.
+	Random *rand.Rand
+}
+
+// Engine serves requests. It is safe for concurrent use.
+type Engine struct {
+	opts     Options
+	pools    *direct.Pools
+	view     atomic.Pointer[catalog.View]
+	sharers  atomic.Int64
+	inFlight atomic.Int64
+	started  time.Time
+
+	mu       sync.Mutex
+	replicas *replica.Table
+	budgets  map[string]*retrybudget.Budget
+	sends    uint64
+}
+
+// New is an engine that knows no configuration yet.
+func New(now time.Time, opts Options) *Engine {
+	e := &Engine{
+		opts:     opts,
+		started:  now,
+		replicas: replica.New(opts.Place, opts.Random),
+		budgets:  map[string]*retrybudget.Budget{},
+	}
+	e.sharers.Store(1)
+	e.pools = direct.NewPools(opts.Protocol, e.connectionLimit)
+	return e
+}
+
+// SetView puts a view in force for the requests that come after it.
+func (e *Engine) SetView(now time.Time, v *catalog.View) {
+	e.view.Store(v)
+	e.mu.Lock()
+	e.replicas.Keep(now, v.Upstreams)
+	e.mu.Unlock()
+	e.pools.Keep(v.Upstreams)
+}
+
+// View is the view in force, nil before the first.
+func (e *Engine) View() *catalog.View { return e.view.Load() }
+
+// SetSharers tells how many VMs share connections and allowances.
+func (e *Engine) SetSharers(n int) {
+	if e.sharers.Swap(int64(max(1, n))) == int64(max(1, n)) {
+		return
+	}
+	if v := e.view.Load(); v != nil {
+		e.pools.Keep(v.Upstreams)
+	}
+}
+
+// Tick drops what is no longer used; it is to be called about once a second.
+func (e *Engine) Tick(now time.Time) { e.pools.Expire(now) }
+
+// InFlight is the requests under way.
+func (e *Engine) InFlight() int64 { return e.inFlight.Load() }
+
+// Close ends the idle connections to upstreams.
+func (e *Engine) Close() { e.pools.Close() }
+
+// connectionLimit is this VM's share of the connections that one upstream of a
+// service takes.
+func (e *Engine) connectionLimit(service string) int {
+	most := capUnknown
+	if v := e.view.Load(); v != nil && v.Table != nil {
+		if s, ok := v.Table.Service(service); ok && s.MaxConnections > 0 {
+			most = s.MaxConnections
+		}
+	}
+	return max(1, int(capShare*float64(most))/int(e.sharers.Load()))
+}
+
+// Serve carries one request to its end.
+func (e *Engine) Serve(r *Request) Answer {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	a := e.serve(r)
+	a.Took = time.Since(r.Received)
+	e.opts.Metrics.ended(&a)
+	return a
+}
+
+func (e *Engine) serve(r *Request) Answer {
+	v := e.view.Load()
+	if v == nil || v.Table == nil {
+		return refuse(Unready, unreadyRetry)
+	}
+	r.Route = v.Table.Lookup(r.Host, r.Path)
+	if r.Route == nil {
+		return refuse(NoRoute, 0)
+	}
+	if e.inFlight.Load() > int64(e.opts.MaxRequests) {
+		return refuse(Overloaded, overloadRetry)
+	}
+	return e.run(v, r)
+}
+
+// plan works out the parts and times of a request. The services are fixed here,
+// once: a configuration that comes meanwhile does not mix into the request.
+func (e *Engine) plan(r *Request) scatter.Plan {
+	route := r.Route
+	p := scatter.Plan{
+		Services:   route.Shards,
+		Idempotent: route.Idempotent,
+		Attempts:   max(1, route.Attempts),
+		MinParts:   1,
+		AnswerBy:   r.Received.Add(route.Objective - answerMargin),
+		GiveUp:     r.Received.Add(r.wait()),
+	}
+	if !route.FanOut() {
+		p.Services = []string{route.Pick(e.random())}
+		return p
+	}
+	p.MinParts = minParts(route)
+	return p
+}
+
+// minParts is the least number of shards that makes an answer.
+func minParts(route *routing.Route) int {
+	const rounding = 1e-9
+	n := int(math.Ceil(route.MinCoverage*float64(len(route.Shards)) - rounding))
+	return min(max(1, n), len(route.Shards))
+}
+
+func (e *Engine) random() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.opts.Random.Float64()
+}
+
+// usual is the answer time assumed of a route of which no answer has been seen.
+func usual(route *routing.Route) time.Duration {
+	if route.Objective <= 0 {
+		return noDeadline / 100
+	}
+	return time.Duration(usualShare * float64(route.Objective))
+}
+
+// budget is a service's budget. The caller holds mu.
+func (e *Engine) budget(service string) *retrybudget.Budget {
+	b := e.budgets[service]
+	if b == nil {
+		b = retrybudget.New(e.opts.Budget, e.started)
+		e.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/edge/request.go
@@ -0,0 +1,114 @@
+package edge
+
+import (
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
+	"sycamorekeel.example/sycamorekeel/internal/scatter"
+	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	Host string
+	// Path is the target's path, as sent.
+	Path    string
+	Message *direct.Message
+	// Received is when the request was read.
+	Received time.Time
+	// Deadline is how long the caller waits from then; 0 when it does not say.
+	Deadline time.Duration
+	// Conn is the caller's connection, to see whether it is still there; may be
+	// nil.
+	Conn net.Conn
+	// Route is set once it is found.
+	Route *routing.Route
+}
+
+// wait is how long the request may take from Received.
+func (r *Request) wait() time.Duration {
+	wait := noDeadline
+	if r.Deadline > 0 {
+		wait = min(wait, r.Deadline-giveUpMargin)
+	}
+	if r.Route.Timeout > 0 {
+		wait = min(wait, r.Route.Timeout)
+	}
+	return wait
+}
+
+// gone tells whether the caller has closed its connection.
+func (r *Request) gone() bool {
+	return r.Conn != nil && sockpeek.Look(r.Conn) == sockpeek.Ended
+}
+
+// Reason says why a request was refused or failed; it is the same word in the
+// answer, the log and the metrics. The reasons of scatter are used as they are.
+type Reason string
+
+// Reasons beside those of scatter.
+const (
+	// Unready: no configuration is known yet.
+	Unready Reason = "unready"
+	// NoRoute: no route takes the request.
+	NoRoute Reason = "no_route"
+	// Overloaded: too many requests are in flight on this VM.
+	Overloaded Reason = "overloaded"
+	// Gone: the caller closed its connection.
+	Gone Reason = "caller_gone"
+	// Malformed: the request breaks the interface's rules.
+	Malformed Reason = "malformed"
+	// TooLarge: the body is over the limit.
+	TooLarge Reason = "body_too_large"
+)
+
+// Waits that refusals recommend.
+const (
+	// unreadyRetry is about what a start takes.
+	unreadyRetry = time.Second
+	// overloadRetry lets about a dozen requests of the usual kind finish.
+	overloadRetry = 300 * time.Millisecond
+	// refusedRetry lets a full upstream free a slot.
+	refusedRetry = 100 * time.Millisecond
+	// noUpstreamRetry is about what a replacement of an upstream takes to
+	// register.
+	noUpstreamRetry = 500 * time.Millisecond
+)
+
+// Answer is how a request ended.
+type Answer struct {
+	// Reason is empty when there is an answer.
+	Reason Reason
+	// NotRun says that no upstream has run the request or will.
+	NotRun bool
+	// RetryAfter is when to come back; 0 recommends nothing.
+	RetryAfter time.Duration
+	// Response is an upstream's own answer, whole; nil for a merged answer or a
+	// refusal.
+	Response *fasthttp.Response
+	// Proofs, Missing and Body are a merged answer: the signatures of its parts,
+	// the number of shards that are left out, and the records.
+	Proofs  []string
+	Missing int
+	Body    []byte
+	// Sends is how often upstreams were asked.
+	Sends int
+	// Took is the time from Received.
+	Took time.Duration
+}
+
+func refuse(reason Reason, after time.Duration) Answer {
+	return Answer{Reason: reason, NotRun: true, RetryAfter: after}
+}
+
+// retryAfter is when a caller may come back after a query that ran nothing.
+func retryAfter(reason scatter.Reason) time.Duration {
+	if reason == scatter.NoUpstream {
+		return noUpstreamRetry
+	}
+	return refusedRetry
+}
--- /dev/null
+++ b/internal/edge/run.go
@@ -0,0 +1,323 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
+	"sycamorekeel.example/sycamorekeel/internal/scatter"
+	"sycamorekeel.example/sycamorekeel/internal/topk"
+)
+
+// run drives one query.
+type run struct {
+	engine *Engine
+	view   *catalog.View
+	req    *Request
+	plan   scatter.Plan
+	query  *scatter.Query
+	usual  time.Duration
+	sends  []send
+	inbox  inbox
+	goneAt time.Time
+}
+
+// send is one send of a run.
+type send struct {
+	id      uint64
+	call    *direct.Call
+	cause   scatter.Cause
+	sentAt  time.Time
+	reply   direct.Reply
+	replied bool
+}
+
+// inbox collects the replies of a run. It never blocks those who put.
+type inbox struct {
+	mu     sync.Mutex
+	got    []numbered
+	signal chan struct{}
+}
+
+type numbered struct {
+	attempt int
+	reply   direct.Reply
+}
+
+func (b *inbox) put(n numbered) {
+	b.mu.Lock()
+	b.got = append(b.got, n)
+	b.mu.Unlock()
+	select {
+	case b.signal <- struct{}{}:
+	default:
+	}
+}
+
+func (b *inbox) take() []numbered {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	got := b.got
+	b.got = nil
+	return got
+}
+
+func (e *Engine) run(v *catalog.View, r *Request) Answer {
+	x := &run{engine: e, view: v, req: r, plan: e.plan(r), usual: usual(r.Route)}
+	x.inbox.signal = make(chan struct{}, 1)
+	x.query = scatter.New(x.plan, x)
+	e.countRequest(x.plan.Services)
+	return x.drive()
+}
+
+// countRequest counts a request in the budgets of its services.
+func (e *Engine) countRequest(services []string) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range services {
+		e.budget(s).Request(now)
+	}
+}
+
+// drive steps the query until it has its verdict or the caller is gone.
+func (x *run) drive() Answer {
+	now := time.Now()
+	x.goneAt = now.Add(goneEvery)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	x.dispatch(x.query.Start(now))
+	for x.query.Verdict() == nil {
+		timer.Reset(time.Until(x.wakeAt()))
+		select {
+		case <-x.inbox.signal:
+			x.takeReplies()
+		case <-timer.C:
+			x.dispatch(x.query.Tick(time.Now()))
+		}
+		if x.callerGone() {
+			x.withdraw(0)
+			return Answer{Reason: Gone, Sends: len(x.sends)}
+		}
+	}
+	x.withdraw(linger)
+	return x.answer(x.query.Verdict())
+}
+
+// wakeAt is when something is due.
+func (x *run) wakeAt() time.Time {
+	if next := x.query.Next(); next.Before(x.goneAt) {
+		return next
+	}
+	return x.goneAt
+}
+
+// callerGone looks now and then whether the caller is still there. Without it,
+// upstreams would go on with work whose answer nobody takes.
+func (x *run) callerGone() bool {
+	now := time.Now()
+	if now.Before(x.goneAt) {
+		return false
+	}
+	x.goneAt = now.Add(goneEvery)
+	return x.req.gone()
+}
+
+func (x *run) takeReplies() {
+	for _, n := range x.inbox.take() {
+		now := time.Now()
+		s := &x.sends[n.attempt]
+		s.reply = n.reply
+		s.replied = true
+		x.learn(now, s)
+		x.dispatch(x.query.Ended(now, n.attempt, n.reply.Result))
+	}
+}
+
+// learn notes what a reply shows of its upstream.
+func (x *run) learn(now time.Time, s *send) {
+	e := x.engine
+	u := s.call.Upstream
+	e.opts.Metrics.reply(s.reply.Result)
+	if s.reply.Result != scatter.Answered {
+		e.opts.Log.Info("edge: send failed", x.fields(s, zap.String("detail", s.reply.Detail))...)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch s.reply.Result {
+	case scatter.Answered:
+		e.replicas.Answered(now, x.req.Route.Name, x.usual, u, s.id, s.reply.Took)
+	case scatter.Unreached:
+		e.replicas.Unreachable(now, u, s.id)
+	case scatter.Expired:
+		e.replicas.Withdrawn(u, s.id)
+	default:
+		e.replicas.Failed(now, u, s.id)
+	}
+}
+
+// fields is what every log line of a send has.
+func (x *run) fields(s *send, more ...zap.Field) []zap.Field {
+	return append([]zap.Field{
+		zap.String("request", x.req.Message.ID),
+		zap.String("route", x.req.Route.Name),
+		zap.String("upstream", s.call.Upstream.ID),
+		zap.String("service", s.call.Upstream.Service),
+		zap.String("cause", string(s.cause)),
+		zap.Stringer("result", s.reply.Result),
+		zap.Duration("age", time.Since(x.req.Received)),
+		zap.Uint64("revision", x.view.Revision),
+	}, more...)
+}
+
+func (x *run) dispatch(sends []scatter.Send) {
+	for _, s := range sends {
+		x.send(s)
+	}
+}
+
+func (x *run) send(s scatter.Send) {
+	e := x.engine
+	now := time.Now()
+	call := &direct.Call{
+		Message:  x.req.Message,
+		Upstream: s.Upstream,
+		Deadline: x.plan.GiveUp,
+		Priority: x.req.Route.Priority,
+		Done:     func(r direct.Reply) { x.inbox.put(numbered{s.Attempt, r}) },
+	}
+	e.mu.Lock()
+	e.sends++
+	id := e.sends
+	e.replicas.Sent(now, x.req.Route.Name, x.usual, s.Upstream, id)
+	if s.Cause == scatter.BecauseIsLate {
+		x.noteLate(now, s.Part)
+	}
+	e.mu.Unlock()
+	x.sends = append(x.sends, send{id: id, call: call, cause: s.Cause, sentAt: now})
+	e.opts.Metrics.sent(s.Cause)
+	if s.Cause != scatter.First {
+		e.opts.Log.Info("edge: sent again", x.fields(&x.sends[s.Attempt])...)
+	}
+	e.pools.Do(call)
+}
+
+// noteLate tells of the part's sends that a hedge has become necessary. The
+// caller holds the engine's mu.
+func (x *run) noteLate(now time.Time, part int) {
+	for i := range x.sends {
+		s := &x.sends[i]
+		if !s.replied && x.query.Part(i) == part {
+			x.engine.replicas.Late(now, x.req.Route.Name, x.usual, s.call.Upstream, now.Sub(s.sentAt))
+		}
+	}
+}
+
+// withdraw ends the interest in the sends that are still open.
+func (x *run) withdraw(linger time.Duration) {
+	e := x.engine
+	now := time.Now()
+	for i := range x.sends {
+		s := &x.sends[i]
+		if s.replied {
+			continue
+		}
+		s.call.Withdraw(linger)
+		e.mu.Lock()
+		e.replicas.Late(now, x.req.Route.Name, x.usual, s.call.Upstream, now.Sub(s.sentAt))
+		e.replicas.Withdrawn(s.call.Upstream, s.id)
+		e.mu.Unlock()
+	}
+}
+
+// answer turns the verdict into what the caller gets.
+func (x *run) answer(v *scatter.Verdict) Answer {
+	a := Answer{Reason: Reason(v.Reason), NotRun: v.NotRun, Sends: len(x.sends)}
+	switch {
+	case v.Reason != scatter.None:
+		x.fail(&a, v)
+	case x.req.Route.FanOut():
+		x.merge(&a, v)
+	default:
+		a.Response = x.sends[v.Parts[0]].reply.Response
+	}
+	return a
+}
+
+// fail gives a plain request the failure that its upstream reported, and tells
+// when to come back after work that has not run.
+func (x *run) fail(a *Answer, v *scatter.Verdict) {
+	if !x.req.Route.FanOut() && v.Failure >= 0 {
+		a.Response = x.sends[v.Failure].reply.Response
+	}
+	if v.NotRun {
+		a.RetryAfter = retryAfter(v.Reason)
+	}
+	x.engine.opts.Log.Info("edge: request failed",
+		zap.String("request", x.req.Message.ID),
+		zap.String("route", x.req.Route.Name),
+		zap.String("reason", string(a.Reason)),
+		zap.Bool("not_run", v.NotRun),
+		zap.Int("sends", len(x.sends)),
+		zap.Duration("age", time.Since(x.req.Received)),
+		zap.Uint64("revision", x.view.Revision))
+}
+
+func (x *run) merge(a *Answer, v *scatter.Verdict) {
+	var parts [][]byte
+	for i, n := range v.Parts {
+		if n < 0 {
+			a.Missing++
+			x.logMissing(i)
+			continue
+		}
+		reply := &x.sends[n].reply
+		parts = append(parts, reply.Response.Body())
+		a.Proofs = append(a.Proofs, reply.Proof)
+	}
+	a.Body = topk.Merge(parts, x.req.Route.TopK)
+}
+
+func (x *run) logMissing(part int) {
+	x.engine.opts.Log.Info("edge: part left out",
+		zap.String("request", x.req.Message.ID),
+		zap.String("route", x.req.Route.Name),
+		zap.String("service", x.plan.Services[part]),
+		zap.Duration("age", time.Since(x.req.Received)),
+		zap.Uint64("revision", x.view.Revision))
+}
+
+// Choose implements scatter.Policy.
+func (x *run) Choose(part int, tried []string) *catalog.Upstream {
+	e := x.engine
+	// The upstreams in force now and not those of the request's own view: one
+	// that has begun to leave meanwhile takes no new work.
+	candidates := e.view.Load().Services[x.plan.Services[part]]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.replicas.Choose(time.Now(), x.req.Route.Name, x.usual, candidates, tried)
+}
+
+// Spend implements scatter.Policy.
+func (x *run) Spend(part int, kind retrybudget.Kind) bool {
+	e := x.engine
+	e.mu.Lock()
+	ok := e.budget(x.plan.Services[part]).Spend(time.Now(), kind, int(e.sharers.Load()))
+	e.mu.Unlock()
+	if !ok {
+		e.opts.Metrics.unspent(kind)
+	}
+	return ok
+}
+
+// HedgeDelay implements scatter.Policy.
+func (x *run) HedgeDelay(_ int, u *catalog.Upstream) time.Duration {
+	e := x.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.replicas.HedgeDelay(time.Now(), x.req.Route.Name, x.usual, u)
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,387 @@
+// Package follow decides how one VM keeps up with the store: whether it reads the
+// store itself or learns from peers, when, and whom it asks. It is pure: events
+// go in with the time, actions come out, and the catalog.State that it holds
+// moves on.
+//
+// Reads of the store are limited and priced for all VMs together, so few VMs of
+// each region read and the others follow them. Each datagram between VMs carries
+// the sender's revision and the time since the store confirmed it. A VM that is
+// behind asks the peer that is ahead; a VM that has heard of no confirmation for
+// too long reads for itself.
+package follow
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/rendezvous"
+)
+
+const (
+	// waitShare is the part of the bound on changes that a watch waits. A watch
+	// may hang without a word; it is then noticed after its wait, and there is
+	// as much time left to read anew.
+	waitShare = 0.5
+	// staleShare is the part of the bound after which a VM that has heard of no
+	// confirmation reads for itself.
+	staleShare = 0.65
+	// rankStep delays each further VM of the region, so that not all of them
+	// begin to read when a reader is lost.
+	rankStep = 100 * time.Millisecond
+	// maxRankDelay keeps the last of many VMs within the bound.
+	maxRankDelay = 400 * time.Millisecond
+	// actingFor is how long a VM that had to read for itself goes on reading.
+	actingFor = 5 * time.Second
+	// retryFirst and retryMost bound the pause after a read that failed.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = time.Second
+	// pullPatience is how long a reader leaves a peer's lead to its own watch,
+	// which is about to bring the change.
+	pullPatience = 150 * time.Millisecond
+	// pullTimeout gives up a peer that does not answer: several round trips
+	// between regions.
+	pullTimeout = 600 * time.Millisecond
+	// pauseGap is a gap between two ticks that shows that the process stood
+	// still: what it knows may be out of date.
+	pauseGap = time.Second
+	// settle is how long a VM that starts with the whole system leaves the first
+	// reading to its region's reader.
+	settle = 1200 * time.Millisecond
+)
+
+// Peer is another VM that can be asked.
+type Peer struct {
+	VM      string
+	Region  string
+	Address string
+}
+
+// Options is what a Follower needs.
+type Options struct {
+	VM     string
+	Region string
+	// Bound is the time within which a change has to be in force.
+	Bound time.Duration
+	// FirstStart says that the whole system starts now, so that no peer knows
+	// anything yet.
+	FirstStart bool
+	Decoder    catalog.Decoder
+	Random     *rand.Rand
+}
+
+// Action is something the driver must do.
+type Action interface{ action() }
+
+// List reads everything from the store. It ends with Listed or ReadFailed.
+type List struct{}
+
+// Watch waits at the store for changes above a revision. It ends with Watched or
+// ReadFailed.
+type Watch struct {
+	After uint64
+	Wait  time.Duration
+}
+
+// Pull asks a peer for what it knows above a revision. It ends with Pulled or
+// PullFailed.
+type Pull struct {
+	ID      uint64
+	Address string
+	After   uint64
+	Timeout time.Duration
+}
+
+// Announce tells peers of the revision and of its confirmation.
+type Announce struct{}
+
+// Changed says that the catalog's view has changed.
+type Changed struct{}
+
+func (List) action()     {}
+func (Watch) action()    {}
+func (Pull) action()     {}
+func (Announce) action() {}
+func (Changed) action()  {}
+
+// Follower is one VM's reading. It is not safe for concurrent use.
+type Follower struct {
+	opts  Options
+	state *catalog.State
+
+	started  time.Time
+	lastTick time.Time
+	rank     int
+	// reading says that a call to the store is open.
+	reading     bool
+	nextRead    time.Time
+	failures    int
+	relist      bool
+	actingUntil time.Time
+	confirmed   time.Time
+
+	pull      *Pull
+	pullSince time.Time
+	lastPull  uint64
+	lead      lead
+	out       []Action
+}
+
+// lead is the furthest revision that a peer claims.
+type lead struct {
+	address  string
+	revision uint64
+	since    time.Time
+}
+
+// New is a follower that knows nothing.
+func New(now time.Time, opts Options) *Follower {
+	return &Follower{
+		opts:     opts,
+		state:    catalog.New(now, opts.Decoder),
+		started:  now,
+		lastTick: now,
+		relist:   true,
+	}
+}
+
+// State is what is known.
+func (f *Follower) State() *catalog.State { return f.state }
+
+// Confirmed is when the store last confirmed what is known, here or at a peer.
+func (f *Follower) Confirmed() time.Time { return f.confirmed }
+
+// Reader tells whether this VM is to read the store.
+func (f *Follower) Reader(now time.Time) bool {
+	return f.rank == 0 || now.Before(f.actingUntil)
+}
+
+// SetPeers tells which VMs live, this one left out.
+func (f *Follower) SetPeers(peers []Peer) {
+	region := xxhash.Sum64String(f.opts.Region)
+	own := rendezvous.Weight(xxhash.Sum64String(f.opts.VM), region)
+	f.rank = 0
+	for _, p := range peers {
+		if p.Region == f.opts.Region && rendezvous.Weight(xxhash.Sum64String(p.VM), region) > own {
+			f.rank++
+		}
+	}
+}
+
+// Tick lets time pass; it is to come several times in rankStep.
+func (f *Follower) Tick(now time.Time) []Action {
+	f.out = nil
+	if now.Sub(f.lastTick) >= pauseGap {
+		f.relist = true
+		f.confirmed = time.Time{}
+		f.nextRead = now
+	}
+	f.lastTick = now
+	if f.state.Tick(now) {
+		f.emit(Changed{})
+	}
+	f.advancePull(now)
+	f.advanceRead(now)
+	return f.out
+}
+
+// Heard takes in what a peer announces: its revision and when the store last
+// confirmed it.
+func (f *Follower) Heard(now time.Time, address string, revision uint64, age time.Duration) []Action {
+	f.out = nil
+	if revision >= f.state.Revision() && revision > 0 {
+		f.heardAhead(now, address, revision, now.Add(-age))
+	}
+	return f.out
+}
+
+func (f *Follower) heardAhead(now time.Time, address string, revision uint64, at time.Time) {
+	if revision == f.state.Revision() {
+		if at.After(f.confirmed) {
+			f.confirmed = at
+		}
+		return
+	}
+	if f.lead.revision <= f.state.Revision() {
+		f.lead.since = now
+	}
+	if revision >= f.lead.revision {
+		f.lead.revision = revision
+		f.lead.address = address
+	}
+	f.advancePull(now)
+}
+
+// Listed takes in a whole listing of the store.
+func (f *Follower) Listed(now time.Time, revision uint64, items []catalog.Item) []Action {
+	f.out = nil
+	f.answered(now)
+	if revision < f.state.Revision() {
+		// An answer from before what is known: to be read again.
+		f.relist = true
+		f.nextRead = now.Add(retryFirst)
+		return f.out
+	}
+	f.relist = false
+	changed := f.state.Replace(now, revision, items)
+	f.confirm(now, changed)
+	f.advanceRead(now)
+	return f.out
+}
+
+// Watched takes in the answer of a watch. Its revision must be explained by its
+// changes: a store that has lost a change in between says nothing of it, and
+// what it tells later would join on to a gap.
+func (f *Follower) Watched(now time.Time, after, revision uint64, changes []catalog.Item) []Action {
+	f.out = nil
+	f.answered(now)
+	changed, joined := f.state.Apply(now, after, max(after, lastRevision(changes)), changes)
+	if !joined || revision > f.state.Revision() {
+		f.relist = true
+	}
+	if joined && !f.relist {
+		f.confirm(now, changed)
+	} else if changed {
+		f.emit(Changed{})
+	}
+	f.advanceRead(now)
+	return f.out
+}
+
+func lastRevision(changes []catalog.Item) uint64 {
+	var last uint64
+	for _, it := range changes {
+		last = max(last, it.Revision)
+	}
+	return last
+}
+
+// ReadFailed takes in that a read brought nothing. compacted says that the store
+// no longer has the history asked for.
+func (f *Follower) ReadFailed(now time.Time, compacted bool) []Action {
+	f.out = nil
+	f.reading = false
+	if compacted {
+		f.relist = true
+		f.nextRead = now
+		f.advanceRead(now)
+		return f.out
+	}
+	f.state.Failed(now)
+	pause := min(retryFirst<<min(f.failures, 8), retryMost)
+	f.failures++
+	f.nextRead = now.Add(time.Duration((0.75 + 0.5*f.opts.Random.Float64()) * float64(pause)))
+	return f.out
+}
+
+// Pulled takes in a peer's page.
+func (f *Follower) Pulled(now time.Time, id uint64, after, revision uint64, whole bool, items []catalog.Item) []Action {
+	f.out = nil
+	if f.pull != nil && f.pull.ID == id {
+		f.pull = nil
+	}
+	before := f.state.Revision()
+	changed := false
+	if whole {
+		changed = f.state.Replace(now, revision, items)
+	} else {
+		changed, _ = f.state.Apply(now, after, revision, items)
+	}
+	if f.state.Revision() > before {
+		f.relist = false
+		f.emit(Announce{})
+	}
+	if changed {
+		f.emit(Changed{})
+	}
+	f.advancePull(now)
+	return f.out
+}
+
+// PullFailed takes in that a peer gave nothing.
+func (f *Follower) PullFailed(now time.Time, id uint64) []Action {
+	f.out = nil
+	if f.pull != nil && f.pull.ID == id {
+		f.pull = nil
+		// Another peer's next word sets a new lead.
+		f.lead = lead{}
+	}
+	return f.out
+}
+
+func (f *Follower) answered(now time.Time) {
+	f.reading = false
+	f.failures = 0
+	f.nextRead = now
+	f.state.Answered(now)
+}
+
+// confirm notes that what is known is what the store holds now, and says so.
+func (f *Follower) confirm(now time.Time, changed bool) {
+	f.confirmed = now
+	f.emit(Announce{})
+	if changed {
+		f.emit(Changed{})
+	}
+}
+
+func (f *Follower) emit(a Action) { f.out = append(f.out, a) }
+
+// advancePull asks the peer that is ahead.
+func (f *Follower) advancePull(now time.Time) {
+	if f.pull != nil {
+		if now.Sub(f.pullSince) < f.pull.Timeout {
+			return
+		}
+		f.pull = nil
+		f.lead = lead{}
+	}
+	if f.lead.revision <= f.state.Revision() {
+		return
+	}
+	if f.reading && !f.relist && f.state.Revision() > 0 && now.Sub(f.lead.since) < pullPatience {
+		return
+	}
+	f.lastPull++
+	f.pull = &Pull{ID: f.lastPull, Address: f.lead.address, After: f.state.Revision(), Timeout: pullTimeout}
+	f.pullSince = now
+	f.emit(*f.pull)
+}
+
+// advanceRead reads the store when it is this VM's turn.
+func (f *Follower) advanceRead(now time.Time) {
+	if f.reading || now.Before(f.nextRead) || !f.mayRead(now) {
+		return
+	}
+	f.reading = true
+	if f.relist {
+		f.emit(List{})
+		return
+	}
+	f.emit(Watch{After: f.state.Revision(), Wait: f.share(waitShare)})
+}
+
+func (f *Follower) mayRead(now time.Time) bool {
+	if f.opts.FirstStart && now.Sub(f.started) < settle && f.state.Revision() == 0 {
+		return f.rank == 0 && now.Sub(f.started) >= settle/2
+	}
+	if f.Reader(now) {
+		return true
+	}
+	if now.Sub(f.confirmed) < f.share(staleShare)+f.rankDelay() {
+		return false
+	}
+	f.actingUntil = now.Add(actingFor)
+	f.relist = f.relist || f.state.Revision() == 0
+	return true
+}
+
+func (f *Follower) rankDelay() time.Duration {
+	return min(time.Duration(f.rank)*rankStep, maxRankDelay)
+}
+
+func (f *Follower) share(s float64) time.Duration {
+	return time.Duration(s * float64(f.opts.Bound))
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -37,6 +37,9 @@
 	View func(*membership.View)
 	// PeerRevision tells the configuration revision a peer announced; may be nil.
 	PeerRevision func(peerAddress string, revision uint64)
+	// PeerConfirmed tells a peer's revision with the time since the store
+	// confirmed it; may be nil.
+	PeerConfirmed func(peerAddress string, revision uint64, age time.Duration)
 	// Revalidate says that this process was paused: no new work may start.
 	Revalidate func()
 	// Revalidated ends it; alone says that no peer answered.
@@ -143,6 +146,24 @@
 	d.node.SetRevision(revision)
 }
 
+// SetConfirmed tells when the store last confirmed the revision.
+func (d *Driver) SetConfirmed(revision uint64, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.node.SetRevision(revision)
+	d.node.SetConfirmed(at)
+}
+
+// SetCapacity announces the work that this VM can carry for callers.
+func (d *Driver) SetCapacity(capacity uint32) {
+	d.step(func(now time.Time) membership.Actions { return d.node.SetCapacity(now, capacity) })
+}
+
+// Announce tells peers of this region at once what this VM knows.
+func (d *Driver) Announce() {
+	d.step(func(now time.Time) membership.Actions { return d.node.Announce(now) })
+}
+
 // Leave announces a planned stop.
 func (d *Driver) Leave() {
 	d.step(func(now time.Time) membership.Actions { return d.node.Leave(now) })
@@ -215,6 +236,9 @@
 	if f := d.opts.Callbacks.PeerRevision; f != nil {
 		f(m.Sender.PeerAddress, m.ConfigRevision)
 	}
+	if f := d.opts.Callbacks.PeerConfirmed; f != nil && m.ConfirmedAgeMs > 0 {
+		f(m.Sender.PeerAddress, m.ConfigRevision, time.Duration(m.ConfirmedAgeMs)*time.Millisecond)
+	}
 }
 
 // step moves the node on, then does what it asked for without the lock.
--- a/internal/membership/learn.go
+++ b/internal/membership/learn.go
@@ -53,6 +53,8 @@
 // learnSelf answers what others hold of this node.
 func (n *Node) learnSelf(u *pb.MemberUpdate) {
 	switch {
+	case u.Incarnation > n.self.Incarnation && n.opts.Sole:
+		n.outdo(u.Incarnation)
 	case u.Incarnation > n.self.Incarnation:
 		n.superseded = true
 		n.out.Superseded = u.Incarnation
@@ -65,6 +67,15 @@
 	}
 }
 
+// outdo takes a higher incarnation than a predecessor's. A process that starts
+// after its VM's clock was set back would otherwise stay unknown for ever: its
+// peers drop what comes from a lower incarnation.
+func (n *Node) outdo(incarnation uint64) {
+	n.table.edit(n.self, func() { n.self.Incarnation = incarnation + 1 })
+	n.spread(n.self)
+	n.dirty = true
+}
+
 // change puts a member in a state and spreads it.
 func (n *Node) change(r *record, state pb.MemberState) {
 	n.settle(r, state)
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -64,6 +64,10 @@
 	Self *pb.MemberUpdate
 	// Seeds are peer addresses asked while no member answers.
 	Seeds []string
+	// Sole says that no other process can have this VM's name: a higher
+	// incarnation of it is a predecessor whose clock was ahead, and this process
+	// takes a higher one still instead of giving way.
+	Sole bool
 	// Seed makes the node's random choices repeatable.
 	Seed   uint64
 	Timing Timing
@@ -113,6 +117,7 @@
 	hot    queue
 
 	revision   uint64
+	confirmed  time.Time
 	version    uint64
 	view       *View
 	lastTick   time.Time
@@ -193,6 +198,40 @@
 // SetRevision tells the node which configuration revision to announce.
 func (n *Node) SetRevision(revision uint64) { n.revision = revision }
 
+// SetConfirmed tells when the store last confirmed what this node knows, here or
+// at a peer; its age is announced.
+func (n *Node) SetConfirmed(at time.Time) { n.confirmed = at }
+
+// SetCapacity announces the work that this VM can carry for callers, in
+// thousandths of a core; 0 takes it out of the answers to callers.
+func (n *Node) SetCapacity(now time.Time, capacity uint32) Actions {
+	n.begin(now)
+	if n.self.Capacity != capacity {
+		n.table.edit(n.self, func() {
+			n.self.Capacity = capacity
+			n.self.refutation++
+		})
+		n.spread(n.self)
+		n.dirty = true
+	}
+	return n.end()
+}
+
+// Announce tells the peers of this VM's region, up to a bound, what this node
+// knows, without waiting for their turn.
+func (n *Node) Announce(now time.Time) Actions {
+	n.begin(now)
+	near := func(r *record) bool { return r.serves() && r.Region == n.self.Region }
+	for _, r := range n.pick(announceFanout, near) {
+		n.send(r.PeerAddress, &pb.Datagram{}, r)
+	}
+	return n.end()
+}
+
+// announceFanout is how many peers are told of a change directly; the others
+// hear of it from them.
+const announceFanout = 32
+
 // Tick moves time on. It is to be called several times a period.
 func (n *Node) Tick(now time.Time) Actions {
 	n.begin(now)
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -123,6 +123,7 @@
 	}
 	d.Sender = n.self.update()
 	d.ConfigRevision = n.revision
+	d.ConfirmedAgeMs = n.confirmedAge()
 	p := packer{datagram: d, room: MaxDatagram - SignatureBytes - sequenceBytes - proto.Size(d)}
 	if to != nil && to != n.self && !to.healthy() {
 		p.add(to.update())
@@ -134,6 +135,15 @@
 	n.out.Sends = append(n.out.Sends, Send{Address: address, Datagram: d})
 }
 
+// confirmedAge is the age announced with each datagram, in milliseconds and at
+// least 1; 0 when nothing was confirmed.
+func (n *Node) confirmedAge() uint32 {
+	if n.confirmed.IsZero() {
+		return 0
+	}
+	return uint32(max(1, n.now.Sub(n.confirmed).Milliseconds()))
+}
+
 func (r *record) healthy() bool {
 	return r.State == pb.MemberState_ALIVE || r.State == pb.MemberState_LEAVING
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -43,6 +43,7 @@
 func (r *record) take(u *pb.MemberUpdate) {
 	r.Incarnation = u.Incarnation
 	r.refutation = u.Refutation
+	r.Capacity = u.Capacity
 	if u.PeerAddress == "" {
 		return
 	}
@@ -80,7 +81,7 @@
 
 // brief is the record without its addresses.
 func (r *record) brief() *pb.MemberUpdate {
-	return &pb.MemberUpdate{Vm: r.VM, Incarnation: r.Incarnation, Refutation: r.refutation, State: r.State}
+	return &pb.MemberUpdate{Vm: r.VM, Incarnation: r.Incarnation, Refutation: r.refutation, State: r.State, Capacity: r.Capacity}
 }
 
 // update is the record with its addresses, unless it is suspected or dead.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -19,6 +19,9 @@
 	// Unlisted members are gone from the platform's list, or never came on it:
 	// they are not counted.
 	Unlisted bool
+	// Capacity is the work that the VM can carry for callers, in thousandths of
+	// a core; 0 while it takes no callers.
+	Capacity uint32
 }
 
 // Serves tells whether the member may be given new work.
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,301 @@
+// Package node wires the parts of one VM that serves callers over direct
+// connections to upstreams: it reads the store with its peers, gossips, serves
+// callers, the directory and metrics, and stops without cutting requests off. It
+// holds no policy.
+package node
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/edge"
+	"sycamorekeel.example/sycamorekeel/internal/follow"
+	"sycamorekeel.example/sycamorekeel/internal/gossip"
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/placement"
+	"sycamorekeel.example/sycamorekeel/internal/replica"
+)
+
+const (
+	// gossipPeriod, gossipDirect and gossipSuspicion let the directory leave a
+	// dead VM out about a second and a half after its end.
+	gossipPeriod    = 400 * time.Millisecond
+	gossipDirect    = 150 * time.Millisecond
+	gossipSuspicion = 2
+	// directoryTTL is how long callers keep an answer of the directory: about
+	// what it takes to notice a lost VM.
+	directoryTTL = 2 * time.Second
+	// engineTick is how often idle connections are looked through.
+	engineTick = time.Second
+	// maxRequests bounds the requests in flight on a VM with a whole core; the
+	// usual load needs a tenth.
+	maxRequests = 2000
+	// leastRequests is the bound on a VM with little of a core.
+	leastRequests = 200
+)
+
+// gossipKey signs datagrams. The platform hands out no secret, so it guards only
+// against stray datagrams; see docs/OPERATING.md.
+const gossipKey = "sycamorekeel open internal network"
+
+// Adapter is how one environment is spoken to.
+type Adapter struct {
+	Store     Store
+	Decoder   catalog.Decoder
+	Upstreams direct.Protocol
+	// Callers serves callers by the engine; leaving tells whether the VM is
+	// being stopped.
+	Callers func(e *edge.Engine, leaving func() bool) fasthttp.RequestHandler
+	// Directory serves callers that ask which VMs to use.
+	Directory func(choose func(placement.Caller) []string, ttl time.Duration) fasthttp.RequestHandler
+	// Ready serves the question whether this VM takes callers.
+	Ready func(ready func() bool) fasthttp.RequestHandler
+}
+
+// Options is what a node needs.
+type Options struct {
+	Log      *zap.Logger
+	Registry *prometheus.Registry
+	Adapter  Adapter
+}
+
+// Node is one VM's process.
+type Node struct {
+	set      *Settings
+	log      *zap.Logger
+	registry *prometheus.Registry
+	adapter  Adapter
+	engine   *edge.Engine
+	reader   *reader
+	gossip   *gossip.Driver
+	members  atomic.Pointer[membership.View]
+	leaving  atomic.Bool
+	sharers  sharers
+	callers  callerCount
+}
+
+// New wires a node; Run starts it.
+func New(set *Settings, opts Options) *Node {
+	now := time.Now()
+	n := &Node{set: set, log: opts.Log, registry: opts.Registry, adapter: opts.Adapter}
+	n.members.Store(&membership.View{})
+	random := rand.New(rand.NewPCG(seedOf(set.VM), uint64(now.UnixNano())))
+	n.engine = edge.New(now, edge.Options{
+		Log:         opts.Log,
+		Metrics:     edge.NewMetrics(opts.Registry),
+		Protocol:    opts.Adapter.Upstreams,
+		Place:       replica.Place{DataCentre: set.DataCentre, Region: set.Region, Regions: set.Regions},
+		Budget:      set.Budget,
+		MaxRequests: max(leastRequests, int(maxRequests*set.Cores)),
+		Random:      random,
+	})
+	n.reader = &reader{
+		log:      opts.Log,
+		store:    opts.Adapter.Store,
+		announce: n.announce,
+		changed:  n.changed,
+		follower: follow.New(now, follow.Options{
+			VM:         set.VM,
+			Region:     set.Region,
+			Bound:      set.ChangeBound,
+			FirstStart: set.FirstStart,
+			Decoder:    opts.Adapter.Decoder,
+			Random:     rand.New(rand.NewPCG(seedOf(set.VM), uint64(now.UnixMicro()))),
+		}),
+	}
+	n.gossip = n.newGossip(now)
+	return n
+}
+
+func seedOf(name string) uint64 {
+	h := fnv.New64a()
+	// A hash never fails to write.
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+func (n *Node) newGossip(now time.Time) *gossip.Driver {
+	var seeds []string
+	for _, s := range n.set.Seeds {
+		if s != n.set.PeerAddress {
+			seeds = append(seeds, s)
+		}
+	}
+	return gossip.New(gossip.Options{
+		Log:      n.log,
+		Registry: n.registry,
+		Now:      time.Now,
+		Keys:     []*pb.PeerKey{{Id: "open", Secret: gossipKey}},
+		Node: membership.Options{
+			Self: &pb.MemberUpdate{
+				Vm:            n.set.VM,
+				Incarnation:   uint64(now.UnixMicro()),
+				Region:        n.set.Region,
+				DataCentre:    n.set.DataCentre,
+				CallerAddress: n.set.CallerAddress,
+				PeerAddress:   n.set.PeerAddress,
+			},
+			Seeds: seeds,
+			Sole:  true,
+			Seed:  seedOf(n.set.VM),
+			Timing: membership.Timing{
+				Period:          gossipPeriod,
+				DirectTimeout:   gossipDirect,
+				SuspicionFactor: gossipSuspicion,
+			},
+		},
+		Callbacks: gossip.Callbacks{
+			View:          n.membersChanged,
+			PeerConfirmed: n.reader.heard,
+			Revalidate:    func() { n.log.Warn("gossip: this process was paused") },
+			Revalidated:   func(alone bool) { n.log.Info("gossip: peers heard again", zap.Bool("alone", alone)) },
+			Superseded:    func(uint64) {},
+		},
+	})
+}
+
+// announce gives the gossip what is known and since when it is confirmed; tell
+// sends it to peers at once.
+func (n *Node) announce(revision uint64, confirmed time.Time, tell bool) {
+	n.gossip.SetConfirmed(revision, confirmed)
+	if tell {
+		n.gossip.Announce()
+	}
+}
+
+// changed puts a view of the catalog in force.
+func (n *Node) changed(v *catalog.View) {
+	old := n.engine.View()
+	if old != nil && old.Revision > v.Revision {
+		return
+	}
+	n.engine.SetView(time.Now(), v)
+	n.logView(old, v)
+	n.showCapacity()
+}
+
+func (n *Node) logView(old, v *catalog.View) {
+	version := uint64(0)
+	if v.Table != nil {
+		version = v.Table.Version()
+	}
+	n.log.Info("config: view in force", zap.Uint64("revision", v.Revision), zap.Uint64("version", version), zap.Int("upstreams", len(v.Upstreams)))
+	if old == nil {
+		return
+	}
+	for id, u := range old.Upstreams {
+		if now := v.Upstreams[id]; now == nil || now.Leaving && !u.Leaving {
+			n.log.Info("config: upstream out", zap.String("upstream", id), zap.String("service", u.Service), zap.Bool("leaving", now != nil), zap.Uint64("revision", v.Revision))
+		}
+	}
+}
+
+// showCapacity tells peers what this VM can carry for callers.
+func (n *Node) showCapacity() {
+	capacity := uint32(0)
+	if n.ready() {
+		capacity = uint32(max(1, 1000*n.set.Cores))
+	}
+	n.gossip.SetCapacity(capacity)
+}
+
+// ready tells whether this VM takes callers.
+func (n *Node) ready() bool {
+	v := n.engine.View()
+	return v != nil && v.Table != nil && !n.leaving.Load()
+}
+
+func (n *Node) membersChanged(view *membership.View) {
+	old := n.members.Load()
+	if old.Version > view.Version {
+		return
+	}
+	n.members.Store(view)
+	n.logMembers(old, view)
+	n.reader.setPeers(view, n.set.VM)
+	n.engine.SetSharers(n.sharers.count(time.Now(), len(view.Serving())))
+}
+
+func (n *Node) logMembers(old, view *membership.View) {
+	before := map[string]pb.MemberState{}
+	for i := range old.Members {
+		before[old.Members[i].VM] = old.Members[i].State
+	}
+	for i := range view.Members {
+		m := &view.Members[i]
+		if was, known := before[m.VM]; !known || was != m.State {
+			n.log.Info("gossip: member", zap.String("member", m.VM), zap.Stringer("state", m.State), zap.Uint64("incarnation", m.Incarnation))
+		}
+	}
+}
+
+// choose is the directory's answer.
+func (n *Node) choose(c placement.Caller) []string {
+	return placement.Choose(n.members.Load().Members, c, n.placementBounds())
+}
+
+// Run serves until ctx ends, then stops within the grace.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info("node: started", zap.String("data_centre", n.set.DataCentre), zap.Bool("first_start", n.set.FirstStart))
+	servers, err := n.listen()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	packets, err := net.ListenPacket("udp", n.set.PeerAddress)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	run, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, run := errgroup.WithContext(run)
+	group.Go(func() error { return n.gossip.Run(run, packets) })
+	group.Go(func() error { return n.reader.run(run) })
+	group.Go(func() error { return n.tick(run) })
+	for _, s := range servers {
+		group.Go(s.serve)
+	}
+	var stopping sync.WaitGroup
+	stopping.Add(1)
+	go func() {
+		defer stopping.Done()
+		select {
+		case <-ctx.Done():
+			n.stop(servers)
+		case <-run.Done():
+		}
+		stop()
+		closeAll(servers)
+	}()
+	err = group.Wait()
+	stopping.Wait()
+	n.log.Info("node: stopped", zap.Error(err))
+	return trace.Wrap(err)
+}
+
+func (n *Node) tick(ctx context.Context) error {
+	t := time.NewTicker(engineTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			n.engine.Tick(now)
+			n.engine.SetSharers(n.sharers.count(now, len(n.members.Load().Serving())))
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/reader.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/follow"
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// ErrCompacted is the error of a watch whose history the store no longer has.
+var ErrCompacted = errors.New("the store no longer has this history")
+
+// Store is what is read of the platform's store.
+type Store interface {
+	// List is every item, and the revision at which the listing began.
+	List() (revision uint64, items []catalog.Item, err error)
+	// Watch waits for changes above a revision; ErrCompacted says that they are
+	// no longer known.
+	Watch(after uint64, wait time.Duration) (revision uint64, changes []catalog.Item, err error)
+}
+
+const (
+	// followTick is how often the follower is moved on.
+	followTick = 50 * time.Millisecond
+	// pullPath is where a VM gives its peers what it knows.
+	pullPath = "/catalog"
+	// maxPage bounds a peer's page: every item of a large store.
+	maxPage = 64 << 20
+)
+
+// reader drives a follow.Follower.
+//
+// Lock order: mu is a leaf; actions are done after it is released.
+type reader struct {
+	log      *zap.Logger
+	store    Store
+	announce func(revision uint64, confirmed time.Time, now bool)
+	changed  func(*catalog.View)
+
+	mu       sync.Mutex
+	follower *follow.Follower
+	reads    uint64
+	failing  bool
+}
+
+// run moves the follower on until ctx ends.
+func (r *reader) run(ctx context.Context) error {
+	t := time.NewTicker(followTick)
+	defer t.Stop()
+	for {
+		r.step((*follow.Follower).Tick)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// step gives the follower an event and does what it asks for.
+func (r *reader) step(event func(*follow.Follower, time.Time) []follow.Action) {
+	r.mu.Lock()
+	actions := event(r.follower, time.Now())
+	var view *catalog.View
+	for _, a := range actions {
+		if _, ok := a.(follow.Changed); ok {
+			view = r.follower.State().View()
+		}
+	}
+	rejected := r.follower.State().TakeRejected()
+	revision := r.follower.State().Revision()
+	confirmed := r.follower.Confirmed()
+	r.mu.Unlock()
+	for _, x := range rejected {
+		r.log.Warn("store: item rejected", zap.String("key", x.Key), zap.Uint64("revision", x.Revision), zap.Error(x.Err))
+	}
+	if view != nil {
+		r.changed(view)
+	}
+	r.do(actions, revision, confirmed)
+}
+
+func (r *reader) do(actions []follow.Action, revision uint64, confirmed time.Time) {
+	tell := false
+	for _, a := range actions {
+		switch a := a.(type) {
+		case follow.List:
+			go r.list()
+		case follow.Watch:
+			go r.watch(a)
+		case follow.Pull:
+			go r.pull(a)
+		case follow.Announce:
+			tell = true
+		}
+	}
+	r.announce(revision, confirmed, tell)
+}
+
+func (r *reader) list() {
+	revision, items, err := r.store.List()
+	r.noteRead("list", err)
+	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
+		if err != nil {
+			return f.ReadFailed(now, false)
+		}
+		return f.Listed(now, revision, items)
+	})
+}
+
+func (r *reader) watch(w follow.Watch) {
+	revision, changes, err := r.store.Watch(w.After, w.Wait)
+	r.noteRead("watch", err)
+	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
+		if err != nil {
+			return f.ReadFailed(now, errors.Is(err, ErrCompacted))
+		}
+		return f.Watched(now, w.After, revision, changes)
+	})
+}
+
+// noteRead logs when the store is lost and regained.
+func (r *reader) noteRead(call string, err error) {
+	r.mu.Lock()
+	failed := err != nil
+	turned := failed != r.failing
+	r.failing = failed
+	r.reads++
+	revision := r.follower.State().Revision()
+	r.mu.Unlock()
+	switch {
+	case turned && failed:
+		r.log.Warn("store: call failed", zap.String("call", call), zap.Uint64("revision", revision), zap.Error(err))
+	case turned:
+		r.log.Info("store: answers again", zap.String("call", call), zap.Uint64("revision", revision))
+	}
+}
+
+// pull asks a peer for what it knows.
+func (r *reader) pull(p follow.Pull) {
+	page, err := fetchPage(p)
+	if err != nil {
+		r.log.Info("peer: pull failed", zap.String("peer", p.Address), zap.Uint64("after", p.After), zap.Error(err))
+	}
+	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
+		if err != nil {
+			return f.PullFailed(now, p.ID)
+		}
+		return f.Pulled(now, p.ID, page.After, page.Revision, page.Whole, itemsOf(page))
+	})
+}
+
+func fetchPage(p follow.Pull) (*pb.CatalogPage, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetHost(p.Address)
+	req.SetRequestURI(pullPath)
+	req.URI().QueryArgs().SetUint("after", int(p.After))
+	req.SetConnectionClose()
+	client := &fasthttp.HostClient{Addr: p.Address, MaxResponseBodySize: maxPage, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1}
+	if err := client.DoTimeout(req, resp, p.Timeout); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, trace.ConnectionProblem(nil, "the peer answered with status %d", resp.StatusCode())
+	}
+	page := &pb.CatalogPage{}
+	return page, trace.Wrap(proto.Unmarshal(resp.Body(), page))
+}
+
+func itemsOf(page *pb.CatalogPage) []catalog.Item {
+	items := make([]catalog.Item, len(page.Items))
+	for i, it := range page.Items {
+		items[i] = catalog.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted}
+	}
+	return items
+}
+
+// servePull answers a peer's pull.
+func (r *reader) servePull(ctx *fasthttp.RequestCtx) {
+	after, err := ctx.QueryArgs().GetUint("after")
+	if string(ctx.Path()) != pullPath || err != nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	body, err := proto.Marshal(r.page(uint64(after)))
+	if err != nil {
+		r.log.Error("peer: page could not be made", zap.Error(err))
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(body)
+}
+
+// page is the changes above a revision, or everything when they are not known
+// any more.
+func (r *reader) page(after uint64) *pb.CatalogPage {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.follower.State()
+	changes, ok := state.Since(after)
+	page := &pb.CatalogPage{Revision: state.Revision(), After: after}
+	if !ok || after == 0 {
+		page.Whole = true
+		_, changes = state.Items()
+	}
+	for _, it := range changes {
+		page.Items = append(page.Items, &pb.CatalogItem{
+			Key: it.Key, Value: it.Value, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted,
+		})
+	}
+	return page
+}
+
+// heard passes a peer's announcement on.
+func (r *reader) heard(address string, revision uint64, age time.Duration) {
+	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
+		return f.Heard(now, address, revision, age)
+	})
+}
+
+// setPeers tells which VMs live.
+func (r *reader) setPeers(view *membership.View, self string) {
+	var peers []follow.Peer
+	for _, m := range view.Serving() {
+		if m.VM != self {
+			peers = append(peers, follow.Peer{VM: m.VM, Region: m.Region, Address: m.PeerAddress})
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.follower.SetPeers(peers)
+}
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"go.uber.org/zap"
+
+	"sycamorekeel.example/sycamorekeel/internal/httpserver"
+	"sycamorekeel.example/sycamorekeel/internal/placement"
+)
+
+const (
+	// readBuffer is each connection's buffer and so the most bytes of a request's
+	// head.
+	readBuffer = 16 << 10
+	// smallBuffer is the buffer of connections that only carry small calls.
+	smallBuffer = 4 << 10
+	// callerIdle is how long a caller's connection may be idle; callers give up
+	// theirs sooner.
+	callerIdle = 60 * time.Second
+	// headTimeout bounds the arrival of one request.
+	headTimeout = 10 * time.Second
+	// maxBody bounds a body before a configuration says less.
+	maxBody = 8 << 20
+	// stopMargin is what is left of the grace for requests in flight once new
+	// ones are no longer taken.
+	stopMargin = 1300 * time.Millisecond
+	// endMargin is left for the process to end by itself.
+	endMargin = 200 * time.Millisecond
+	// ttlStretch is how many times its TTL some callers keep an answer of the
+	// directory.
+	ttlStretch = 3
+	// quietPoll is how often a stop looks whether anybody is still connected.
+	quietPoll = 100 * time.Millisecond
+)
+
+// server is one listener and what answers there.
+type server struct {
+	name string
+	ln   net.Listener
+	http httpserver.Server
+}
+
+func (s *server) serve() error { return s.http.Serve(s.ln) }
+
+// callerCount counts the open connections of callers.
+type callerCount struct{ open atomic.Int64 }
+
+func (c *callerCount) state(_ net.Conn, s fasthttp.ConnState) {
+	switch s {
+	case fasthttp.StateNew:
+		c.open.Add(1)
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		c.open.Add(-1)
+	}
+}
+
+// listen opens every listener. The caller's is first.
+func (n *Node) listen() ([]*server, error) {
+	callers := &fasthttp.Server{
+		Handler:                      n.adapter.Callers(n.engine, n.leaving.Load),
+		ReadBufferSize:               readBuffer,
+		WriteBufferSize:              smallBuffer,
+		MaxRequestBodySize:           maxBody,
+		ReadTimeout:                  headTimeout,
+		IdleTimeout:                  callerIdle,
+		ConnState:                    n.callers.state,
+		NoDefaultContentType:         true,
+		NoDefaultDate:                true,
+		DisablePreParseMultipartForm: true,
+		ReduceMemoryUsage:            true,
+	}
+	out := []*server{{name: "callers", http: httpserver.New(callers)}}
+	addresses := []string{n.set.CallerAddress}
+	add := func(name, address string, h fasthttp.RequestHandler) {
+		small := &fasthttp.Server{Handler: h, ReadBufferSize: smallBuffer, WriteBufferSize: smallBuffer, IdleTimeout: callerIdle, ReadTimeout: headTimeout, ReduceMemoryUsage: true}
+		out = append(out, &server{name: name, http: httpserver.New(small)})
+		addresses = append(addresses, address)
+	}
+	add("ready", n.set.ReadyAddress, n.adapter.Ready(n.ready))
+	add("directory", n.set.DirectoryAddress, n.adapter.Directory(n.choose, min(directoryTTL, n.set.MaxTTL)))
+	add("peers", n.set.PeerAddress, n.reader.servePull)
+	add("metrics", n.set.MetricsAddress, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
+	for i, s := range out {
+		ln, err := net.Listen("tcp", addresses[i])
+		if err != nil {
+			return nil, trace.Wrap(err, "%s", s.name)
+		}
+		s.ln = ln
+	}
+	return out, nil
+}
+
+// placementBounds is what an answer of the directory holds.
+func (n *Node) placementBounds() placement.Bounds {
+	const (
+		// most is the most VMs of an answer that callers read.
+		most = 64
+		// least lets a caller go on while one VM is lost.
+		least = 2
+		// work is what the callers of one region may need, in thousandths of a
+		// core.
+		work = 800
+	)
+	return placement.Bounds{Most: most, Least: least, Work: work}
+}
+
+// stop ends the VM's service without cutting a request off: callers learn that
+// it leaves from the directory and from each answer, and those that have not yet
+// are served until what they know has run out.
+func (n *Node) stop(servers []*server) {
+	began := time.Now()
+	n.leaving.Store(true)
+	n.log.Info("node: stopping", zap.Int64("in_flight", n.engine.InFlight()), zap.Int64("connections", n.callers.open.Load()))
+	n.showCapacity()
+	n.gossip.Leave()
+	serveUntil := began.Add(max(n.set.Grace-stopMargin, 0))
+	quietFrom := began.Add(ttlStretch * min(directoryTTL, n.set.MaxTTL))
+	for now := time.Now(); now.Before(serveUntil); now = time.Now() {
+		if now.After(quietFrom) && n.callers.open.Load() == 0 {
+			break
+		}
+		time.Sleep(quietPoll)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.set.Grace-endMargin))
+	defer cancel()
+	if err := servers[0].http.Shutdown(ctx); err != nil {
+		n.log.Warn("node: stopped with requests in flight", zap.Int64("in_flight", n.engine.InFlight()), zap.Error(err))
+	}
+	n.engine.Close()
+}
+
+// closeAll closes the listeners that are still open.
+func closeAll(servers []*server) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, s := range servers {
+		// The process ends: what is still open ends with it.
+		_ = s.http.Shutdown(ctx)
+	}
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,86 @@
+// Package placement decides which VMs callers are told to use. It is pure.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/rendezvous"
+)
+
+// Caller is what a caller says of itself.
+type Caller struct {
+	Region     string
+	DataCentre string
+}
+
+// Bounds bound an answer.
+type Bounds struct {
+	// Most is the most VMs of an answer.
+	Most int
+	// Work is the capacity that the VMs of one answer should have together, in
+	// thousandths of a core.
+	Work uint32
+	// Least is the fewest VMs of an answer while there are as many: a caller
+	// whose only VM is lost waits until it can ask again.
+	Least int
+}
+
+// Choose is the caller addresses of the VMs that callers of one place share,
+// best first: alive and with capacity, in the caller's data centre before its
+// region, and there before the rest. VMs of another distance are added only
+// while the nearer ones are too few. Callers of one place get the same answer,
+// so that connections and what is learnt of upstreams are shared well.
+func Choose(members []membership.Member, c Caller, b Bounds) []string {
+	candidates := usable(members, func(m *membership.Member) bool { return m.State == pb.MemberState_ALIVE })
+	if len(candidates) == 0 {
+		candidates = usable(members, func(m *membership.Member) bool { return true })
+	}
+	place := rendezvous.Mix(xxhash.Sum64String(c.Region))
+	slices.SortFunc(candidates, func(x, y *membership.Member) int {
+		return cmp.Or(
+			cmp.Compare(distance(x, c), distance(y, c)),
+			cmp.Compare(y.Capacity, x.Capacity),
+			cmp.Compare(weight(y, place), weight(x, place)),
+		)
+	})
+	var out []string
+	var work uint32
+	for i, m := range candidates {
+		far := distance(m, c) > distance(candidates[0], c)
+		if len(out) >= b.Most || len(out) >= b.Least && work >= b.Work || len(out) > 0 && far {
+			break
+		}
+		out = append(out, candidates[i].CallerAddress)
+		work += m.Capacity
+	}
+	return out
+}
+
+func usable(members []membership.Member, ok func(*membership.Member) bool) []*membership.Member {
+	var out []*membership.Member
+	for i := range members {
+		m := &members[i]
+		if m.Capacity > 0 && m.CallerAddress != "" && m.Serves() && ok(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// distance ranks how far a VM is from the caller: regions count, data centres of
+// one region are alike.
+func distance(m *membership.Member, c Caller) int {
+	if m.Region == c.Region {
+		return 0
+	}
+	return 1
+}
+
+func weight(m *membership.Member, place uint64) uint64 {
+	return rendezvous.Weight(xxhash.Sum64String(m.VM), place)
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,339 @@
+// Package replica chooses among the upstreams of a service by what each has
+// shown to this VM: the answer times by kind of request, the work it has open
+// here, the age of the oldest open request, and its recent failures. It is pure;
+// its caller holds the lock.
+package replica
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/latency"
+)
+
+// Distance is how far an upstream is from this VM.
+type Distance int
+
+// Distances.
+const (
+	// Near upstreams are in this VM's data centre.
+	Near Distance = iota
+	// Regional ones are in another data centre of its region.
+	Regional
+	// Far ones are in another region.
+	Far
+	distances
+)
+
+const (
+	// slowHalfLife is the age at which what an upstream showed counts half: a
+	// fault of some seconds is forgotten a few seconds after it has passed.
+	slowHalfLife = time.Second
+	// maxWeight bounds how many observations are remembered: about what one
+	// upstream gets in its half-life.
+	maxWeight = 4.0
+	// priorWeight is the weight of the assumption that an upstream is like the
+	// others; it lets a slow one be tried again.
+	priorWeight = 0.5
+	// failHalfLife is the age at which a failure counts half.
+	failHalfLife = 2 * time.Second
+	// failShare is the weight of one more result in the share of failures.
+	failShare = 0.25
+	// downFirst and downMost bound how long an upstream that cannot be reached
+	// is passed over; the time doubles with each try.
+	downFirst = 250 * time.Millisecond
+	downMost  = 2 * time.Second
+	// lateFactor is how many times its usual time the oldest open request must
+	// have waited for the upstream to count as paused.
+	lateFactor = 2.5
+	// pausedCost is the time added for an upstream that counts as paused: the
+	// usual stop of a garbage collector or a compaction.
+	pausedCost = 300 * time.Millisecond
+	// hedgeQuantile is the answer time at which a request counts as late. A
+	// tenth of the requests is then hedged, half of the usual budget of a fifth;
+	// pauses and slow upstreams need the rest.
+	hedgeQuantile = 0.90
+	// refresh is how long quantiles are kept before they are worked out anew.
+	refresh = 200 * time.Millisecond
+	// jitter spreads choices between equals.
+	jitter = 0.05
+	// enoughSeen is the weight of observations from which a tail is believed.
+	enoughSeen = 20
+)
+
+// farPrior is the time added to what is known of nearer upstreams while none at
+// the distance has answered: round trips inside a region and between regions.
+var farPrior = [distances]time.Duration{0, 2 * time.Millisecond, 25 * time.Millisecond}
+
+// Place is where this VM is.
+type Place struct {
+	DataCentre string
+	Region     string
+	// Regions maps data centres to regions.
+	Regions map[string]string
+}
+
+// Distance is how far an upstream's data centre is.
+func (p Place) Distance(dataCentre string) Distance {
+	switch {
+	case dataCentre == p.DataCentre:
+		return Near
+	case p.Regions[dataCentre] == p.Region:
+		return Regional
+	default:
+		return Far
+	}
+}
+
+// kind is what is known of one kind of requests.
+type kind struct {
+	first time.Duration
+	far   [distances]distanceTimes
+}
+
+// distanceTimes is the answer times of the upstreams at one distance.
+type distanceTimes struct {
+	tracker latency.Tracker
+	at      time.Time
+	median  time.Duration
+	tail    time.Duration
+}
+
+// upstream is what is known of one upstream.
+type upstream struct {
+	slow      float64
+	weight    float64
+	failures  float64
+	seen      time.Time
+	failedAt  time.Time
+	downUntil time.Time
+	downFor   time.Duration
+	coldUntil time.Time
+	// open holds the sends that have not ended.
+	open []open
+}
+
+type open struct {
+	attempt uint64
+	sentAt  time.Time
+	usual   time.Duration
+}
+
+// Table is what this VM knows of all upstreams. It is not safe for concurrent
+// use.
+type Table struct {
+	place     Place
+	rand      *rand.Rand
+	kinds     map[string]*kind
+	upstreams map[string]*upstream
+}
+
+// New is a table that knows nothing.
+func New(place Place, r *rand.Rand) *Table {
+	return &Table{place: place, rand: r, kinds: map[string]*kind{}, upstreams: map[string]*upstream{}}
+}
+
+// Keep forgets the upstreams that are gone and notes how long new ones are cold.
+func (t *Table) Keep(now time.Time, known map[string]*catalog.Upstream) {
+	for id := range t.upstreams {
+		if known[id] == nil {
+			delete(t.upstreams, id)
+		}
+	}
+	for id, u := range known {
+		if t.upstreams[id] == nil {
+			t.upstreams[id] = &upstream{slow: 1, coldUntil: now.Add(u.ColdFor)}
+		}
+	}
+}
+
+// Choose is the candidate with the least expected answer time, none of the
+// excluded; nil without one. usual is the answer time of the kind before any is
+// known.
+func (t *Table) Choose(now time.Time, kindName string, usual time.Duration, candidates []*catalog.Upstream, excluded []string) *catalog.Upstream {
+	k := t.kind(kindName, usual)
+	var best *catalog.Upstream
+	var bestCost float64
+	for _, c := range candidates {
+		if slices.Contains(excluded, c.ID) {
+			continue
+		}
+		cost := t.cost(now, k, c) * (1 + jitter*t.rand.Float64())
+		if best == nil || cost < bestCost {
+			best = c
+			bestCost = cost
+		}
+	}
+	return best
+}
+
+// downCost is the cost in seconds of an upstream that cannot be reached: it is
+// chosen only when all others are out as well.
+const downCost = 60.0
+
+// coldFactor is how much slower an upstream is taken to be just after its start.
+const coldFactor = 1.6
+
+// cost is the expected answer time in seconds.
+func (t *Table) cost(now time.Time, k *kind, c *catalog.Upstream) float64 {
+	u := t.upstream(c.ID)
+	base := t.median(now, k, t.place.Distance(c.DataCentre)).Seconds()
+	cost := base * u.slowness(now)
+	if now.Before(u.coldUntil) {
+		cost *= coldFactor
+	}
+	cost += base * float64(len(u.open)) / float64(max(1, c.Slots))
+	if u.paused(now) {
+		cost += pausedCost.Seconds()
+	}
+	f := u.failing(now)
+	cost = cost/(1-min(f, 0.9)) + f*k.first.Seconds()
+	if now.Before(u.downUntil) {
+		cost += downCost
+	}
+	return cost
+}
+
+// slowness is the upstream's answer time against the usual one.
+func (u *upstream) slowness(now time.Time) float64 {
+	w := u.weight * fading(now.Sub(u.seen), slowHalfLife)
+	return (w*u.slow + priorWeight) / (w + priorWeight)
+}
+
+func (u *upstream) failing(now time.Time) float64 {
+	return u.failures * fading(now.Sub(u.failedAt), failHalfLife)
+}
+
+// paused tells whether the oldest open request has waited far beyond its usual
+// time. Answers alone would show a pause only when it is over.
+func (u *upstream) paused(now time.Time) bool {
+	for _, o := range u.open {
+		if float64(now.Sub(o.sentAt)) > lateFactor*float64(o.usual) {
+			return true
+		}
+	}
+	return false
+}
+
+// Sent notes a send to an upstream.
+func (t *Table) Sent(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, attempt uint64) {
+	k := t.kind(kindName, usual)
+	u := t.upstream(c.ID)
+	expected := t.median(now, k, t.place.Distance(c.DataCentre))
+	u.open = append(u.open, open{attempt: attempt, sentAt: now, usual: expected})
+}
+
+// Answered notes an answer after the time that it took.
+func (t *Table) Answered(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, attempt uint64, took time.Duration) {
+	k := t.kind(kindName, usual)
+	u := t.upstream(c.ID)
+	u.close(attempt)
+	d := t.place.Distance(c.DataCentre)
+	if !now.Before(u.coldUntil) {
+		k.far[d].tracker.Observe(now, took)
+	}
+	u.observe(now, float64(took)/float64(t.median(now, k, d)))
+	u.failures = u.failing(now) * (1 - failShare)
+	u.failedAt = now
+	u.downUntil = time.Time{}
+	u.downFor = 0
+}
+
+// Late notes that a send has waited for so long without an answer. What is sent
+// to a stuck upstream never answers: by answers alone it would stay unknown and
+// look as good as the others.
+func (t *Table) Late(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, waited time.Duration) {
+	k := t.kind(kindName, usual)
+	u := t.upstream(c.ID)
+	ratio := float64(waited) / float64(t.median(now, k, t.place.Distance(c.DataCentre)))
+	if ratio > u.slowness(now) {
+		u.observe(now, ratio)
+	}
+}
+
+// Failed notes a send that brought no answer.
+func (t *Table) Failed(now time.Time, c *catalog.Upstream, attempt uint64) {
+	u := t.upstream(c.ID)
+	u.close(attempt)
+	u.failures = u.failing(now)*(1-failShare) + failShare
+	u.failedAt = now
+}
+
+// Unreachable notes an upstream to which no connection could be made.
+func (t *Table) Unreachable(now time.Time, c *catalog.Upstream, attempt uint64) {
+	u := t.upstream(c.ID)
+	u.close(attempt)
+	u.downFor = min(max(downFirst, 2*u.downFor), downMost)
+	u.downUntil = now.Add(u.downFor)
+}
+
+// Withdrawn notes that nobody waits for a send any more.
+func (t *Table) Withdrawn(c *catalog.Upstream, attempt uint64) {
+	t.upstream(c.ID).close(attempt)
+}
+
+// HedgeDelay is how long an answer of the upstream may take before the request
+// counts as late.
+func (t *Table) HedgeDelay(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream) time.Duration {
+	k := t.kind(kindName, usual)
+	d := &k.far[t.place.Distance(c.DataCentre)]
+	t.median(now, k, t.place.Distance(c.DataCentre))
+	if d.tail == 0 {
+		return usual
+	}
+	return min(d.tail, 2*usual)
+}
+
+func (u *upstream) observe(now time.Time, ratio float64) {
+	w := u.weight * fading(now.Sub(u.seen), slowHalfLife)
+	u.slow = (w*u.slow + ratio) / (w + 1)
+	u.weight = min(w+1, maxWeight)
+	u.seen = now
+}
+
+func (u *upstream) close(attempt uint64) {
+	u.open = slices.DeleteFunc(u.open, func(o open) bool { return o.attempt == attempt })
+}
+
+func (t *Table) upstream(id string) *upstream {
+	u := t.upstreams[id]
+	if u == nil {
+		u = &upstream{slow: 1}
+		t.upstreams[id] = u
+	}
+	return u
+}
+
+func (t *Table) kind(name string, usual time.Duration) *kind {
+	k := t.kinds[name]
+	if k == nil {
+		k = &kind{first: usual}
+		t.kinds[name] = k
+	}
+	return k
+}
+
+// median is the usual answer time of a kind at a distance, and brings its tail
+// up to date.
+func (t *Table) median(now time.Time, k *kind, d Distance) time.Duration {
+	f := &k.far[d]
+	if f.median == 0 || now.Sub(f.at) >= refresh {
+		f.at = now
+		f.median, f.tail = 0, 0
+		if f.tracker.Weight(now) >= 1 {
+			f.median = f.tracker.Quantile(0.5)
+		}
+		if f.tracker.Weight(now) >= enoughSeen {
+			f.tail = f.tracker.Quantile(hedgeQuantile)
+		}
+	}
+	if f.median > 0 {
+		return f.median
+	}
+	if d > Near && k.far[Near].median > 0 {
+		return k.far[Near].median + farPrior[d]
+	}
+	return k.first/2 + farPrior[d]
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,7 +4,8 @@
 	"errors"
 	"net"
 	"sync/atomic"
-	"syscall"
+
+	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
 )
 
 // errClosedIdle is the error of a connection that the upstream closed between
@@ -35,7 +36,7 @@
 
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
-	if c.idle && closedByPeer(c.Conn) {
+	if c.idle && sockpeek.Look(c.Conn) != sockpeek.Quiet {
 		return 0, &dialError{errClosedIdle}
 	}
 	c.idle = false
@@ -49,26 +50,3 @@
 	}
 	return c.Conn.Close()
 }
-
-// closedByPeer looks at what waits to be read without taking it: the end of the
-// stream, an error, or bytes that answer no request all make the connection
-// useless.
-func closedByPeer(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	useless := true
-	// Control and not Read: Read fails once the read deadline of the request
-	// before has passed, and every connection idle for longer would look closed.
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		useless = !errors.Is(err, syscall.EAGAIN)
-	})
-	return useless || err != nil
-}
