--- a/cmd/sycamorekeel-edge/main.go
+++ b/cmd/sycamorekeel-edge/main.go
@@ -54,6 +54,8 @@
 	ring := logring.New(os.Stdout, time.Now)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	logCtx, endLog := context.WithCancel(context.Background())
 	logged := make(chan error, 1)
 	go func() { logged <- ring.Run(logCtx) }()
@@ -61,6 +63,10 @@
 		Log:      newLogger(ring, set.VM),
 		Registry: prometheus.NewRegistry(),
 		Adapter:  adapter(set),
+		Reloading: node.Reloading{
+			Load:    platform.LoadSettings,
+			Signals: hup,
+		},
 	})
 	err = n.Run(ctx)
 	endLog()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -114,6 +114,16 @@
 	}
 }
 
+// SetBudget changes the bound on extra sends.
+func (e *Engine) SetBudget(limit retrybudget.Limit) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.opts.Budget = limit
+	for _, b := range e.budgets {
+		b.SetLimit(limit)
+	}
+}
+
 // Tick drops what is no longer used; it is to be called about once a second.
 func (e *Engine) Tick(now time.Time) { e.pools.Expire(now) }
 
@@ -169,7 +179,7 @@
 		Idempotent: route.Idempotent,
 		Attempts:   max(1, route.Attempts),
 		MinParts:   1,
-		AnswerBy:   r.Received.Add(route.Objective - answerMargin),
+		AnswerBy:   answerBy(r),
 		GiveUp:     r.Received.Add(r.wait()),
 	}
 	if !route.FanOut() {
@@ -180,6 +190,15 @@
 	return p
 }
 
+// answerBy is when an answer must leave to meet the objective; a route without
+// one has its callers wait for everything.
+func answerBy(r *Request) time.Time {
+	if r.Route.Objective <= 0 {
+		return r.Received.Add(r.wait())
+	}
+	return r.Received.Add(max(r.Route.Objective-answerMargin, r.Route.Objective/2))
+}
+
 // minParts is the least number of shards that makes an answer.
 func minParts(route *routing.Route) int {
 	const rounding = 1e-9
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -11,7 +11,9 @@
 package follow
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,7 +26,10 @@
 	// waitShare is the part of the bound on changes that a watch waits. A watch
 	// may hang without a word; it is then noticed after its wait, and there is
 	// as much time left to read anew.
-	waitShare = 0.5
+	waitShare = 0.4
+	// spacingShare is the least time between two calls to the store, as a part
+	// of the bound: changes that come close together are read by one call.
+	spacingShare = 0.13
 	// staleShare is the part of the bound after which a VM that has heard of no
 	// confirmation reads for itself.
 	staleShare = 0.65
@@ -47,9 +52,14 @@
 	// pauseGap is a gap between two ticks that shows that the process stood
 	// still: what it knows may be out of date.
 	pauseGap = time.Second
-	// settle is how long a VM that starts with the whole system leaves the first
-	// reading to its region's reader.
-	settle = 1200 * time.Millisecond
+	// hearFirst is how long a process that starts alone listens for a peer, which
+	// costs the store no call; a peer answers within a round trip.
+	hearFirst = 250 * time.Millisecond
+	// settleSeed and settleOthers are the same for a start of the whole system,
+	// when no peer knows anything: the VMs named as seeds find each other first
+	// and read for the others.
+	settleSeed   = 600 * time.Millisecond
+	settleOthers = 1500 * time.Millisecond
 )
 
 // Peer is another VM that can be asked.
@@ -68,8 +78,10 @@
 	// FirstStart says that the whole system starts now, so that no peer knows
 	// anything yet.
 	FirstStart bool
-	Decoder    catalog.Decoder
-	Random     *rand.Rand
+	// Seed says that the other VMs know this one's address from the start.
+	Seed    bool
+	Decoder catalog.Decoder
+	Random  *rand.Rand
 }
 
 // Action is something the driver must do.
@@ -94,8 +106,12 @@
 	Timeout time.Duration
 }
 
-// Announce tells peers of the revision and of its confirmation.
-type Announce struct{}
+// Announce tells peers that the revision has moved.
+type Announce struct {
+	// Wide says that this VM had it from the store: some peers of every region
+	// are to be told, who tell the others.
+	Wide bool
+}
 
 // Changed says that the catalog's view has changed.
 type Changed struct{}
@@ -115,7 +131,9 @@
 	lastTick time.Time
 	rank     int
 	// reading says that a call to the store is open.
-	reading     bool
+	reading bool
+	// began is when the last call to the store was made.
+	began       time.Time
 	nextRead    time.Time
 	failures    int
 	relist      bool
@@ -158,18 +176,26 @@
 	return f.rank == 0 || now.Before(f.actingUntil)
 }
 
-// SetPeers tells which VMs live, this one left out.
+// SetPeers tells which VMs live, this one left out. Two VMs read the store: the
+// first of all by rendezvous, and the first outside its region, so that the loss
+// of a region leaves a reader.
 func (f *Follower) SetPeers(peers []Peer) {
-	region := xxhash.Sum64String(f.opts.Region)
-	own := rendezvous.Weight(xxhash.Sum64String(f.opts.VM), region)
-	f.rank = 0
-	for _, p := range peers {
-		if p.Region == f.opts.Region && rendezvous.Weight(xxhash.Sum64String(p.VM), region) > own {
-			f.rank++
-		}
+	all := append([]Peer{{VM: f.opts.VM, Region: f.opts.Region}}, peers...)
+	slices.SortFunc(all, func(a, b Peer) int { return cmp.Compare(weight(b), weight(a)) })
+	first := all[0]
+	second := slices.IndexFunc(all, func(p Peer) bool { return p.Region != first.Region })
+	f.rank = slices.IndexFunc(all, func(p Peer) bool { return p.VM == f.opts.VM })
+	if f.rank == second {
+		f.rank = 0
 	}
 }
 
+// SetBound changes the time within which a change has to be in force.
+func (f *Follower) SetBound(bound time.Duration) { f.opts.Bound = bound }
+
+// weight orders VMs as readers, alike on every VM.
+func weight(p Peer) uint64 { return rendezvous.Mix(xxhash.Sum64String(p.VM)) }
+
 // Tick lets time pass; it is to come several times in rankStep.
 func (f *Follower) Tick(now time.Time) []Action {
 	f.out = nil
@@ -225,8 +251,9 @@
 		return f.out
 	}
 	f.relist = false
+	before := f.state.Revision()
 	changed := f.state.Replace(now, revision, items)
-	f.confirm(now, changed)
+	f.confirm(now, revision > before, changed)
 	f.advanceRead(now)
 	return f.out
 }
@@ -237,12 +264,13 @@
 func (f *Follower) Watched(now time.Time, after, revision uint64, changes []catalog.Item) []Action {
 	f.out = nil
 	f.answered(now)
+	before := f.state.Revision()
 	changed, joined := f.state.Apply(now, after, max(after, lastRevision(changes)), changes)
 	if !joined || revision > f.state.Revision() {
 		f.relist = true
 	}
 	if joined && !f.relist {
-		f.confirm(now, changed)
+		f.confirm(now, f.state.Revision() > before, changed)
 	} else if changed {
 		f.emit(Changed{})
 	}
@@ -314,14 +342,16 @@
 func (f *Follower) answered(now time.Time) {
 	f.reading = false
 	f.failures = 0
-	f.nextRead = now
+	f.nextRead = f.began.Add(f.share(spacingShare))
 	f.state.Answered(now)
 }
 
 // confirm notes that what is known is what the store holds now, and says so.
-func (f *Follower) confirm(now time.Time, changed bool) {
+func (f *Follower) confirm(now time.Time, moved, changed bool) {
 	f.confirmed = now
-	f.emit(Announce{})
+	if moved {
+		f.emit(Announce{Wide: true})
+	}
 	if changed {
 		f.emit(Changed{})
 	}
@@ -350,12 +380,14 @@
 	f.emit(*f.pull)
 }
 
-// advanceRead reads the store when it is this VM's turn.
+// advanceRead reads the store when it is this VM's turn. While a peer's answer
+// is on its way, it waits for that.
 func (f *Follower) advanceRead(now time.Time) {
-	if f.reading || now.Before(f.nextRead) || !f.mayRead(now) {
+	if f.reading || f.pull != nil || now.Before(f.nextRead) || !f.mayRead(now) {
 		return
 	}
 	f.reading = true
+	f.began = now
 	if f.relist {
 		f.emit(List{})
 		return
@@ -364,8 +396,8 @@
 }
 
 func (f *Follower) mayRead(now time.Time) bool {
-	if f.opts.FirstStart && now.Sub(f.started) < settle && f.state.Revision() == 0 {
-		return f.rank == 0 && now.Sub(f.started) >= settle/2
+	if f.state.Revision() == 0 {
+		return now.Sub(f.started) >= f.firstWait()+f.rankDelay()
 	}
 	if f.Reader(now) {
 		return true
@@ -374,10 +406,22 @@
 		return false
 	}
 	f.actingUntil = now.Add(actingFor)
-	f.relist = f.relist || f.state.Revision() == 0
 	return true
 }
 
+// firstWait is how long a process that knows nothing leaves the reading to
+// others.
+func (f *Follower) firstWait() time.Duration {
+	switch {
+	case !f.opts.FirstStart:
+		return hearFirst
+	case f.opts.Seed:
+		return settleSeed
+	default:
+		return settleOthers
+	}
+}
+
 func (f *Follower) rankDelay() time.Duration {
 	return min(time.Duration(f.rank)*rankStep, maxRankDelay)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -159,9 +159,10 @@
 	d.step(func(now time.Time) membership.Actions { return d.node.SetCapacity(now, capacity) })
 }
 
-// Announce tells peers of this region at once what this VM knows.
-func (d *Driver) Announce() {
-	d.step(func(now time.Time) membership.Actions { return d.node.Announce(now) })
+// Announce tells some peers at once what this VM knows; wide reaches every
+// region.
+func (d *Driver) Announce(wide bool) {
+	d.step(func(now time.Time) membership.Actions { return d.node.Announce(now, wide) })
 }
 
 // Leave announces a planned stop.
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -217,20 +217,37 @@
 	return n.end()
 }
 
-// Announce tells the peers of this VM's region, up to a bound, what this node
-// knows, without waiting for their turn.
-func (n *Node) Announce(now time.Time) Actions {
+// Announce tells some peers what this node knows, without waiting for their
+// turn: a few of its region and, when wide, more of them and a few of each other
+// region. Each passes it on to a few of its own.
+func (n *Node) Announce(now time.Time, wide bool) Actions {
 	n.begin(now)
-	near := func(r *record) bool { return r.serves() && r.Region == n.self.Region }
-	for _, r := range n.pick(announceFanout, near) {
-		n.send(r.PeerAddress, &pb.Datagram{}, r)
+	near := announceNarrow
+	if wide {
+		near = announceNear
+	}
+	left := map[string]int{n.self.Region: near}
+	for _, r := range n.pick(len(n.table.sorted), func(r *record) bool { return r.serves() }) {
+		room, seen := left[r.Region]
+		if !seen && wide {
+			room = announceFar
+		}
+		if room > 0 {
+			n.send(r.PeerAddress, &pb.Datagram{}, r)
+		}
+		left[r.Region] = room - 1
 	}
 	return n.end()
 }
 
-// announceFanout is how many peers are told of a change directly; the others
-// hear of it from them.
-const announceFanout = 32
+// How many peers an announcement goes to directly: of the own region, when it
+// comes from the store; of each other region, then; of the own region, when it
+// is passed on.
+const (
+	announceNear   = 16
+	announceFar    = 2
+	announceNarrow = 4
+)
 
 // Tick moves time on. It is to be called several times a period.
 func (n *Node) Tick(now time.Time) Actions {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,8 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,14 +70,17 @@
 
 // Options is what a node needs.
 type Options struct {
-	Log      *zap.Logger
-	Registry *prometheus.Registry
-	Adapter  Adapter
+	Log       *zap.Logger
+	Registry  *prometheus.Registry
+	Adapter   Adapter
+	Reloading Reloading
 }
 
 // Node is one VM's process.
 type Node struct {
-	set      *Settings
+	set      atomic.Pointer[Settings]
+	load     func() (*Settings, error)
+	reloads  <-chan os.Signal
 	log      *zap.Logger
 	registry *prometheus.Registry
 	adapter  Adapter
@@ -91,7 +96,14 @@
 // New wires a node; Run starts it.
 func New(set *Settings, opts Options) *Node {
 	now := time.Now()
-	n := &Node{set: set, log: opts.Log, registry: opts.Registry, adapter: opts.Adapter}
+	n := &Node{
+		load:     opts.Reloading.Load,
+		reloads:  opts.Reloading.Signals,
+		log:      opts.Log,
+		registry: opts.Registry,
+		adapter:  opts.Adapter,
+	}
+	n.set.Store(set)
 	n.members.Store(&membership.View{})
 	random := rand.New(rand.NewPCG(seedOf(set.VM), uint64(now.UnixNano())))
 	n.engine = edge.New(now, edge.Options{
@@ -113,11 +125,12 @@
 			Region:     set.Region,
 			Bound:      set.ChangeBound,
 			FirstStart: set.FirstStart,
+			Seed:       slices.Contains(set.Seeds, set.PeerAddress),
 			Decoder:    opts.Adapter.Decoder,
 			Random:     rand.New(rand.NewPCG(seedOf(set.VM), uint64(now.UnixMicro()))),
 		}),
 	}
-	n.gossip = n.newGossip(now)
+	n.gossip = n.newGossip(now, set)
 	return n
 }
 
@@ -128,10 +141,10 @@
 	return h.Sum64()
 }
 
-func (n *Node) newGossip(now time.Time) *gossip.Driver {
+func (n *Node) newGossip(now time.Time, set *Settings) *gossip.Driver {
 	var seeds []string
-	for _, s := range n.set.Seeds {
-		if s != n.set.PeerAddress {
+	for _, s := range set.Seeds {
+		if s != set.PeerAddress {
 			seeds = append(seeds, s)
 		}
 	}
@@ -142,16 +155,16 @@
 		Keys:     []*pb.PeerKey{{Id: "open", Secret: gossipKey}},
 		Node: membership.Options{
 			Self: &pb.MemberUpdate{
-				Vm:            n.set.VM,
+				Vm:            set.VM,
 				Incarnation:   uint64(now.UnixMicro()),
-				Region:        n.set.Region,
-				DataCentre:    n.set.DataCentre,
-				CallerAddress: n.set.CallerAddress,
-				PeerAddress:   n.set.PeerAddress,
+				Region:        set.Region,
+				DataCentre:    set.DataCentre,
+				CallerAddress: set.CallerAddress,
+				PeerAddress:   set.PeerAddress,
 			},
 			Seeds: seeds,
 			Sole:  true,
-			Seed:  seedOf(n.set.VM),
+			Seed:  seedOf(set.VM),
 			Timing: membership.Timing{
 				Period:          gossipPeriod,
 				DirectTimeout:   gossipDirect,
@@ -170,10 +183,10 @@
 
 // announce gives the gossip what is known and since when it is confirmed; tell
 // sends it to peers at once.
-func (n *Node) announce(revision uint64, confirmed time.Time, tell bool) {
+func (n *Node) announce(revision uint64, confirmed time.Time, tell *follow.Announce) {
 	n.gossip.SetConfirmed(revision, confirmed)
-	if tell {
-		n.gossip.Announce()
+	if tell != nil {
+		n.gossip.Announce(tell.Wide)
 	}
 }
 
@@ -208,7 +221,7 @@
 func (n *Node) showCapacity() {
 	capacity := uint32(0)
 	if n.ready() {
-		capacity = uint32(max(1, 1000*n.set.Cores))
+		capacity = uint32(max(1, 1000*n.set.Load().Cores))
 	}
 	n.gossip.SetCapacity(capacity)
 }
@@ -226,7 +239,7 @@
 	}
 	n.members.Store(view)
 	n.logMembers(old, view)
-	n.reader.setPeers(view, n.set.VM)
+	n.reader.setPeers(view, n.set.Load().VM)
 	n.engine.SetSharers(n.sharers.count(time.Now(), len(view.Serving())))
 }
 
@@ -250,12 +263,12 @@
 
 // Run serves until ctx ends, then stops within the grace.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.Info("node: started", zap.String("data_centre", n.set.DataCentre), zap.Bool("first_start", n.set.FirstStart))
+	n.log.Info("node: started", zap.String("data_centre", n.set.Load().DataCentre), zap.Bool("first_start", n.set.Load().FirstStart))
 	servers, err := n.listen()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	packets, err := net.ListenPacket("udp", n.set.PeerAddress)
+	packets, err := net.ListenPacket("udp", n.set.Load().PeerAddress)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -265,6 +278,7 @@
 	group.Go(func() error { return n.gossip.Run(run, packets) })
 	group.Go(func() error { return n.reader.run(run) })
 	group.Go(func() error { return n.tick(run) })
+	group.Go(func() error { return n.watchSettings(run) })
 	for _, s := range servers {
 		group.Go(s.serve)
 	}
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -44,7 +44,7 @@
 type reader struct {
 	log      *zap.Logger
 	store    Store
-	announce func(revision uint64, confirmed time.Time, now bool)
+	announce func(revision uint64, confirmed time.Time, tell *follow.Announce)
 	changed  func(*catalog.View)
 
 	mu       sync.Mutex
@@ -91,7 +91,7 @@
 }
 
 func (r *reader) do(actions []follow.Action, revision uint64, confirmed time.Time) {
-	tell := false
+	var tell *follow.Announce
 	for _, a := range actions {
 		switch a := a.(type) {
 		case follow.List:
@@ -101,7 +101,7 @@
 		case follow.Pull:
 			go r.pull(a)
 		case follow.Announce:
-			tell = true
+			tell = &a
 		}
 	}
 	r.announce(revision, confirmed, tell)
@@ -223,6 +223,13 @@
 	return page
 }
 
+// setBound changes the time within which a change must be in force.
+func (r *reader) setBound(bound time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.follower.SetBound(bound)
+}
+
 // heard passes a peer's announcement on.
 func (r *reader) heard(address string, revision uint64, age time.Duration) {
 	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -78,16 +78,16 @@
 		ReduceMemoryUsage:            true,
 	}
 	out := []*server{{name: "callers", http: httpserver.New(callers)}}
-	addresses := []string{n.set.CallerAddress}
+	addresses := []string{n.set.Load().CallerAddress}
 	add := func(name, address string, h fasthttp.RequestHandler) {
 		small := &fasthttp.Server{Handler: h, ReadBufferSize: smallBuffer, WriteBufferSize: smallBuffer, IdleTimeout: callerIdle, ReadTimeout: headTimeout, ReduceMemoryUsage: true}
 		out = append(out, &server{name: name, http: httpserver.New(small)})
 		addresses = append(addresses, address)
 	}
-	add("ready", n.set.ReadyAddress, n.adapter.Ready(n.ready))
-	add("directory", n.set.DirectoryAddress, n.adapter.Directory(n.choose, min(directoryTTL, n.set.MaxTTL)))
-	add("peers", n.set.PeerAddress, n.reader.servePull)
-	add("metrics", n.set.MetricsAddress, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
+	add("ready", n.set.Load().ReadyAddress, n.adapter.Ready(n.ready))
+	add("directory", n.set.Load().DirectoryAddress, n.adapter.Directory(n.choose, min(directoryTTL, n.set.Load().MaxTTL)))
+	add("peers", n.set.Load().PeerAddress, n.reader.servePull)
+	add("metrics", n.set.Load().MetricsAddress, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
 	for i, s := range out {
 		ln, err := net.Listen("tcp", addresses[i])
 		if err != nil {
@@ -121,15 +121,15 @@
 	n.log.Info("node: stopping", zap.Int64("in_flight", n.engine.InFlight()), zap.Int64("connections", n.callers.open.Load()))
 	n.showCapacity()
 	n.gossip.Leave()
-	serveUntil := began.Add(max(n.set.Grace-stopMargin, 0))
-	quietFrom := began.Add(ttlStretch * min(directoryTTL, n.set.MaxTTL))
+	serveUntil := began.Add(max(n.set.Load().Grace-stopMargin, 0))
+	quietFrom := began.Add(ttlStretch * min(directoryTTL, n.set.Load().MaxTTL))
 	for now := time.Now(); now.Before(serveUntil); now = time.Now() {
 		if now.After(quietFrom) && n.callers.open.Load() == 0 {
 			break
 		}
 		time.Sleep(quietPoll)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.set.Grace-endMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.set.Load().Grace-endMargin))
 	defer cancel()
 	if err := servers[0].http.Shutdown(ctx); err != nil {
 		n.log.Warn("node: stopped with requests in flight", zap.Int64("in_flight", n.engine.InFlight()), zap.Error(err))
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -56,6 +56,13 @@
 	return &Budget{limit: limit, started: started}
 }
 
+// SetLimit changes the ratio and the allowance. A window is kept as it was: what
+// was counted in slices of another width would be lost.
+func (b *Budget) SetLimit(limit Limit) {
+	limit.Window = b.limit.Window
+	b.limit = limit
+}
+
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Time) {
 	b.advance(now)
