Share connections and allowances among the VMs that carry callers

Cause: each of 70 VMs took 1/70 of an upstream's 67 connections, so the six that carry callers had one connection to each and requests waited for it. The bounds are shared by the VMs that the directory names (by the largest number of the last 12 s), a fifth is left to the others; the directory prefers VMs beside upstreams.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,9 +40,6 @@
 	// linger is how long a send that nobody waits for may still run so that its
 	// connection can be used again: an upstream's usual pause.
 	linger = 400 * time.Millisecond
-	// capShare is the part of an upstream's connections that the VMs share out;
-	// the rest covers VMs whose views differ.
-	capShare = 0.9
 	// capUnknown is the connections to an upstream that publishes no bound.
 	capUnknown = 32
 	// usualShare is the part of the objective taken for the usual answer time of
@@ -69,7 +66,7 @@
 	opts     Options
 	pools    *direct.Pools
 	view     atomic.Pointer[catalog.View]
-	sharers  atomic.Int64
+	shares   atomic.Pointer[Shares]
 	inFlight atomic.Int64
 	started  time.Time
 
@@ -87,7 +84,7 @@
 		replicas: replica.New(opts.Place, opts.Random),
 		budgets:  map[string]*retrybudget.Budget{},
 	}
-	e.sharers.Store(1)
+	e.shares.Store(&Shares{VMs: 1, Carriers: 1, Carrying: true})
 	e.pools = direct.NewPools(opts.Protocol, e.connectionLimit)
 	return e
 }
@@ -104,9 +101,9 @@
 // View is the view in force, nil before the first.
 func (e *Engine) View() *catalog.View { return e.view.Load() }
 
-// SetSharers tells how many VMs share connections and allowances.
-func (e *Engine) SetSharers(n int) {
-	if e.sharers.Swap(int64(max(1, n))) == int64(max(1, n)) {
+// SetShares tells what part of the fleet's bounds is this VM's.
+func (e *Engine) SetShares(s Shares) {
+	if old := e.shares.Swap(&s); *old == s {
 		return
 	}
 	if v := e.view.Load(); v != nil {
@@ -142,7 +139,7 @@
 			most = s.MaxConnections
 		}
 	}
-	return max(1, int(capShare*float64(most))/int(e.sharers.Load()))
+	return max(1, int(e.shares.Load().of(float64(most))))
 }
 
 // Serve carries one request to its end.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -306,7 +306,7 @@
 func (x *run) Spend(part int, kind retrybudget.Kind) bool {
 	e := x.engine
 	e.mu.Lock()
-	ok := e.budget(x.plan.Services[part]).Spend(time.Now(), kind, int(e.sharers.Load()))
+	ok := e.budget(x.plan.Services[part]).Spend(time.Now(), kind, e.shares.Load().of(1))
 	e.mu.Unlock()
 	if !ok {
 		e.opts.Metrics.unspent(kind)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,7 +240,18 @@
 	n.members.Store(view)
 	n.logMembers(old, view)
 	n.reader.setPeers(view, n.set.Load().VM)
-	n.engine.SetSharers(n.sharers.count(time.Now(), len(view.Serving())))
+	n.showShares(time.Now())
+}
+
+// showShares tells the engine what part of the fleet's bounds is this VM's.
+func (n *Node) showShares(now time.Time) {
+	members := n.members.Load()
+	carriers := placement.Carriers(members.Members, n.placementBounds())
+	n.engine.SetShares(n.sharers.count(now, edge.Shares{
+		VMs:      len(members.Serving()),
+		Carriers: len(carriers),
+		Carrying: carriers[n.set.Load().CallerAddress],
+	}))
 }
 
 func (n *Node) logMembers(old, view *membership.View) {
@@ -309,7 +320,7 @@
 			return nil
 		case now := <-t.C:
 			n.engine.Tick(now)
-			n.engine.SetSharers(n.sharers.count(now, len(n.members.Load().Serving())))
+			n.showShares(now)
 		}
 	}
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -109,7 +109,18 @@
 		// core.
 		work = 800
 	)
-	return placement.Bounds{Most: most, Least: least, Work: work}
+	return placement.Bounds{Most: most, Least: least, Work: work, Upstreams: n.upstreamsBy()}
+}
+
+// upstreamsBy is how many upstreams each data centre has.
+func (n *Node) upstreamsBy() map[string]int {
+	out := map[string]int{}
+	if v := n.engine.View(); v != nil {
+		for _, u := range v.Upstreams {
+			out[u.DataCentre]++
+		}
+	}
+	return out
 }
 
 // stop ends the VM's service without cutting a request off: callers learn that
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,6 +20,10 @@
 
 // Bounds bound an answer.
 type Bounds struct {
+	// Upstreams is how many upstreams each data centre has. A query exchanges one
+	// message with its caller and dozens with upstreams, so VMs beside them go
+	// first.
+	Upstreams map[string]int
 	// Most is the most VMs of an answer.
 	Most int
 	// Work is the capacity that the VMs of one answer should have together, in
@@ -31,9 +35,8 @@
 }
 
 // Choose is the caller addresses of the VMs that callers of one place share,
-// best first: alive and with capacity, in the caller's data centre before its
-// region, and there before the rest. VMs of another distance are added only
-// while the nearer ones are too few. Callers of one place get the same answer,
+// best first: alive and with capacity, of the caller's region if it has any, and
+// there beside most upstreams. Callers of one place get the same answer,
 // so that connections and what is learnt of upstreams are shared well.
 func Choose(members []membership.Member, c Caller, b Bounds) []string {
 	candidates := usable(members, func(m *membership.Member) bool { return m.State == pb.MemberState_ALIVE })
@@ -44,6 +47,7 @@
 	slices.SortFunc(candidates, func(x, y *membership.Member) int {
 		return cmp.Or(
 			cmp.Compare(distance(x, c), distance(y, c)),
+			cmp.Compare(b.Upstreams[y.DataCentre], b.Upstreams[x.DataCentre]),
 			cmp.Compare(y.Capacity, x.Capacity),
 			cmp.Compare(weight(y, place), weight(x, place)),
 		)
@@ -84,3 +88,18 @@
 func weight(m *membership.Member, place uint64) uint64 {
 	return rendezvous.Weight(xxhash.Sum64String(m.VM), place)
 }
+
+// Carriers is the caller addresses that callers of any region are told to use.
+func Carriers(members []membership.Member, b Bounds) map[string]bool {
+	out := map[string]bool{}
+	seen := map[string]bool{}
+	for i := range members {
+		if region := members[i].Region; !seen[region] {
+			seen[region] = true
+			for _, address := range Choose(members, Caller{Region: region}, b) {
+				out[address] = true
+			}
+		}
+	}
+	return out
+}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -69,11 +69,11 @@
 	b.requests[b.slot%buckets]++
 }
 
-// Spend takes one extra send from the budget; false when it is used up. sharers
-// is how many VMs share the allowance.
-func (b *Budget) Spend(now time.Time, kind Kind, sharers int) bool {
+// Spend takes one extra send from the budget; false when it is used up. share is
+// this VM's part of the allowance, 0 to 1.
+func (b *Budget) Spend(now time.Time, kind Kind, share float64) bool {
 	b.advance(now)
-	if sum(&b.extra)+1 > b.available(now, kind, sharers) {
+	if sum(&b.extra)+1 > b.available(now, kind, share) {
 		return false
 	}
 	b.extra[b.slot%buckets]++
@@ -81,15 +81,15 @@
 }
 
 // Left is how many extra sends of a kind may be made now.
-func (b *Budget) Left(now time.Time, kind Kind, sharers int) float64 {
+func (b *Budget) Left(now time.Time, kind Kind, share float64) float64 {
 	b.advance(now)
-	return b.available(now, kind, sharers) - sum(&b.extra)
+	return b.available(now, kind, share) - sum(&b.extra)
 }
 
-func (b *Budget) available(now time.Time, kind Kind, sharers int) float64 {
+func (b *Budget) available(now time.Time, kind Kind, share float64) float64 {
 	total := b.limit.Ratio * sum(&b.requests)
 	if now.Sub(b.started) >= b.limit.Window {
-		total += b.limit.Allowance / float64(max(1, sharers))
+		total += b.limit.Allowance * share
 	}
 	if kind == Hedge {
 		total *= 1 - retryReserve
