Tell peers of each confirmation, and take a lead's confirmation with its pull

Cause: after a pull a VM did not know since when the store had confirmed it and read for itself; in a large fleet the word of a reader spread too slowly. Hedges wait for a quarter of the objective at least.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -106,7 +106,7 @@
 	Timeout time.Duration
 }
 
-// Announce tells peers that the revision has moved.
+// Announce tells peers of the revision and of its confirmation.
 type Announce struct {
 	// Wide says that this VM had it from the store: some peers of every region
 	// are to be told, who tell the others.
@@ -151,7 +151,10 @@
 type lead struct {
 	address  string
 	revision uint64
-	since    time.Time
+	// since is when this VM first heard that it is behind.
+	since time.Time
+	// confirmed is when the store last confirmed the lead.
+	confirmed time.Time
 }
 
 // New is a follower that knows nothing.
@@ -236,6 +239,7 @@
 	if revision >= f.lead.revision {
 		f.lead.revision = revision
 		f.lead.address = address
+		f.lead.confirmed = at
 	}
 	f.advancePull(now)
 }
@@ -251,9 +255,8 @@
 		return f.out
 	}
 	f.relist = false
-	before := f.state.Revision()
 	changed := f.state.Replace(now, revision, items)
-	f.confirm(now, revision > before, changed)
+	f.confirm(now, changed)
 	f.advanceRead(now)
 	return f.out
 }
@@ -264,13 +267,12 @@
 func (f *Follower) Watched(now time.Time, after, revision uint64, changes []catalog.Item) []Action {
 	f.out = nil
 	f.answered(now)
-	before := f.state.Revision()
 	changed, joined := f.state.Apply(now, after, max(after, lastRevision(changes)), changes)
 	if !joined || revision > f.state.Revision() {
 		f.relist = true
 	}
 	if joined && !f.relist {
-		f.confirm(now, f.state.Revision() > before, changed)
+		f.confirm(now, changed)
 	} else if changed {
 		f.emit(Changed{})
 	}
@@ -321,6 +323,9 @@
 		f.relist = false
 		f.emit(Announce{})
 	}
+	if f.state.Revision() >= f.lead.revision && f.lead.confirmed.After(f.confirmed) {
+		f.confirmed = f.lead.confirmed
+	}
 	if changed {
 		f.emit(Changed{})
 	}
@@ -346,12 +351,12 @@
 	f.state.Answered(now)
 }
 
-// confirm notes that what is known is what the store holds now, and says so.
-func (f *Follower) confirm(now time.Time, moved, changed bool) {
+// confirm notes that what is known is what the store holds now, and says so: left
+// to the peers' turns alone, the word would take more of the bound in a large
+// fleet than the store's own wait, and VMs would read for themselves.
+func (f *Follower) confirm(now time.Time, changed bool) {
 	f.confirmed = now
-	if moved {
-		f.emit(Announce{Wide: true})
-	}
+	f.emit(Announce{Wide: true})
 	if changed {
 		f.emit(Changed{})
 	}
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -110,6 +110,9 @@
 func (r *reader) list() {
 	revision, items, err := r.store.List()
 	r.noteRead("list", err)
+	if err == nil {
+		r.log.Info("store: listed", zap.Uint64("revision", revision), zap.Int("items", len(items)))
+	}
 	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
 		if err != nil {
 			return f.ReadFailed(now, false)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -283,7 +283,7 @@
 	if d.tail == 0 {
 		return usual
 	}
-	return min(d.tail, 2*usual)
+	return min(max(d.tail, usual), 2*usual)
 }
 
 func (u *upstream) observe(now time.Time, ratio float64) {
