--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -154,7 +154,7 @@
 	case scatter.Unreached:
 		e.replicas.Unreachable(now, u, s.id)
 	case scatter.Expired:
-		e.replicas.Withdrawn(u, s.id)
+		e.replicas.Unsent(u, s.id)
 	default:
 		e.replicas.Failed(now, u, s.id)
 	}
@@ -194,9 +194,6 @@
 	e.sends++
 	id := e.sends
 	e.replicas.Sent(now, x.req.Route.Name, x.usual, s.Upstream, id)
-	if s.Cause == scatter.BecauseIsLate {
-		x.noteLate(now, s.Part)
-	}
 	e.mu.Unlock()
 	x.sends = append(x.sends, send{id: id, call: call, cause: s.Cause, sentAt: now})
 	e.opts.Metrics.sent(s.Cause)
@@ -206,17 +203,6 @@
 	e.pools.Do(call)
 }
 
-// noteLate tells of the part's sends that a hedge has become necessary. The
-// caller holds the engine's mu.
-func (x *run) noteLate(now time.Time, part int) {
-	for i := range x.sends {
-		s := &x.sends[i]
-		if !s.replied && x.query.Part(i) == part {
-			x.engine.replicas.Late(now, x.req.Route.Name, x.usual, s.call.Upstream, now.Sub(s.sentAt))
-		}
-	}
-}
-
 // withdraw ends the interest in the sends that are still open.
 func (x *run) withdraw(linger time.Duration) {
 	e := x.engine
@@ -228,8 +214,7 @@
 		}
 		s.call.Withdraw(linger)
 		e.mu.Lock()
-		e.replicas.Late(now, x.req.Route.Name, x.usual, s.call.Upstream, now.Sub(s.sentAt))
-		e.replicas.Withdrawn(s.call.Upstream, s.id)
+		e.replicas.Abandoned(now, x.req.Route.Name, x.usual, s.call.Upstream, s.id, now.Sub(s.sentAt))
 		e.mu.Unlock()
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,9 +45,13 @@
 	// is passed over; the time doubles with each try.
 	downFirst = 250 * time.Millisecond
 	downMost  = 2 * time.Second
-	// lateFactor is how many times its usual time the oldest open request must
-	// have waited for the upstream to count as paused.
+	// lateFactor is how many times its usual time a request must have waited to
+	// count as late; while one such is open, the upstream counts as paused.
 	lateFactor = 2.5
+	// lateMost bounds what one late answer says of an upstream. A pause that is
+	// over leaves the next answers fast, so one of it is not to outweigh what was
+	// seen before; two that follow each other do.
+	lateMost = 4.0
 	// pausedCost is the time added for an upstream that counts as paused: the
 	// usual stop of a garbage collector or a compaction.
 	pausedCost = 300 * time.Millisecond
@@ -111,6 +115,9 @@
 	downUntil time.Time
 	downFor   time.Duration
 	coldUntil time.Time
+	// lateUntil is when the last late answer came: what was sent before it and
+	// comes after it was held up by the same pause.
+	lateUntil time.Time
 	// open holds the sends that have not ended.
 	open []open
 }
@@ -234,22 +241,23 @@
 	if !now.Before(u.coldUntil) {
 		k.far[d].tracker.Observe(now, took)
 	}
-	u.observe(now, float64(took)/float64(t.median(now, k, d)))
+	u.observe(now, now.Add(-took), float64(took)/float64(t.median(now, k, d)))
 	u.failures = u.failing(now) * (1 - failShare)
 	u.failedAt = now
 	u.downUntil = time.Time{}
 	u.downFor = 0
 }
 
-// Late notes that a send has waited for so long without an answer. What is sent
-// to a stuck upstream never answers: by answers alone it would stay unknown and
-// look as good as the others.
-func (t *Table) Late(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, waited time.Duration) {
+// Abandoned notes a send whose answer nobody waits for any more and that has
+// waited for so long. What is sent to a stuck upstream never answers: by answers
+// alone it would stay unknown and look as good as the others.
+func (t *Table) Abandoned(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, attempt uint64, waited time.Duration) {
 	k := t.kind(kindName, usual)
 	u := t.upstream(c.ID)
+	u.close(attempt)
 	ratio := float64(waited) / float64(t.median(now, k, t.place.Distance(c.DataCentre)))
 	if ratio > u.slowness(now) {
-		u.observe(now, ratio)
+		u.observe(now, now.Add(-waited), ratio)
 	}
 }
 
@@ -269,8 +277,8 @@
 	u.downUntil = now.Add(u.downFor)
 }
 
-// Withdrawn notes that nobody waits for a send any more.
-func (t *Table) Withdrawn(c *catalog.Upstream, attempt uint64) {
+// Unsent notes a send that was not made after all.
+func (t *Table) Unsent(c *catalog.Upstream, attempt uint64) {
 	t.upstream(c.ID).close(attempt)
 }
 
@@ -286,7 +294,18 @@
 	return min(max(d.tail, usual), 2*usual)
 }
 
-func (u *upstream) observe(now time.Time, ratio float64) {
+// observe takes in one answer time against the usual one. Answers that the same
+// pause held up count once: a pause of a tenth of a second would otherwise look
+// like as many slow answers as requests had come meanwhile, and the upstream be
+// avoided long after it.
+func (u *upstream) observe(now, sentAt time.Time, ratio float64) {
+	if ratio > lateFactor {
+		if sentAt.Before(u.lateUntil) {
+			return
+		}
+		u.lateUntil = now
+		ratio = min(ratio, lateMost)
+	}
 	w := u.weight * fading(now.Sub(u.seen), slowHalfLife)
 	u.slow = (w*u.slow + ratio) / (w + 1)
 	u.weight = min(w+1, maxWeight)
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -258,9 +258,6 @@
 // Verdict is how the request ended, nil while it is under way.
 func (q *Query) Verdict() *Verdict { return q.verdict }
 
-// Part is the part that a send is for.
-func (q *Query) Part(n int) int { return q.attempts[n].part }
-
 func (q *Query) begin(now time.Time) {
 	q.now = now
 	q.out = nil
