Hedge by the room that the objective leaves, and know slow upstreams sooner

Cause: a floor of a quarter of the objective made hedges of short requests too late to help, and one late answer said too little of an upstream that stays slow.

--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -304,5 +304,5 @@
 	e := x.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.replicas.HedgeDelay(time.Now(), x.req.Route.Name, x.usual, u)
+	return e.replicas.HedgeDelay(time.Now(), x.req.Route.Name, x.usual, x.req.Route.Objective-answerMargin, u)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -50,7 +50,7 @@
 	lateFactor = 2.5
 	// lateMost bounds what one late answer says of an upstream. A pause that is
 	// over leaves the next answers fast, so one of it is not to outweigh what was
-	// seen before; two that follow each other do.
+	// seen before; a second one with no fast answer between them counts in full.
 	lateMost = 4.0
 	// pausedCost is the time added for an upstream that counts as paused: the
 	// usual stop of a garbage collector or a compaction.
@@ -59,6 +59,10 @@
 	// tenth of the requests is then hedged, half of the usual budget of a fifth;
 	// pauses and slow upstreams need the rest.
 	hedgeQuantile = 0.90
+	// spareMedians is how many times its usual time a hedge's answer is given
+	// before the objective: its connection may have to be opened, and it may be
+	// slow as well.
+	spareMedians = 3.0
 	// refresh is how long quantiles are kept before they are worked out anew.
 	refresh = 200 * time.Millisecond
 	// jitter spreads choices between equals.
@@ -118,6 +122,8 @@
 	// lateUntil is when the last late answer came: what was sent before it and
 	// comes after it was held up by the same pause.
 	lateUntil time.Time
+	// lateBefore says that the last answer was late as well.
+	lateBefore bool
 	// open holds the sends that have not ended.
 	open []open
 }
@@ -283,15 +289,19 @@
 }
 
 // HedgeDelay is how long an answer of the upstream may take before the request
-// counts as late.
-func (t *Table) HedgeDelay(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream) time.Duration {
+// counts as late: the tail of the kind's answer times. Where the objective leaves
+// room for it, the delay is longer, since each hedge is extra load: up to usual,
+// as long as the hedge's own answer still has spareMedians times its usual time.
+func (t *Table) HedgeDelay(now time.Time, kindName string, usual, objective time.Duration, c *catalog.Upstream) time.Duration {
 	k := t.kind(kindName, usual)
-	d := &k.far[t.place.Distance(c.DataCentre)]
-	t.median(now, k, t.place.Distance(c.DataCentre))
-	if d.tail == 0 {
+	distance := t.place.Distance(c.DataCentre)
+	t.median(now, k, distance)
+	tail := k.far[distance].tail
+	if tail == 0 {
 		return usual
 	}
-	return min(max(d.tail, usual), 2*usual)
+	room := objective - time.Duration(spareMedians*float64(t.median(now, k, Far)))
+	return min(max(tail, min(room, usual)), 2*usual)
 }
 
 // observe takes in one answer time against the usual one. Answers that the same
@@ -304,8 +314,11 @@
 			return
 		}
 		u.lateUntil = now
-		ratio = min(ratio, lateMost)
+		if !u.lateBefore {
+			ratio = min(ratio, lateMost)
+		}
 	}
+	u.lateBefore = ratio > lateFactor
 	w := u.weight * fading(now.Sub(u.seen), slowHalfLife)
 	u.slow = (w*u.slow + ratio) / (w + 1)
 	u.weight = min(w+1, maxWeight)
