--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -46,6 +46,10 @@
 	// pullPatience is how long a reader leaves a peer's lead to its own watch,
 	// which is about to bring the change.
 	pullPatience = 150 * time.Millisecond
+	// farPatience is how long a VM that hears of a change from another region
+	// waits for a peer of its own to have it: a configuration of hundreds of
+	// kilobytes then crosses between regions a few times and not once a VM.
+	farPatience = 150 * time.Millisecond
 	// pullTimeout gives up a peer that does not answer: several round trips
 	// between regions.
 	pullTimeout = 600 * time.Millisecond
@@ -54,7 +58,7 @@
 	pauseGap = time.Second
 	// hearFirst is how long a process that starts alone listens for a peer, which
 	// costs the store no call; a peer answers within a round trip.
-	hearFirst = 250 * time.Millisecond
+	hearFirst = 350 * time.Millisecond
 	// settleSeed and settleOthers are the same for a start of the whole system,
 	// when no peer knows anything: the VMs named as seeds find each other first
 	// and read for the others.
@@ -151,6 +155,8 @@
 type lead struct {
 	address  string
 	revision uint64
+	// near says that the peer is of this VM's region.
+	near bool
 	// since is when this VM first heard that it is behind.
 	since time.Time
 	// confirmed is when the store last confirmed the lead.
@@ -218,27 +224,27 @@
 
 // Heard takes in what a peer announces: its revision and when the store last
 // confirmed it.
-func (f *Follower) Heard(now time.Time, address string, revision uint64, age time.Duration) []Action {
+func (f *Follower) Heard(now time.Time, peer Peer, revision uint64, age time.Duration) []Action {
 	f.out = nil
 	if revision >= f.state.Revision() && revision > 0 {
-		f.heardAhead(now, address, revision, now.Add(-age))
+		f.heardAhead(now, peer, revision, now.Add(-age))
 	}
 	return f.out
 }
 
-func (f *Follower) heardAhead(now time.Time, address string, revision uint64, at time.Time) {
+func (f *Follower) heardAhead(now time.Time, peer Peer, revision uint64, at time.Time) {
 	if revision == f.state.Revision() {
-		if at.After(f.confirmed) {
-			f.confirmed = at
-		}
+		f.confirmedBy(now, at)
 		return
 	}
 	if f.lead.revision <= f.state.Revision() {
-		f.lead.since = now
+		f.lead = lead{since: now}
 	}
-	if revision >= f.lead.revision {
+	near := peer.Region == f.opts.Region
+	if revision >= f.lead.revision && (near || !f.lead.near) || near && !f.lead.near {
 		f.lead.revision = revision
-		f.lead.address = address
+		f.lead.address = peer.Address
+		f.lead.near = near
 		f.lead.confirmed = at
 	}
 	f.advancePull(now)
@@ -323,8 +329,8 @@
 		f.relist = false
 		f.emit(Announce{})
 	}
-	if f.state.Revision() >= f.lead.revision && f.lead.confirmed.After(f.confirmed) {
-		f.confirmed = f.lead.confirmed
+	if f.state.Revision() >= f.lead.revision {
+		f.confirmedBy(now, f.lead.confirmed)
 	}
 	if changed {
 		f.emit(Changed{})
@@ -344,11 +350,19 @@
 	return f.out
 }
 
+// confirmedBy takes in a confirmation that a peer had. It ends an outage here as
+// the store's own answer does, and after the changes it came with.
+func (f *Follower) confirmedBy(now, at time.Time) {
+	if at.After(f.confirmed) {
+		f.confirmed = at
+		f.state.Answered(now)
+	}
+}
+
 func (f *Follower) answered(now time.Time) {
 	f.reading = false
 	f.failures = 0
 	f.nextRead = f.began.Add(f.share(spacingShare))
-	f.state.Answered(now)
 }
 
 // confirm notes that what is known is what the store holds now, and says so: left
@@ -356,6 +370,7 @@
 // fleet than the store's own wait, and VMs would read for themselves.
 func (f *Follower) confirm(now time.Time, changed bool) {
 	f.confirmed = now
+	f.state.Answered(now)
 	f.emit(Announce{Wide: true})
 	if changed {
 		f.emit(Changed{})
@@ -376,7 +391,7 @@
 	if f.lead.revision <= f.state.Revision() {
 		return
 	}
-	if f.reading && !f.relist && f.state.Revision() > 0 && now.Sub(f.lead.since) < pullPatience {
+	if now.Sub(f.lead.since) < f.patience() {
 		return
 	}
 	f.lastPull++
@@ -385,6 +400,17 @@
 	f.emit(*f.pull)
 }
 
+// patience is how long a peer's lead is left to others.
+func (f *Follower) patience() time.Duration {
+	if f.reading && !f.relist && f.state.Revision() > 0 {
+		return pullPatience
+	}
+	if !f.lead.near {
+		return farPatience
+	}
+	return 0
+}
+
 // advanceRead reads the store when it is this VM's turn. While a peer's answer
 // is on its way, it waits for that.
 func (f *Follower) advanceRead(now time.Time) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -39,7 +39,7 @@
 	PeerRevision func(peerAddress string, revision uint64)
 	// PeerConfirmed tells a peer's revision with the time since the store
 	// confirmed it; may be nil.
-	PeerConfirmed func(peerAddress string, revision uint64, age time.Duration)
+	PeerConfirmed func(peer *pb.MemberUpdate, revision uint64, age time.Duration)
 	// Revalidate says that this process was paused: no new work may start.
 	Revalidate func()
 	// Revalidated ends it; alone says that no peer answered.
@@ -165,6 +165,24 @@
 	d.step(func(now time.Time) membership.Actions { return d.node.Announce(now, wide) })
 }
 
+// Updates is what this VM holds of the fleet.
+func (d *Driver) Updates() []*pb.MemberUpdate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Updates()
+}
+
+// Learn takes in what a peer holds of the fleet; malformed updates are dropped.
+func (d *Driver) Learn(updates []*pb.MemberUpdate) {
+	good := updates[:0]
+	for _, u := range updates {
+		if wellFormedUpdate(u) {
+			good = append(good, u)
+		}
+	}
+	d.step(func(now time.Time) membership.Actions { return d.node.Learn(now, good) })
+}
+
 // Leave announces a planned stop.
 func (d *Driver) Leave() {
 	d.step(func(now time.Time) membership.Actions { return d.node.Leave(now) })
@@ -238,7 +256,7 @@
 		f(m.Sender.PeerAddress, m.ConfigRevision)
 	}
 	if f := d.opts.Callbacks.PeerConfirmed; f != nil && m.ConfirmedAgeMs > 0 {
-		f(m.Sender.PeerAddress, m.ConfigRevision, time.Duration(m.ConfirmedAgeMs)*time.Millisecond)
+		f(m.Sender, m.ConfigRevision, time.Duration(m.ConfirmedAgeMs)*time.Millisecond)
 	}
 }
 
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -274,6 +274,30 @@
 	return n.end()
 }
 
+// Updates is what this node holds of the fleet, itself included, for a process
+// that asks for all of it.
+func (n *Node) Updates() []*pb.MemberUpdate {
+	out := make([]*pb.MemberUpdate, 0, len(n.table.sorted))
+	for _, r := range n.table.sorted {
+		if r.Incarnation == 0 {
+			continue
+		}
+		u := r.update()
+		u.SecondHand = r != n.self
+		out = append(out, u)
+	}
+	return out
+}
+
+// Learn takes in what a peer holds of the fleet.
+func (n *Node) Learn(now time.Time, updates []*pb.MemberUpdate) Actions {
+	n.begin(now)
+	for _, u := range updates {
+		n.learn(u)
+	}
+	return n.end()
+}
+
 // Outdated answers a datagram of an incarnation that a newer one has replaced:
 // without it the old process would take itself for a member for ever. At most
 // one answer goes out a period.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,9 +38,19 @@
 	gossipPeriod    = 400 * time.Millisecond
 	gossipDirect    = 150 * time.Millisecond
 	gossipSuspicion = 2
+	// gossipUpdateRate bounds the bytes a second spent on updates: a fleet of a
+	// hundred whose processes are all replaced is known again in two seconds.
+	gossipUpdateRate = 6000
 	// directoryTTL is how long callers keep an answer of the directory: about
 	// what it takes to notice a lost VM.
 	directoryTTL = 2 * time.Second
+	// settleAfter is how long after its start a process does not yet take what it
+	// knows of the fleet for all of it. It takes the fleet for startVMs and
+	// startCarriers at least, which is about what a user runs today, and leaves
+	// the directory to the others: callers keep what they were told before.
+	settleAfter   = 1200 * time.Millisecond
+	startVMs      = 12
+	startCarriers = 6
 	// engineTick is how often idle connections are looked through.
 	engineTick = time.Second
 	// maxRequests bounds the requests in flight on a VM with a whole core; the
@@ -84,6 +94,7 @@
 	log      *zap.Logger
 	registry *prometheus.Registry
 	adapter  Adapter
+	started  time.Time
 	engine   *edge.Engine
 	reader   *reader
 	gossip   *gossip.Driver
@@ -102,6 +113,7 @@
 		log:      opts.Log,
 		registry: opts.Registry,
 		adapter:  opts.Adapter,
+		started:  now,
 	}
 	n.set.Store(set)
 	n.members.Store(&membership.View{})
@@ -131,6 +143,9 @@
 		}),
 	}
 	n.gossip = n.newGossip(now, set)
+	n.reader.members = n.gossip.Updates
+	n.reader.learn = n.gossip.Learn
+	n.reader.joinFrom = random.IntN(max(1, len(set.Seeds)))
 	return n
 }
 
@@ -141,13 +156,12 @@
 	return h.Sum64()
 }
 
+// otherSeeds is the seeds without this VM.
+func otherSeeds(set *Settings) []string {
+	return slices.DeleteFunc(slices.Clone(set.Seeds), func(s string) bool { return s == set.PeerAddress })
+}
+
 func (n *Node) newGossip(now time.Time, set *Settings) *gossip.Driver {
-	var seeds []string
-	for _, s := range set.Seeds {
-		if s != set.PeerAddress {
-			seeds = append(seeds, s)
-		}
-	}
 	return gossip.New(gossip.Options{
 		Log:      n.log,
 		Registry: n.registry,
@@ -162,13 +176,14 @@
 				CallerAddress: set.CallerAddress,
 				PeerAddress:   set.PeerAddress,
 			},
-			Seeds: seeds,
+			Seeds: otherSeeds(set),
 			Sole:  true,
 			Seed:  seedOf(set.VM),
 			Timing: membership.Timing{
 				Period:          gossipPeriod,
 				DirectTimeout:   gossipDirect,
 				SuspicionFactor: gossipSuspicion,
+				UpdateRate:      gossipUpdateRate,
 			},
 		},
 		Callbacks: gossip.Callbacks{
@@ -247,11 +262,16 @@
 func (n *Node) showShares(now time.Time) {
 	members := n.members.Load()
 	carriers := placement.Carriers(members.Members, n.placementBounds())
-	n.engine.SetShares(n.sharers.count(now, edge.Shares{
+	shares := n.sharers.count(now, edge.Shares{
 		VMs:      len(members.Serving()),
 		Carriers: len(carriers),
 		Carrying: carriers[n.set.Load().CallerAddress],
-	}))
+	})
+	if now.Sub(n.started) < settleAfter {
+		shares.VMs = max(shares.VMs, startVMs)
+		shares.Carriers = max(shares.Carriers, startCarriers)
+	}
+	n.engine.SetShares(shares)
 }
 
 func (n *Node) logMembers(old, view *membership.View) {
@@ -269,6 +289,9 @@
 
 // choose is the directory's answer.
 func (n *Node) choose(c placement.Caller) []string {
+	if !n.set.Load().FirstStart && time.Since(n.started) < settleAfter {
+		return nil
+	}
 	return placement.Choose(n.members.Load().Members, c, n.placementBounds())
 }
 
@@ -288,6 +311,7 @@
 	group, run := errgroup.WithContext(run)
 	group.Go(func() error { return n.gossip.Run(run, packets) })
 	group.Go(func() error { return n.reader.run(run) })
+	group.Go(func() error { return n.reader.join(run, otherSeeds(n.set.Load())) })
 	group.Go(func() error { return n.tick(run) })
 	group.Go(func() error { return n.watchSettings(run) })
 	for _, s := range servers {
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -32,12 +32,20 @@
 const (
 	// followTick is how often the follower is moved on.
 	followTick = 50 * time.Millisecond
+	// joinTimeout gives up a seed that does not answer.
+	joinTimeout = 500 * time.Millisecond
 	// pullPath is where a VM gives its peers what it knows.
 	pullPath = "/catalog"
+	// membersPath is where a VM gives its peers what it holds of the fleet.
+	membersPath = "/members"
 	// maxPage bounds a peer's page: every item of a large store.
 	maxPage = 64 << 20
 )
 
+// joinWaits are the pauses before each question to a seed: the first soon, the
+// others while VMs that start at the same moment become known.
+var joinWaits = []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond}
+
 // reader drives a follow.Follower.
 //
 // Lock order: mu is a leaf; actions are done after it is released.
@@ -46,9 +54,13 @@
 	store    Store
 	announce func(revision uint64, confirmed time.Time, tell *follow.Announce)
 	changed  func(*catalog.View)
+	// members and learn give and take what is known of the fleet.
+	members func() []*pb.MemberUpdate
+	learn   func([]*pb.MemberUpdate)
 
 	mu       sync.Mutex
 	follower *follow.Follower
+	joinFrom int
 	reads    uint64
 	failing  bool
 }
@@ -151,7 +163,7 @@
 
 // pull asks a peer for what it knows.
 func (r *reader) pull(p follow.Pull) {
-	page, err := fetchPage(p)
+	page, err := fetchPage(pullPath, p)
 	if err != nil {
 		r.log.Info("peer: pull failed", zap.String("peer", p.Address), zap.Uint64("after", p.After), zap.Error(err))
 	}
@@ -163,12 +175,12 @@
 	})
 }
 
-func fetchPage(p follow.Pull) (*pb.CatalogPage, error) {
+func fetchPage(path string, p follow.Pull) (*pb.CatalogPage, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetHost(p.Address)
-	req.SetRequestURI(pullPath)
+	req.SetRequestURI(path)
 	req.URI().QueryArgs().SetUint("after", int(p.After))
 	req.SetConnectionClose()
 	client := &fasthttp.HostClient{Addr: p.Address, MaxResponseBodySize: maxPage, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1}
@@ -190,14 +202,45 @@
 	return items
 }
 
-// servePull answers a peer's pull.
-func (r *reader) servePull(ctx *fasthttp.RequestCtx) {
+// join asks the seeds, a few times after the start, for what they know. Left to
+// datagrams, a process that starts in a large fleet would take seconds to know
+// it, and meanwhile send callers to the wrong VMs and take too large a part of
+// what the VMs share.
+func (r *reader) join(ctx context.Context, seeds []string) error {
+	for i, wait := range joinWaits {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(wait):
+		}
+		if len(seeds) == 0 {
+			return nil
+		}
+		seed := seeds[(i+r.joinFrom)%len(seeds)]
+		page, err := fetchPage(membersPath, follow.Pull{Address: seed, Timeout: joinTimeout})
+		if err != nil {
+			r.log.Info("peer: join failed", zap.String("peer", seed), zap.Error(err))
+			continue
+		}
+		r.learn(page.Members)
+	}
+	return nil
+}
+
+// serve answers a peer's pull.
+func (r *reader) serve(ctx *fasthttp.RequestCtx) {
 	after, err := ctx.QueryArgs().GetUint("after")
-	if string(ctx.Path()) != pullPath || err != nil {
+	var page *pb.CatalogPage
+	switch path := string(ctx.Path()); {
+	case path == pullPath && err == nil:
+		page = r.page(uint64(after))
+	case path == membersPath:
+		page = &pb.CatalogPage{Members: r.members()}
+	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	body, err := proto.Marshal(r.page(uint64(after)))
+	body, err := proto.Marshal(page)
 	if err != nil {
 		r.log.Error("peer: page could not be made", zap.Error(err))
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
@@ -234,9 +277,10 @@
 }
 
 // heard passes a peer's announcement on.
-func (r *reader) heard(address string, revision uint64, age time.Duration) {
+func (r *reader) heard(peer *pb.MemberUpdate, revision uint64, age time.Duration) {
+	from := follow.Peer{VM: peer.Vm, Region: peer.Region, Address: peer.PeerAddress}
 	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
-		return f.Heard(now, address, revision, age)
+		return f.Heard(now, from, revision, age)
 	})
 }
 
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -268,7 +268,9 @@
 	if q.verdict != nil {
 		return nil
 	}
-	return q.out
+	out := q.out
+	q.out = nil
+	return out
 }
 
 // take acts on a result of a part without an answer.
@@ -427,7 +429,7 @@
 
 // failure is why too few parts can come.
 func (q *Query) failure() Reason {
-	if len(q.attempts) == 0 {
+	if len(q.attempts) == len(q.out) {
 		return NoUpstream
 	}
 	if q.notRun() {
@@ -440,6 +442,11 @@
 }
 
 func (q *Query) finish(r Reason) {
+	// What this step would have sent is not sent any more.
+	for _, s := range q.out {
+		q.attempts[s.Attempt].ended = true
+		q.attempts[s.Attempt].result = Unreached
+	}
 	v := &Verdict{Reason: r, NotRun: q.notRun(), Failure: -1, Parts: make([]int, len(q.parts))}
 	for i := range q.parts {
 		v.Parts[i] = q.parts[i].answer
