--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,175 @@
+package catalog
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/routing"
+)
+
+var start = time.Unix(1000, 0)
+
+// plain decodes "config" items as a host and "up/" items as a service.
+type plain struct{}
+
+func (plain) Kind(key string) Kind {
+	switch {
+	case key == "config":
+		return Configuration
+	case strings.HasPrefix(key, "up/"):
+		return Registration
+	}
+	return Other
+}
+
+func (plain) Config(it Item) (*routing.Config, error) {
+	if string(it.Value) == "bad" {
+		return nil, errors.New("bad")
+	}
+	return &routing.Config{Version: it.Revision}, nil
+}
+
+func (plain) Upstream(it Item) (Upstream, error) {
+	service, state, _ := strings.Cut(string(it.Value), " ")
+	return Upstream{ID: strings.TrimPrefix(it.Key, "up/"), Service: service, Leaving: state == "leaving"}, nil
+}
+
+func put(key, value string, revision uint64) Item {
+	return Item{Key: key, Value: []byte(value), Revision: revision}
+}
+
+func gone(key string, revision uint64) Item {
+	return Item{Key: key, Revision: revision, Deleted: true}
+}
+
+func ids(s *State, service string) string {
+	var out []string
+	for _, u := range s.View().Services[service] {
+		out = append(out, u.ID)
+	}
+	return strings.Join(out, ",")
+}
+
+func filled() *State {
+	s := New(start, plain{})
+	s.Answered(start)
+	s.Replace(start, 10, []Item{put("config", "h", 3), put("up/a", "s", 4), put("up/b", "s", 5)})
+	return s
+}
+
+func TestApply(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		after   uint64
+		changes []Item
+		joined  bool
+		want    string
+	}{
+		{"a new upstream", 10, []Item{put("up/c", "s", 11)}, true, "a,b,c"},
+		{"one that leaves takes no work", 10, []Item{put("up/a", "s leaving", 11)}, true, "b"},
+		{"one that is gone", 10, []Item{gone("up/a", 11)}, true, "b"},
+		{"an older change of what is known", 2, []Item{put("up/a", "t", 3)}, true, "a,b"},
+		{"an older deletion", 2, []Item{gone("up/a", 3)}, true, "a,b"},
+		{"a gap", 12, []Item{put("up/c", "s", 13)}, false, "a,b"},
+	} {
+		s := filled()
+		_, joined := s.Apply(start, c.after, 13, c.changes)
+		if got := ids(s, "s"); got != c.want || joined != c.joined {
+			t.Errorf("%s: %s (joined %v), want %s (%v)", c.name, got, joined, c.want, c.joined)
+		}
+	}
+}
+
+func TestReplace(t *testing.T) {
+	s := filled()
+	s.Replace(start, 20, []Item{put("config", "h", 3), put("up/b", "s", 5), put("up/c", "s", 21)})
+	if got := ids(s, "s"); got != "b,c" {
+		t.Errorf("after the listing: %s", got)
+	}
+	if s.Replace(start, 19, nil); ids(s, "s") != "b,c" {
+		t.Error("an older listing took upstreams out")
+	}
+}
+
+// Symptom: requests are routed as an older configuration says.
+// Sequence: a newer one is in force; an older listing, a page of a peer that is
+// behind, a deletion or a faulty one comes.
+// Cause: the last one that came was taken for the newest.
+func TestTheConfigurationNeverGoesBack(t *testing.T) {
+	s := filled()
+	s.Apply(start, 10, 12, []Item{put("config", "h", 12)})
+	s.Apply(start, 10, 11, []Item{put("config", "h", 11)})
+	s.Apply(start, 12, 13, []Item{gone("config", 13)})
+	s.Apply(start, 13, 14, []Item{put("config", "bad", 14)})
+	if v := s.View().Table.Version(); v != 12 {
+		t.Errorf("version %d in force, want 12", v)
+	}
+	if r := s.TakeRejected(); len(r) != 1 || r[0].Revision != 14 {
+		t.Errorf("rejected %v, want the faulty one", r)
+	}
+}
+
+// Symptom: at the return of the store every request is refused for two seconds.
+// Sequence: the store is away for longer than entries last; they lapse, and are
+// back two seconds after its return.
+// Cause: the lapse was taken for the end of the upstreams.
+func TestEntriesThatLapseInAnOutageAreKeptForAWhile(t *testing.T) {
+	s := filled()
+	away := start.Add(4 * time.Second)
+	s.Failed(away)
+	back := away.Add(time.Second)
+	s.Apply(back, 10, 12, []Item{gone("up/a", 11), gone("up/b", 12)})
+	s.Answered(back)
+	if got := ids(s, "s"); got != "a,b" {
+		t.Fatalf("at the return: %q", got)
+	}
+	s.Apply(back.Add(time.Second), 12, 13, []Item{put("up/b", "s", 13)})
+	s.Tick(back.Add(2 * time.Second))
+	if got := ids(s, "s"); got != "a,b" {
+		t.Errorf("two seconds after: %q", got)
+	}
+	s.Tick(back.Add(2500 * time.Millisecond))
+	if got := ids(s, "s"); got != "b" {
+		t.Errorf("after the grace: %q, want only the one that came back", got)
+	}
+	s.Apply(back.Add(3*time.Second), 13, 14, []Item{gone("up/b", 14)})
+	if got := ids(s, "s"); got != "" {
+		t.Errorf("a deletion in calm times: %q", got)
+	}
+}
+
+func TestOneLostAnswerIsNoOutage(t *testing.T) {
+	s := filled()
+	s.Failed(start.Add(time.Second))
+	s.Apply(start.Add(time.Second), 10, 11, []Item{gone("up/a", 11)})
+	if got := ids(s, "s"); got != "b" {
+		t.Errorf("%q", got)
+	}
+}
+
+// A peer that is a little behind gets the changes it lacks, deletions included,
+// and ends with the same state; one that is further behind is told so.
+func TestSince(t *testing.T) {
+	s := filled()
+	s.Apply(start, 10, 12, []Item{gone("up/a", 11), put("up/c", "s", 12)})
+	peer := filled()
+	changes, ok := s.Since(peer.Revision())
+	if !ok {
+		t.Fatal("the log does not go back to the peer")
+	}
+	peer.Apply(start, peer.Revision(), s.Revision(), changes)
+	if ids(peer, "s") != ids(s, "s") || peer.Revision() != 12 {
+		t.Errorf("the peer has %q at %d", ids(peer, "s"), peer.Revision())
+	}
+	if _, ok := s.Since(9); ok {
+		t.Error("changes before the listing are not known")
+	}
+	for r := uint64(13); r < 13+2*logLength; r++ {
+		s.Apply(start, r-1, r, []Item{put("up/c", "s", r)})
+	}
+	if _, ok := s.Since(12); ok {
+		t.Error("the log is bounded")
+	}
+}
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,390 @@
+package follow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
+)
+
+const bound = 3 * time.Second
+
+var start = time.Unix(1000, 0)
+
+// plain decodes every item as an upstream of one service.
+type plain struct{}
+
+func (plain) Kind(string) catalog.Kind { return catalog.Registration }
+
+func (plain) Config(catalog.Item) (*routing.Config, error) { return &routing.Config{}, nil }
+
+func (plain) Upstream(it catalog.Item) (catalog.Upstream, error) {
+	return catalog.Upstream{ID: it.Key, Service: "s"}, nil
+}
+
+func newFollower(now time.Time, name, region string, first bool) *Follower {
+	return New(now, Options{
+		VM: name, Region: region, Bound: bound, FirstStart: first, Decoder: plain{},
+		Random: rand.New(rand.NewPCG(1, uint64(len(name)))),
+	})
+}
+
+func put(key string, revision uint64) catalog.Item {
+	return catalog.Item{Key: key, Value: []byte("x"), Revision: revision}
+}
+
+// names gives the actions in short.
+func names(actions []Action) string {
+	var out []string
+	for _, a := range actions {
+		switch a := a.(type) {
+		case List:
+			out = append(out, "list")
+		case Watch:
+			out = append(out, fmt.Sprintf("watch>%d", a.After))
+		case Pull:
+			out = append(out, fmt.Sprintf("pull>%d:%s", a.After, a.Address))
+		case Announce:
+			out = append(out, "announce")
+		case Changed:
+			out = append(out, "changed")
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// reader is a lone follower that has listed the store at revision 10.
+func reader() (*Follower, time.Time) {
+	f := newFollower(start, "a", "r", false)
+	now := start.Add(hearFirst)
+	f.Tick(start.Add(hearFirst / 2))
+	f.Tick(now)
+	f.Listed(now, 10, []catalog.Item{put("u1", 5)})
+	return f, now
+}
+
+// Each row is one way in which a read of the store goes wrong, and what the
+// reader does next.
+func TestReadsThatGoWrong(t *testing.T) {
+	soon := 500 * time.Millisecond
+	for _, c := range []struct {
+		name  string
+		event func(f *Follower, now time.Time) []Action
+		want  string
+	}{
+		{"history lost: list at once",
+			func(f *Follower, now time.Time) []Action { return f.ReadFailed(now, true) }, "list"},
+		{"call failed: watch again after a pause",
+			func(f *Follower, now time.Time) []Action { return append(f.ReadFailed(now, false), f.Tick(now.Add(soon))...) }, "watch>10"},
+		{"changes come",
+			func(f *Follower, now time.Time) []Action {
+				return append(f.Watched(now, 10, 12, []catalog.Item{put("u2", 12)}), f.Tick(now.Add(soon))...)
+			}, "announce changed watch>12"},
+		{"no change within the wait",
+			func(f *Follower, now time.Time) []Action {
+				return append(f.Watched(now, 10, 10, nil), f.Tick(now.Add(soon))...)
+			}, "announce watch>10"},
+		{"a revision that no change explains: list",
+			func(f *Follower, now time.Time) []Action {
+				return append(f.Watched(now, 10, 13, []catalog.Item{put("u2", 12)}), f.Tick(now.Add(soon))...)
+			}, "changed list"},
+		{"an older answer changes nothing",
+			func(f *Follower, now time.Time) []Action {
+				return append(f.Listed(now, 9, nil), f.Tick(now.Add(soon))...)
+			}, "list"},
+		{"the process stood still: list",
+			func(f *Follower, now time.Time) []Action {
+				f.ReadFailed(now, false)
+				return f.Tick(now.Add(pauseGap + time.Second))
+			}, "list"},
+	} {
+		f, now := reader()
+		now = now.Add(bound / 4)
+		if got := names(f.Tick(now)); got != "watch>10" {
+			t.Fatalf("%s: begins with %q", c.name, got)
+		}
+		if got := names(c.event(f, now)); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+func TestCallsAreSpaced(t *testing.T) {
+	f, now := reader()
+	calls := 0
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		for _, a := range f.Tick(now) {
+			if w, ok := a.(Watch); ok {
+				calls++
+				f.Watched(now, w.After, w.After+1, []catalog.Item{put("u", w.After+1)})
+			}
+		}
+	}
+	if most := int(10/(spacingShare*bound.Seconds())) + 2; calls > most {
+		t.Errorf("%d calls in 10 s of steady changes, want %d at most", calls, most)
+	}
+}
+
+func TestAVMThatIsBehindAsksThePeerThatIsAhead(t *testing.T) {
+	f := newFollower(start, "a", "r", false)
+	f.SetPeers([]Peer{{VM: "b", Region: "r"}, {VM: "c", Region: "s"}})
+	f.rank = 1
+	far, near := Peer{VM: "c", Region: "s", Address: "far"}, Peer{VM: "b", Region: "r", Address: "near"}
+	if got := names(f.Heard(start, far, 20, 0)); got != "" {
+		t.Errorf("%q at once from another region", got)
+	}
+	if got := names(f.Heard(start, near, 20, 0)); got != "pull>0:near" {
+		t.Errorf("%q, want the peer of the own region", got)
+	}
+	if got := names(f.Pulled(start, 1, 0, 20, true, []catalog.Item{put("u1", 5)})); got != "announce changed" {
+		t.Errorf("after the pull: %q", got)
+	}
+	if got := names(f.Heard(start, far, 21, 0)); got != "" {
+		t.Errorf("%q at once from another region", got)
+	}
+	if got := names(f.Tick(start.Add(farPatience))); got != "pull>20:far" {
+		t.Errorf("%q after the patience", got)
+	}
+	if got := names(f.Tick(start.Add(farPatience + pullTimeout))); got != "" {
+		t.Errorf("%q when the peer does not answer: another one's word is waited for", got)
+	}
+	if got := names(f.Heard(start.Add(time.Second), near, 21, 0)); got != "pull>20:near" {
+		t.Errorf("%q, want the next peer", got)
+	}
+}
+
+// fleet is followers over a model of the store and of the network between them.
+type fleet struct {
+	t    *testing.T
+	rand *rand.Rand
+	now  time.Time
+	vms  []*vm
+	// revision and since are the store's revision and when it came.
+	revision uint64
+	since    map[uint64]time.Time
+	calls    int
+}
+
+type vm struct {
+	peer   Peer
+	f      *Follower
+	dead   bool
+	cut    bool
+	slowBy time.Duration
+	// due are the answers on their way.
+	due []answer
+	// gossip is when this VM next tells a peer.
+	gossip time.Time
+}
+
+type answer struct {
+	at   time.Time
+	give func() []Action
+}
+
+func newFleet(t *testing.T, seed uint64, n int) *fleet {
+	fl := &fleet{t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: start, revision: 1, since: map[uint64]time.Time{}}
+	for i := range n {
+		name := fmt.Sprintf("vm%d", i)
+		region := fmt.Sprintf("r%d", i%3)
+		v := &vm{peer: Peer{VM: name, Region: region, Address: name}, f: newFollower(start, name, region, true)}
+		v.f.opts.Seed = i < 3
+		fl.vms = append(fl.vms, v)
+	}
+	fl.setPeers()
+	return fl
+}
+
+func (fl *fleet) setPeers() {
+	for _, v := range fl.vms {
+		var peers []Peer
+		for _, o := range fl.vms {
+			if o != v && !o.dead {
+				peers = append(peers, o.peer)
+			}
+		}
+		v.f.SetPeers(peers)
+	}
+}
+
+func (fl *fleet) find(address string) *vm {
+	for _, v := range fl.vms {
+		if v.peer.Address == address {
+			return v
+		}
+	}
+	return nil
+}
+
+// later gives an answer after a while, unless the VM is dead by then.
+func (fl *fleet) later(v *vm, d time.Duration, give func() []Action) {
+	v.due = append(v.due, answer{fl.now.Add(d + v.slowBy), give})
+}
+
+const hop = 15 * time.Millisecond
+
+func (fl *fleet) do(v *vm, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case List:
+			fl.calls++
+			if v.cut {
+				fl.later(v, time.Second, func() []Action { return v.f.ReadFailed(fl.now, false) })
+				continue
+			}
+			fl.later(v, hop, func() []Action { return v.f.Listed(fl.now, fl.revision, []catalog.Item{put("u", fl.revision)}) })
+		case Watch:
+			fl.calls++
+			fl.watch(v, a, fl.now.Add(a.Wait))
+		case Pull:
+			from := fl.find(a.Address)
+			if from.dead {
+				fl.later(v, a.Timeout, func() []Action { return v.f.PullFailed(fl.now, a.ID) })
+				continue
+			}
+			revision, items := from.f.State().Items()
+			fl.later(v, 2*hop, func() []Action { return v.f.Pulled(fl.now, a.ID, 0, revision, true, items) })
+		case Announce:
+			times := announceNarrow
+			if a.Wide {
+				times = announceWide
+			}
+			for range times {
+				fl.tell(v, fl.vms[fl.rand.IntN(len(fl.vms))])
+			}
+		}
+	}
+}
+
+// watch answers when the store has moved on or the wait is over.
+func (fl *fleet) watch(v *vm, w Watch, until time.Time) {
+	fl.later(v, hop, func() []Action {
+		switch {
+		case v.cut && fl.now.Before(until.Add(time.Second)), !v.cut && fl.revision <= w.After && fl.now.Before(until):
+			fl.watch(v, w, until)
+			return nil
+		case v.cut:
+			return v.f.ReadFailed(fl.now, false)
+		case fl.revision > w.After:
+			return v.f.Watched(fl.now, w.After, fl.revision, []catalog.Item{put("u", fl.revision)})
+		default:
+			return v.f.Watched(fl.now, w.After, w.After, nil)
+		}
+	})
+}
+
+// How many peers hear an announcement, about as in package membership, and how
+// often a VM probes one of them.
+const (
+	announceWide   = 18
+	announceNarrow = 4
+	probePeriod    = 400 * time.Millisecond
+)
+
+// tell sends a datagram; one in ten is lost.
+func (fl *fleet) tell(v, to *vm) {
+	if to == v || to.dead || v.dead || fl.rand.IntN(10) == 0 {
+		return
+	}
+	revision, age := v.f.State().Revision(), fl.now.Sub(v.f.Confirmed())
+	if v.f.Confirmed().IsZero() {
+		return
+	}
+	fl.later(to, hop, func() []Action { return to.f.Heard(fl.now, v.peer, revision, age) })
+}
+
+const step = 25 * time.Millisecond
+
+func (fl *fleet) run(d time.Duration) {
+	for end := fl.now.Add(d); fl.now.Before(end); fl.now = fl.now.Add(step) {
+		for _, v := range fl.vms {
+			if v.dead {
+				continue
+			}
+			due := v.due
+			v.due = nil
+			for _, a := range due {
+				if a.at.After(fl.now) {
+					v.due = append(v.due, a)
+					continue
+				}
+				fl.do(v, a.give())
+			}
+			fl.do(v, v.f.Tick(fl.now))
+			if !fl.now.Before(v.gossip) {
+				v.gossip = fl.now.Add(probePeriod)
+				peer := fl.vms[fl.rand.IntN(len(fl.vms))]
+				fl.tell(v, peer)
+				fl.tell(peer, v)
+			}
+		}
+		fl.check()
+	}
+}
+
+// check holds each VM to the bound.
+func (fl *fleet) check() {
+	for _, v := range fl.vms {
+		if v.dead || fl.now.Sub(start) < bound {
+			continue
+		}
+		for r := v.f.State().Revision() + 1; r <= fl.revision; r++ {
+			if at, ok := fl.since[r]; ok && fl.now.Sub(at) > bound {
+				fl.t.Fatalf("%s has revision %d at %v; %d came %v ago", v.peer.VM, v.f.State().Revision(), fl.now.Sub(start), r, fl.now.Sub(at))
+			}
+		}
+	}
+}
+
+func (fl *fleet) change() {
+	fl.revision++
+	fl.since[fl.revision] = fl.now
+}
+
+// The time until every VM has a change holds whatever happens to the readers:
+// they are killed, cut from the store or stand still, one or both at once.
+func TestChangesReachEveryVMInTime(t *testing.T) {
+	for name, harm := range map[string]func(*vm){
+		"nothing":         func(*vm) {},
+		"readers killed":  func(v *vm) { v.dead = true },
+		"readers cut off": func(v *vm) { v.cut = true },
+	} {
+		for seed := range uint64(20) {
+			fl := newFleet(t, seed, 9)
+			fl.run(4 * time.Second)
+			for _, v := range fl.vms {
+				if v.f.Reader(fl.now) {
+					harm(v)
+				}
+			}
+			fl.change()
+			fl.run(time.Second)
+			fl.change()
+			fl.setPeers()
+			fl.run(5 * time.Second)
+			if t.Failed() {
+				t.Fatalf("%s, seed %d", name, seed)
+			}
+		}
+	}
+}
+
+// The store's calls do not grow with the fleet: a calm minute costs about as many
+// at 9 VMs as at 90.
+func TestCallsDoNotGrowWithTheFleet(t *testing.T) {
+	calls := map[int]int{}
+	for _, n := range []int{9, 90} {
+		fl := newFleet(t, 1, n)
+		fl.run(10 * time.Second)
+		before := fl.calls
+		fl.run(30 * time.Second)
+		calls[n] = fl.calls - before
+	}
+	if calls[90] > 2*calls[9] {
+		t.Errorf("calls in 30 s: %v", calls)
+	}
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,70 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+// vm makes a member of region and data centre "r/dc".
+func vm(name, place string, capacity uint32, state pb.MemberState) membership.Member {
+	region, dc, _ := strings.Cut(place, "/")
+	return membership.Member{VM: name, Region: region, DataCentre: dc, CallerAddress: name, Capacity: capacity, State: state}
+}
+
+const (
+	alive   = pb.MemberState_ALIVE
+	suspect = pb.MemberState_SUSPECT
+	leaving = pb.MemberState_LEAVING
+	dead    = pb.MemberState_DEAD
+)
+
+var bounds = Bounds{Most: 64, Least: 2, Work: 800, Upstreams: map[string]int{"b": 9}}
+
+func TestChoose(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		members []membership.Member
+		want    string
+	}{
+		{"none", nil, ""},
+		{"own region first", []membership.Member{vm("far", "s/x", 800, alive), vm("near", "r/a", 100, alive)}, "near"},
+		{"strong ones first, as many as the work takes",
+			[]membership.Member{vm("weak", "r/a", 100, alive), vm("s1", "r/a", 800, alive), vm("s2", "r/a", 800, alive), vm("s3", "r/a", 700, alive)}, "s1 s2"},
+		{"more of weak ones",
+			[]membership.Member{vm("w1", "r/a", 300, alive), vm("w2", "r/a", 300, alive), vm("w3", "r/a", 300, alive), vm("w4", "r/a", 300, alive)}, "w1 w2 w3"},
+		{"beside the upstreams", []membership.Member{vm("strong", "r/a", 800, alive), vm("beside", "r/b", 400, alive), vm("too", "r/b", 400, alive)}, "beside too"},
+		{"not the leaving, the dead, the unready",
+			[]membership.Member{vm("l", "r/a", 800, leaving), vm("d", "r/a", 800, dead), vm("u", "r/a", 0, alive), vm("ok", "r/a", 100, alive)}, "ok"},
+		{"suspects only when there are no others", []membership.Member{vm("s", "r/a", 800, suspect), vm("ok", "s/x", 100, alive)}, "ok"},
+		{"suspects rather than none", []membership.Member{vm("s", "r/a", 800, suspect), vm("d", "r/a", 800, dead)}, "s"},
+	} {
+		got := Choose(c.members, Caller{Region: "r"}, bounds)
+		slices.Sort(got)
+		if strings.Join(got, " ") != c.want {
+			t.Errorf("%s: %v, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// Callers of one region are all told the same VMs, so that they share them.
+func TestCarriersAreWhatCallersAreTold(t *testing.T) {
+	members := []membership.Member{
+		vm("r1", "r/a", 400, alive), vm("r2", "r/a", 400, alive), vm("r3", "r/a", 400, alive),
+		vm("s1", "s/x", 900, alive), vm("s2", "s/x", 900, alive), vm("s3", "s/x", 900, alive),
+	}
+	carriers := Carriers(members, bounds)
+	if len(carriers) != 4 {
+		t.Fatalf("%v carry", carriers)
+	}
+	for _, region := range []string{"r", "s"} {
+		for _, a := range Choose(members, Caller{Region: region}, bounds) {
+			if !carriers[a] {
+				t.Errorf("%s is told to callers and not counted", a)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,201 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+)
+
+const (
+	ms    = time.Millisecond
+	usual = 60 * ms
+	// room is an objective that leaves no room for later hedges.
+	room = 0
+)
+
+var start = time.Unix(1000, 0)
+
+// rig is three replicas: one near, two in other regions.
+type rig struct {
+	table   *Table
+	ups     []*catalog.Upstream
+	now     time.Time
+	attempt uint64
+}
+
+func newRig() *rig {
+	place := Place{DataCentre: "a", Region: "ra", Regions: map[string]string{"a": "ra", "a2": "ra", "b": "rb", "c": "rc"}}
+	r := &rig{table: New(place, rand.New(rand.NewPCG(1, 2))), now: start}
+	known := map[string]*catalog.Upstream{}
+	for _, dc := range []string{"a", "b", "c"} {
+		u := &catalog.Upstream{ID: dc, DataCentre: dc, Slots: 4}
+		r.ups = append(r.ups, u)
+		known[dc] = u
+	}
+	r.table.Keep(r.now, known)
+	return r
+}
+
+func (r *rig) choose() *catalog.Upstream {
+	return r.table.Choose(r.now, "k", usual, r.ups, nil)
+}
+
+// answer plays one request to an upstream that takes so long.
+func (r *rig) answer(u *catalog.Upstream, took time.Duration) {
+	r.attempt++
+	r.table.Sent(r.now, "k", usual, u, r.attempt)
+	r.now = r.now.Add(took)
+	r.table.Answered(r.now, "k", usual, u, r.attempt, took)
+}
+
+// warm lets every upstream answer as usual: 30 ms near, 54 ms far.
+func (r *rig) warm() {
+	for range 30 {
+		r.answer(r.ups[0], 30*ms)
+		r.answer(r.ups[1], 54*ms)
+		r.answer(r.ups[2], 54*ms)
+	}
+}
+
+func TestTheNearestOfEqualsIsChosen(t *testing.T) {
+	r := newRig()
+	if u := r.choose(); u.ID != "a" {
+		t.Errorf("before any answer: %s", u.ID)
+	}
+	r.warm()
+	if u := r.choose(); u.ID != "a" {
+		t.Errorf("after answers: %s", u.ID)
+	}
+}
+
+// Symptom: one slow upstream makes every query late for as long as it is slow.
+// Sequence: each query sends a part to it, waits, and hedges.
+// Cause: its answers did not count against it.
+func TestASlowUpstreamIsLeftAndFoundAgain(t *testing.T) {
+	r := newRig()
+	r.warm()
+	r.answer(r.ups[0], 300*ms)
+	r.answer(r.ups[0], 300*ms)
+	if u := r.choose(); u.ID == "a" {
+		t.Fatal("still chosen after two slow answers in a row")
+	}
+	left := r.now
+	for r.choose().ID != "a" {
+		r.now = r.now.Add(50 * ms)
+	}
+	if away := r.now.Sub(left); away < 500*ms || away > 8*time.Second {
+		t.Errorf("tried again after %v", away)
+	}
+}
+
+// Symptom: a sixth of the work goes to other regions although nothing is slow.
+// Sequence: an upstream pauses for 300 ms; what has come to it meanwhile answers
+// late, all at once; from then on it is as fast as before.
+// Cause: each of these answers counted as one more slow answer.
+func TestAPauseIsForgottenWhenItIsOver(t *testing.T) {
+	r := newRig()
+	r.warm()
+	began := r.now
+	for i := range uint64(5) {
+		r.table.Sent(began.Add(time.Duration(i)*50*ms), "k", usual, r.ups[0], 1000+i)
+	}
+	r.now = began.Add(250 * ms)
+	if u := r.choose(); u.ID == "a" {
+		t.Error("chosen while its oldest request hangs")
+	}
+	r.now = began.Add(300 * ms)
+	for i := range uint64(5) {
+		r.table.Answered(r.now, "k", usual, r.ups[0], 1000+i, 300*ms-time.Duration(i)*50*ms)
+	}
+	if u := r.choose(); u.ID != "a" {
+		t.Error("avoided after the pause")
+	}
+}
+
+// Symptom: a stuck upstream gets as much work as the others.
+// Sequence: it never answers; every request to it is abandoned.
+// Cause: only answers were learnt from.
+func TestAnUpstreamThatNeverAnswersIsLeft(t *testing.T) {
+	r := newRig()
+	r.warm()
+	for range 3 {
+		r.attempt++
+		r.table.Sent(r.now, "k", usual, r.ups[0], r.attempt)
+		r.now = r.now.Add(230 * ms)
+		r.table.Abandoned(r.now, "k", usual, r.ups[0], r.attempt, 230*ms)
+	}
+	if u := r.choose(); u.ID == "a" {
+		t.Error("still chosen")
+	}
+}
+
+func TestUnreachableUpstreamsArePassedOver(t *testing.T) {
+	r := newRig()
+	r.warm()
+	r.table.Unreachable(r.now, r.ups[0], 1)
+	if u := r.choose(); u.ID == "a" {
+		t.Error("chosen at once again")
+	}
+	if u := r.table.Choose(r.now, "k", usual, r.ups[:1], nil); u == nil || u.ID != "a" {
+		t.Error("not tried though there is no other")
+	}
+	r.now = r.now.Add(downFirst)
+	if u := r.choose(); u.ID != "a" {
+		t.Error("not tried again in time")
+	}
+}
+
+func TestFailingUpstreamsAreLeft(t *testing.T) {
+	r := newRig()
+	r.warm()
+	for i := range uint64(6) {
+		r.table.Failed(r.now, r.ups[0], i)
+	}
+	if u := r.choose(); u.ID == "a" {
+		t.Error("an upstream that fails everything is chosen")
+	}
+}
+
+func TestExcludedAndNone(t *testing.T) {
+	r := newRig()
+	if u := r.table.Choose(r.now, "k", usual, r.ups, []string{"a", "b"}); u == nil || u.ID != "c" {
+		t.Errorf("%v", u)
+	}
+	if u := r.table.Choose(r.now, "k", usual, nil, nil); u != nil {
+		t.Errorf("%v of none", u)
+	}
+}
+
+func TestHedgeDelay(t *testing.T) {
+	r := newRig()
+	if d := r.table.HedgeDelay(r.now, "k", usual, room, r.ups[0]); d != usual {
+		t.Errorf("%v before any answer", d)
+	}
+	r.warm()
+	near := r.table.HedgeDelay(r.now, "k", usual, room, r.ups[0])
+	if near < 30*ms || near > 45*ms {
+		t.Errorf("near: %v, the tail is about 30 ms", near)
+	}
+	if d := r.table.HedgeDelay(r.now, "k", usual, 230*ms, r.ups[0]); d <= near || d >= usual {
+		t.Errorf("with some room: %v, want between %v and %v", d, near, usual)
+	}
+	if d := r.table.HedgeDelay(r.now, "k", usual, 400*ms, r.ups[0]); d != usual {
+		t.Errorf("with much room: %v, want %v", d, usual)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	r := newRig()
+	r.warm()
+	var ups []*catalog.Upstream
+	for i := range 27 {
+		ups = append(ups, &catalog.Upstream{ID: fmt.Sprint(i), DataCentre: "a", Slots: 3})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.table.Choose(r.now, "k", usual, ups, nil)
+	}
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,85 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func table(prefixes ...string) *Table {
+	c := &Config{Version: 1}
+	for _, p := range prefixes {
+		host, prefix, _ := strings.Cut(p, " ")
+		c.Routes = append(c.Routes, Route{Name: p, Host: host, Prefix: prefix, Targets: []Target{{Service: "s", Weight: 1}}})
+	}
+	return Compile(c)
+}
+
+func TestLookup(t *testing.T) {
+	tab := table("a.example /", "a.example /x/", "a.example /x/y/", "a.example /xy/", "b.example /x/")
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "a.example /x/y/"},
+		{"a.example", "/x/yz", "a.example /x/"},
+		{"a.example", "/x/", "a.example /x/"},
+		{"a.example", "/x", "a.example /"},
+		{"a.example", "/xy/1", "a.example /xy/"},
+		{"A.Example:8080", "/x/y/", "a.example /x/y/"},
+		{"b.example", "/y/", ""},
+		{"c.example", "/x/", ""},
+	} {
+		got := ""
+		if r := tab.Lookup(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s goes to %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// The lookup agrees with the plain definition for any routes and paths.
+func TestLookupIsTheLongestPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		segment := rapid.SampledFrom([]string{"a", "b", "aa", "ab", "a0"})
+		path := func(label string) string {
+			return "/" + strings.Join(rapid.SliceOfN(segment, 0, 4).Draw(t, label), "/")
+		}
+		seen := map[string]bool{}
+		var prefixes []string
+		for i := range rapid.IntRange(0, 12).Draw(t, "routes") {
+			p := path(fmt.Sprint("prefix", i))
+			if !strings.HasSuffix(p, "/") {
+				p += "/"
+			}
+			if !seen[p] {
+				seen[p] = true
+				prefixes = append(prefixes, "h "+p)
+			}
+		}
+		asked := path("asked")
+		want := ""
+		for _, p := range prefixes {
+			if prefix := p[2:]; strings.HasPrefix(asked, prefix) && len(prefix) > len(want) {
+				want = prefix
+			}
+		}
+		got := ""
+		if r := table(prefixes...).Lookup("h", asked); r != nil {
+			got = r.Prefix
+		}
+		if got != want {
+			t.Fatalf("%q of %q goes to %q, want %q", asked, prefixes, got, want)
+		}
+	})
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 1}, {"none", 0}, {"b", 3}}}
+	for at, want := range map[float64]string{0: "a", 0.24: "a", 0.26: "b", 0.999: "b"} {
+		if got := r.Pick(at); got != want {
+			t.Errorf("at %v: %s, want %s", at, got, want)
+		}
+	}
+}
