--- /dev/null
+++ b/internal/direct/direct_test.go
@@ -0,0 +1,461 @@
+package direct
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/scatter"
+)
+
+// patience bounds what a test waits for; no test passes by it running out.
+const patience = 10 * time.Second
+
+// plain is a protocol with an id header and nothing else.
+type plain struct{}
+
+func (plain) Encode(req *fasthttp.Request, m *Message, _ *catalog.Upstream, _ time.Duration) {
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetHost("h")
+	req.SetRequestURI("/")
+	req.Header.Set("Id", m.ID)
+	req.SetBodyRaw(m.Body)
+}
+
+func (plain) Decode(resp *fasthttp.Response, m *Message) (scatter.Result, string, string) {
+	if string(resp.Header.Peek("Id")) != m.ID {
+		return scatter.Lost, "", "foreign"
+	}
+	return scatter.Answered, "", ""
+}
+
+// server is an upstream whose connections are each served by a function.
+type server struct {
+	ln     net.Listener
+	mu     sync.Mutex
+	opened int
+	conns  []net.Conn
+}
+
+func newServer(t *testing.T, serve func(n int, c net.Conn)) *server {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{ln: ln}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			n := s.opened
+			s.opened++
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			go func() {
+				defer c.Close()
+				serve(n, c)
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		ln.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, c := range s.conns {
+			c.Close()
+		}
+	})
+	return s
+}
+
+func (s *server) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opened
+}
+
+func (s *server) upstream() *catalog.Upstream {
+	return &catalog.Upstream{ID: "u", Service: "s", Address: s.ln.Addr().String()}
+}
+
+// read reads one request and gives its id; "" at the end.
+func read(br *bufio.Reader) string {
+	var req fasthttp.Request
+	if err := req.Read(br); err != nil {
+		return ""
+	}
+	return string(req.Header.Peek("Id"))
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// answering serves each request with what answer gives for its id.
+func answering(answer func(id string) string) func(int, net.Conn) {
+	return func(_ int, c net.Conn) {
+		br := bufio.NewReader(c)
+		for id := read(br); id != ""; id = read(br) {
+			if _, err := c.Write([]byte(answer(id))); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// client is pools with a limit, and a way to make calls.
+type client struct {
+	t     *testing.T
+	pools *Pools
+	up    *catalog.Upstream
+}
+
+func newClient(t *testing.T, s *server, limit int) *client {
+	c := &client{t: t, pools: NewPools(plain{}, func(string) int { return limit }), up: s.upstream()}
+	t.Cleanup(c.pools.Close)
+	return c
+}
+
+// begin makes a call and gives the channel of its reply.
+func (c *client) begin(id string, body []byte, priority int) (*Call, <-chan Reply) {
+	done := make(chan Reply, 1)
+	call := &Call{
+		Message:  &Message{ID: id, Body: body},
+		Upstream: c.up,
+		Deadline: time.Now().Add(patience),
+		Priority: priority,
+		Done:     func(r Reply) { done <- r },
+	}
+	c.pools.Do(call)
+	return call, done
+}
+
+func (c *client) wait(done <-chan Reply) Reply {
+	c.t.Helper()
+	select {
+	case r := <-done:
+		return r
+	case <-time.After(2 * patience):
+		c.t.Fatal("no reply")
+		return Reply{}
+	}
+}
+
+func (c *client) call(id string) Reply {
+	c.t.Helper()
+	_, done := c.begin(id, nil, 0)
+	return c.wait(done)
+}
+
+// Each row is a way in which upstreams break answers. What belongs to no request
+// or is not whole never becomes an answer, and the connection is not used again.
+func TestBrokenAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer func(id string) string
+		result scatter.Result
+		reused bool
+	}{
+		{"whole", func(id string) string { return whole(id, "x") }, scatter.Answered, true},
+		{"to another request", func(string) string { return whole("other", "x") }, scatter.Lost, false},
+		{"no bytes of the protocol", func(string) string { return "garbage\r\n\r\n" }, scatter.Lost, false},
+		{"with bytes after it", func(id string) string { return whole(id, "x") + "more" }, scatter.Answered, false},
+		{"followed by a second one", func(id string) string { return whole(id, "x") + whole(id, "y") }, scatter.Answered, false},
+		{"says that it closes", func(id string) string {
+			return strings.Replace(whole(id, "x"), "\r\nId", "\r\nConnection: close\r\nId", 1)
+		}, scatter.Answered, false},
+	} {
+		s := newServer(t, answering(c.answer))
+		cl := newClient(t, s, 1)
+		if r := cl.call("1"); r.Result != c.result {
+			t.Errorf("%s: %v (%s), want %v", c.name, r.Result, r.Detail, c.result)
+		} else if r.Result == scatter.Answered && string(r.Response.Body()) != "x" {
+			t.Errorf("%s: body %q", c.name, r.Response.Body())
+		}
+		cl.call("2")
+		if reused := s.connections() == 1; reused != c.reused {
+			t.Errorf("%s: %d connections", c.name, s.connections())
+		}
+	}
+}
+
+// An answer without a length is whole when its connection ends, and is not when
+// the connection is reset or ends before its stated length.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		head   string
+		reset  bool
+		result scatter.Result
+	}{
+		{"no length, closed", "", false, scatter.Answered},
+		{"no length, reset", "", true, scatter.Lost},
+		{"cut short", "Content-Length: 9\r\n", false, scatter.Lost},
+		{"cut short, chunked", "Transfer-Encoding: chunked\r\n", false, scatter.Lost},
+	} {
+		body := "xyz"
+		if strings.HasPrefix(c.head, "Transfer") {
+			body = "3\r\nxyz\r\n"
+		}
+		s := newServer(t, func(_ int, conn net.Conn) {
+			br := bufio.NewReader(conn)
+			id := read(br)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n%s", id, c.head, body)
+			if c.reset {
+				// The client has read the start by the time it asks no more.
+				time.Sleep(20 * time.Millisecond)
+				conn.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		if r := newClient(t, s, 1).call("1"); r.Result != c.result {
+			t.Errorf("%s: %v (%s), want %v", c.name, r.Result, r.Detail, c.result)
+		}
+	}
+}
+
+// Symptom: a request gets the late answer of the one before it.
+// Sequence: an upstream sends a second answer after the connection was given
+// back; the next request goes out on that connection.
+// Cause: nothing looked at what had come in between.
+func TestBytesOnAnIdleConnectionEndIt(t *testing.T) {
+	extra := make(chan bool)
+	s := newServer(t, func(n int, c net.Conn) {
+		br := bufio.NewReader(c)
+		for id := read(br); id != ""; id = read(br) {
+			fmt.Fprint(c, whole(id, "x"))
+			if n == 0 {
+				<-extra
+				fmt.Fprint(c, whole(id, "late"))
+				extra <- true
+			}
+		}
+	})
+	cl := newClient(t, s, 1)
+	cl.call("1")
+	extra <- true
+	<-extra
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		cl.pools.Expire(time.Now())
+		if cl.idle() == 0 {
+			break
+		}
+	}
+	if r := cl.call("2"); r.Result != scatter.Answered || string(r.Response.Body()) != "x" || s.connections() != 2 {
+		t.Errorf("%v %q on %d connections", r.Result, r.Response.Body(), s.connections())
+	}
+}
+
+// idle is how many connections are idle.
+func (c *client) idle() int {
+	n := 0
+	for _, p := range c.pools.all() {
+		p.mu.Lock()
+		n += len(p.idle)
+		p.mu.Unlock()
+	}
+	return n
+}
+
+// Symptom: upstreams reset connections beyond what they take.
+// Sequence: a burst of calls opens a connection each.
+// Cause: no bound; calls beyond it have to wait, the urgent first.
+func TestCallsBeyondTheLimitWaitByPriority(t *testing.T) {
+	go1 := make(chan bool)
+	order := make(chan string, 9)
+	s := newServer(t, answering(func(id string) string {
+		order <- id
+		if id == "first" {
+			<-go1
+		}
+		return whole(id, "x")
+	}))
+	cl := newClient(t, s, 1)
+	_, first := cl.begin("first", nil, 1)
+	if got := <-order; got != "first" {
+		t.Fatal(got)
+	}
+	_, low := cl.begin("low", nil, 2)
+	_, mid := cl.begin("mid", nil, 1)
+	_, top := cl.begin("top", nil, 0)
+	_, mid2 := cl.begin("mid2", nil, 1)
+	close(go1)
+	for _, d := range []<-chan Reply{first, low, mid, top, mid2} {
+		if r := cl.wait(d); r.Result != scatter.Answered {
+			t.Error(r.Detail)
+		}
+	}
+	if got := <-order + " " + <-order + " " + <-order + " " + <-order; got != "top mid mid2 low" {
+		t.Errorf("served in the order %s", got)
+	}
+	if s.connections() != 1 {
+		t.Errorf("%d connections", s.connections())
+	}
+}
+
+func TestAnAddressThatRefusesWasNotReached(t *testing.T) {
+	s := newServer(t, answering(func(id string) string { return whole(id, "x") }))
+	cl := newClient(t, s, 1)
+	s.ln.Close()
+	if r := cl.call("1"); r.Result != scatter.Unreached {
+		t.Errorf("%v: %s", r.Result, r.Detail)
+	}
+}
+
+// Symptom: upstreams work for callers that have left.
+// Sequence: the caller closes; its call goes on until the upstream has answered.
+// Cause: nobody closed the connection to the upstream.
+func TestWithdrawingClosesTheConnection(t *testing.T) {
+	arrived, ended := make(chan bool), make(chan bool)
+	s := newServer(t, func(_ int, c net.Conn) {
+		br := bufio.NewReader(c)
+		read(br)
+		arrived <- true
+		if _, err := br.ReadByte(); err != nil {
+			ended <- true
+		}
+	})
+	cl := newClient(t, s, 1)
+	call, done := cl.begin("1", nil, 0)
+	<-arrived
+	call.Withdraw(0)
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the upstream still has its connection")
+	}
+	select {
+	case r := <-done:
+		t.Errorf("a reply after the withdrawal: %v", r.Result)
+	default:
+	}
+}
+
+// A call that is withdrawn with some time left may still finish, and leaves its
+// connection to the next one.
+func TestWithdrawnCallsMayFinish(t *testing.T) {
+	arrived, release := make(chan bool, 2), make(chan bool, 2)
+	s := newServer(t, answering(func(id string) string {
+		arrived <- true
+		<-release
+		return whole(id, "x")
+	}))
+	cl := newClient(t, s, 1)
+	call, _ := cl.begin("1", nil, 0)
+	<-arrived
+	call.Withdraw(patience)
+	_, next := cl.begin("2", nil, 0)
+	release <- true
+	release <- true
+	if r := cl.wait(next); r.Result != scatter.Answered {
+		t.Errorf("%v: %s", r.Result, r.Detail)
+	}
+}
+
+// Symptom: an upstream takes a request for the rest of an earlier one's body.
+// Sequence: it answers before it has read a long body, keeps the connection and
+// reads on; the next request is written there.
+// Cause: the connection was used again before the body was out.
+func TestAnEarlyAnswerToALongBodyEndsTheConnection(t *testing.T) {
+	s := newServer(t, func(_ int, c net.Conn) {
+		br := bufio.NewReader(c)
+		for {
+			head := ""
+			for !strings.HasSuffix(head, "\r\n\r\n") {
+				line, err := br.ReadString('\n')
+				if err != nil {
+					return
+				}
+				head += line
+			}
+			_, id, _ := strings.Cut(head, "Id: ")
+			id, _, _ = strings.Cut(id, "\r\n")
+			fmt.Fprint(c, whole(id, "early"))
+			if !strings.Contains(head, "Content-Length: 0") {
+				// The rest stays unread; the connection stays open.
+				time.Sleep(patience)
+			}
+		}
+	})
+	cl := newClient(t, s, 4)
+	_, done := cl.begin("1", make([]byte, 64<<20), 0)
+	if r := cl.wait(done); r.Result != scatter.Answered || string(r.Response.Body()) != "early" {
+		t.Fatalf("%v: %s", r.Result, r.Detail)
+	}
+	if r := cl.call("2"); r.Result != scatter.Answered || s.connections() != 2 {
+		t.Errorf("%v on %d connections, want a new one", r.Result, s.connections())
+	}
+}
+
+func TestCallsWithoutTimeAreNotSent(t *testing.T) {
+	s := newServer(t, answering(func(id string) string { return whole(id, "x") }))
+	cl := newClient(t, s, 1)
+	done := make(chan Reply, 1)
+	cl.call("warm")
+	cl.pools.Do(&Call{Message: &Message{ID: "1"}, Upstream: cl.up, Deadline: time.Now(), Done: func(r Reply) { done <- r }})
+	if r := cl.wait(done); r.Result != scatter.Expired {
+		t.Errorf("%v", r.Result)
+	}
+}
+
+func TestKeepAlive(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"":                    idleDefault,
+		"timeout=10":          10*time.Second - idleMargin,
+		"max=5, timeout=2":    2*time.Second - idleMargin,
+		"timeout=0":           0,
+		"timeout=x":           idleDefault,
+		" Timeout=3 , max=1 ": 3*time.Second - idleMargin,
+	} {
+		var resp fasthttp.Response
+		resp.Header.Set("Keep-Alive", text)
+		if got := keepAlive(&resp); got != want {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
+
+func TestPoolsOfUpstreamsThatAreGoneClose(t *testing.T) {
+	s := newServer(t, answering(func(id string) string { return whole(id, "x") }))
+	cl := newClient(t, s, 1)
+	cl.call("1")
+	cl.pools.Keep(map[string]*catalog.Upstream{})
+	if n := cl.pools.Opened(); n != 0 {
+		t.Errorf("%d connections of an upstream that is gone are counted", n)
+	}
+}
+
+func BenchmarkCall(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go answering(func(id string) string { return whole(id, "x") })(0, c)
+		}
+	}()
+	pools := NewPools(plain{}, func(string) int { return 4 })
+	up := &catalog.Upstream{ID: "u", Address: ln.Addr().String()}
+	done := make(chan Reply, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		pools.Do(&Call{Message: &Message{ID: "1"}, Upstream: up, Deadline: time.Now().Add(patience), Done: func(r Reply) { done <- r }})
+		<-done
+	}
+}
