--- a/cmd/sycamorekeel/explain.go
+++ b/cmd/sycamorekeel/explain.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"io"
+	"os"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/explain"
@@ -11,12 +14,20 @@
 )
 
 type explainCommand struct {
-	operatorFlags
-	Request string `arg:"" help:"Request id, as an answer or a refusal gives it."`
+	Address string   `help:"Operator address of a VM, as IP:port; not needed with --log."`
+	Token   string   `env:"SYCAMOREKEEL_OPERATOR_TOKEN" help:"Bearer token of the operators."`
+	Log     []string `type:"existingfile" help:"Log file of a VM; may be given more than once. The request is explained from the logs, and no VM is asked."`
+	Request string   `arg:"" help:"Request id, as an answer or a refusal gives it."`
 }
 
 // Run prints what the VM did for the request, one attempt a line.
 func (c *explainCommand) Run(out *output) error {
+	if len(c.Log) > 0 {
+		return c.fromLogs(out)
+	}
+	if c.Address == "" {
+		return trace.BadParameter("one of --address and --log must be given")
+	}
 	var rec explain.Record
 	err := call{method: fasthttp.MethodGet, url: "http://" + c.Address + operatorapi.ExplainPath + c.Request, token: c.Token}.do(&rec)
 	if err != nil {
@@ -25,6 +36,35 @@
 	return out.print(rec, func() { printRecord(out, &rec) })
 }
 
+// fromLogs prints the lines of the request from the logs of many VMs as one time
+// line, with what the VMs that served it believed.
+func (c *explainCommand) fromLogs(out *output) error {
+	var logs []io.Reader
+	for _, path := range c.Log {
+		f, err := os.Open(path)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	lines, err := explain.Timeline(c.Request, logs...)
+	if err != nil {
+		return err
+	}
+	return out.print(lines, func() { printTimeline(out, lines) })
+}
+
+func printTimeline(out *output, lines []explain.Line) {
+	for _, l := range lines {
+		out.printf("%s  %-24s %s", l.Time.Format("15:04:05.000"), l.VM, l.Message)
+		for _, f := range l.Fields {
+			out.printf(" %s=%s", f.Name, f.Value)
+		}
+		out.printf("\n")
+	}
+}
+
 func printRecord(out *output, rec *explain.Record) {
 	out.printf("request %s: %s of %s, %s in %.1f ms, coverage %.1f%%\n",
 		rec.RequestID, rec.Kind, rec.Customer, rec.Outcome, rec.ElapsedMS, 100*rec.Coverage)
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -41,7 +41,7 @@
 // Sequence: the name is added to the code and the page is forgotten.
 // Cause: nothing tied the two.
 func TestNamesStandInThePages(t *testing.T) {
-	operating := page(t, "OPERATING.md")
+	operating := page(t, "OPERATIONS.md")
 	interfaces := page(t, "INTERFACES.md")
 	for _, c := range []struct {
 		what  string
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -59,6 +59,8 @@
 	MaxRequests int
 	// Random spreads choices.
 	Random *rand.Rand
+	// ViewAge is the time since the store last confirmed the view in force.
+	ViewAge func() time.Duration
 }
 
 // Engine serves requests. It is safe for concurrent use.
@@ -127,6 +129,9 @@
 // InFlight is the requests under way.
 func (e *Engine) InFlight() int64 { return e.inFlight.Load() }
 
+// Opened is how many connections were opened to the present upstreams.
+func (e *Engine) Opened() uint64 { return e.pools.Opened() }
+
 // Close ends the idle connections to upstreams.
 func (e *Engine) Close() { e.pools.Close() }
 
@@ -149,9 +154,42 @@
 	a := e.serve(r)
 	a.Took = time.Since(r.Received)
 	e.opts.Metrics.ended(&a)
+	e.logEnd(r, &a)
 	return a
 }
 
+// logEnd writes a line for a request that did not end as its contract promises:
+// refused, failed, late, or with shards left out.
+func (e *Engine) logEnd(r *Request, a *Answer) {
+	late := r.Route != nil && r.Route.Objective > 0 && a.Took > r.Route.Objective
+	if a.Reason == "" && !late && a.Missing == 0 {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request", r.Message.ID),
+		zap.String("reason", string(a.Reason)),
+		zap.Bool("late", late),
+		zap.Bool("not_run", a.Reason != "" && a.NotRun),
+		zap.Int("sends", a.Sends),
+		zap.Int("missing", a.Missing),
+		zap.Duration("age", a.Took),
+		zap.Int64("in_flight", e.inFlight.Load()),
+		zap.Duration("retry_after", a.RetryAfter),
+	}
+	if a.Slowest != "" {
+		fields = append(fields, zap.String("slowest_upstream", a.Slowest), zap.Duration("slowest_after", a.SlowestAfter))
+	}
+	if r.Route != nil {
+		fields = append(fields, zap.String("route", r.Route.Name), zap.Duration("objective", r.Route.Objective))
+	} else {
+		fields = append(fields, zap.String("host", r.Host), zap.String("path", r.Path))
+	}
+	if v := e.view.Load(); v != nil {
+		fields = append(fields, zap.Uint64("revision", v.Revision), zap.Duration("view_age", e.opts.ViewAge()))
+	}
+	e.opts.Log.Info("edge: request ended", fields...)
+}
+
 func (e *Engine) serve(r *Request) Answer {
 	v := e.view.Load()
 	if v == nil || v.Table == nil {
@@ -187,13 +225,24 @@
 	return p
 }
 
-// answerBy is when an answer must leave to meet the objective; a route without
-// one has its callers wait for everything.
+// answerBy is when an answer must leave to meet the objective.
 func answerBy(r *Request) time.Time {
-	if r.Route.Objective <= 0 {
-		return r.Received.Add(r.wait())
+	aim := objective(r.Route)
+	return r.Received.Add(max(aim-answerMargin, aim/2))
+}
+
+// objective is the time that a route's answers aim at. A route whose timeout is
+// shorter than its objective aims at that; one with neither has its callers wait
+// for everything.
+func objective(route *routing.Route) time.Duration {
+	aim := noDeadline
+	if route.Objective > 0 {
+		aim = route.Objective
+	}
+	if route.Timeout > 0 {
+		aim = min(aim, route.Timeout)
 	}
-	return r.Received.Add(max(r.Route.Objective-answerMargin, r.Route.Objective/2))
+	return aim
 }
 
 // minParts is the least number of shards that makes an answer.
@@ -211,10 +260,7 @@
 
 // usual is the answer time assumed of a route of which no answer has been seen.
 func usual(route *routing.Route) time.Duration {
-	if route.Objective <= 0 {
-		return noDeadline / 100
-	}
-	return time.Duration(usualShare * float64(route.Objective))
+	return time.Duration(usualShare * float64(objective(route)))
 }
 
 // budget is a service's budget. The caller holds mu.
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sycamorekeel.example/sycamorekeel/internal/routing"
+)
+
+func TestMinParts(t *testing.T) {
+	for _, c := range []struct {
+		shards   int
+		coverage float64
+		want     int
+	}{{10, 0.89, 9}, {10, 0.9, 9}, {10, 0.75, 8}, {36, 0.95, 35}, {3, 0, 1}, {3, 1, 3}} {
+		r := &routing.Route{Shards: make([]string, c.shards), MinCoverage: c.coverage}
+		if got := minParts(r); got != c.want {
+			t.Errorf("%d shards at %v: %d, want %d", c.shards, c.coverage, got, c.want)
+		}
+	}
+}
+
+func TestTimesOfARequest(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name                         string
+		objective, timeout, deadline time.Duration
+		answer, wait                 time.Duration
+	}{
+		{"the objective", 250 * time.Millisecond, 4 * time.Second, 3 * time.Second, 230 * time.Millisecond, 3*time.Second - giveUpMargin},
+		{"a timeout below it", time.Second, 400 * time.Millisecond, 15 * time.Second, 380 * time.Millisecond, 400 * time.Millisecond},
+		{"a tiny objective", 10 * time.Millisecond, 0, 0, 5 * time.Millisecond, noDeadline},
+		{"none of them", 0, 0, 0, noDeadline - answerMargin, noDeadline},
+	} {
+		r := &Request{Received: start, Deadline: c.deadline, Route: &routing.Route{Objective: c.objective, Timeout: c.timeout}}
+		if got := answerBy(r).Sub(start); got != c.answer {
+			t.Errorf("%s: answers by %v, want %v", c.name, got, c.answer)
+		}
+		if got := r.wait(); got != c.wait {
+			t.Errorf("%s: waits %v, want %v", c.name, got, c.wait)
+		}
+	}
+}
+
+// The parts of all VMs that agree on who carries never exceed the bound.
+func TestSharesAreAtMostTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 600).Draw(t, "vms")
+		carriers := rapid.IntRange(0, vms).Draw(t, "carriers")
+		total := 0.0
+		for i := range vms {
+			s := Shares{VMs: vms, Carriers: carriers, Carrying: i < carriers}
+			total += s.of(100)
+		}
+		if total > 100.0001 {
+			t.Fatalf("%v of 100", total)
+		}
+	})
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -97,6 +97,10 @@
 	Body    []byte
 	// Sends is how often upstreams were asked.
 	Sends int
+	// Slowest is the upstream whose reply came last, and SlowestAfter how long
+	// after Received; empty when none replied.
+	Slowest      string
+	SlowestAfter time.Duration
 	// Took is the time from Received.
 	Took time.Duration
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -24,11 +24,15 @@
 	sends  []send
 	inbox  inbox
 	goneAt time.Time
+	// last is the send whose reply came last, nil before any.
+	last   *send
+	lastAt time.Time
 }
 
 // send is one send of a run.
 type send struct {
 	id      uint64
+	part    int
 	call    *direct.Call
 	cause   scatter.Cause
 	sentAt  time.Time
@@ -133,6 +137,7 @@
 		s := &x.sends[n.attempt]
 		s.reply = n.reply
 		s.replied = true
+		x.last, x.lastAt = s, now
 		x.learn(now, s)
 		x.dispatch(x.query.Ended(now, n.attempt, n.reply.Result))
 	}
@@ -144,7 +149,7 @@
 	u := s.call.Upstream
 	e.opts.Metrics.reply(s.reply.Result)
 	if s.reply.Result != scatter.Answered {
-		e.opts.Log.Info("edge: send failed", x.fields(s, zap.String("detail", s.reply.Detail))...)
+		e.opts.Log.Info("edge: send failed", x.fields(s, zap.Stringer("result", s.reply.Result), zap.String("detail", s.reply.Detail))...)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -168,7 +173,6 @@
 		zap.String("upstream", s.call.Upstream.ID),
 		zap.String("service", s.call.Upstream.Service),
 		zap.String("cause", string(s.cause)),
-		zap.Stringer("result", s.reply.Result),
 		zap.Duration("age", time.Since(x.req.Received)),
 		zap.Uint64("revision", x.view.Revision),
 	}, more...)
@@ -195,7 +199,7 @@
 	id := e.sends
 	e.replicas.Sent(now, x.req.Route.Name, x.usual, s.Upstream, id)
 	e.mu.Unlock()
-	x.sends = append(x.sends, send{id: id, call: call, cause: s.Cause, sentAt: now})
+	x.sends = append(x.sends, send{id: id, part: s.Part, call: call, cause: s.Cause, sentAt: now})
 	e.opts.Metrics.sent(s.Cause)
 	if s.Cause != scatter.First {
 		e.opts.Log.Info("edge: sent again", x.fields(&x.sends[s.Attempt])...)
@@ -222,6 +226,10 @@
 // answer turns the verdict into what the caller gets.
 func (x *run) answer(v *scatter.Verdict) Answer {
 	a := Answer{Reason: Reason(v.Reason), NotRun: v.NotRun, Sends: len(x.sends)}
+	if x.last != nil {
+		a.Slowest = x.last.call.Upstream.ID
+		a.SlowestAfter = x.lastAt.Sub(x.req.Received)
+	}
 	switch {
 	case v.Reason != scatter.None:
 		x.fail(&a, v)
@@ -242,14 +250,6 @@
 	if v.NotRun {
 		a.RetryAfter = retryAfter(v.Reason)
 	}
-	x.engine.opts.Log.Info("edge: request failed",
-		zap.String("request", x.req.Message.ID),
-		zap.String("route", x.req.Route.Name),
-		zap.String("reason", string(a.Reason)),
-		zap.Bool("not_run", v.NotRun),
-		zap.Int("sends", len(x.sends)),
-		zap.Duration("age", time.Since(x.req.Received)),
-		zap.Uint64("revision", x.view.Revision))
 }
 
 func (x *run) merge(a *Answer, v *scatter.Verdict) {
@@ -267,11 +267,20 @@
 	a.Body = topk.Merge(parts, x.req.Route.TopK)
 }
 
+// logMissing tells of a shard that the answer leaves out, with the upstreams that
+// were asked and have not answered.
 func (x *run) logMissing(part int) {
+	var waited []string
+	for i := range x.sends {
+		if s := &x.sends[i]; s.part == part && !s.replied {
+			waited = append(waited, s.call.Upstream.ID)
+		}
+	}
 	x.engine.opts.Log.Info("edge: part left out",
 		zap.String("request", x.req.Message.ID),
 		zap.String("route", x.req.Route.Name),
 		zap.String("service", x.plan.Services[part]),
+		zap.Strings("waited_for", waited),
 		zap.Duration("age", time.Since(x.req.Received)),
 		zap.Uint64("revision", x.view.Revision))
 }
@@ -304,5 +313,5 @@
 	e := x.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.replicas.HedgeDelay(time.Now(), x.req.Route.Name, x.usual, x.req.Route.Objective-answerMargin, u)
+	return e.replicas.HedgeDelay(time.Now(), x.req.Route.Name, x.usual, objective(x.req.Route)-answerMargin, u)
 }
--- /dev/null
+++ b/internal/explain/timeline.go
@@ -0,0 +1,131 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// beliefsBefore is how long before a request lines on what its VM believed are
+// shown: longer than it takes a change to reach every VM.
+const beliefsBefore = 10 * time.Second
+
+// maxLine bounds one line of a log.
+const maxLine = 1 << 20
+
+// Line is one log line of a daemon.
+type Line struct {
+	Time    time.Time
+	VM      string
+	Message string
+	// Request is empty for lines on what the VM believes.
+	Request string
+	// Fields holds the rest, sorted by name.
+	Fields []Field
+	// order is the line's place in its input: clocks may go back, a VM's own
+	// lines do not.
+	order int
+}
+
+// Field is one value of a line.
+type Field struct{ Name, Value string }
+
+// beliefs begin the messages on what a VM believes.
+var beliefs = []string{"config: ", "gossip: ", "store: ", "peer: ", "node: "}
+
+// Timeline reads logs of any number of VMs and gives the lines of one request
+// with those on what the VMs that served it believed, in order. Lines of one VM
+// stand in the order in which it wrote them, whatever its clock did. Text before
+// the first brace of a line is passed over, and so are lines that are no JSON.
+func Timeline(request string, logs ...io.Reader) ([]Line, error) {
+	byVM := map[string][]Line{}
+	order := 0
+	for _, log := range logs {
+		sc := bufio.NewScanner(log)
+		sc.Buffer(nil, maxLine)
+		for sc.Scan() {
+			order++
+			if l, ok := parseLine(sc.Bytes(), order); ok {
+				byVM[l.VM] = append(byVM[l.VM], l)
+			}
+		}
+		if err := sc.Err(); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	var out []Line
+	for _, lines := range byVM {
+		out = append(out, concerning(request, lines)...)
+	}
+	if !slices.ContainsFunc(out, func(l Line) bool { return l.Request == request }) {
+		return nil, trace.NotFound("no line of request %s", request)
+	}
+	sort.SliceStable(out, func(i, j int) bool { return before(&out[i], &out[j]) })
+	return out, nil
+}
+
+// before orders lines of one VM by their place and those of others by time.
+func before(a, b *Line) bool {
+	if a.VM == b.VM {
+		return a.order < b.order
+	}
+	return a.Time.Before(b.Time)
+}
+
+// concerning is a VM's lines of the request and its beliefs up to its last one;
+// none if it has no line of the request.
+func concerning(request string, lines []Line) []Line {
+	is := func(l Line) bool { return l.Request == request }
+	first := slices.IndexFunc(lines, is)
+	if first < 0 {
+		return nil
+	}
+	var out []Line
+	for i, l := range lines {
+		recent := i >= first || lines[first].Time.Sub(l.Time) <= beliefsBefore
+		last := !slices.ContainsFunc(lines[i:], is)
+		if is(l) || recent && !last && believes(l.Message) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func believes(message string) bool {
+	return slices.ContainsFunc(beliefs, func(p string) bool { return strings.HasPrefix(message, p) })
+}
+
+func parseLine(text []byte, order int) (Line, bool) {
+	i := bytes.IndexByte(text, '{')
+	if i < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(text[i:], &fields); err != nil {
+		return Line{}, false
+	}
+	l := Line{order: order}
+	l.VM, _ = fields["vm"].(string)
+	l.Message, _ = fields["msg"].(string)
+	l.Request, _ = fields["request"].(string)
+	if at, ok := fields["ts"].(string); ok {
+		// A line whose time cannot be read keeps its place in its own log.
+		l.Time, _ = time.Parse("2006-01-02T15:04:05.000Z0700", at)
+	}
+	for _, k := range []string{"vm", "msg", "request", "ts", "level"} {
+		delete(fields, k)
+	}
+	for name, value := range fields {
+		l.Fields = append(l.Fields, Field{name, fmt.Sprint(value)})
+	}
+	slices.SortFunc(l.Fields, func(a, b Field) int { return strings.Compare(a.Name, b.Name) })
+	return l, l.VM != "" && l.Message != ""
+}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -79,7 +79,9 @@
 		{"history lost: list at once",
 			func(f *Follower, now time.Time) []Action { return f.ReadFailed(now, true) }, "list"},
 		{"call failed: watch again after a pause",
-			func(f *Follower, now time.Time) []Action { return append(f.ReadFailed(now, false), f.Tick(now.Add(soon))...) }, "watch>10"},
+			func(f *Follower, now time.Time) []Action {
+				return append(f.ReadFailed(now, false), f.Tick(now.Add(soon))...)
+			}, "watch>10"},
 		{"changes come",
 			func(f *Follower, now time.Time) []Action {
 				return append(f.Watched(now, 10, 12, []catalog.Item{put("u2", 12)}), f.Tick(now.Add(soon))...)
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// storeMetrics counts what is read of the store and shows how far the view is.
+type storeMetrics struct {
+	reads *prometheus.CounterVec
+	pulls *prometheus.CounterVec
+}
+
+func newStoreMetrics(reg prometheus.Registerer) *storeMetrics {
+	f := promauto.With(reg)
+	return &storeMetrics{
+		reads: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamorekeel_catalog_store_reads_total", Help: "Calls to the store by call and result.",
+		}, []string{"call", "result"}),
+		pulls: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamorekeel_catalog_pulls_total", Help: "Pulls from peers by result.",
+		}, []string{"result"}),
+	}
+}
+
+// resultOf is the label of a call that ended with an error or without one.
+func resultOf(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "ok"
+}
+
+// showState registers gauges of what the VM believes now.
+func (n *Node) showState(reg prometheus.Registerer) {
+	f := promauto.With(reg)
+	gauge := func(name, help string, value func() float64) {
+		f.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
+	}
+	gauge("sycamorekeel_catalog_revision", "Revision of the store that is in force.", func() float64 {
+		if v := n.engine.View(); v != nil {
+			return float64(v.Revision)
+		}
+		return 0
+	})
+	gauge("sycamorekeel_catalog_confirmed_age_seconds", "Time since the store last confirmed the view, here or at a peer.", func() float64 {
+		return n.reader.confirmedAge(time.Now()).Seconds()
+	})
+	gauge("sycamorekeel_catalog_upstreams", "Upstreams known.", func() float64 {
+		if v := n.engine.View(); v != nil {
+			return float64(len(v.Upstreams))
+		}
+		return 0
+	})
+	gauge("sycamorekeel_edge_in_flight", "Requests under way.", func() float64 { return float64(n.engine.InFlight()) })
+	gauge("sycamorekeel_edge_caller_connections", "Open connections of callers.", func() float64 { return float64(n.callers.open.Load()) })
+	gauge("sycamorekeel_edge_upstream_connections_opened", "Connections opened to the present upstreams.", func() float64 {
+		return float64(n.engine.Opened())
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,7 +61,7 @@
 )
 
 // gossipKey signs datagrams. The platform hands out no secret, so it guards only
-// against stray datagrams; see docs/OPERATING.md.
+// against stray datagrams; see docs/OPERATIONS.md.
 const gossipKey = "sycamorekeel open internal network"
 
 // Adapter is how one environment is spoken to.
@@ -126,9 +126,11 @@
 		Budget:      set.Budget,
 		MaxRequests: max(leastRequests, int(maxRequests*set.Cores)),
 		Random:      random,
+		ViewAge:     func() time.Duration { return n.reader.confirmedAge(time.Now()) },
 	})
 	n.reader = &reader{
 		log:      opts.Log,
+		met:      newStoreMetrics(opts.Registry),
 		store:    opts.Adapter.Store,
 		announce: n.announce,
 		changed:  n.changed,
@@ -143,6 +145,7 @@
 		}),
 	}
 	n.gossip = n.newGossip(now, set)
+	n.showState(opts.Registry)
 	n.reader.members = n.gossip.Updates
 	n.reader.learn = n.gossip.Learn
 	n.reader.joinFrom = random.IntN(max(1, len(set.Seeds)))
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -51,6 +51,7 @@
 // Lock order: mu is a leaf; actions are done after it is released.
 type reader struct {
 	log      *zap.Logger
+	met      *storeMetrics
 	store    Store
 	announce func(revision uint64, confirmed time.Time, tell *follow.Announce)
 	changed  func(*catalog.View)
@@ -61,7 +62,6 @@
 	mu       sync.Mutex
 	follower *follow.Follower
 	joinFrom int
-	reads    uint64
 	failing  bool
 }
 
@@ -147,10 +147,10 @@
 // noteRead logs when the store is lost and regained.
 func (r *reader) noteRead(call string, err error) {
 	r.mu.Lock()
+	r.met.reads.WithLabelValues(call, resultOf(err)).Inc()
 	failed := err != nil
 	turned := failed != r.failing
 	r.failing = failed
-	r.reads++
 	revision := r.follower.State().Revision()
 	r.mu.Unlock()
 	switch {
@@ -164,6 +164,7 @@
 // pull asks a peer for what it knows.
 func (r *reader) pull(p follow.Pull) {
 	page, err := fetchPage(pullPath, p)
+	r.met.pulls.WithLabelValues(resultOf(err)).Inc()
 	if err != nil {
 		r.log.Info("peer: pull failed", zap.String("peer", p.Address), zap.Uint64("after", p.After), zap.Error(err))
 	}
@@ -269,6 +270,14 @@
 	return page
 }
 
+// confirmedAge is the time since the store last confirmed what is known; a long
+// time when it never has.
+func (r *reader) confirmedAge(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.follower.Confirmed())
+}
+
 // setBound changes the time within which a change must be in force.
 func (r *reader) setBound(bound time.Duration) {
 	r.mu.Lock()
