Add a fault soak over real processes

Daemons as separate processes on loopback; proxies that delay, reset, silence and cut one way; a store and upstreams that misbehave; kills, freezes, planned stops, reloads, new shards and moved routes, drawn from one seed, overlapping.

--- /dev/null
+++ b/cmd/sycamorekeel-soak/main.go
@@ -0,0 +1,70 @@
+// Command sycamorekeel-soak runs daemons of the platform path as separate
+// processes, injects faults at random and checks the promises from outside.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/gravitational/trace"
+
+	"sycamorekeel.example/sycamorekeel/platform/soak"
+)
+
+type flags struct {
+	Binary  string        `arg:"" type:"existingfile" help:"The daemon's program, sycamorekeel-edge."`
+	Seed    uint64        `default:"1" help:"First seed."`
+	Seeds   int           `default:"1" help:"How many seeds, one after the other."`
+	VMs     int           `name:"vms" default:"6" help:"Daemons."`
+	Shards  int           `default:"5" help:"Shards of the index, three upstreams each."`
+	Callers int           `default:"12" help:"Callers."`
+	Faulty  time.Duration `default:"20s" help:"How long faults are injected."`
+	Calm    time.Duration `default:"18s" help:"How long callers go on after that; service has 12 s to recover."`
+	Dir     string        `default:"soak-results" help:"Folder for logs and settings, one folder a seed."`
+	Verbose bool          `short:"v" help:"Print each fault."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("sycamorekeel-soak"), kong.Description("Run the real daemons under random faults and check the promises. Exit status 1 when one is broken."))
+	broken, err := f.run()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
+	}
+	if err != nil || broken {
+		os.Exit(1)
+	}
+}
+
+func (f *flags) run() (broken bool, err error) {
+	binary, err := filepath.Abs(f.Binary)
+	if err != nil {
+		return false, trace.ConvertSystemError(err)
+	}
+	fmt.Println("| seed | faults | requests | served | arrivals | broken promises |\n|---|---|---|---|---|---|")
+	for seed := f.Seed; seed < f.Seed+uint64(f.Seeds); seed++ {
+		dir, err := filepath.Abs(filepath.Join(f.Dir, fmt.Sprint(seed)))
+		if err != nil {
+			return false, trace.ConvertSystemError(err)
+		}
+		opts := soak.Options{
+			Binary: binary, Seed: seed, VMs: f.VMs, Shards: f.Shards, Callers: f.Callers, Faulty: f.Faulty, Calm: f.Calm, Dir: dir,
+		}
+		if f.Verbose {
+			opts.Say = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
+		}
+		r, err := soak.Run(opts)
+		if err != nil {
+			return broken, err
+		}
+		fmt.Printf("| %d | %d | %d | %d | %d | %d |\n", r.Seed, r.Faults, r.Requests, r.Served, r.Arrivals, len(r.Violations))
+		for _, v := range r.Violations {
+			fmt.Println("  " + v)
+		}
+		broken = broken || len(r.Violations) > 0
+	}
+	return broken, nil
+}
