Let a process that is alone read the store at once

Cause: after the loss of all processes each listened 350 ms for a peer that knew something. All seeds are asked first; when none does, the store is read at once.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -68,8 +68,9 @@
 
 // Waits that refusals recommend.
 const (
-	// unreadyRetry is about what a start takes.
-	unreadyRetry = time.Second
+	// unreadyRetry is about what a process that starts takes to learn the
+	// configuration from a peer or the store.
+	unreadyRetry = 300 * time.Millisecond
 	// overloadRetry lets about a dozen requests of the usual kind finish.
 	overloadRetry = 300 * time.Millisecond
 	// refusedRetry lets a full upstream free a slot.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -133,7 +133,9 @@
 
 	started  time.Time
 	lastTick time.Time
-	rank     int
+	// alone says that no seed knows anything.
+	alone bool
+	rank  int
 	// reading says that a call to the store is open.
 	reading bool
 	// began is when the last call to the store was made.
@@ -222,6 +224,15 @@
 	return f.out
 }
 
+// Alone tells that the seeds were asked and none knows anything: no peer's word
+// is waited for any longer.
+func (f *Follower) Alone(now time.Time) []Action {
+	f.out = nil
+	f.alone = true
+	f.advanceRead(now)
+	return f.out
+}
+
 // Heard takes in what a peer announces: its revision and when the store last
 // confirmed it.
 func (f *Follower) Heard(now time.Time, peer Peer, revision uint64, age time.Duration) []Action {
@@ -444,6 +455,8 @@
 // others.
 func (f *Follower) firstWait() time.Duration {
 	switch {
+	case f.alone && !f.opts.FirstStart:
+		return 0
 	case !f.opts.FirstStart:
 		return hearFirst
 	case f.opts.Seed:
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -159,6 +159,25 @@
 	}
 }
 
+// Symptom: after the loss of all processes nobody is served for longer than the
+// processes take to start.
+// Sequence: each listens for a peer that knows the configuration; none does.
+// Cause: that the seeds had answered and know nothing was not taken for an end of
+// the wait.
+func TestAProcessThatIsAloneReadsAtOnce(t *testing.T) {
+	f := newFollower(start, "a", "r", false)
+	if got := names(f.Tick(start)); got != "" {
+		t.Errorf("%q at once", got)
+	}
+	if got := names(f.Alone(start.Add(20 * time.Millisecond))); got != "list" {
+		t.Errorf("%q when no seed knows anything", got)
+	}
+	first := newFollower(start, "a", "r", true)
+	if got := names(first.Alone(start.Add(20 * time.Millisecond))); got != "" {
+		t.Errorf("%q when the whole system starts: one reads for all", got)
+	}
+}
+
 // fleet is followers over a model of the store and of the network between them.
 type fleet struct {
 	t    *testing.T
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
@@ -32,8 +34,11 @@
 const (
 	// followTick is how often the follower is moved on.
 	followTick = 50 * time.Millisecond
-	// joinTimeout gives up a seed that does not answer.
-	joinTimeout = 500 * time.Millisecond
+	// joinTimeout gives up a seed that does not answer: three round trips between
+	// regions and the seed's own work.
+	joinTimeout = 200 * time.Millisecond
+	// unknownAge stands for a confirmation of which the time is not told.
+	unknownAge = time.Hour
 	// pullPath is where a VM gives its peers what it knows.
 	pullPath = "/catalog"
 	// membersPath is where a VM gives its peers what it holds of the fleet.
@@ -42,9 +47,9 @@
 	maxPage = 64 << 20
 )
 
-// joinWaits are the pauses before each question to a seed: the first soon, the
-// others while VMs that start at the same moment become known.
-var joinWaits = []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond}
+// joinWaits are the pauses before each further question to a seed, while VMs that
+// start at the same moment become known.
+var joinWaits = []time.Duration{400 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond}
 
 // reader drives a follow.Follower.
 //
@@ -203,31 +208,61 @@
 	return items
 }
 
-// join asks the seeds, a few times after the start, for what they know. Left to
-// datagrams, a process that starts in a large fleet would take seconds to know
-// it, and meanwhile send callers to the wrong VMs and take too large a part of
-// what the VMs share.
+// join asks the seeds for what they hold of the fleet: all of them at the start,
+// then one a few times. Left to datagrams, a process that starts in a large fleet
+// would take seconds to know it, and meanwhile send callers to the wrong VMs and
+// take too large a part of what the VMs share.
 func (r *reader) join(ctx context.Context, seeds []string) error {
+	if !r.askSeeds(seeds) {
+		r.step((*follow.Follower).Alone)
+	}
 	for i, wait := range joinWaits {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-time.After(wait):
 		}
-		if len(seeds) == 0 {
-			return nil
+		if len(seeds) > 0 {
+			r.askSeed(seeds[(i+r.joinFrom)%len(seeds)])
 		}
-		seed := seeds[(i+r.joinFrom)%len(seeds)]
-		page, err := fetchPage(membersPath, follow.Pull{Address: seed, Timeout: joinTimeout})
-		if err != nil {
-			r.log.Info("peer: join failed", zap.String("peer", seed), zap.Error(err))
-			continue
-		}
-		r.learn(page.Members)
 	}
 	return nil
 }
 
+// askSeeds asks all seeds at once and tells whether one knows a configuration.
+func (r *reader) askSeeds(seeds []string) bool {
+	var known atomic.Bool
+	var group errgroup.Group
+	for _, seed := range seeds {
+		group.Go(func() error {
+			if r.askSeed(seed) > 0 {
+				known.Store(true)
+			}
+			return nil
+		})
+	}
+	// The questions end by themselves and give no error.
+	_ = group.Wait()
+	return known.Load()
+}
+
+// askSeed asks one seed for what it holds of the fleet and gives its revision, 0
+// when it does not answer.
+func (r *reader) askSeed(seed string) uint64 {
+	page, err := fetchPage(membersPath, follow.Pull{Address: seed, Timeout: joinTimeout})
+	if err != nil {
+		r.log.Info("peer: join failed", zap.String("peer", seed), zap.Error(err))
+		return 0
+	}
+	r.learn(page.Members)
+	for _, m := range page.Members {
+		if m.PeerAddress == seed && page.Revision > 0 {
+			r.heard(m, page.Revision, unknownAge)
+		}
+	}
+	return page.Revision
+}
+
 // serve answers a peer's pull.
 func (r *reader) serve(ctx *fasthttp.RequestCtx) {
 	after, err := ctx.QueryArgs().GetUint("after")
@@ -236,7 +271,7 @@
 	case path == pullPath && err == nil:
 		page = r.page(uint64(after))
 	case path == membersPath:
-		page = &pb.CatalogPage{Members: r.members()}
+		page = &pb.CatalogPage{Revision: r.revision(), Members: r.members()}
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
@@ -250,6 +285,12 @@
 	ctx.SetBody(body)
 }
 
+func (r *reader) revision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.follower.State().Revision()
+}
+
 // page is the changes above a revision, or everything when they are not known
 // any more.
 func (r *reader) page(after uint64) *pb.CatalogPage {
