Notice a VM that has become slow by how late it is woken

Cause: a VM that ran five times slower kept its callers; all of their requests waited for it, 187 of 385 on time in the worst two seconds, 120 failed. A process that is woken late in 6 of 20 measurements announces the least capacity, so that the directory names others, and refuses at once what cannot be in time. Ruled out: the mean delay of wakings (a stall is one waking: 20 ms), a mean over time (4 to 9 ms, with a pause of seconds above it).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,6 +42,12 @@
 	linger = 400 * time.Millisecond
 	// capUnknown is the connections to an upstream that publishes no bound.
 	capUnknown = 32
+	// turns is how often a request waits for the processor: when it is read, when
+	// its parts are sent, when most have come, and when the answer is written.
+	turns = 4
+	// leastLag is the delay up to which a process counts as healthy, whatever an
+	// objective asks.
+	leastLag = 20 * time.Millisecond
 	// usualShare is the part of the objective taken for the usual answer time of
 	// a kind of which no answer has been seen.
 	usualShare = 0.25
@@ -70,7 +76,9 @@
 	view     atomic.Pointer[catalog.View]
 	shares   atomic.Pointer[Shares]
 	inFlight atomic.Int64
-	started  time.Time
+	// lag is how late this process is woken, in nanoseconds.
+	lag     atomic.Int64
+	started time.Time
 
 	mu       sync.Mutex
 	replicas *replica.Table
@@ -199,12 +207,23 @@
 	if r.Route == nil {
 		return refuse(NoRoute, 0)
 	}
-	if e.inFlight.Load() > int64(e.opts.MaxRequests) {
+	if e.inFlight.Load() > int64(e.opts.MaxRequests) || e.tooSlow(r.Route) {
 		return refuse(Overloaded, overloadRetry)
 	}
 	return e.run(v, r)
 }
 
+// tooSlow tells whether this process is woken so late that the route's objective
+// cannot be met here: a request takes its turn of the processor several times.
+// It is refused at once, while another VM can still serve it in time.
+func (e *Engine) tooSlow(route *routing.Route) bool {
+	lag := time.Duration(e.lag.Load())
+	return lag > leastLag && lag*turns > objective(route)
+}
+
+// SetLag tells how late this process is woken.
+func (e *Engine) SetLag(lag time.Duration) { e.lag.Store(int64(lag)) }
+
 // plan works out the parts and times of a request. The services are fixed here,
 // once: a configuration that comes meanwhile does not mix into the request.
 func (e *Engine) plan(r *Request) scatter.Plan {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -44,6 +44,28 @@
 	}
 }
 
+// A VM that is woken late refuses what it cannot serve in time, the tightest
+// objectives first.
+func TestASlowVMRefusesWhatWouldBeLate(t *testing.T) {
+	var e Engine
+	for _, c := range []struct {
+		lag, objective time.Duration
+		refused        bool
+	}{
+		{10 * time.Millisecond, 30 * time.Millisecond, false},
+		{25 * time.Millisecond, 120 * time.Millisecond, false},
+		{35 * time.Millisecond, 120 * time.Millisecond, true},
+		{35 * time.Millisecond, 250 * time.Millisecond, false},
+		{80 * time.Millisecond, 250 * time.Millisecond, true},
+		{80 * time.Millisecond, time.Second, false},
+	} {
+		e.SetLag(c.lag)
+		if got := e.tooSlow(&routing.Route{Objective: c.objective}); got != c.refused {
+			t.Errorf("lag %v, objective %v: refused %v", c.lag, c.objective, got)
+		}
+	}
+}
+
 // The parts of all VMs that agree on who carries never exceed the bound.
 func TestSharesAreAtMostTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/placement"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
+	"sycamorekeel.example/sycamorekeel/internal/strain"
 )
 
 const (
@@ -100,6 +101,7 @@
 	gossip   *gossip.Driver
 	members  atomic.Pointer[membership.View]
 	leaving  atomic.Bool
+	strained atomic.Bool
 	sharers  sharers
 	callers  callerCount
 }
@@ -238,8 +240,11 @@
 // showCapacity tells peers what this VM can carry for callers.
 func (n *Node) showCapacity() {
 	capacity := uint32(0)
-	if n.ready() {
-		capacity = uint32(max(1, 1000*n.set.Load().Cores))
+	switch {
+	case n.ready() && n.strained.Load():
+		capacity = placement.StrainedCapacity
+	case n.ready():
+		capacity = uint32(max(placement.StrainedCapacity+1, 1000*n.set.Load().Cores))
 	}
 	n.gossip.SetCapacity(capacity)
 }
@@ -316,6 +321,7 @@
 	group.Go(func() error { return n.reader.run(run) })
 	group.Go(func() error { return n.reader.join(run, otherSeeds(n.set.Load())) })
 	group.Go(func() error { return n.tick(run) })
+	group.Go(func() error { return n.watchStrain(run) })
 	group.Go(func() error { return n.watchSettings(run) })
 	for _, s := range servers {
 		group.Go(s.serve)
@@ -338,6 +344,27 @@
 	return trace.Wrap(err)
 }
 
+// watchStrain measures how late this process is woken and acts on it.
+func (n *Node) watchStrain(ctx context.Context) error {
+	t := time.NewTicker(strain.Every)
+	defer t.Stop()
+	var m strain.Meter
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		changed := m.Woken(time.Now())
+		n.engine.SetLag(m.Lag())
+		if changed {
+			n.strained.Store(m.Strained())
+			n.log.Warn("node: strain", zap.Bool("strained", m.Strained()), zap.Duration("lag", m.Lag()))
+			n.showCapacity()
+		}
+	}
+}
+
 func (n *Node) tick(ctx context.Context) error {
 	t := time.NewTicker(engineTick)
 	defer t.Stop()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,6 +12,10 @@
 	"sycamorekeel.example/sycamorekeel/internal/rendezvous"
 )
 
+// StrainedCapacity is announced by a VM that has become slow: it takes callers
+// only while no other VM does.
+const StrainedCapacity = 1
+
 // Caller is what a caller says of itself.
 type Caller struct {
 	Region     string
@@ -77,12 +81,16 @@
 }
 
 // distance ranks how far a VM is from the caller: regions count, data centres of
-// one region are alike.
+// one region are alike, and a strained VM is further than any other.
 func distance(m *membership.Member, c Caller) int {
-	if m.Region == c.Region {
+	switch {
+	case m.Capacity <= StrainedCapacity:
+		return 2
+	case m.Region == c.Region:
 		return 0
+	default:
+		return 1
 	}
-	return 1
 }
 
 func weight(m *membership.Member, place uint64) uint64 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -40,6 +40,8 @@
 		{"not the leaving, the dead, the unready",
 			[]membership.Member{vm("l", "r/a", 800, leaving), vm("d", "r/a", 800, dead), vm("u", "r/a", 0, alive), vm("ok", "r/a", 100, alive)}, "ok"},
 		{"suspects only when there are no others", []membership.Member{vm("s", "r/a", 800, suspect), vm("ok", "s/x", 100, alive)}, "ok"},
+		{"the strained only when there are no others", []membership.Member{vm("st", "r/a", StrainedCapacity, alive), vm("far", "s/x", 100, alive)}, "far"},
+		{"the strained rather than none", []membership.Member{vm("st", "r/a", StrainedCapacity, alive)}, "st"},
 		{"suspects rather than none", []membership.Member{vm("s", "r/a", 800, suspect), vm("d", "r/a", 800, dead)}, "s"},
 	} {
 		got := Choose(c.members, Caller{Region: "r"}, bounds)
