--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -109,7 +109,10 @@
 		return Line{}, false
 	}
 	var fields map[string]any
-	if err := json.Unmarshal(text[i:], &fields); err != nil {
+	dec := json.NewDecoder(bytes.NewReader(text[i:]))
+	// Revisions and incarnations are whole numbers of up to 64 bits.
+	dec.UseNumber()
+	if err := dec.Decode(&fields); err != nil {
 		return Line{}, false
 	}
 	l := Line{order: order}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -107,7 +107,7 @@
 		least = 2
 		// work is what the callers of one region may need, in thousandths of a
 		// core.
-		work = 800
+		work = 1000
 	)
 	return placement.Bounds{Most: most, Least: least, Work: work, Upstreams: n.upstreamsBy()}
 }
