Refuse queries beyond what the upstreams of their shards take

The limiter of queries that the owners' path has is used here: a part counts as crowded when an upstream refuses it or it waits for a connection for half of the objective; the less urgent are refused first, at once, with Retry-After.

--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -61,7 +61,11 @@
 	// Done gets the reply, once, from another goroutine; not after Withdraw.
 	Done func(Reply)
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// queuedAt is when the call began to wait for a connection, zero if it got
+	// one at once; waited is for how long it did.
+	queuedAt  time.Time
+	waited    time.Duration
 	conn      net.Conn
 	withdrawn bool
 	finished  bool
@@ -84,6 +88,30 @@
 	}
 }
 
+// Waited is how long the call has waited, or waits, because all connections that
+// this VM may have to the upstream were busy.
+func (c *Call) Waited(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.queuedAt.IsZero() && c.waited == 0 {
+		return now.Sub(c.queuedAt)
+	}
+	return c.waited
+}
+
+// queued notes that the call waits from now on, dequeued that it does no longer.
+func (c *Call) queued(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queuedAt = now
+}
+
+func (c *Call) dequeued(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waited = max(now.Sub(c.queuedAt), 1)
+}
+
 // start binds the call to a connection; false when it was withdrawn.
 func (c *Call) start(conn net.Conn) bool {
 	c.mu.Lock()
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -285,7 +285,10 @@
 	if got := <-order; got != "first" {
 		t.Fatal(got)
 	}
-	_, low := cl.begin("low", nil, 2)
+	lowCall, low := cl.begin("low", nil, 2)
+	if lowCall.Waited(time.Now().Add(time.Second)) < time.Second {
+		t.Error("a call that waits does not say so")
+	}
 	_, mid := cl.begin("mid", nil, 1)
 	_, top := cl.begin("top", nil, 0)
 	_, mid2 := cl.begin("mid2", nil, 1)
--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -67,6 +67,7 @@
 		return 1
 	})
 	p.waiting = slices.Insert(p.waiting, i, call)
+	call.queued(time.Now())
 }
 
 // takeIdle is the idle connection used last that can still be used; those that
@@ -114,6 +115,7 @@
 		call := p.waiting[0]
 		p.waiting = p.waiting[1:]
 		if !call.isWithdrawn() {
+			call.dequeued(time.Now())
 			return call
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,7 +16,9 @@
 	"go.uber.org/zap"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
@@ -83,6 +85,8 @@
 	mu       sync.Mutex
 	replicas *replica.Table
 	budgets  map[string]*retrybudget.Budget
+	// scatters limits the queries under way, by the first of their shards.
+	scatters map[string]*congestion.Limiter
 	sends    uint64
 }
 
@@ -93,6 +97,7 @@
 		started:  now,
 		replicas: replica.New(opts.Place, opts.Random),
 		budgets:  map[string]*retrybudget.Budget{},
+		scatters: map[string]*congestion.Limiter{},
 	}
 	e.shares.Store(&Shares{VMs: 1, Carriers: 1, Carrying: true})
 	e.pools = direct.NewPools(opts.Protocol, e.connectionLimit)
@@ -210,7 +215,57 @@
 	if e.inFlight.Load() > int64(e.opts.MaxRequests) || e.tooSlow(r.Route) {
 		return refuse(Overloaded, overloadRetry)
 	}
-	return e.run(v, r)
+	if !r.Route.FanOut() {
+		return e.run(v, r)
+	}
+	if !e.startScatter(r.Route) {
+		return refuse(Congested, congestedRetry)
+	}
+	a := e.run(v, r)
+	e.endScatter(r, &a)
+	return a
+}
+
+// startScatter begins a query unless as many are under way as the upstreams of
+// its shards take: beyond that most queries would lose some shard, and the work
+// for their others would be wasted. The less urgent are refused first.
+func (e *Engine) startScatter(route *routing.Route) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.scatter(route).Start(urgency(route.Priority))
+}
+
+func (e *Engine) endScatter(r *Request, a *Answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.scatter(r.Route)
+	if a.Reason == Gone {
+		l.Abandon()
+		return
+	}
+	l.Done(time.Now(), r.Received, len(r.Route.Shards), a.Crowded)
+}
+
+// scatter is the limiter of a route's shards. The caller holds mu.
+func (e *Engine) scatter(route *routing.Route) *congestion.Limiter {
+	l := e.scatters[route.Shards[0]]
+	if l == nil {
+		l = congestion.New(congestion.DefaultPolicy())
+		e.scatters[route.Shards[0]] = l
+	}
+	return l
+}
+
+// urgency is the class of a route's priority; 0 is the most urgent.
+func urgency(priority int) pb.Priority {
+	switch {
+	case priority <= 0:
+		return pb.Priority_HIGH
+	case priority == 1:
+		return pb.Priority_NORMAL
+	default:
+		return pb.Priority_LOW
+	}
 }
 
 // tooSlow tells whether this process is woken so late that the route's objective
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 )
 
@@ -81,3 +82,51 @@
 		}
 	})
 }
+
+// Symptom: at three times the usual load a sixth of the queries is answered in
+// time, although the upstreams answer half of it.
+// Sequence: each query waits for connections; most lose a shard when their time
+// is up, and the work for their others is wasted.
+// Cause: queries were begun whatever was under way.
+func TestCrowdedQueriesLimitTheNext(t *testing.T) {
+	e := &Engine{scatters: map[string]*congestion.Limiter{}}
+	route := func(priority int) *routing.Route {
+		return &routing.Route{Shards: []string{"a", "b", "c", "d"}, Priority: priority}
+	}
+	began := time.Now()
+	for range 20 {
+		if !e.startScatter(route(2)) {
+			t.Fatal("refused before any congestion")
+		}
+	}
+	for range 20 {
+		e.endScatter(&Request{Received: began, Route: route(2)}, &Answer{Crowded: 4})
+	}
+	started := map[int]int{}
+	for range 40 {
+		for priority := range 3 {
+			if e.startScatter(route(priority)) {
+				started[priority]++
+			}
+		}
+	}
+	if total := started[0] + started[1] + started[2]; total > 10 || total < 5 {
+		t.Errorf("%d queries begun after 20 at once were crowded", total)
+	}
+	if !(started[0] >= started[1] && started[1] >= started[2] && started[0] > started[2]) {
+		t.Errorf("begun by priority: %v, the most urgent should have most", started)
+	}
+}
+
+// What a caller that left had under way tells nothing and leaves its place.
+func TestQueriesOfCallersThatLeftTellNothing(t *testing.T) {
+	e := &Engine{scatters: map[string]*congestion.Limiter{}}
+	r := &routing.Route{Shards: []string{"a", "b", "c", "d"}}
+	e.startScatter(r)
+	e.endScatter(&Request{Received: time.Now(), Route: r}, &Answer{Reason: Gone, Crowded: 4})
+	for range 50 {
+		if !e.startScatter(r) {
+			t.Fatal("refused")
+		}
+	}
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -58,6 +58,8 @@
 	NoRoute Reason = "no_route"
 	// Overloaded: too many requests are in flight on this VM.
 	Overloaded Reason = "overloaded"
+	// Congested: the upstreams of the query's shards have no room for more.
+	Congested Reason = "congested"
 	// Gone: the caller closed its connection.
 	Gone Reason = "caller_gone"
 	// Malformed: the request breaks the interface's rules.
@@ -73,6 +75,8 @@
 	unreadyRetry = 300 * time.Millisecond
 	// overloadRetry lets about a dozen requests of the usual kind finish.
 	overloadRetry = 300 * time.Millisecond
+	// congestedRetry lets about the queries under way finish.
+	congestedRetry = 250 * time.Millisecond
 	// refusedRetry lets a full upstream free a slot.
 	refusedRetry = 100 * time.Millisecond
 	// noUpstreamRetry is about what a replacement of an upstream takes to
@@ -96,6 +100,8 @@
 	Proofs  []string
 	Missing int
 	Body    []byte
+	// Crowded is how many parts found no room at an upstream.
+	Crowded int
 	// Sends is how often upstreams were asked.
 	Sends int
 	// Slowest is the upstream whose reply came last, and SlowestAfter how long
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -226,6 +226,7 @@
 // answer turns the verdict into what the caller gets.
 func (x *run) answer(v *scatter.Verdict) Answer {
 	a := Answer{Reason: Reason(v.Reason), NotRun: v.NotRun, Sends: len(x.sends)}
+	a.Crowded = x.crowdedParts()
 	if x.last != nil {
 		a.Slowest = x.last.call.Upstream.ID
 		a.SlowestAfter = x.lastAt.Sub(x.req.Received)
@@ -241,6 +242,26 @@
 	return a
 }
 
+// crowdedWait is how many times the usual answer time, a quarter of the objective,
+// a part must have waited for a connection to count as crowded. With one, the
+// cold connections after a restart counted as well.
+const crowdedWait = 2
+
+// crowdedParts is how many parts found no room: an upstream refused them, or they
+// waited for a connection for a good part of the objective.
+func (x *run) crowdedParts() int {
+	now := time.Now()
+	crowded := map[int]bool{}
+	for i := range x.sends {
+		s := &x.sends[i]
+		refused := s.replied && s.reply.Result == scatter.Refused
+		if refused || s.call.Waited(now) > crowdedWait*x.usual {
+			crowded[s.part] = true
+		}
+	}
+	return len(crowded)
+}
+
 // fail gives a plain request the failure that its upstream reported, and tells
 // when to come back after work that has not run.
 func (x *run) fail(a *Answer, v *scatter.Verdict) {
