Let callers keep an answer of the directory for three seconds

Cause: a question to a dark VM costs a caller a second, so that with a quarter of the VMs dark short-lived answers made more requests late.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,7 @@
 	gossipUpdateRate = 6000
 	// directoryTTL is how long callers keep an answer of the directory: about
 	// what it takes to notice a lost VM.
-	directoryTTL = 2 * time.Second
+	directoryTTL = 3 * time.Second
 	// settleAfter is how long after its start a process does not yet take what it
 	// knows of the fleet for all of it. It takes the fleet for startVMs and
 	// startCarriers at least, which is about what a user runs today, and leaves
