--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -182,8 +182,9 @@
 	if d := r.table.HedgeDelay(r.now, "k", usual, 170*ms, r.ups[0]); d <= near || d >= usual {
 		t.Errorf("with some room: %v, want between %v and %v", d, near, usual)
 	}
-	if d := r.table.HedgeDelay(r.now, "k", usual, 400*ms, r.ups[0]); d != patience*usual {
-		t.Errorf("with much room: %v, want %v", d, patience*usual)
+	want := time.Duration(patience * float64(usual))
+	if d := r.table.HedgeDelay(r.now, "k", usual, 400*ms, r.ups[0]); d != want {
+		t.Errorf("with much room: %v, want %v", d, want)
 	}
 }
 
