Check settings files and single contract files, and let the demo play the platform path

'sycamorekeel check' took each file for a contract: a customers file alone had faults for services whose file was not given, settings had 10 to 13. Each text is now reported as the kind of file it is closest to; services that no given file defines are warnings.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,11 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# Both users' deployments over the project's own interface, then the platform path
+# over separate processes, without faults.
 demo: build
 	./bin/sycamorekeel demo
+	./bin/sycamorekeel-soak ./bin/sycamorekeel-edge --faulty 0s --calm 15s
 
 # Measures the policy against the baseline, in a few minutes; exit status 1 only
 # for a broken property.
--- a/cmd/sycamorekeel-soak/main.go
+++ b/cmd/sycamorekeel-soak/main.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return false, trace.ConvertSystemError(err)
 	}
-	fmt.Println("| seed | faults | requests | served | arrivals | broken promises |\n|---|---|---|---|---|---|")
+	fmt.Println("| seed | faults | requests | served | arrivals | p50 ms | p99 ms | broken promises |\n|---|---|---|---|---|---|---|---|")
 	for seed := f.Seed; seed < f.Seed+uint64(f.Seeds); seed++ {
 		dir, err := filepath.Abs(filepath.Join(f.Dir, fmt.Sprint(seed)))
 		if err != nil {
@@ -60,7 +60,8 @@
 		if err != nil {
 			return broken, err
 		}
-		fmt.Printf("| %d | %d | %d | %d | %d | %d |\n", r.Seed, r.Faults, r.Requests, r.Served, r.Arrivals, len(r.Violations))
+		fmt.Printf("| %d | %d | %d | %d | %d | %d | %d | %d |\n",
+			r.Seed, r.Faults, r.Requests, r.Served, r.Arrivals, r.Median.Milliseconds(), r.Tail.Milliseconds(), len(r.Violations))
 		for _, v := range r.Violations {
 			fmt.Println("  " + v)
 		}
--- a/cmd/sycamorekeel/check.go
+++ b/cmd/sycamorekeel/check.go
@@ -2,15 +2,19 @@
 
 import (
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/gravitational/trace"
 
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/finding"
+	"sycamorekeel.example/sycamorekeel/internal/settings"
+	"sycamorekeel.example/sycamorekeel/platform"
 )
 
 type checkCommand struct {
-	Files []string `arg:"" type:"existingfile" help:"Contract files (TOML). Together they are checked as one configuration."`
+	Files []string `arg:"" type:"existingfile" help:"Contract files and settings files (TOML). Contract files are checked together as one configuration; without one that defines services, names of services are only warned of."`
 }
 
 // checkReport is the JSON output of check.
@@ -59,14 +63,48 @@
 			return nil, trace.ConvertSystemError(err)
 		}
 		doc, findings := contract.Check(name, body)
-		report.Findings = append(report.Findings, findings...)
+		if len(findings) > 0 {
+			report.Findings = append(report.Findings, closest(name, body, findings)...)
+			continue
+		}
 		docs = append(docs, contract.Accepted{Name: name, Revision: uint64(i + 1), Document: doc})
 		files = append(files, contract.File{Name: name, Body: body, Document: doc})
 	}
 	if len(report.Findings) == 0 {
 		report.Warnings = append(report.Warnings, contract.Warnings(files)...)
-		report.Conflicts = append(report.Conflicts, contract.Compile(1, docs).Conflicts...)
+		report.compile(docs)
 	}
 	report.OK = len(report.Findings)+len(report.Conflicts) == 0
 	return report, nil
 }
+
+// closest is the findings of the kind of file that the text is closest to: a
+// contract file, a daemon's settings, or settings of the users' platform. None
+// when it is sound as one of them.
+func closest(name string, body []byte, asContract finding.List) finding.List {
+	_, asSettings := settings.Parse(name, body)
+	_, asPlatform := platform.ParseSettings(name, body)
+	best := asContract
+	for _, l := range []finding.List{asSettings, asPlatform} {
+		if len(l) < len(best) {
+			best = l
+		}
+	}
+	return best
+}
+
+// compile checks what the documents say of each other. Services that none of them
+// defines are faults only when some document defines services: else the file that
+// does was not given.
+func (r *checkReport) compile(docs []contract.Accepted) {
+	snapshot := contract.Compile(1, docs)
+	defines := slices.ContainsFunc(docs, func(d contract.Accepted) bool { return len(d.Document.Services) > 0 })
+	for _, text := range snapshot.Conflicts {
+		if !defines && slices.Contains(snapshot.Undefined, text) {
+			file, message, _ := strings.Cut(text, ": ")
+			r.Warnings = append(r.Warnings, finding.Finding{File: file, Message: message})
+			continue
+		}
+		r.Conflicts = append(r.Conflicts, text)
+	}
+}
--- a/cmd/sycamorekeel/check_test.go
+++ b/cmd/sycamorekeel/check_test.go
@@ -11,6 +11,29 @@
 	"sycamorekeel.example/sycamorekeel/docs/examples"
 )
 
+const platformSettings = `node_name = "a"
+ip = "10.0.0.1"
+zone = "z"
+region = "r"
+[listen]
+front = "10.0.0.1:1"
+ready = "10.0.0.1:2"
+control = "10.0.0.1:3"
+directory = "10.0.0.1:4"
+[limits]
+cpu_share = 0.4
+memory_mb = 200
+max_fds = 4000
+[bounds]
+drain_ms = 3000
+grace_s = 6
+config_apply_ms = 3000
+retry_window_s = 10
+ttl_max_s = 5
+[platform]
+addr = "10.0.0.2:1"
+`
+
 func TestCheckCommand(t *testing.T) {
 	services := example(t, "leasing/services.toml")
 	customers := example(t, "leasing/customers.toml")
@@ -25,6 +48,11 @@
 		{"findings", []string{services, strings.ReplaceAll(customers, "weight = 4", "weight = 0")}, true, 2, 0, 0},
 		{"not TOML", []string{"["}, true, 1, 0, 0},
 		{"conflict", []string{services, services}, true, 0, 4, 0},
+		{"companion missing", []string{customers}, false, 0, 0, 6},
+		{"settings", []string{example(t, "leasing/sycamorekeeld.toml")}, false, 0, 0, 0},
+		{"faulty settings", []string{strings.Replace(example(t, "leasing/sycamorekeeld.toml"), "vm =", "vn =", 1)}, true, 1, 0, 0},
+		{"platform settings", []string{platformSettings}, false, 0, 0, 0},
+		{"faulty platform settings", []string{strings.Replace(platformSettings, "grace_s = 6", "grace_s = 0", 1)}, true, 1, 0, 0},
 		{"warning", []string{services, strings.ReplaceAll(customers, "concurrency = 60", "concurrency = 60000")}, false, 0, 0, 1},
 	}
 	for _, tt := range tests {
--- a/internal/contract/snapshot.go
+++ b/internal/contract/snapshot.go
@@ -25,6 +25,8 @@
 	// Conflicts tells of names that two documents claim and of services that
 	// no document defines.
 	Conflicts []string
+	// Undefined is those conflicts that name a service which no document defines.
+	Undefined []string
 }
 
 // tokenOwner is the customer that a token hash lets in.
@@ -207,7 +209,9 @@
 	for _, k := range v.Kinds {
 		svc := s.services[k.Service]
 		if svc == nil {
-			s.Conflicts = append(s.Conflicts, fmt.Sprintf("%s: customer %s, kind %s: service %s is not defined", d.Name, v.Name, k.Name, k.Service))
+			text := fmt.Sprintf("%s: customer %s, kind %s: service %s is not defined", d.Name, v.Name, k.Name, k.Service)
+			s.Conflicts = append(s.Conflicts, text)
+			s.Undefined = append(s.Undefined, text)
 		}
 		c.Kinds[k.Name] = &Kind{Kind: k, Customer: v.Name, Service: svc}
 	}
