--- a/cmd/sycamorekeel/check.go
+++ b/cmd/sycamorekeel/check.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/gravitational/trace"
+	"github.com/pelletier/go-toml/v2"
 
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/finding"
@@ -62,11 +63,12 @@
 		if err != nil {
 			return nil, trace.ConvertSystemError(err)
 		}
-		doc, findings := contract.Check(name, body)
-		if len(findings) > 0 {
-			report.Findings = append(report.Findings, closest(name, body, findings)...)
+		if findings, ok := settingsFindings(name, body); ok {
+			report.Findings = append(report.Findings, findings...)
 			continue
 		}
+		doc, findings := contract.Check(name, body)
+		report.Findings = append(report.Findings, findings...)
 		docs = append(docs, contract.Accepted{Name: name, Revision: uint64(i + 1), Document: doc})
 		files = append(files, contract.File{Name: name, Body: body, Document: doc})
 	}
@@ -78,19 +80,22 @@
 	return report, nil
 }
 
-// closest is the findings of the kind of file that the text is closest to: a
-// contract file, a daemon's settings, or settings of the users' platform. None
-// when it is sound as one of them.
-func closest(name string, body []byte, asContract finding.List) finding.List {
-	_, asSettings := settings.Parse(name, body)
-	_, asPlatform := platform.ParseSettings(name, body)
-	best := asContract
-	for _, l := range []finding.List{asSettings, asPlatform} {
-		if len(l) < len(best) {
-			best = l
-		}
+// settingsFindings checks a file of settings; false when the text is none, by the
+// addresses that only settings have.
+func settingsFindings(name string, body []byte) (finding.List, bool) {
+	var text map[string]any
+	if toml.Unmarshal(body, &text) != nil {
+		return nil, false
+	}
+	if _, ok := text["caller_address"]; ok {
+		_, findings := settings.Parse(name, body)
+		return findings, true
+	}
+	if _, ok := text["listen"]; ok {
+		_, findings := platform.ParseSettings(name, body)
+		return findings, true
 	}
-	return best
+	return nil, false
 }
 
 // compile checks what the documents say of each other. Services that none of them
