Forget what a configuration no longer names

Cause: budgets, limiters and answer times were kept by the name of a route or service for as long as the process ran; each configuration brings other names. A budget stays until its window has passed; a query ends at the limiter it began at.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -109,10 +109,39 @@
 	e.view.Store(v)
 	e.mu.Lock()
 	e.replicas.Keep(now, v.Upstreams)
+	e.forget(now, v.Config)
 	e.mu.Unlock()
 	e.pools.Keep(v.Upstreams)
 }
 
+// forget drops what is kept of routes and services that the configuration no
+// longer names: with each change it names some others, and a process would grow
+// by them for as long as it runs. A budget is kept until its window has passed.
+// The caller holds mu.
+func (e *Engine) forget(now time.Time, c *routing.Config) {
+	if c == nil {
+		return
+	}
+	routes, services := map[string]bool{}, map[string]bool{}
+	for i := range c.Routes {
+		routes[c.Routes[i].Name] = true
+	}
+	for _, s := range c.Services {
+		services[s.Name] = true
+	}
+	e.replicas.KeepKinds(routes)
+	for name, b := range e.budgets {
+		if !services[name] && b.Empty(now) {
+			delete(e.budgets, name)
+		}
+	}
+	for name := range e.scatters {
+		if !services[name] {
+			delete(e.scatters, name)
+		}
+	}
+}
+
 // View is the view in force, nil before the first.
 func (e *Engine) View() *catalog.View { return e.view.Load() }
 
@@ -218,27 +247,32 @@
 	if !r.Route.FanOut() {
 		return e.run(v, r)
 	}
-	if !e.startScatter(r.Route) {
+	l := e.startScatter(r.Route)
+	if l == nil {
 		return refuse(Congested, congestedRetry)
 	}
 	a := e.run(v, r)
-	e.endScatter(r, &a)
+	e.endScatter(l, r, &a)
 	return a
 }
 
 // startScatter begins a query unless as many are under way as the upstreams of
 // its shards take: beyond that most queries would lose some shard, and the work
-// for their others would be wasted. The less urgent are refused first.
-func (e *Engine) startScatter(route *routing.Route) bool {
+// for their others would be wasted. The less urgent are refused first, with nil.
+func (e *Engine) startScatter(route *routing.Route) *congestion.Limiter {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.scatter(route).Start(urgency(route.Priority))
+	l := e.scatter(route)
+	if !l.Start(urgency(route.Priority)) {
+		return nil
+	}
+	return l
 }
 
-func (e *Engine) endScatter(r *Request, a *Answer) {
+// endScatter ends a query at the limiter that it was begun at.
+func (e *Engine) endScatter(l *congestion.Limiter, r *Request, a *Answer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l := e.scatter(r.Route)
 	if a.Reason == Gone {
 		l.Abandon()
 		return
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -1,12 +1,16 @@
 package edge
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/congestion"
+	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 )
 
@@ -94,18 +98,19 @@
 		return &routing.Route{Shards: []string{"a", "b", "c", "d"}, Priority: priority}
 	}
 	began := time.Now()
+	var l *congestion.Limiter
 	for range 20 {
-		if !e.startScatter(route(2)) {
+		if l = e.startScatter(route(2)); l == nil {
 			t.Fatal("refused before any congestion")
 		}
 	}
 	for range 20 {
-		e.endScatter(&Request{Received: began, Route: route(2)}, &Answer{Crowded: 4})
+		e.endScatter(l, &Request{Received: began, Route: route(2)}, &Answer{Crowded: 4})
 	}
 	started := map[int]int{}
 	for range 40 {
 		for priority := range 3 {
-			if e.startScatter(route(priority)) {
+			if e.startScatter(route(priority)) != nil {
 				started[priority]++
 			}
 		}
@@ -122,11 +127,39 @@
 func TestQueriesOfCallersThatLeftTellNothing(t *testing.T) {
 	e := &Engine{scatters: map[string]*congestion.Limiter{}}
 	r := &routing.Route{Shards: []string{"a", "b", "c", "d"}}
-	e.startScatter(r)
-	e.endScatter(&Request{Received: time.Now(), Route: r}, &Answer{Reason: Gone, Crowded: 4})
+	e.endScatter(e.startScatter(r), &Request{Received: time.Now(), Route: r}, &Answer{Reason: Gone, Crowded: 4})
 	for range 50 {
-		if !e.startScatter(r) {
+		if e.startScatter(r) == nil {
 			t.Fatal("refused")
 		}
 	}
 }
+
+// Symptom: a process grows for as long as it runs.
+// Sequence: each configuration names other routes and services.
+// Cause: what was kept of the former ones stayed.
+func TestWhatAConfigurationNoLongerNamesIsForgotten(t *testing.T) {
+	start := time.Unix(1000, 0)
+	limit := retrybudget.Limit{Ratio: 1, Window: 10 * time.Second}
+	e := New(start, Options{Budget: limit, Random: rand.New(rand.NewPCG(1, 2))})
+	view := func(i int) *catalog.View {
+		name := fmt.Sprint(i)
+		c := &routing.Config{Routes: []routing.Route{{Name: name}}, Services: []routing.Service{{Name: name}}}
+		return &catalog.View{Config: c, Table: routing.Compile(c)}
+	}
+	now := start
+	for i := range 100 {
+		now = now.Add(time.Second)
+		e.SetView(now, view(i))
+		e.mu.Lock()
+		e.budget(fmt.Sprint(i)).Request(now)
+		e.scatter(&routing.Route{Shards: []string{fmt.Sprint(i)}})
+		e.replicas.HedgeDelay(now, fmt.Sprint(i), time.Second, 0, &catalog.Upstream{})
+		e.mu.Unlock()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.budgets) > 13 || len(e.scatters) > 2 {
+		t.Errorf("%d budgets and %d limiters are kept", len(e.budgets), len(e.scatters))
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -166,6 +166,15 @@
 	}
 }
 
+// KeepKinds forgets the kinds of requests that are gone.
+func (t *Table) KeepKinds(known map[string]bool) {
+	for name := range t.kinds {
+		if !known[name] {
+			delete(t.kinds, name)
+		}
+	}
+}
+
 // Choose is the candidate with the least expected answer time, none of the
 // excluded; nil without one. usual is the answer time of the kind before any is
 // known.
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -80,6 +80,12 @@
 	return true
 }
 
+// Empty tells whether nothing was counted in the window.
+func (b *Budget) Empty(now time.Time) bool {
+	b.advance(now)
+	return sum(&b.requests) == 0 && sum(&b.extra) == 0
+}
+
 // Left is how many extra sends of a kind may be made now.
 func (b *Budget) Left(now time.Time, kind Kind, share float64) float64 {
 	b.advance(now)
