Serve the project's own interface by the same node

Cause: what the platform needed stood behind the platform's wire only. HTTP with callers and upstreams moves out of platform/ into wire, with the names handed in; standalone has settings and a deployment file in TOML (schema in edge.proto), our own headers, directory and ready call.

--- a/cmd/sycamorekeel-edge/main.go
+++ b/cmd/sycamorekeel-edge/main.go
@@ -1,6 +1,6 @@
-// Command sycamorekeel-edge is the daemon that serves callers on the users'
-// platform: over direct connections to upstreams, with the settings file that
-// the platform lays on each VM.
+// Command sycamorekeel-edge is the daemon that serves callers over direct
+// connections to upstreams: on the users' platform, with the settings file that
+// the platform lays on each VM, or over the project's own interface.
 package main
 
 import (
@@ -15,14 +15,12 @@
 	"github.com/alecthomas/kong"
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"sycamorekeel.example/sycamorekeel/internal/edge"
 	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/node"
-	"sycamorekeel.example/sycamorekeel/internal/placement"
+	"sycamorekeel.example/sycamorekeel/internal/standalone"
 	"sycamorekeel.example/sycamorekeel/platform"
 )
 
@@ -31,7 +29,8 @@
 const gcPercent = 50
 
 type flags struct {
-	Role string `arg:"" optional:"" help:"Name of the role, for the process list."`
+	Role     string `arg:"" optional:"" help:"Name of the role, for the process list."`
+	Settings string `type:"existingfile" help:"Settings file (TOML) of the project's own interface. Without it, the settings of the users' platform are read."`
 }
 
 func main() {
@@ -40,14 +39,27 @@
 		kong.Name("sycamorekeel-edge"),
 		kong.Description("The sycamorekeel daemon of the users' platform. The environment variable "+platform.SettingsVariable+" names its settings file; SIGTERM stops it once requests in flight have finished."))
 	debug.SetGCPercent(gcPercent)
-	if err := run(); err != nil {
+	if err := run(f.environment()); err != nil {
 		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	set, err := platform.LoadSettings()
+// environment is what the daemon runs in.
+type environment struct {
+	load    func() (*node.Settings, error)
+	adapter func(*node.Settings) node.Adapter
+}
+
+func (f *flags) environment() environment {
+	if f.Settings == "" {
+		return environment{platform.LoadSettings, platform.Adapter}
+	}
+	return environment{func() (*node.Settings, error) { return standalone.LoadSettings(f.Settings) }, standalone.Adapter}
+}
+
+func run(env environment) error {
+	set, err := env.load()
 	if err != nil {
 		return err
 	}
@@ -62,9 +74,9 @@
 	n := node.New(set, node.Options{
 		Log:      newLogger(ring, set.VM),
 		Registry: prometheus.NewRegistry(),
-		Adapter:  adapter(set),
+		Adapter:  env.adapter(set),
 		Reloading: node.Reloading{
-			Load:    platform.LoadSettings,
+			Load:    env.load,
 			Signals: hup,
 		},
 	})
@@ -80,19 +92,3 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), ring, zapcore.InfoLevel)
 	return zap.New(core).With(zap.String("vm", vm))
 }
-
-// adapter speaks the users' platform.
-func adapter(set *node.Settings) node.Adapter {
-	return node.Adapter{
-		Store:     platform.NewStore(set.Store),
-		Decoder:   platform.Documents{},
-		Upstreams: platform.Upstreams{},
-		Callers: func(e *edge.Engine, leaving func() bool) fasthttp.RequestHandler {
-			return platform.NewIngress(e, leaving).Handle
-		},
-		Directory: func(choose func(placement.Caller) []string, ttl time.Duration) fasthttp.RequestHandler {
-			return platform.NewDirectory(choose, ttl).Handle
-		},
-		Ready: platform.ReadyHandler,
-	}
-}
--- a/cmd/sycamorekeel/check.go
+++ b/cmd/sycamorekeel/check.go
@@ -11,11 +11,12 @@
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/finding"
 	"sycamorekeel.example/sycamorekeel/internal/settings"
+	"sycamorekeel.example/sycamorekeel/internal/standalone"
 	"sycamorekeel.example/sycamorekeel/platform"
 )
 
 type checkCommand struct {
-	Files []string `arg:"" type:"existingfile" help:"Contract files and settings files (TOML). Contract files are checked together as one configuration; without one that defines services, names of services are only warned of."`
+	Files []string `arg:"" type:"existingfile" help:"Contract, deployment and settings files (TOML). Contract files are checked together as one configuration; without one that defines services, names of services are only warned of."`
 }
 
 // checkReport is the JSON output of check.
@@ -63,7 +64,7 @@
 		if err != nil {
 			return nil, trace.ConvertSystemError(err)
 		}
-		if findings, ok := settingsFindings(name, body); ok {
+		if findings, ok := otherFindings(name, body); ok {
 			report.Findings = append(report.Findings, findings...)
 			continue
 		}
@@ -80,22 +81,31 @@
 	return report, nil
 }
 
-// settingsFindings checks a file of settings; false when the text is none, by the
-// addresses that only settings have.
-func settingsFindings(name string, body []byte) (finding.List, bool) {
+// otherFindings checks a file that is no contract; false when the text is one. The
+// kinds of file are told apart by a name that only they have.
+func otherFindings(name string, body []byte) (finding.List, bool) {
 	var text map[string]any
 	if toml.Unmarshal(body, &text) != nil {
 		return nil, false
 	}
-	if _, ok := text["caller_address"]; ok {
-		_, findings := settings.Parse(name, body)
-		return findings, true
+	has := func(key string) bool {
+		_, ok := text[key]
+		return ok
 	}
-	if _, ok := text["listen"]; ok {
-		_, findings := platform.ParseSettings(name, body)
-		return findings, true
+	var findings finding.List
+	switch {
+	case has("listen"):
+		_, findings = platform.ParseSettings(name, body)
+	case has("ready_address"), has("directory_address"):
+		_, findings = standalone.ParseSettings(name, body)
+	case has("caller_address"):
+		_, findings = settings.Parse(name, body)
+	case has("routes"):
+		_, findings = standalone.ParseDeployment(name, body)
+	default:
+		return nil, false
 	}
-	return nil, false
+	return findings, true
 }
 
 // compile checks what the documents say of each other. Services that none of them
--- a/cmd/sycamorekeel/check_test.go
+++ b/cmd/sycamorekeel/check_test.go
@@ -53,6 +53,10 @@
 		{"faulty settings", []string{strings.Replace(example(t, "leasing/sycamorekeeld.toml"), "vm =", "vn =", 1)}, true, 1, 0, 0},
 		{"platform settings", []string{platformSettings}, false, 0, 0, 0},
 		{"faulty platform settings", []string{strings.Replace(platformSettings, "grace_s = 6", "grace_s = 0", 1)}, true, 1, 0, 0},
+		{"edge settings", []string{example(t, "edge/edge-1.toml")}, false, 0, 0, 0},
+		{"faulty edge settings", []string{strings.Replace(example(t, "edge/edge-1.toml"), "vm =", "vn =", 1)}, true, 1, 0, 0},
+		{"deployment", []string{example(t, "edge/deployment.toml")}, false, 0, 0, 0},
+		{"faulty deployment", []string{strings.Replace(example(t, "edge/deployment.toml"), "version = 1", "version = 0", 1)}, true, 1, 0, 0},
 		{"warning", []string{services, strings.ReplaceAll(customers, "concurrency = 60", "concurrency = 60000")}, false, 0, 0, 1},
 	}
 	for _, tt := range tests {
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -49,6 +49,8 @@
 		names []string
 	}{
 		{"settings", operating, fields((&pb.Settings{}).ProtoReflect().Descriptor())},
+		{"edge settings", operating, fields((&pb.EdgeSettings{}).ProtoReflect().Descriptor())},
+		{"deployment fields", operating, fields((&pb.EdgeDeployment{}).ProtoReflect().Descriptor())},
 		{"contract fields", operating, fields((&pb.Document{}).ProtoReflect().Descriptor())},
 		{"metrics", operating, metrics(t)},
 		{"refusal reasons", operating, reasons()},
--- /dev/null
+++ b/internal/standalone/adapter.go
@@ -0,0 +1,68 @@
+package standalone
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamorekeel.example/sycamorekeel/internal/edge"
+	"sycamorekeel.example/sycamorekeel/internal/node"
+	"sycamorekeel.example/sycamorekeel/internal/placement"
+	"sycamorekeel.example/sycamorekeel/internal/wire"
+)
+
+// Paths of the calls beside callers' own requests.
+const (
+	pathReady     = "/readyz"
+	pathDirectory = "/v1/vms"
+)
+
+// Adapter lets a node speak the project's own interface.
+func Adapter(set *node.Settings) node.Adapter {
+	return node.Adapter{
+		Store:     NewFile(set.Store),
+		Decoder:   Documents{},
+		Upstreams: wire.Upstreams{Names: wire.Own()},
+		Callers: func(e *edge.Engine, leaving func() bool) fasthttp.RequestHandler {
+			return wire.NewIngress(e, wire.Own(), leaving).Handle
+		},
+		Directory: directory,
+		Ready:     ready,
+	}
+}
+
+// directoryAnswer is the body of an answer of the directory.
+type directoryAnswer struct {
+	Addresses []string `json:"addresses"`
+	TTLMS     int64    `json:"ttl_ms"`
+}
+
+func directory(choose func(placement.Caller) []string, ttl time.Duration) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != pathDirectory {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		args := ctx.QueryArgs()
+		addresses := choose(placement.Caller{Region: string(args.Peek("region")), DataCentre: string(args.Peek("data_centre"))})
+		body, err := json.Marshal(directoryAnswer{Addresses: addresses, TTLMS: ttl.Milliseconds()})
+		if err != nil || len(addresses) == 0 {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(body)
+	}
+}
+
+func ready(ready func() bool) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		switch {
+		case string(ctx.Path()) != pathReady:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		case !ready():
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standalone/deployment.go
@@ -0,0 +1,205 @@
+package standalone
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/finding"
+	"sycamorekeel.example/sycamorekeel/internal/node"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
+	"sycamorekeel.example/sycamorekeel/internal/tomlpb"
+)
+
+// Keys of the items that a deployment is split into.
+const (
+	keyConfig      = "config"
+	prefixUpstream = "upstream/"
+)
+
+// filePoll is how often the deployment file is looked at.
+const filePoll = 200 * time.Millisecond
+
+// ParseDeployment decodes and checks a deployment; every fault is reported.
+func ParseDeployment(name string, data []byte) (*pb.EdgeDeployment, finding.List) {
+	d := &pb.EdgeDeployment{}
+	src := tomlpb.Decode(name, data, d)
+	c := &checker{file: name, findings: src.Findings()}
+	if len(c.findings) == 0 {
+		c.deployment(d)
+	}
+	return d, c.findings
+}
+
+func (c *checker) deployment(d *pb.EdgeDeployment) {
+	if d.Version == 0 {
+		c.fault("version", "must be above 0")
+	}
+	for i, r := range d.Routes {
+		c.route(fmt.Sprintf("routes[%d]", i), r)
+	}
+	seen := map[string]bool{}
+	for i, u := range d.Upstreams {
+		place := fmt.Sprintf("upstreams[%d]", i)
+		c.given(place+".id", u.Id)
+		c.given(place+".service", u.Service)
+		c.address(place+".address", u.Address)
+		if seen[u.Id] {
+			c.fault(place+".id", "is given twice")
+		}
+		seen[u.Id] = true
+	}
+}
+
+func (c *checker) route(place string, r *pb.EdgeRoute) {
+	c.given(place+".name", r.Name)
+	c.given(place+".host", r.Host)
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		c.fault(place+".prefix", "must begin and end with a slash")
+	}
+	if (len(r.Targets) > 0) == (len(r.Shards) > 0) {
+		c.fault(place, "must have either targets or shards")
+	}
+	if r.MinCoveragePercent > 100 {
+		c.fault(place+".min_coverage_percent", "must be 100 at most")
+	}
+	total := uint32(0)
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if len(r.Targets) > 0 && total == 0 {
+		c.fault(place+".targets", "must have a weight above 0")
+	}
+}
+
+// File reads a deployment file; it implements node.Store. The file's version is
+// the revision, so that VMs with the same file agree.
+type File struct{ path string }
+
+// NewFile reads the file at a path, at each call anew.
+func NewFile(path string) *File { return &File{path: path} }
+
+// List implements node.Store.
+func (f *File) List() (uint64, []catalog.Item, error) {
+	d, err := f.read()
+	if err != nil {
+		return 0, nil, err
+	}
+	items, err := split(d)
+	return d.Version, items, trace.Wrap(err)
+}
+
+// Watch implements node.Store: a file has no history, so a later version is to be
+// listed.
+func (f *File) Watch(after uint64, wait time.Duration) (uint64, []catalog.Item, error) {
+	for end := time.Now().Add(wait); ; time.Sleep(filePoll) {
+		d, err := f.read()
+		if err != nil {
+			return 0, nil, err
+		}
+		if d.Version > after {
+			return 0, nil, node.ErrCompacted
+		}
+		if !time.Now().Before(end) {
+			return after, nil, nil
+		}
+	}
+}
+
+func (f *File) read() (*pb.EdgeDeployment, error) {
+	data, err := os.ReadFile(f.path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	d, findings := ParseDeployment(f.path, data)
+	return d, trace.Wrap(findings.Err())
+}
+
+// split makes one item of the routes and services and one of each upstream.
+func split(d *pb.EdgeDeployment) ([]catalog.Item, error) {
+	upstreams := d.Upstreams
+	config, err := proto.Marshal(&pb.EdgeDeployment{Version: d.Version, Routes: d.Routes, Services: d.Services})
+	if err != nil {
+		return nil, err
+	}
+	items := []catalog.Item{{Key: keyConfig, Value: config, Revision: d.Version, Created: d.Version}}
+	for _, u := range upstreams {
+		value, err := proto.Marshal(u)
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, catalog.Item{Key: prefixUpstream + u.Id, Value: value, Revision: d.Version, Created: d.Version})
+	}
+	return items, nil
+}
+
+// Documents decodes the items; it implements catalog.Decoder.
+type Documents struct{}
+
+// Kind implements catalog.Decoder.
+func (Documents) Kind(key string) catalog.Kind {
+	switch {
+	case key == keyConfig:
+		return catalog.Configuration
+	case strings.HasPrefix(key, prefixUpstream):
+		return catalog.Registration
+	default:
+		return catalog.Other
+	}
+}
+
+// Config implements catalog.Decoder.
+func (Documents) Config(it catalog.Item) (*routing.Config, error) {
+	d := &pb.EdgeDeployment{}
+	if err := proto.Unmarshal(it.Value, d); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c := &checker{file: it.Key}
+	c.deployment(d)
+	out := &routing.Config{Version: d.Version}
+	for _, r := range d.Routes {
+		out.Routes = append(out.Routes, convertRoute(r))
+	}
+	for _, s := range d.Services {
+		out.Services = append(out.Services, routing.Service{Name: s.Name, MaxConnections: int(s.Connections)})
+	}
+	return out, trace.Wrap(c.findings.Err())
+}
+
+func convertRoute(r *pb.EdgeRoute) routing.Route {
+	out := routing.Route{
+		Name:        r.Name,
+		Host:        r.Host,
+		Prefix:      r.Prefix,
+		Idempotent:  r.Idempotent,
+		Timeout:     milliseconds(r.TimeoutMs),
+		Objective:   milliseconds(r.ObjectiveMs),
+		Priority:    int(r.Priority),
+		Attempts:    int(r.Attempts),
+		Shards:      r.Shards,
+		TopK:        int(r.TopK),
+		MinCoverage: float64(r.MinCoveragePercent) / 100,
+	}
+	for _, t := range r.Targets {
+		out.Targets = append(out.Targets, routing.Target{Service: t.Service, Weight: float64(t.Weight)})
+	}
+	return out
+}
+
+// Upstream implements catalog.Decoder.
+func (Documents) Upstream(it catalog.Item) (catalog.Upstream, error) {
+	u := &pb.EdgeUpstream{}
+	if err := proto.Unmarshal(it.Value, u); err != nil {
+		return catalog.Upstream{}, trace.Wrap(err)
+	}
+	return catalog.Upstream{
+		ID: u.Id, Service: u.Service, Address: u.Address, DataCentre: u.DataCentre,
+		Slots: int(u.Slots), Leaving: u.Leaving, Registered: it.Created,
+	}, nil
+}
--- /dev/null
+++ b/internal/standalone/settings.go
@@ -0,0 +1,135 @@
+// Package standalone runs a node over the project's own interface: settings and a
+// deployment file in TOML, the project's own headers and calls.
+package standalone
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"sycamorekeel.example/sycamorekeel/internal/finding"
+	"sycamorekeel.example/sycamorekeel/internal/node"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
+	"sycamorekeel.example/sycamorekeel/internal/tomlpb"
+)
+
+// Defaults of the settings that may be left out.
+const (
+	defaultMillicores  = 1000
+	defaultChangeBound = 3000
+	defaultGrace       = 6000
+	defaultMaxTTL      = 5000
+	defaultWindow      = 10_000
+)
+
+// Descriptors and memory that a process is taken to have; nothing hangs on them
+// here yet.
+const (
+	descriptors = 4096
+	memory      = 256 << 20
+)
+
+// LoadSettings reads and checks a settings file. The node's store is the path of
+// the deployment file.
+func LoadSettings(path string) (*node.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	s, findings := ParseSettings(path, data)
+	if err := findings.Err(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return convert(s), nil
+}
+
+// ParseSettings decodes and checks settings; every fault is reported.
+func ParseSettings(name string, data []byte) (*pb.EdgeSettings, finding.List) {
+	s := &pb.EdgeSettings{}
+	src := tomlpb.Decode(name, data, s)
+	c := &checker{file: name, findings: src.Findings()}
+	if len(c.findings) == 0 {
+		c.settings(s)
+	}
+	return s, c.findings
+}
+
+// checker collects what is wrong with a file.
+type checker struct {
+	file     string
+	findings finding.List
+}
+
+func (c *checker) fault(field, message string) {
+	c.findings = append(c.findings, finding.Finding{File: c.file, Field: field, Message: message})
+}
+
+func (c *checker) given(field, value string) {
+	if value == "" {
+		c.fault(field, "must be given")
+	}
+}
+
+func (c *checker) address(field, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.fault(field, "must be an IP address and a port, is \""+value+"\"")
+	}
+}
+
+func (c *checker) settings(s *pb.EdgeSettings) {
+	c.given("vm", s.Vm)
+	c.given("region", s.Region)
+	c.given("data_centre", s.DataCentre)
+	c.given("deployment", s.Deployment)
+	c.address("caller_address", s.CallerAddress)
+	c.address("ready_address", s.ReadyAddress)
+	c.address("directory_address", s.DirectoryAddress)
+	c.address("peer_address", s.PeerAddress)
+	c.address("metrics_address", s.MetricsAddress)
+	for _, seed := range s.Seeds {
+		c.address("seeds", seed)
+	}
+}
+
+func convert(s *pb.EdgeSettings) *node.Settings {
+	regions := map[string]string{s.DataCentre: s.Region}
+	for _, dc := range s.RegionDataCentres {
+		regions[dc] = s.Region
+	}
+	return &node.Settings{
+		VM:               s.Vm,
+		DataCentre:       s.DataCentre,
+		Region:           s.Region,
+		Regions:          regions,
+		CallerAddress:    s.CallerAddress,
+		ReadyAddress:     s.ReadyAddress,
+		DirectoryAddress: s.DirectoryAddress,
+		PeerAddress:      s.PeerAddress,
+		MetricsAddress:   s.MetricsAddress,
+		Seeds:            s.Seeds,
+		Store:            s.Deployment,
+		Cores:            float64(or(s.Millicores, defaultMillicores)) / 1000,
+		MemoryBytes:      memory,
+		Descriptors:      descriptors,
+		ChangeBound:      milliseconds(or(s.ChangeBoundMs, defaultChangeBound)),
+		Grace:            milliseconds(or(s.GraceMs, defaultGrace)),
+		MaxTTL:           milliseconds(or(s.MaxTtlMs, defaultMaxTTL)),
+		Budget: retrybudget.Limit{
+			Ratio:     float64(s.RetryPercent) / 100,
+			Window:    milliseconds(or(s.RetryWindowMs, defaultWindow)),
+			Allowance: float64(s.RetryAllowance),
+		},
+	}
+}
+
+func or(v, def uint32) uint32 {
+	if v == 0 {
+		return def
+	}
+	return v
+}
+
+func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/platform/ingress.go
+++ b/internal/wire/ingress.go
@@ -1,4 +1,4 @@
-package platform
+package wire
 
 import (
 	"bytes"
@@ -17,23 +17,24 @@
 // Ingress turns callers' requests into the engine's and its answers back.
 type Ingress struct {
 	engine *edge.Engine
+	names  Names
 	// leaving tells whether this VM is being stopped.
 	leaving func() bool
 }
 
 // NewIngress serves callers by an engine.
-func NewIngress(engine *edge.Engine, leaving func() bool) *Ingress {
-	return &Ingress{engine: engine, leaving: leaving}
+func NewIngress(engine *edge.Engine, names Names, leaving func() bool) *Ingress {
+	return &Ingress{engine: engine, names: names, leaving: leaving}
 }
 
 // Handle serves one request.
 func (in *Ingress) Handle(ctx *fasthttp.RequestCtx) {
 	r, fault := in.request(ctx)
 	if fault != "" {
-		writeRefusal(ctx, r, &edge.Answer{Reason: fault, NotRun: true})
+		in.writeRefusal(ctx, r, &edge.Answer{Reason: fault, NotRun: true})
 	} else {
 		a := in.engine.Serve(r)
-		write(ctx, r, &a)
+		in.write(ctx, r, &a)
 	}
 	if in.leaving() {
 		ctx.SetConnectionClose()
@@ -51,7 +52,7 @@
 		Received: time.Now(),
 		Conn:     ctx.Conn(),
 		Message: &direct.Message{
-			ID:     string(h.Peek(headerRequestID)),
+			ID:     string(h.Peek(in.names.RequestID)),
 			Header: h,
 			Body:   bytes.Clone(ctx.Request.Body()),
 		},
@@ -59,7 +60,7 @@
 	removeHopByHop(h)
 	// A body without a type goes on without one.
 	h.SetNoDefaultContentType(true)
-	if text := h.Peek(headerDeadline); len(text) > 0 {
+	if text := h.Peek(in.names.Deadline); len(text) > 0 {
 		ms, err := strconv.ParseInt(string(text), 10, 64)
 		if err != nil || ms <= 0 {
 			return r, edge.Malformed
@@ -109,14 +110,14 @@
 	h.ResetConnectionClose()
 }
 
-func write(ctx *fasthttp.RequestCtx, r *edge.Request, a *edge.Answer) {
+func (in *Ingress) write(ctx *fasthttp.RequestCtx, r *edge.Request, a *edge.Answer) {
 	switch {
 	case a.Response != nil:
 		writeOpaque(ctx, a.Response)
 	case a.Reason == "":
-		writeMerged(ctx, r, a)
+		in.writeMerged(ctx, r, a)
 	default:
-		writeRefusal(ctx, r, a)
+		in.writeRefusal(ctx, r, a)
 	}
 }
 
@@ -147,11 +148,11 @@
 	return false
 }
 
-func writeMerged(ctx *fasthttp.RequestCtx, r *edge.Request, a *edge.Answer) {
+func (in *Ingress) writeMerged(ctx *fasthttp.RequestCtx, r *edge.Request, a *edge.Answer) {
 	h := &ctx.Response.Header
-	h.Set(headerRequestID, r.Message.ID)
-	h.Set(headerParts, strings.Join(a.Proofs, ", "))
-	h.Set(headerMissing, strconv.Itoa(a.Missing))
+	h.Set(in.names.RequestID, r.Message.ID)
+	h.Set(in.names.Parts, strings.Join(a.Proofs, ", "))
+	h.Set(in.names.Missing, strconv.Itoa(a.Missing))
 	h.SetContentType("application/octet-stream")
 	ctx.Response.SetBodyRaw(a.Body)
 }
@@ -164,12 +165,12 @@
 	NotRun bool   `json:"not_run"`
 }
 
-func writeRefusal(ctx *fasthttp.RequestCtx, r *edge.Request, a *edge.Answer) {
+func (in *Ingress) writeRefusal(ctx *fasthttp.RequestCtx, r *edge.Request, a *edge.Answer) {
 	ctx.Response.SetStatusCode(statusOf(a))
 	if a.RetryAfter > 0 {
 		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	ctx.Response.Header.Set(headerRequestID, r.Message.ID)
+	ctx.Response.Header.Set(in.names.RequestID, r.Message.ID)
 	body, err := json.Marshal(refusalDocument{Request: r.Message.ID, Error: string(a.Reason), NotRun: a.NotRun})
 	if err != nil {
 		// Strings and a bool always encode.
--- a/platform/upstream.go
+++ b/internal/wire/upstream.go
@@ -1,4 +1,4 @@
-package platform
+package wire
 
 import (
 	"strconv"
@@ -12,28 +12,28 @@
 )
 
 // Upstreams is how upstreams are spoken to; it implements direct.Protocol.
-type Upstreams struct{}
+type Upstreams struct{ Names Names }
 
 // Encode implements direct.Protocol.
-func (Upstreams) Encode(req *fasthttp.Request, m *direct.Message, u *catalog.Upstream, left time.Duration) {
+func (up Upstreams) Encode(req *fasthttp.Request, m *direct.Message, u *catalog.Upstream, left time.Duration) {
 	m.Header.CopyTo(&req.Header)
-	req.Header.Set(headerRequestID, m.ID)
-	req.Header.Set(headerDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	req.Header.Set(up.Names.RequestID, m.ID)
+	req.Header.Set(up.Names.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	// An address may by now be another upstream's, of another service.
-	req.Header.Set(headerExpect, u.ID)
+	req.Header.Set(up.Names.ExpectUpstream, u.ID)
 	req.SetBodyRaw(m.Body)
 }
 
 // Decode implements direct.Protocol.
-func (Upstreams) Decode(resp *fasthttp.Response, m *direct.Message) (scatter.Result, string, string) {
-	if id := resp.Header.Peek(headerRequestID); len(id) > 0 && string(id) != m.ID {
+func (up Upstreams) Decode(resp *fasthttp.Response, m *direct.Message) (scatter.Result, string, string) {
+	if id := resp.Header.Peek(up.Names.RequestID); len(id) > 0 && string(id) != m.ID {
 		return scatter.Lost, "", "the answer is to another request"
 	}
 	status := resp.StatusCode()
-	if len(resp.Header.Peek(headerNotExecuted)) > 0 || status == fasthttp.StatusMisdirectedRequest {
+	if len(resp.Header.Peek(up.Names.NotRun)) > 0 || status == fasthttp.StatusMisdirectedRequest {
 		return scatter.Refused, "", "status " + strconv.Itoa(status)
 	}
-	stamp := string(resp.Header.Peek(headerStamp))
+	stamp := string(resp.Header.Peek(up.Names.Proof))
 	switch {
 	case promisesNotRun(status):
 		// It may have run: passed on as it is, the status would tell the caller
