--- a/docs/examples/examples.go
+++ b/docs/examples/examples.go
@@ -7,5 +7,5 @@
 // Files holds one folder for each deployment: customers.toml, services.toml,
 // vms.toml and the settings of daemons.
 //
-//go:embed leasing wikiforos local
+//go:embed edge leasing wikiforos local
 var Files embed.FS
