--- /dev/null
+++ b/internal/edge/admit.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/congestion"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
+)
+
+const (
+	// turns is how often a request waits for the processor: when it is read, when
+	// its parts are sent, when most have come, and when the answer is written.
+	turns = 4
+	// leastLag is the delay up to which a process counts as healthy, whatever an
+	// objective asks.
+	leastLag = 20 * time.Millisecond
+)
+
+// startScatter begins a query unless as many are under way as the upstreams of
+// its shards take: beyond that most queries would lose some shard, and the work
+// for their others would be wasted. The less urgent are refused first, with nil.
+func (e *Engine) startScatter(route *routing.Route) *congestion.Limiter {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.scatter(route)
+	if !l.Start(urgency(route.Priority)) {
+		return nil
+	}
+	return l
+}
+
+// endScatter ends a query at the limiter that it was begun at.
+func (e *Engine) endScatter(l *congestion.Limiter, r *Request, a *Answer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.Reason == Gone {
+		l.Abandon()
+		return
+	}
+	l.Done(time.Now(), r.Received, len(r.Route.Shards), a.Crowded)
+}
+
+// scatter is the limiter of a route's shards. The caller holds mu.
+func (e *Engine) scatter(route *routing.Route) *congestion.Limiter {
+	l := e.scatters[route.Shards[0]]
+	if l == nil {
+		l = congestion.New(congestion.DefaultPolicy())
+		e.scatters[route.Shards[0]] = l
+	}
+	return l
+}
+
+// urgency is the class of a route's priority; 0 is the most urgent.
+func urgency(priority int) pb.Priority {
+	switch {
+	case priority <= 0:
+		return pb.Priority_HIGH
+	case priority == 1:
+		return pb.Priority_NORMAL
+	default:
+		return pb.Priority_LOW
+	}
+}
+
+// tooSlow tells whether this process is woken so late that the route's objective
+// cannot be met here: a request takes its turn of the processor several times.
+// It is refused at once, while another VM can still serve it in time.
+func (e *Engine) tooSlow(route *routing.Route) bool {
+	lag := time.Duration(e.lag.Load())
+	return lag > leastLag && lag*turns > objective(route)
+}
+
+// SetLag tells how late this process is woken.
+func (e *Engine) SetLag(lag time.Duration) { e.lag.Store(int64(lag)) }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,7 +18,6 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/direct"
-	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
@@ -44,12 +43,6 @@
 	linger = 400 * time.Millisecond
 	// capUnknown is the connections to an upstream that publishes no bound.
 	capUnknown = 32
-	// turns is how often a request waits for the processor: when it is read, when
-	// its parts are sent, when most have come, and when the answer is written.
-	turns = 4
-	// leastLag is the delay up to which a process counts as healthy, whatever an
-	// objective asks.
-	leastLag = 20 * time.Millisecond
 	// usualShare is the part of the objective taken for the usual answer time of
 	// a kind of which no answer has been seen.
 	usualShare = 0.25
@@ -200,38 +193,6 @@
 	return a
 }
 
-// logEnd writes a line for a request that did not end as its contract promises:
-// refused, failed, late, or with shards left out.
-func (e *Engine) logEnd(r *Request, a *Answer) {
-	late := r.Route != nil && r.Route.Objective > 0 && a.Took > r.Route.Objective
-	if a.Reason == "" && !late && a.Missing == 0 {
-		return
-	}
-	fields := []zap.Field{
-		zap.String("request", r.Message.ID),
-		zap.String("reason", string(a.Reason)),
-		zap.Bool("late", late),
-		zap.Bool("not_run", a.Reason != "" && a.NotRun),
-		zap.Int("sends", a.Sends),
-		zap.Int("missing", a.Missing),
-		zap.Duration("age", a.Took),
-		zap.Int64("in_flight", e.inFlight.Load()),
-		zap.Duration("retry_after", a.RetryAfter),
-	}
-	if a.Slowest != "" {
-		fields = append(fields, zap.String("slowest_upstream", a.Slowest), zap.Duration("slowest_after", a.SlowestAfter))
-	}
-	if r.Route != nil {
-		fields = append(fields, zap.String("route", r.Route.Name), zap.Duration("objective", r.Route.Objective))
-	} else {
-		fields = append(fields, zap.String("host", r.Host), zap.String("path", r.Path))
-	}
-	if v := e.view.Load(); v != nil {
-		fields = append(fields, zap.Uint64("revision", v.Revision), zap.Duration("view_age", e.opts.ViewAge()))
-	}
-	e.opts.Log.Info("edge: request ended", fields...)
-}
-
 func (e *Engine) serve(r *Request) Answer {
 	v := e.view.Load()
 	if v == nil || v.Table == nil {
@@ -256,63 +217,6 @@
 	return a
 }
 
-// startScatter begins a query unless as many are under way as the upstreams of
-// its shards take: beyond that most queries would lose some shard, and the work
-// for their others would be wasted. The less urgent are refused first, with nil.
-func (e *Engine) startScatter(route *routing.Route) *congestion.Limiter {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	l := e.scatter(route)
-	if !l.Start(urgency(route.Priority)) {
-		return nil
-	}
-	return l
-}
-
-// endScatter ends a query at the limiter that it was begun at.
-func (e *Engine) endScatter(l *congestion.Limiter, r *Request, a *Answer) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if a.Reason == Gone {
-		l.Abandon()
-		return
-	}
-	l.Done(time.Now(), r.Received, len(r.Route.Shards), a.Crowded)
-}
-
-// scatter is the limiter of a route's shards. The caller holds mu.
-func (e *Engine) scatter(route *routing.Route) *congestion.Limiter {
-	l := e.scatters[route.Shards[0]]
-	if l == nil {
-		l = congestion.New(congestion.DefaultPolicy())
-		e.scatters[route.Shards[0]] = l
-	}
-	return l
-}
-
-// urgency is the class of a route's priority; 0 is the most urgent.
-func urgency(priority int) pb.Priority {
-	switch {
-	case priority <= 0:
-		return pb.Priority_HIGH
-	case priority == 1:
-		return pb.Priority_NORMAL
-	default:
-		return pb.Priority_LOW
-	}
-}
-
-// tooSlow tells whether this process is woken so late that the route's objective
-// cannot be met here: a request takes its turn of the processor several times.
-// It is refused at once, while another VM can still serve it in time.
-func (e *Engine) tooSlow(route *routing.Route) bool {
-	lag := time.Duration(e.lag.Load())
-	return lag > leastLag && lag*turns > objective(route)
-}
-
-// SetLag tells how late this process is woken.
-func (e *Engine) SetLag(lag time.Duration) { e.lag.Store(int64(lag)) }
-
 // plan works out the parts and times of a request. The services are fixed here,
 // once: a configuration that comes meanwhile does not mix into the request.
 func (e *Engine) plan(r *Request) scatter.Plan {
