Move no caller for one upstream more or less, and ask no peer without end

Cause, found in reading: VMs were ordered by the plain number of upstreams beside them, so that one crash could move all callers of a region; a peer that claims a revision and does not give it was asked again at once, for ever; a suspended process looked for the gap on the monotonic clock alone.

--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -36,10 +36,10 @@
 	now := time.Now()
 	p.mu.Lock()
 	c, dead := p.takeIdle(now)
-	var refused bool
+	refused := ""
 	switch {
 	case p.closed:
-		refused = true
+		refused = "upstream is gone"
 	case c != nil:
 		c.work <- call
 	case p.open < p.limit:
@@ -49,12 +49,12 @@
 	case len(p.waiting) < maxWaiting:
 		p.enqueue(call)
 	default:
-		refused = true
+		refused = "no free connection"
 	}
 	p.mu.Unlock()
 	endAll(dead)
-	if refused {
-		call.finish(Reply{Result: scatter.Unreached, Detail: "no free connection"})
+	if refused != "" {
+		call.finish(Reply{Result: scatter.Unreached, Detail: refused})
 	}
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/pause"
 	"sycamorekeel.example/sycamorekeel/internal/rendezvous"
 )
 
@@ -210,7 +211,7 @@
 // Tick lets time pass; it is to come several times in rankStep.
 func (f *Follower) Tick(now time.Time) []Action {
 	f.out = nil
-	if now.Sub(f.lastTick) >= pauseGap {
+	if pause.Gap(f.lastTick, now) >= pauseGap {
 		f.relist = true
 		f.confirmed = time.Time{}
 		f.nextRead = now
@@ -317,9 +318,9 @@
 		return f.out
 	}
 	f.state.Failed(now)
-	pause := min(retryFirst<<min(f.failures, 8), retryMost)
+	wait := min(retryFirst<<min(f.failures, 8), retryMost)
 	f.failures++
-	f.nextRead = now.Add(time.Duration((0.75 + 0.5*f.opts.Random.Float64()) * float64(pause)))
+	f.nextRead = now.Add(time.Duration((0.75 + 0.5*f.opts.Random.Float64()) * float64(wait)))
 	return f.out
 }
 
@@ -340,8 +341,13 @@
 		f.relist = false
 		f.emit(Announce{})
 	}
-	if f.state.Revision() >= f.lead.revision {
+	switch {
+	case f.state.Revision() >= f.lead.revision:
 		f.confirmedBy(now, f.lead.confirmed)
+	case f.state.Revision() == before:
+		// The peer has not got what it claims. Asked again at once, it would be
+		// asked without end.
+		f.lead = lead{}
 	}
 	if changed {
 		f.emit(Changed{})
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -178,6 +178,28 @@
 	}
 }
 
+// Symptom: a VM asks one peer thousands of times a second.
+// Sequence: the peer claims a revision and gives pages that do not reach it.
+// Cause: each page was followed by the next question.
+func TestAPeerThatHasNotGotWhatItClaimsIsNotAskedWithoutEnd(t *testing.T) {
+	f, now := reader()
+	peer := Peer{VM: "b", Region: "r", Address: "b"}
+	actions := f.Heard(now, peer, 99, 0)
+	for range 3 {
+		asked := false
+		for _, a := range actions {
+			if p, ok := a.(Pull); ok {
+				asked = true
+				actions = f.Pulled(now, p.ID, 10, 10, false, nil)
+			}
+		}
+		if !asked {
+			return
+		}
+	}
+	t.Error("asked again after each page")
+}
+
 // fleet is followers over a model of the store and of the network between them.
 type fleet struct {
 	t    *testing.T
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,10 +48,11 @@
 		candidates = usable(members, func(m *membership.Member) bool { return true })
 	}
 	place := rendezvous.Mix(xxhash.Sum64String(c.Region))
+	beside := besideUpstreams(candidates, c, b.Upstreams)
 	slices.SortFunc(candidates, func(x, y *membership.Member) int {
 		return cmp.Or(
 			cmp.Compare(distance(x, c), distance(y, c)),
-			cmp.Compare(b.Upstreams[y.DataCentre], b.Upstreams[x.DataCentre]),
+			cmp.Compare(beside[x.DataCentre], beside[y.DataCentre]),
 			cmp.Compare(y.Capacity, x.Capacity),
 			cmp.Compare(weight(y, place), weight(x, place)),
 		)
@@ -69,6 +70,28 @@
 	return out
 }
 
+// besideUpstreams gives 0 for the data centres that have at least half as many
+// upstreams as the best one at the least distance, and 1 for the others. By plain
+// numbers, one upstream that comes or goes would move all callers of a region.
+func besideUpstreams(candidates []*membership.Member, c Caller, upstreams map[string]int) map[string]int {
+	most, least := 0, 0
+	for i, m := range candidates {
+		switch d := distance(m, c); {
+		case i == 0 || d < least:
+			least, most = d, upstreams[m.DataCentre]
+		case d == least:
+			most = max(most, upstreams[m.DataCentre])
+		}
+	}
+	out := map[string]int{}
+	for _, m := range candidates {
+		if 2*upstreams[m.DataCentre] < most {
+			out[m.DataCentre] = 1
+		}
+	}
+	return out
+}
+
 func usable(members []membership.Member, ok func(*membership.Member) bool) []*membership.Member {
 	var out []*membership.Member
 	for i := range members {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -52,6 +52,24 @@
 	}
 }
 
+// Symptom: the callers of a region change their VMs whenever an upstream crashes.
+// Sequence: two data centres have about as many upstreams; one loses one.
+// Cause: VMs were ordered by the plain numbers.
+func TestOneUpstreamMoreOrLessMovesNoCaller(t *testing.T) {
+	members := []membership.Member{
+		vm("a1", "r/a", 800, alive), vm("a2", "r/a", 800, alive), vm("b1", "r/b", 800, alive), vm("b2", "r/b", 800, alive),
+	}
+	b := bounds
+	b.Upstreams = map[string]int{"a": 18, "b": 18}
+	before := Choose(members, Caller{Region: "r"}, b)
+	for _, counts := range []map[string]int{{"a": 18, "b": 17}, {"a": 17, "b": 18}, {"a": 10, "b": 18}} {
+		b.Upstreams = counts
+		if got := Choose(members, Caller{Region: "r"}, b); !slices.Equal(got, before) {
+			t.Errorf("%v: %v, before %v", counts, got, before)
+		}
+	}
+}
+
 // Callers of one region are all told the same VMs, so that they share them.
 func TestCarriersAreWhatCallersAreTold(t *testing.T) {
 	members := []membership.Member{
