Leave room for the first line of a full head, and keep idle callers' connections longer

Heads of the full 16 KiB that a configuration allows did not fit with their first line; a limit above 75 s on idle connections would have had us close first.

--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -18,13 +18,13 @@
 
 const (
 	// readBuffer is each connection's buffer and so the most bytes of a request's
-	// head.
-	readBuffer = 16 << 10
+	// head: the 16 KiB that configurations allow and its first line.
+	readBuffer = 18 << 10
 	// smallBuffer is the buffer of connections that only carry small calls.
 	smallBuffer = 4 << 10
-	// callerIdle is how long a caller's connection may be idle; callers give up
-	// theirs sooner.
-	callerIdle = 60 * time.Second
+	// callerIdle is how long a caller's connection may be idle: longer than any
+	// caller keeps one, so that no request meets a close on its way.
+	callerIdle = 5 * time.Minute
 	// headTimeout bounds the arrival of one request.
 	headTimeout = 10 * time.Second
 	// maxBody bounds a body before a configuration says less.
