--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,10 +100,12 @@
 	reader   *reader
 	gossip   *gossip.Driver
 	members  atomic.Pointer[membership.View]
-	leaving  atomic.Bool
-	strained atomic.Bool
-	sharers  sharers
-	callers  callerCount
+	// upstreams is how many upstreams each data centre has in the view in force.
+	upstreams atomic.Pointer[map[string]int]
+	leaving   atomic.Bool
+	strained  atomic.Bool
+	sharers   sharers
+	callers   callerCount
 }
 
 // New wires a node; Run starts it.
@@ -119,6 +121,7 @@
 	}
 	n.set.Store(set)
 	n.members.Store(&membership.View{})
+	n.upstreams.Store(&map[string]int{})
 	random := rand.New(rand.NewPCG(seedOf(set.VM), uint64(now.UnixNano())))
 	n.engine = edge.New(now, edge.Options{
 		Log:         opts.Log,
@@ -217,6 +220,8 @@
 		return
 	}
 	n.engine.SetView(time.Now(), v)
+	counts := countUpstreams(v)
+	n.upstreams.Store(&counts)
 	n.logView(old, v)
 	n.showCapacity()
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"go.uber.org/zap"
 
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/httpserver"
 	"sycamorekeel.example/sycamorekeel/internal/placement"
 )
@@ -109,16 +110,14 @@
 		// core.
 		work = 1000
 	)
-	return placement.Bounds{Most: most, Least: least, Work: work, Upstreams: n.upstreamsBy()}
+	return placement.Bounds{Most: most, Least: least, Work: work, Upstreams: *n.upstreams.Load()}
 }
 
-// upstreamsBy is how many upstreams each data centre has.
-func (n *Node) upstreamsBy() map[string]int {
+// countUpstreams is how many upstreams each data centre has.
+func countUpstreams(v *catalog.View) map[string]int {
 	out := map[string]int{}
-	if v := n.engine.View(); v != nil {
-		for _, u := range v.Upstreams {
-			out[u.DataCentre]++
-		}
+	for _, u := range v.Upstreams {
+		out[u.DataCentre]++
 	}
 	return out
 }
--- a/internal/standalone/adapter.go
+++ b/internal/standalone/adapter.go
@@ -28,7 +28,9 @@
 			return wire.NewIngress(e, wire.Own(), leaving).Handle
 		},
 		Directory: directory,
-		Ready:     ready,
+		Ready: func(ready func() bool) fasthttp.RequestHandler {
+			return wire.ReadyHandler(pathReady, ready)
+		},
 	}
 }
 
@@ -55,14 +57,3 @@
 		ctx.SetBody(body)
 	}
 }
-
-func ready(ready func() bool) fasthttp.RequestHandler {
-	return func(ctx *fasthttp.RequestCtx) {
-		switch {
-		case string(ctx.Path()) != pathReady:
-			ctx.SetStatusCode(fasthttp.StatusNotFound)
-		case !ready():
-			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		}
-	}
-}
--- a/internal/standalone/deployment.go
+++ b/internal/standalone/deployment.go
@@ -30,16 +30,16 @@
 func ParseDeployment(name string, data []byte) (*pb.EdgeDeployment, finding.List) {
 	d := &pb.EdgeDeployment{}
 	src := tomlpb.Decode(name, data, d)
-	c := &checker{file: name, findings: src.Findings()}
-	if len(c.findings) == 0 {
+	c := &checker{finding.Checker{File: name, Findings: src.Findings()}}
+	if len(c.Findings) == 0 {
 		c.deployment(d)
 	}
-	return d, c.findings
+	return d, c.Findings
 }
 
 func (c *checker) deployment(d *pb.EdgeDeployment) {
 	if d.Version == 0 {
-		c.fault("version", "must be above 0")
+		c.Fault("version", "must be above 0")
 	}
 	for i, r := range d.Routes {
 		c.route(fmt.Sprintf("routes[%d]", i), r)
@@ -47,34 +47,34 @@
 	seen := map[string]bool{}
 	for i, u := range d.Upstreams {
 		place := fmt.Sprintf("upstreams[%d]", i)
-		c.given(place+".id", u.Id)
-		c.given(place+".service", u.Service)
-		c.address(place+".address", u.Address)
+		c.Given(place+".id", u.Id)
+		c.Given(place+".service", u.Service)
+		c.Address(place+".address", u.Address)
 		if seen[u.Id] {
-			c.fault(place+".id", "is given twice")
+			c.Fault(place+".id", "is given twice")
 		}
 		seen[u.Id] = true
 	}
 }
 
 func (c *checker) route(place string, r *pb.EdgeRoute) {
-	c.given(place+".name", r.Name)
-	c.given(place+".host", r.Host)
+	c.Given(place+".name", r.Name)
+	c.Given(place+".host", r.Host)
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		c.fault(place+".prefix", "must begin and end with a slash")
+		c.Fault(place+".prefix", "must begin and end with a slash")
 	}
 	if (len(r.Targets) > 0) == (len(r.Shards) > 0) {
-		c.fault(place, "must have either targets or shards")
+		c.Fault(place, "must have either targets or shards")
 	}
 	if r.MinCoveragePercent > 100 {
-		c.fault(place+".min_coverage_percent", "must be 100 at most")
+		c.Fault(place+".min_coverage_percent", "must be 100 at most")
 	}
 	total := uint32(0)
 	for _, t := range r.Targets {
 		total += t.Weight
 	}
 	if len(r.Targets) > 0 && total == 0 {
-		c.fault(place+".targets", "must have a weight above 0")
+		c.Fault(place+".targets", "must have a weight above 0")
 	}
 }
 
@@ -123,13 +123,12 @@
 
 // split makes one item of the routes and services and one of each upstream.
 func split(d *pb.EdgeDeployment) ([]catalog.Item, error) {
-	upstreams := d.Upstreams
 	config, err := proto.Marshal(&pb.EdgeDeployment{Version: d.Version, Routes: d.Routes, Services: d.Services})
 	if err != nil {
 		return nil, err
 	}
 	items := []catalog.Item{{Key: keyConfig, Value: config, Revision: d.Version, Created: d.Version}}
-	for _, u := range upstreams {
+	for _, u := range d.Upstreams {
 		value, err := proto.Marshal(u)
 		if err != nil {
 			return nil, err
@@ -160,7 +159,7 @@
 	if err := proto.Unmarshal(it.Value, d); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	c := &checker{file: it.Key}
+	c := &checker{finding.Checker{File: it.Key}}
 	c.deployment(d)
 	out := &routing.Config{Version: d.Version}
 	for _, r := range d.Routes {
@@ -169,7 +168,7 @@
 	for _, s := range d.Services {
 		out.Services = append(out.Services, routing.Service{Name: s.Name, MaxConnections: int(s.Connections)})
 	}
-	return out, trace.Wrap(c.findings.Err())
+	return out, trace.Wrap(c.Findings.Err())
 }
 
 func convertRoute(r *pb.EdgeRoute) routing.Route {
--- a/internal/standalone/settings.go
+++ b/internal/standalone/settings.go
@@ -3,7 +3,6 @@
 package standalone
 
 import (
-	"net/netip"
 	"os"
 	"time"
 
@@ -50,47 +49,28 @@
 func ParseSettings(name string, data []byte) (*pb.EdgeSettings, finding.List) {
 	s := &pb.EdgeSettings{}
 	src := tomlpb.Decode(name, data, s)
-	c := &checker{file: name, findings: src.Findings()}
-	if len(c.findings) == 0 {
+	c := &checker{finding.Checker{File: name, Findings: src.Findings()}}
+	if len(c.Findings) == 0 {
 		c.settings(s)
 	}
-	return s, c.findings
+	return s, c.Findings
 }
 
 // checker collects what is wrong with a file.
-type checker struct {
-	file     string
-	findings finding.List
-}
-
-func (c *checker) fault(field, message string) {
-	c.findings = append(c.findings, finding.Finding{File: c.file, Field: field, Message: message})
-}
-
-func (c *checker) given(field, value string) {
-	if value == "" {
-		c.fault(field, "must be given")
-	}
-}
-
-func (c *checker) address(field, value string) {
-	if _, err := netip.ParseAddrPort(value); err != nil {
-		c.fault(field, "must be an IP address and a port, is \""+value+"\"")
-	}
-}
+type checker struct{ finding.Checker }
 
 func (c *checker) settings(s *pb.EdgeSettings) {
-	c.given("vm", s.Vm)
-	c.given("region", s.Region)
-	c.given("data_centre", s.DataCentre)
-	c.given("deployment", s.Deployment)
-	c.address("caller_address", s.CallerAddress)
-	c.address("ready_address", s.ReadyAddress)
-	c.address("directory_address", s.DirectoryAddress)
-	c.address("peer_address", s.PeerAddress)
-	c.address("metrics_address", s.MetricsAddress)
+	c.Given("vm", s.Vm)
+	c.Given("region", s.Region)
+	c.Given("data_centre", s.DataCentre)
+	c.Given("deployment", s.Deployment)
+	c.Address("caller_address", s.CallerAddress)
+	c.Address("ready_address", s.ReadyAddress)
+	c.Address("directory_address", s.DirectoryAddress)
+	c.Address("peer_address", s.PeerAddress)
+	c.Address("metrics_address", s.MetricsAddress)
 	for _, seed := range s.Seeds {
-		c.address("seeds", seed)
+		c.Address("seeds", seed)
 	}
 }
 
