Explain upstreams and every refusal from logs and metrics alone

Cause: the logs showed sends that failed but not what a VM made of an upstream (slow, paused, failing, unreachable), where a request's time went, or how often the budget refused a hedge. Requests refused before the engine (malformed, too large, too slow to arrive) had neither line nor counter, and the HTTP library wrote about them to standard error without a bound. In a storm of failures the line that names its cause was as likely to be left out as any other, and nothing on the metrics address said how many were.

Change: replica judges states with their grounds, edge logs the turns and serves states, budget left and stage times; each refusal goes through the engine; logring keeps changes before failures before a sample of the good requests and counts what it leaves out by class. The settings' memory and descriptors, decoded before and used for nothing, bound the heap and the callers' connections; max_header_bytes is held. The two caller times of the platform's limits are no longer decoded: the servers' own are fixed and longer.

--- a/cmd/sycamorekeel-edge/main.go
+++ b/cmd/sycamorekeel-edge/main.go
@@ -15,8 +15,6 @@
 	"github.com/alecthomas/kong"
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/node"
@@ -28,6 +26,11 @@
 // dearer than processor time here, and the live heap is a few MB.
 const gcPercent = 50
 
+// memoryShare is the part of the memory that the VM gives the process from which
+// the heap is collected ever more often. A process that exceeds its memory is
+// killed; the rest is for stacks and for what the sockets hold unread.
+const memoryShare = 0.7
+
 type flags struct {
 	Role     string `arg:"" optional:"" help:"Name of the role, for the process list."`
 	Settings string `type:"existingfile" help:"Settings file (TOML) of the project's own interface. Without it, the settings of the users' platform are read."`
@@ -63,7 +66,8 @@
 	if err != nil {
 		return err
 	}
-	ring := logring.New(os.Stdout, time.Now)
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
+	ring := logring.New(set.VM, os.Stdout, time.Now)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	hup := make(chan os.Signal, 1)
@@ -71,9 +75,11 @@
 	logCtx, endLog := context.WithCancel(context.Background())
 	logged := make(chan error, 1)
 	go func() { logged <- ring.Run(logCtx) }()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(ring)
 	n := node.New(set, node.Options{
-		Log:      newLogger(ring, set.VM),
-		Registry: prometheus.NewRegistry(),
+		Logs:     ring.Loggers(),
+		Registry: registry,
 		Adapter:  env.adapter(set),
 		Reloading: node.Reloading{
 			Load:    env.load,
@@ -84,11 +90,3 @@
 	endLog()
 	return trace.NewAggregate(err, <-logged)
 }
-
-func newLogger(ring *logring.Ring, vm string) *zap.Logger {
-	c := zap.NewProductionEncoderConfig()
-	c.EncodeTime = zapcore.ISO8601TimeEncoder
-	c.EncodeDuration = zapcore.MillisDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), ring, zapcore.InfoLevel)
-	return zap.New(core).With(zap.String("vm", vm))
-}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,11 +13,10 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
@@ -50,7 +49,7 @@
 
 // Options is what an engine needs.
 type Options struct {
-	Log      *zap.Logger
+	Logs     logring.Loggers
 	Metrics  *Metrics
 	Protocol direct.Protocol
 	Place    replica.Place
@@ -159,7 +158,15 @@
 }
 
 // Tick drops what is no longer used; it is to be called about once a second.
-func (e *Engine) Tick(now time.Time) { e.pools.Expire(now) }
+func (e *Engine) Tick(now time.Time) {
+	e.pools.Expire(now)
+	e.mu.Lock()
+	turns := e.replicas.Turns(now)
+	e.mu.Unlock()
+	for _, t := range turns {
+		e.logTurn(t)
+	}
+}
 
 // InFlight is the requests under way.
 func (e *Engine) InFlight() int64 { return e.inFlight.Load() }
@@ -188,6 +195,17 @@
 	defer e.inFlight.Add(-1)
 	a := e.serve(r)
 	a.Took = time.Since(r.Received)
+	a.Stages.finish(a.Took)
+	e.opts.Metrics.ended(&a)
+	e.logEnd(r, &a)
+	return a
+}
+
+// Refuse ends a request that could not be read, or that breaks the interface's
+// rules, so that it has its line and its counter as every other.
+func (e *Engine) Refuse(r *Request, reason Reason) Answer {
+	a := refuse(reason, 0)
+	a.Took = time.Since(r.Received)
 	e.opts.Metrics.ended(&a)
 	e.logEnd(r, &a)
 	return a
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
+	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
@@ -21,6 +24,34 @@
 	sends    *prometheus.CounterVec
 	replies  *prometheus.CounterVec
 	budget   *prometheus.CounterVec
+	stages   stageTimes
+}
+
+// stageTimes is a histogram for each stage.
+type stageTimes struct {
+	plan, resend, connect, upstream, finish prometheus.Observer
+}
+
+func newStageTimes(reg prometheus.Registerer) stageTimes {
+	v := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "sycamorekeel_edge_stage_seconds", Help: "Where the time of answered requests went, on the path of the last reply.", Buckets: durationBuckets,
+	}, []string{"stage"})
+	reg.MustRegister(v)
+	return stageTimes{
+		plan:     v.WithLabelValues("plan"),
+		resend:   v.WithLabelValues("resend"),
+		connect:  v.WithLabelValues("connect"),
+		upstream: v.WithLabelValues("upstream"),
+		finish:   v.WithLabelValues("finish"),
+	}
+}
+
+func (t *stageTimes) observe(s *Stages) {
+	t.plan.Observe(s.Plan.Seconds())
+	t.resend.Observe(s.Resend.Seconds())
+	t.connect.Observe(s.Connect.Seconds())
+	t.upstream.Observe(s.Upstream.Seconds())
+	t.finish.Observe(s.Finish.Seconds())
 }
 
 // NewMetrics registers the engine's metrics.
@@ -45,6 +76,7 @@
 			Name: "sycamorekeel_edge_budget_refusals_total", Help: "Extra sends that the budget did not allow.",
 		}, []string{"kind"}),
 	}
+	m.stages = newStageTimes(reg)
 	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budget)
 	return m
 }
@@ -56,6 +88,9 @@
 	}
 	m.requests.WithLabelValues(result).Inc()
 	m.duration.WithLabelValues(result).Observe(a.Took.Seconds())
+	if a.Reason == "" {
+		m.stages.observe(&a.Stages)
+	}
 	if a.Missing > 0 && a.Reason == "" {
 		m.partial.Inc()
 	}
@@ -66,3 +101,58 @@
 func (m *Metrics) reply(r scatter.Result) { m.replies.WithLabelValues(r.String()).Inc() }
 
 func (m *Metrics) unspent(k retrybudget.Kind) { m.budget.WithLabelValues(k.String()).Inc() }
+
+var (
+	budgetLeft = prometheus.NewDesc("sycamorekeel_edge_budget_left",
+		"Extra sends to a service that the retry budget allows this VM now.", []string{"service", "kind"}, nil)
+	upstreamStates = prometheus.NewDesc("sycamorekeel_edge_upstreams",
+		"Upstreams by what they count as.", []string{"state"}, nil)
+	upstreamState = prometheus.NewDesc("sycamorekeel_edge_upstream_state",
+		"1 for each upstream that is not usable, with what it counts as.", []string{"upstream", "service", "state"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (e *Engine) Describe(out chan<- *prometheus.Desc) {
+	out <- budgetLeft
+	out <- upstreamStates
+	out <- upstreamState
+}
+
+// Collect implements prometheus.Collector: budgets and states of upstreams are
+// worked out when they are asked for.
+func (e *Engine) Collect(out chan<- prometheus.Metric) {
+	for _, m := range e.gauges(time.Now()) {
+		out <- m
+	}
+}
+
+func (e *Engine) gauges(now time.Time) []prometheus.Metric {
+	gauge := func(d *prometheus.Desc, value float64, labels ...string) prometheus.Metric {
+		return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+	}
+	share := e.shares.Load().of(1)
+	var out []prometheus.Metric
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for service, b := range e.budgets {
+		for _, kind := range retrybudget.Kinds {
+			out = append(out, gauge(budgetLeft, max(0, b.Left(now, kind, share)), service, kind.String()))
+		}
+	}
+	count := e.replicas.Count()
+	for _, state := range replica.States {
+		out = append(out, gauge(upstreamStates, float64(count[state]), state.String()))
+	}
+	for id, state := range e.replicas.Troubled() {
+		out = append(out, gauge(upstreamState, 1, id, e.serviceOf(id), state.String()))
+	}
+	return out
+}
+
+// serviceOf is the service of an upstream, empty when it is not known any more.
+func (e *Engine) serviceOf(upstream string) string {
+	if v := e.view.Load(); v != nil && v.Upstreams[upstream] != nil {
+		return v.Upstreams[upstream].Service
+	}
+	return ""
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -66,6 +66,10 @@
 	Malformed Reason = "malformed"
 	// TooLarge: the body is over the limit.
 	TooLarge Reason = "body_too_large"
+	// HeadTooLarge: the head is over the limit.
+	HeadTooLarge Reason = "head_too_large"
+	// TooSlow: the request did not arrive in time.
+	TooSlow Reason = "request_too_slow"
 )
 
 // Waits that refusals recommend.
@@ -108,6 +112,10 @@
 	// after Received; empty when none replied.
 	Slowest      string
 	SlowestAfter time.Duration
+	// Unspent is how many extra sends the retry budget did not allow.
+	Unspent int
+	// Stages is where the time went.
+	Stages Stages
 	// Took is the time from Received.
 	Took time.Duration
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -8,6 +8,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 	"sycamorekeel.example/sycamorekeel/internal/topk"
@@ -27,6 +28,8 @@
 	// last is the send whose reply came last, nil before any.
 	last   *send
 	lastAt time.Time
+	// unspent is how many extra sends the budget refused.
+	unspent int
 }
 
 // send is one send of a run.
@@ -146,11 +149,20 @@
 // learn notes what a reply shows of its upstream.
 func (x *run) learn(now time.Time, s *send) {
 	e := x.engine
-	u := s.call.Upstream
 	e.opts.Metrics.reply(s.reply.Result)
 	if s.reply.Result != scatter.Answered {
-		e.opts.Log.Info("edge: send failed", x.fields(s, zap.Stringer("result", s.reply.Result), zap.String("detail", s.reply.Detail))...)
+		e.opts.Logs.Failures.Info("edge: send failed", x.fields(s, zap.Stringer("result", s.reply.Result), zap.String("detail", s.reply.Detail))...)
+	}
+	if turn, turned := x.note(now, s); turned {
+		e.logTurn(turn)
 	}
+}
+
+// note gives a reply to what is kept of its upstream, and tells whether that
+// counts as something else now.
+func (x *run) note(now time.Time, s *send) (replica.Turn, bool) {
+	e := x.engine
+	u := s.call.Upstream
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch s.reply.Result {
@@ -163,6 +175,7 @@
 	default:
 		e.replicas.Failed(now, u, s.id)
 	}
+	return e.replicas.Turned(now, u.ID)
 }
 
 // fields is what every log line of a send has.
@@ -202,7 +215,7 @@
 	x.sends = append(x.sends, send{id: id, part: s.Part, call: call, cause: s.Cause, sentAt: now})
 	e.opts.Metrics.sent(s.Cause)
 	if s.Cause != scatter.First {
-		e.opts.Log.Info("edge: sent again", x.fields(&x.sends[s.Attempt])...)
+		e.opts.Logs.Failures.Info("edge: sent again", x.fields(&x.sends[s.Attempt])...)
 	}
 	e.pools.Do(call)
 }
@@ -225,11 +238,12 @@
 
 // answer turns the verdict into what the caller gets.
 func (x *run) answer(v *scatter.Verdict) Answer {
-	a := Answer{Reason: Reason(v.Reason), NotRun: v.NotRun, Sends: len(x.sends)}
+	a := Answer{Reason: Reason(v.Reason), NotRun: v.NotRun, Sends: len(x.sends), Unspent: x.unspent}
 	a.Crowded = x.crowdedParts()
 	if x.last != nil {
 		a.Slowest = x.last.call.Upstream.ID
 		a.SlowestAfter = x.lastAt.Sub(x.req.Received)
+		a.Stages = stagesOf(x.req, &x.sends[0], x.last, x.lastAt)
 	}
 	switch {
 	case v.Reason != scatter.None:
@@ -297,7 +311,7 @@
 			waited = append(waited, s.call.Upstream.ID)
 		}
 	}
-	x.engine.opts.Log.Info("edge: part left out",
+	x.engine.opts.Logs.Failures.Info("edge: part left out",
 		zap.String("request", x.req.Message.ID),
 		zap.String("route", x.req.Route.Name),
 		zap.String("service", x.plan.Services[part]),
@@ -324,6 +338,7 @@
 	ok := e.budget(x.plan.Services[part]).Spend(time.Now(), kind, e.shares.Load().of(1))
 	e.mu.Unlock()
 	if !ok {
+		x.unspent++
 		e.opts.Metrics.unspent(kind)
 	}
 	return ok
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -39,7 +39,7 @@
 type Field struct{ Name, Value string }
 
 // beliefs begin the messages on what a VM believes.
-var beliefs = []string{"config: ", "gossip: ", "store: ", "peer: ", "node: "}
+var beliefs = []string{"config: ", "gossip: ", "store: ", "peer: ", "node: ", "upstream: ", "log: "}
 
 // Timeline reads logs of any number of VMs and gives the lines of one request
 // with those on what the VMs that served it believed, in order. Lines of one VM
--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -1,7 +1,7 @@
 // Package logring writes log lines without ever making their writer wait: lines
 // go into a bounded buffer that one goroutine empties. What does not fit, or is
-// over the budget of bytes a second, is dropped and counted, and a line says how
-// many were.
+// over the budget of bytes a second, is dropped and counted, the least important
+// first, and a line says how many of each class were.
 package logring
 
 import (
@@ -22,12 +22,14 @@
 	flushEvery = 250 * time.Millisecond
 )
 
-// Ring is a zapcore.WriteSyncer.
+// Ring holds lines until they are written. It is safe for concurrent use.
 type Ring struct {
+	vm      string
 	out     io.Writer
 	now     func() time.Time
-	dropped atomic.Uint64
-	told    uint64
+	dropped [classes]atomic.Uint64
+	// told is what of dropped a line has told; only Flush uses it.
+	told [classes]uint64
 
 	mu     sync.Mutex
 	buf    []byte
@@ -36,30 +38,28 @@
 	last   time.Time
 }
 
-// New is an empty ring before out.
-func New(out io.Writer, now func() time.Time) *Ring {
-	return &Ring{out: out, now: now, tokens: bytesPerSecond, last: now()}
+// New is an empty ring before out, for the process of a VM.
+func New(vm string, out io.Writer, now func() time.Time) *Ring {
+	return &Ring{vm: vm, out: out, now: now, tokens: bytesPerSecond, last: now()}
 }
 
-// Write implements io.Writer. It copies the line or drops it, and never fails.
-func (r *Ring) Write(line []byte) (int, error) {
+// add copies a line or drops it.
+func (r *Ring) add(class Class, line []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refill()
-	if len(r.buf)+len(line) > bufferBytes || float64(len(line)) > r.tokens {
-		r.dropped.Add(1)
-		return len(line), nil
+	kept := 1 - reserve[class]
+	full := float64(len(r.buf)+len(line)) > bufferBytes*kept
+	if full || r.tokens-float64(len(line)) < bytesPerSecond*reserve[class] {
+		r.dropped[class].Add(1)
+		return
 	}
 	r.tokens -= float64(len(line))
 	r.buf = append(r.buf, line...)
-	return len(line), nil
 }
 
-// Sync implements zapcore.WriteSyncer; lines are written by Run.
-func (r *Ring) Sync() error { return nil }
-
-// Dropped is how many lines were left out so far.
-func (r *Ring) Dropped() uint64 { return r.dropped.Load() }
+// Dropped is how many lines of a class were left out so far.
+func (r *Ring) Dropped(class Class) uint64 { return r.dropped[class].Load() }
 
 // Run writes until ctx ends, then writes what is left.
 func (r *Ring) Run(ctx context.Context) error {
@@ -86,10 +86,7 @@
 	r.buf = r.spare[:0]
 	r.spare = nil
 	r.mu.Unlock()
-	if dropped := r.dropped.Load(); dropped > r.told {
-		buf = fmt.Appendf(buf, "{\"level\":\"warn\",\"msg\":\"log: lines left out\",\"count\":%d}\n", dropped-r.told)
-		r.told = dropped
-	}
+	buf = r.tellDropped(buf)
 	var err error
 	if len(buf) > 0 {
 		_, err = r.out.Write(buf)
@@ -100,6 +97,21 @@
 	return err
 }
 
+// tellDropped appends a line for each class of which lines were left out since
+// the last one.
+func (r *Ring) tellDropped(buf []byte) []byte {
+	for class := range classes {
+		dropped := r.Dropped(class)
+		if dropped == r.told[class] {
+			continue
+		}
+		buf = fmt.Appendf(buf, `{"level":"warn","ts":%q,"msg":"log: lines left out","vm":%q,"class":%q,"count":%d}`+"\n",
+			r.now().Format(timeLayout), r.vm, class, dropped-r.told[class])
+		r.told[class] = dropped
+	}
+	return buf
+}
+
 func (r *Ring) refill() {
 	now := r.now()
 	r.tokens = min(r.tokens+bytesPerSecond*max(0, now.Sub(r.last).Seconds()), bytesPerSecond)
--- a/internal/logring/logring_test.go
+++ b/internal/logring/logring_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // stuck is an output that nobody reads.
@@ -26,9 +29,9 @@
 func TestAReaderThatStopsHoldsNobodyUp(t *testing.T) {
 	out := stuck{make(chan struct{}, 1), make(chan struct{})}
 	now := time.Unix(1000, 0)
-	r := New(out, func() time.Time { return now })
+	r := New("v", out, func() time.Time { return now })
 	line := []byte(strings.Repeat("x", 1023) + "\n")
-	if _, err := r.Write(line); err != nil {
+	if _, err := change(r).Write(line); err != nil {
 		t.Fatal(err)
 	}
 	done := make(chan error, 1)
@@ -36,11 +39,11 @@
 	<-out.entered
 	for range 1000 {
 		now = now.Add(time.Millisecond)
-		if n, err := r.Write(line); n != len(line) || err != nil {
+		if n, err := change(r).Write(line); n != len(line) || err != nil {
 			t.Fatalf("write %d, %v", n, err)
 		}
 	}
-	if r.Dropped() == 0 {
+	if r.Dropped(Change) == 0 {
 		t.Error("nothing was left out, so the buffer has no bound")
 	}
 	close(out.release)
@@ -52,22 +55,22 @@
 func TestLinesLeftOutAreCounted(t *testing.T) {
 	var out bytes.Buffer
 	now := time.Unix(1000, 0)
-	r := New(&out, func() time.Time { return now })
+	r := New("v", &out, func() time.Time { return now })
 	line := []byte(strings.Repeat("x", 1023) + "\n")
 	for range 2 * bytesPerSecond / len(line) {
-		if _, err := r.Write(line); err != nil {
+		if _, err := change(r).Write(line); err != nil {
 			t.Fatal(err)
 		}
 	}
 	if err := r.Flush(); err != nil {
 		t.Fatal(err)
 	}
-	if !strings.Contains(out.String(), `"msg":"log: lines left out","count":64`) {
+	if !strings.Contains(out.String(), `"msg":"log: lines left out","vm":"v","class":"change","count":64`) {
 		t.Errorf("no word of the lines left out: %.80s", out.String()[out.Len()-80:])
 	}
 	out.Reset()
 	now = now.Add(time.Second)
-	if _, err := r.Write(line); err != nil {
+	if _, err := change(r).Write(line); err != nil {
 		t.Fatal(err)
 	}
 	if err := r.Flush(); err != nil || out.String() != string(line) {
@@ -75,12 +78,48 @@
 	}
 }
 
+// Symptom: the log of a bad minute does not name its cause.
+// Sequence: an upstream stops; thousands of requests fail and each writes a
+// line; the line on the upstream comes when the budget is used up.
+// Cause: lines were kept in the order in which they came.
+func TestStormsOfFailuresLeaveRoomForChanges(t *testing.T) {
+	var out bytes.Buffer
+	now := time.Unix(1000, 0)
+	r := New("v", &out, func() time.Time { return now })
+	logs := r.Loggers()
+	for i := range 1000 {
+		logs.Samples.Info("answered", zap.Int("n", i))
+		logs.Failures.Info("failed", zap.Int("n", i))
+	}
+	for range 20 {
+		logs.Changes.Info("changed")
+	}
+	if err := r.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]int{}
+	for _, word := range []string{"answered", "failed", "changed"} {
+		got[word] = strings.Count(out.String(), `"msg":"`+word+`"`)
+	}
+	if got["changed"] != 20 || got["failed"] < got["answered"] || got["answered"] == 0 {
+		t.Errorf("kept %v", got)
+	}
+	if r.Dropped(Change) != 0 || int(r.Dropped(Failure)) != 1000-got["failed"] || int(r.Dropped(Sample)) != 1000-got["answered"] {
+		t.Errorf("left out: %d, %d, %d of %v", r.Dropped(Change), r.Dropped(Failure), r.Dropped(Sample), got)
+	}
+	for _, class := range []Class{Failure, Sample} {
+		if want := fmt.Sprintf(`"class":%q,"count":%d`, class, r.Dropped(class)); !strings.Contains(out.String(), want) {
+			t.Errorf("no line says %s", want)
+		}
+	}
+}
+
 func TestRunWritesWhatIsLeft(t *testing.T) {
 	var out bytes.Buffer
-	r := New(&out, time.Now)
+	r := New("v", &out, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if _, err := r.Write([]byte("last\n")); err != nil {
+	if _, err := change(r).Write([]byte("last\n")); err != nil {
 		t.Fatal(err)
 	}
 	if err := r.Run(ctx); err != nil || out.String() != "last\n" {
@@ -89,12 +128,15 @@
 }
 
 func BenchmarkWrite(b *testing.B) {
-	r := New(&bytes.Buffer{}, time.Now)
+	r := New("v", &bytes.Buffer{}, time.Now)
 	line := []byte(strings.Repeat("x", 255) + "\n")
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := r.Write(line); err != nil {
+		if _, err := change(r).Write(line); err != nil {
 			b.Fatal(err)
 		}
 	}
 }
+
+// change writes lines of the most important class.
+func change(r *Ring) writer { return writer{r, Change} }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -35,6 +35,7 @@
 
 // showState registers gauges of what the VM believes now.
 func (n *Node) showState(reg prometheus.Registerer) {
+	reg.MustRegister(n.engine)
 	f := promauto.With(reg)
 	gauge := func(name, help string, value func() float64) {
 		f.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/edge"
 	"sycamorekeel.example/sycamorekeel/internal/follow"
 	"sycamorekeel.example/sycamorekeel/internal/gossip"
+	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/placement"
@@ -72,16 +73,24 @@
 	Upstreams direct.Protocol
 	// Callers serves callers by the engine; leaving tells whether the VM is
 	// being stopped.
-	Callers func(e *edge.Engine, leaving func() bool) fasthttp.RequestHandler
+	Callers func(e *edge.Engine, leaving func() bool) CallerHandler
 	// Directory serves callers that ask which VMs to use.
 	Directory func(choose func(placement.Caller) []string, ttl time.Duration) fasthttp.RequestHandler
 	// Ready serves the question whether this VM takes callers.
 	Ready func(ready func() bool) fasthttp.RequestHandler
 }
 
+// CallerHandler serves callers.
+type CallerHandler interface {
+	// Handle serves a request.
+	Handle(*fasthttp.RequestCtx)
+	// Fault answers a request that could not be read.
+	Fault(*fasthttp.RequestCtx, error)
+}
+
 // Options is what a node needs.
 type Options struct {
-	Log       *zap.Logger
+	Logs      logring.Loggers
 	Registry  *prometheus.Registry
 	Adapter   Adapter
 	Reloading Reloading
@@ -92,6 +101,7 @@
 	set      atomic.Pointer[Settings]
 	load     func() (*Settings, error)
 	reloads  <-chan os.Signal
+	logs     logring.Loggers
 	log      *zap.Logger
 	registry *prometheus.Registry
 	adapter  Adapter
@@ -114,7 +124,8 @@
 	n := &Node{
 		load:     opts.Reloading.Load,
 		reloads:  opts.Reloading.Signals,
-		log:      opts.Log,
+		logs:     opts.Logs,
+		log:      opts.Logs.Changes,
 		registry: opts.Registry,
 		adapter:  opts.Adapter,
 		started:  now,
@@ -124,7 +135,7 @@
 	n.upstreams.Store(&map[string]int{})
 	random := rand.New(rand.NewPCG(seedOf(set.VM), uint64(now.UnixNano())))
 	n.engine = edge.New(now, edge.Options{
-		Log:         opts.Log,
+		Logs:        opts.Logs,
 		Metrics:     edge.NewMetrics(opts.Registry),
 		Protocol:    opts.Adapter.Upstreams,
 		Place:       replica.Place{DataCentre: set.DataCentre, Region: set.Region, Regions: set.Regions},
@@ -134,7 +145,7 @@
 		ViewAge:     func() time.Duration { return n.reader.confirmedAge(time.Now()) },
 	})
 	n.reader = &reader{
-		log:      opts.Log,
+		log:      opts.Logs.Changes,
 		met:      newStoreMetrics(opts.Registry),
 		store:    opts.Adapter.Store,
 		announce: n.announce,
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,9 @@
 	headTimeout = 10 * time.Second
 	// maxBody bounds a body before a configuration says less.
 	maxBody = 8 << 20
+	// callerShare is the part of the process's descriptors that callers'
+	// connections may use. Upstreams take the rest: each query sends to several.
+	callerShare = 0.4
 	// stopMargin is what is left of the grace for requests in flight once new
 	// ones are no longer taken.
 	stopMargin = 1300 * time.Millisecond
@@ -63,10 +67,27 @@
 	}
 }
 
+// httpLog takes in what the HTTP library has to say of connections. Left to its
+// own logger, its lines would go to standard error, without a bound, and hold up
+// whoever writes them once nobody reads there.
+type httpLog struct {
+	log    *zap.Logger
+	server string
+}
+
+// Printf implements fasthttp.Logger.
+func (l httpLog) Printf(format string, args ...any) {
+	l.log.Info("http: "+fmt.Sprintf(format, args...), zap.String("server", l.server))
+}
+
 // listen opens every listener. The caller's is first.
 func (n *Node) listen() ([]*server, error) {
+	handler := n.adapter.Callers(n.engine, n.leaving.Load)
 	callers := &fasthttp.Server{
-		Handler:                      n.adapter.Callers(n.engine, n.leaving.Load),
+		Handler:                      handler.Handle,
+		ErrorHandler:                 handler.Fault,
+		Logger:                       httpLog{n.logs.Failures, "callers"},
+		Concurrency:                  callerConnections(n.set.Load().Descriptors),
 		ReadBufferSize:               readBuffer,
 		WriteBufferSize:              smallBuffer,
 		MaxRequestBodySize:           maxBody,
@@ -81,7 +102,7 @@
 	out := []*server{{name: "callers", http: httpserver.New(callers)}}
 	addresses := []string{n.set.Load().CallerAddress}
 	add := func(name, address string, h fasthttp.RequestHandler) {
-		small := &fasthttp.Server{Handler: h, ReadBufferSize: smallBuffer, WriteBufferSize: smallBuffer, IdleTimeout: callerIdle, ReadTimeout: headTimeout, ReduceMemoryUsage: true}
+		small := &fasthttp.Server{Handler: h, Logger: httpLog{n.logs.Failures, name}, ReadBufferSize: smallBuffer, WriteBufferSize: smallBuffer, IdleTimeout: callerIdle, ReadTimeout: headTimeout, ReduceMemoryUsage: true}
 		out = append(out, &server{name: name, http: httpserver.New(small)})
 		addresses = append(addresses, address)
 	}
@@ -99,6 +120,13 @@
 	return out, nil
 }
 
+// callerConnections is the most connections of callers at a time. Beyond it a
+// connection is answered 503 and closed; without it a flood of them would use up
+// the descriptors, and connections to upstreams could no longer be opened.
+func callerConnections(descriptors int) int {
+	return max(1, int(callerShare*float64(descriptors)))
+}
+
 // placementBounds is what an answer of the directory holds.
 func (n *Node) placementBounds() placement.Bounds {
 	const (
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -131,6 +131,8 @@
 	lateBefore bool
 	// open holds the sends that have not ended.
 	open []open
+	// state is what it counted as when it was last asked for.
+	state State
 }
 
 type open struct {
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -28,6 +28,9 @@
 	Hedge
 )
 
+// Kinds is all of them.
+var Kinds = []Kind{Retry, Hedge}
+
 // Limit is the bound on all VMs together.
 type Limit struct {
 	// Ratio is extra sends for each request.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -62,10 +62,8 @@
 
 // Limits bound what a caller may send; a zero field sets no bound.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int
 }
 
 // FanOut tells whether the route's requests go to many shards.
--- a/internal/standalone/adapter.go
+++ b/internal/standalone/adapter.go
@@ -24,8 +24,8 @@
 		Store:     NewFile(set.Store),
 		Decoder:   Documents{},
 		Upstreams: wire.Upstreams{Names: wire.Own()},
-		Callers: func(e *edge.Engine, leaving func() bool) fasthttp.RequestHandler {
-			return wire.NewIngress(e, wire.Own(), leaving).Handle
+		Callers: func(e *edge.Engine, leaving func() bool) node.CallerHandler {
+			return wire.NewIngress(e, wire.Own(), leaving)
 		},
 		Directory: directory,
 		Ready: func(ready func() bool) fasthttp.RequestHandler {
--- a/internal/standalone/settings.go
+++ b/internal/standalone/settings.go
@@ -22,13 +22,8 @@
 	defaultGrace       = 6000
 	defaultMaxTTL      = 5000
 	defaultWindow      = 10_000
-)
-
-// Descriptors and memory that a process is taken to have; nothing hangs on them
-// here yet.
-const (
-	descriptors = 4096
-	memory      = 256 << 20
+	defaultMemory      = 256
+	defaultDescriptors = 4096
 )
 
 // LoadSettings reads and checks a settings file. The node's store is the path of
@@ -92,8 +87,8 @@
 		Seeds:            s.Seeds,
 		Store:            s.Deployment,
 		Cores:            float64(or(s.Millicores, defaultMillicores)) / 1000,
-		MemoryBytes:      memory,
-		Descriptors:      descriptors,
+		MemoryBytes:      int64(or(s.MemoryMb, defaultMemory)) << 20,
+		Descriptors:      int(or(s.Descriptors, defaultDescriptors)),
 		ChangeBound:      milliseconds(or(s.ChangeBoundMs, defaultChangeBound)),
 		Grace:            milliseconds(or(s.GraceMs, defaultGrace)),
 		MaxTTL:           milliseconds(or(s.MaxTtlMs, defaultMaxTTL)),
--- a/internal/standalone/standalone_test.go
+++ b/internal/standalone/standalone_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
-	"go.uber.org/zap"
 
+	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/node"
 	"sycamorekeel.example/sycamorekeel/internal/standin"
 	"sycamorekeel.example/sycamorekeel/internal/topk"
@@ -127,7 +127,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	n := node.New(set, node.Options{
-		Log: zap.NewNop(), Registry: prometheus.NewRegistry(), Adapter: Adapter(set),
+		Logs: logring.Nop(), Registry: prometheus.NewRegistry(), Adapter: Adapter(set),
 		Reloading: node.Reloading{Load: func() (*node.Settings, error) { return set, nil }},
 	})
 	go func() { ended <- n.Run(ctx) }()
--- a/internal/wire/ingress.go
+++ b/internal/wire/ingress.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +13,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/direct"
 	"sycamorekeel.example/sycamorekeel/internal/edge"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
 
@@ -31,7 +34,8 @@
 func (in *Ingress) Handle(ctx *fasthttp.RequestCtx) {
 	r, fault := in.request(ctx)
 	if fault != "" {
-		in.writeRefusal(ctx, r, &edge.Answer{Reason: fault, NotRun: true})
+		a := in.engine.Refuse(r, fault)
+		in.writeRefusal(ctx, r, &a)
 	} else {
 		a := in.engine.Serve(r)
 		in.write(ctx, r, &a)
@@ -41,6 +45,30 @@
 	}
 }
 
+// Fault answers a request that could not be read. The library closes the
+// connection after it.
+func (in *Ingress) Fault(ctx *fasthttp.RequestCtx, err error) {
+	r := &edge.Request{Received: time.Now(), Message: &direct.Message{}}
+	a := in.engine.Refuse(r, faultOf(err))
+	in.writeRefusal(ctx, r, &a)
+}
+
+// faultOf is why a request could not be read.
+func faultOf(err error) edge.Reason {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &small):
+		return edge.HeadTooLarge
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return edge.TooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return edge.TooSlow
+	default:
+		return edge.Malformed
+	}
+}
+
 // request decodes a request. What it keeps is copied: sends may outlive the
 // handler, and the library uses its buffers again.
 func (in *Ingress) request(ctx *fasthttp.RequestCtx) (*edge.Request, edge.Reason) {
@@ -71,13 +99,23 @@
 		return r, edge.Malformed
 	}
 	if v := in.engine.View(); v != nil && v.Table != nil {
-		if most := v.Table.Limits().BodyBytes; most > 0 && len(r.Message.Body) > most {
-			return r, edge.TooLarge
-		}
+		return r, beyond(v.Table.Limits(), len(ctx.Request.Header.RawHeaders()), len(r.Message.Body))
 	}
 	return r, ""
 }
 
+// beyond tells which limit a request exceeds, if any.
+func beyond(l routing.Limits, head, body int) edge.Reason {
+	switch {
+	case l.HeaderBytes > 0 && head > l.HeaderBytes:
+		return edge.HeadTooLarge
+	case l.BodyBytes > 0 && body > l.BodyBytes:
+		return edge.TooLarge
+	default:
+		return ""
+	}
+}
+
 // pathOf is the path of a request target, which may be in absolute form.
 func pathOf(target string) string {
 	if _, rest, ok := strings.Cut(target, "://"); ok && !strings.HasPrefix(target, "/") {
@@ -187,6 +225,10 @@
 	switch a.Reason {
 	case edge.Malformed:
 		return fasthttp.StatusBadRequest
+	case edge.HeadTooLarge:
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
+	case edge.TooSlow:
+		return fasthttp.StatusRequestTimeout
 	case edge.TooLarge:
 		return fasthttp.StatusRequestEntityTooLarge
 	case edge.NoRoute:
--- /dev/null
+++ b/internal/wire/ingress_test.go
@@ -0,0 +1,114 @@
+package wire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/valyala/fasthttp"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/edge"
+	"sycamorekeel.example/sycamorekeel/internal/logring"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
+)
+
+// patience bounds what a test waits for; no test passes by it running out.
+const patience = 10 * time.Second
+
+// serve is a server of callers with a bound of 100 bytes on heads and 10 on
+// bodies, and the counters of its engine.
+func serve(t *testing.T) (net.Listener, *prometheus.Registry) {
+	t.Helper()
+	registry := prometheus.NewRegistry()
+	engine := edge.New(time.Now(), edge.Options{
+		Logs:        logring.Nop(),
+		Metrics:     edge.NewMetrics(registry),
+		MaxRequests: 10,
+		Random:      rand.New(rand.NewPCG(1, 2)),
+		ViewAge:     func() time.Duration { return 0 },
+	})
+	c := &routing.Config{Limits: routing.Limits{HeaderBytes: 100, BodyBytes: 10}}
+	engine.SetView(time.Now(), &catalog.View{Config: c, Table: routing.Compile(c)})
+	in := NewIngress(engine, Own(), func() bool { return false })
+	server := &fasthttp.Server{
+		Handler: in.Handle, ErrorHandler: in.Fault,
+		ReadBufferSize: 500, MaxRequestBodySize: 100, ReadTimeout: 50 * time.Millisecond, Logger: log.New(io.Discard, "", 0),
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ln) }()
+	t.Cleanup(func() {
+		if err := ln.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return ln, registry
+}
+
+// Each row is a request that is refused before it is looked up, the status it
+// gets, and the word that the answer and the counter have for it.
+func TestRequestsThatAreRefusedUnread(t *testing.T) {
+	const head = "GET /p/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: id\r\n"
+	for _, c := range []struct {
+		name, sent string
+		status     int
+		reason     edge.Reason
+	}{
+		{"no id", "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n", 400, edge.Malformed},
+		{"a deadline that is no number", head + "X-Deadline-Ms: soon\r\n\r\n", 400, edge.Malformed},
+		{"no HTTP", "hello\r\n\r\n", 400, edge.Malformed},
+		{"a head over the limit", head + "X: " + strings.Repeat("x", 100) + "\r\n\r\n", 431, edge.HeadTooLarge},
+		{"a head over the buffer", head + "X: " + strings.Repeat("x", 900) + "\r\n\r\n", 431, edge.HeadTooLarge},
+		{"a body over the limit", head + "Content-Length: 11\r\n\r\n12345678901", 413, edge.TooLarge},
+		{"a body over what is read", head + "Content-Length: 101\r\n\r\n", 413, edge.TooLarge},
+		{"half a head", head, 408, edge.TooSlow},
+		{"no route", head + "\r\n", 404, edge.NoRoute},
+	} {
+		ln, registry := serve(t)
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp := exchange(t, conn, c.sent)
+		if resp.StatusCode() != c.status || !strings.Contains(string(resp.Body()), `"`+string(c.reason)+`"`) {
+			t.Errorf("%s: %d %s, want %d %s", c.name, resp.StatusCode(), resp.Body(), c.status, c.reason)
+		}
+		want := fmt.Sprintf("# HELP sycamorekeel_edge_requests_total Requests by how they ended.\n"+
+			"# TYPE sycamorekeel_edge_requests_total counter\nsycamorekeel_edge_requests_total{result=%q} 1\n", c.reason)
+		if err := testutil.GatherAndCompare(registry, strings.NewReader(want), "sycamorekeel_edge_requests_total"); err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		conn.Close()
+	}
+}
+
+// exchange sends bytes and reads one response.
+func exchange(t *testing.T, conn net.Conn, sent string) *fasthttp.Response {
+	t.Helper()
+	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte(sent)); err != nil {
+		t.Fatal(err)
+	}
+	resp := &fasthttp.Response{}
+	if err := resp.Read(bufio.NewReader(conn)); err != nil {
+		t.Fatalf("%q: %v", sent, err)
+	}
+	return resp
+}
