--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -38,7 +38,7 @@
 		l.Abandon()
 		return
 	}
-	l.Done(time.Now(), r.Received, len(r.Route.Shards), a.Crowded)
+	l.Done(e.now(), r.Received, len(r.Route.Shards), a.Crowded)
 }
 
 // scatter is the limiter of a route's shards. The caller holds mu.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,8 +65,11 @@
 
 // Engine serves requests. It is safe for concurrent use.
 type Engine struct {
-	opts     Options
-	pools    *direct.Pools
+	opts  Options
+	now   func() time.Time
+	pools *direct.Pools
+	// do makes a call to an upstream.
+	do       func(*direct.Call)
 	view     atomic.Pointer[catalog.View]
 	shares   atomic.Pointer[Shares]
 	inFlight atomic.Int64
@@ -86,6 +89,7 @@
 func New(now time.Time, opts Options) *Engine {
 	e := &Engine{
 		opts:     opts,
+		now:      time.Now,
 		started:  now,
 		replicas: replica.New(opts.Place, opts.Random),
 		budgets:  map[string]*retrybudget.Budget{},
@@ -93,6 +97,7 @@
 	}
 	e.shares.Store(&Shares{VMs: 1, Carriers: 1, Carrying: true})
 	e.pools = direct.NewPools(opts.Protocol, e.connectionLimit)
+	e.do = e.pools.Do
 	return e
 }
 
@@ -194,7 +199,7 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	a := e.serve(r)
-	a.Took = time.Since(r.Received)
+	a.Took = e.now().Sub(r.Received)
 	a.Stages.finish(a.Took)
 	e.opts.Metrics.ended(&a)
 	e.logEnd(r, &a)
@@ -205,7 +210,7 @@
 // rules, so that it has its line and its counter as every other.
 func (e *Engine) Refuse(r *Request, reason Reason) Answer {
 	a := refuse(reason, 0)
-	a.Took = time.Since(r.Received)
+	a.Took = e.now().Sub(r.Received)
 	e.opts.Metrics.ended(&a)
 	e.logEnd(r, &a)
 	return a
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -93,7 +93,7 @@
 // is up, and the work for their others is wasted.
 // Cause: queries were begun whatever was under way.
 func TestCrowdedQueriesLimitTheNext(t *testing.T) {
-	e := &Engine{scatters: map[string]*congestion.Limiter{}}
+	e := &Engine{now: time.Now, scatters: map[string]*congestion.Limiter{}}
 	route := func(priority int) *routing.Route {
 		return &routing.Route{Shards: []string{"a", "b", "c", "d"}, Priority: priority}
 	}
@@ -125,7 +125,7 @@
 
 // What a caller that left had under way tells nothing and leaves its place.
 func TestQueriesOfCallersThatLeftTellNothing(t *testing.T) {
-	e := &Engine{scatters: map[string]*congestion.Limiter{}}
+	e := &Engine{now: time.Now, scatters: map[string]*congestion.Limiter{}}
 	r := &routing.Route{Shards: []string{"a", "b", "c", "d"}}
 	e.endScatter(e.startScatter(r), &Request{Received: time.Now(), Route: r}, &Answer{Reason: Gone, Crowded: 4})
 	for range 50 {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -121,7 +121,7 @@
 // Collect implements prometheus.Collector: budgets and states of upstreams are
 // worked out when they are asked for.
 func (e *Engine) Collect(out chan<- prometheus.Metric) {
-	for _, m := range e.gauges(time.Now()) {
+	for _, m := range e.gauges(e.now()) {
 		out <- m
 	}
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -74,16 +74,21 @@
 }
 
 func (e *Engine) run(v *catalog.View, r *Request) Answer {
+	return e.newRun(v, r).drive()
+}
+
+// newRun plans a query; nothing is sent yet.
+func (e *Engine) newRun(v *catalog.View, r *Request) *run {
 	x := &run{engine: e, view: v, req: r, plan: e.plan(r), usual: usual(r.Route)}
 	x.inbox.signal = make(chan struct{}, 1)
 	x.query = scatter.New(x.plan, x)
 	e.countRequest(x.plan.Services)
-	return x.drive()
+	return x
 }
 
 // countRequest counts a request in the budgets of its services.
 func (e *Engine) countRequest(services []string) {
-	now := time.Now()
+	now := e.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range services {
@@ -93,18 +98,18 @@
 
 // drive steps the query until it has its verdict or the caller is gone.
 func (x *run) drive() Answer {
-	now := time.Now()
+	now := x.engine.now()
 	x.goneAt = now.Add(goneEvery)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	x.dispatch(x.query.Start(now))
 	for x.query.Verdict() == nil {
-		timer.Reset(time.Until(x.wakeAt()))
+		timer.Reset(x.wakeAt().Sub(x.engine.now()))
 		select {
 		case <-x.inbox.signal:
 			x.takeReplies()
 		case <-timer.C:
-			x.dispatch(x.query.Tick(time.Now()))
+			x.dispatch(x.query.Tick(x.engine.now()))
 		}
 		if x.callerGone() {
 			x.withdraw(0)
@@ -126,7 +131,7 @@
 // callerGone looks now and then whether the caller is still there. Without it,
 // upstreams would go on with work whose answer nobody takes.
 func (x *run) callerGone() bool {
-	now := time.Now()
+	now := x.engine.now()
 	if now.Before(x.goneAt) {
 		return false
 	}
@@ -136,7 +141,7 @@
 
 func (x *run) takeReplies() {
 	for _, n := range x.inbox.take() {
-		now := time.Now()
+		now := x.engine.now()
 		s := &x.sends[n.attempt]
 		s.reply = n.reply
 		s.replied = true
@@ -186,7 +191,7 @@
 		zap.String("upstream", s.call.Upstream.ID),
 		zap.String("service", s.call.Upstream.Service),
 		zap.String("cause", string(s.cause)),
-		zap.Duration("age", time.Since(x.req.Received)),
+		zap.Duration("age", x.engine.now().Sub(x.req.Received)),
 		zap.Uint64("revision", x.view.Revision),
 	}, more...)
 }
@@ -199,7 +204,7 @@
 
 func (x *run) send(s scatter.Send) {
 	e := x.engine
-	now := time.Now()
+	now := e.now()
 	call := &direct.Call{
 		Message:  x.req.Message,
 		Upstream: s.Upstream,
@@ -217,13 +222,13 @@
 	if s.Cause != scatter.First {
 		e.opts.Logs.Failures.Info("edge: sent again", x.fields(&x.sends[s.Attempt])...)
 	}
-	e.pools.Do(call)
+	e.do(call)
 }
 
 // withdraw ends the interest in the sends that are still open.
 func (x *run) withdraw(linger time.Duration) {
 	e := x.engine
-	now := time.Now()
+	now := e.now()
 	for i := range x.sends {
 		s := &x.sends[i]
 		if s.replied {
@@ -264,7 +269,7 @@
 // crowdedParts is how many parts found no room: an upstream refused them, or they
 // waited for a connection for a good part of the objective.
 func (x *run) crowdedParts() int {
-	now := time.Now()
+	now := x.engine.now()
 	crowded := map[int]bool{}
 	for i := range x.sends {
 		s := &x.sends[i]
@@ -316,7 +321,7 @@
 		zap.String("route", x.req.Route.Name),
 		zap.String("service", x.plan.Services[part]),
 		zap.Strings("waited_for", waited),
-		zap.Duration("age", time.Since(x.req.Received)),
+		zap.Duration("age", x.engine.now().Sub(x.req.Received)),
 		zap.Uint64("revision", x.view.Revision))
 }
 
@@ -328,14 +333,14 @@
 	candidates := e.view.Load().Services[x.plan.Services[part]]
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.replicas.Choose(time.Now(), x.req.Route.Name, x.usual, candidates, tried)
+	return e.replicas.Choose(e.now(), x.req.Route.Name, x.usual, candidates, tried)
 }
 
 // Spend implements scatter.Policy.
 func (x *run) Spend(part int, kind retrybudget.Kind) bool {
 	e := x.engine
 	e.mu.Lock()
-	ok := e.budget(x.plan.Services[part]).Spend(time.Now(), kind, e.shares.Load().of(1))
+	ok := e.budget(x.plan.Services[part]).Spend(e.now(), kind, e.shares.Load().of(1))
 	e.mu.Unlock()
 	if !ok {
 		x.unspent++
@@ -349,5 +354,5 @@
 	e := x.engine
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.replicas.HedgeDelay(time.Now(), x.req.Route.Name, x.usual, objective(x.req.Route)-answerMargin, u)
+	return e.replicas.HedgeDelay(e.now(), x.req.Route.Name, x.usual, objective(x.req.Route)-answerMargin, u)
 }
