--- a/cmd/sycamorekeel-edge/main.go
+++ b/cmd/sycamorekeel-edge/main.go
@@ -32,8 +32,9 @@
 const memoryShare = 0.7
 
 type flags struct {
-	Role     string `arg:"" optional:"" help:"Name of the role, for the process list."`
-	Settings string `type:"existingfile" help:"Settings file (TOML) of the project's own interface. Without it, the settings of the users' platform are read."`
+	Role       string `arg:"" optional:"" help:"Name of the role, for the process list."`
+	PeerListen string `help:"IP and port to listen on for peers, when a forwarder stands before the address of the settings." placeholder:"ADDRESS"`
+	Settings   string `type:"existingfile" help:"Settings file (TOML) of the project's own interface. Without it, the settings of the users' platform are read."`
 }
 
 func main() {
@@ -55,10 +56,20 @@
 }
 
 func (f *flags) environment() environment {
-	if f.Settings == "" {
-		return environment{platform.LoadSettings, platform.Adapter}
+	env := environment{platform.LoadSettings, platform.Adapter}
+	if f.Settings != "" {
+		env = environment{func() (*node.Settings, error) { return standalone.LoadSettings(f.Settings) }, standalone.Adapter}
 	}
-	return environment{func() (*node.Settings, error) { return standalone.LoadSettings(f.Settings) }, standalone.Adapter}
+	load := env.load
+	env.load = func() (*node.Settings, error) {
+		set, err := load()
+		if err != nil {
+			return nil, err
+		}
+		set.PeerListen = f.PeerListen
+		return set, nil
+	}
+	return env
 }
 
 func run(env environment) error {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -66,22 +66,23 @@
 
 // fixedSettings is what stays as it was at the start.
 type fixedSettings struct {
-	vm, dataCentre, region                            string
-	caller, ready, directory, peer, metrics, platform string
+	vm, dataCentre, region                                        string
+	caller, ready, directory, peer, peerListen, metrics, platform string
 }
 
 func fixed(s *Settings) fixedSettings {
 	return fixedSettings{
 		vm: s.VM, dataCentre: s.DataCentre, region: s.Region,
 		caller: s.CallerAddress, ready: s.ReadyAddress, directory: s.DirectoryAddress,
-		peer: s.PeerAddress, metrics: s.MetricsAddress, platform: s.Store,
+		peer: s.PeerAddress, peerListen: s.PeerListen, metrics: s.MetricsAddress, platform: s.Store,
 	}
 }
 
 func (s *Settings) keepFixed(from *Settings) {
 	s.VM, s.DataCentre, s.Region = from.VM, from.DataCentre, from.Region
 	s.CallerAddress, s.ReadyAddress, s.DirectoryAddress = from.CallerAddress, from.ReadyAddress, from.DirectoryAddress
-	s.PeerAddress, s.MetricsAddress, s.Store = from.PeerAddress, from.MetricsAddress, from.Store
+	s.PeerAddress, s.PeerListen = from.PeerAddress, from.PeerListen
+	s.MetricsAddress, s.Store = from.MetricsAddress, from.Store
 }
 
 // Reloading is how a running node's settings change.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -108,7 +108,7 @@
 	}
 	add("ready", n.set.Load().ReadyAddress, n.adapter.Ready(n.ready))
 	add("directory", n.set.Load().DirectoryAddress, n.adapter.Directory(n.choose, min(directoryTTL, n.set.Load().MaxTTL)))
-	add("peers", n.set.Load().PeerAddress, n.reader.serve)
+	add("peers", n.set.Load().peerListen(), n.reader.serve)
 	add("metrics", n.set.Load().MetricsAddress, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
 	for i, s := range out {
 		ln, err := net.Listen("tcp", addresses[i])
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -27,6 +27,9 @@
 	DirectoryAddress string
 	// PeerAddress takes the other VMs' datagrams (UDP) and pulls (TCP).
 	PeerAddress string
+	// PeerListen is where PeerAddress is listened on when a forwarder stands
+	// before it; empty when it is PeerAddress itself.
+	PeerListen string
 	// MetricsAddress serves metrics.
 	MetricsAddress string
 	// Seeds are peer addresses of a few VMs, which may be down.
@@ -50,3 +53,11 @@
 	// Budget bounds extra sends to a service over all VMs.
 	Budget retrybudget.Limit
 }
+
+// peerListen is the address to listen on for peers.
+func (s *Settings) peerListen() string {
+	if s.PeerListen != "" {
+		return s.PeerListen
+	}
+	return s.PeerAddress
+}
