Tell which VMs read the store, and measure how changes spread

Cause: nothing said when a VM began or stopped to read the store for the others, and how long a change takes to reach every VM while a reader is in trouble had no figures.

Gossip tells of a peer's configuration by one callback in place of two; catalog.Outage, which nothing used, is gone; the comment on locks in direct says what is done under them.

--- a/cmd/sycamorekeel-soak/main.go
+++ b/cmd/sycamorekeel-soak/main.go
@@ -24,6 +24,7 @@
 	Faulty  time.Duration `default:"20s" help:"How long faults are injected."`
 	Calm    time.Duration `default:"18s" help:"How long callers go on after that; service has 12 s to recover."`
 	Dir     string        `default:"soak-results" help:"Folder for logs and settings, one folder a seed."`
+	Readers bool          `help:"Measure instead how long a change takes to reach every VM while readers of the store are in trouble."`
 	Verbose bool          `short:"v" help:"Print each fault."`
 }
 
@@ -44,6 +45,9 @@
 	if err != nil {
 		return false, trace.ConvertSystemError(err)
 	}
+	if f.Readers {
+		return false, f.readers(binary)
+	}
 	fmt.Println("| seed | faults | requests | served | arrivals | p50 ms | p99 ms | broken promises |\n|---|---|---|---|---|---|---|---|")
 	for seed := f.Seed; seed < f.Seed+uint64(f.Seeds); seed++ {
 		dir, err := filepath.Abs(filepath.Join(f.Dir, fmt.Sprint(seed)))
@@ -69,3 +73,19 @@
 	}
 	return broken, nil
 }
+
+func (f *flags) readers(binary string) error {
+	dir, err := filepath.Abs(filepath.Join(f.Dir, "readers"))
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	rows, err := soak.Readers(soak.Options{Binary: binary, Seed: f.Seed, VMs: f.VMs, Shards: f.Shards, Dir: dir})
+	if err != nil {
+		return err
+	}
+	fmt.Println("| situation | median ms | last VM ms | not in time | calls to the store |\n|---|---|---|---|---|")
+	for _, r := range rows {
+		fmt.Println(r)
+	}
+	return nil
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -160,9 +160,6 @@
 	}
 }
 
-// Outage tells whether the store has been silent for long.
-func (s *State) Outage() bool { return s.outage }
-
 // Replace takes in a whole listing: items that are known at or below its
 // revision and not in it are gone. It is for listings of the store and for the
 // states of peers. A listing older than what is known changes nothing.
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -3,8 +3,10 @@
 // VM's share of the connections that an upstream takes. It never sends anything
 // again by itself.
 //
-// Lock order: Pools.mu, then Pool.mu, then Call.mu. No callback runs and no I/O
-// is done while one of them is held.
+// Lock order: Pools.mu, then Pool.mu, then Call.mu. Nothing that may wait is done
+// while one of them is held: the limit of connections is asked for then, and an
+// idle socket is looked at without blocking; replies are handed over and bytes
+// moved with none held.
 package direct
 
 import (
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -35,11 +35,8 @@
 type Callbacks struct {
 	// View gives a changed view; views may arrive out of order, by Version.
 	View func(*membership.View)
-	// PeerRevision tells the configuration revision a peer announced; may be nil.
-	PeerRevision func(peerAddress string, revision uint64)
-	// PeerConfirmed tells a peer's revision with the time since the store
-	// confirmed it; may be nil.
-	PeerConfirmed func(peer *pb.MemberUpdate, revision uint64, age time.Duration)
+	// Heard tells what a peer announced of its configuration; may be nil.
+	Heard func(Announcement)
 	// Revalidate says that this process was paused: no new work may start.
 	Revalidate func()
 	// Revalidated ends it; alone says that no peer answered.
@@ -48,6 +45,15 @@
 	Superseded func(incarnation uint64)
 }
 
+// Announcement is what a datagram says of its sender's configuration.
+type Announcement struct {
+	From     *pb.MemberUpdate
+	Revision uint64
+	// Age is the time since the store confirmed the revision; 0 when the sender
+	// does not say.
+	Age time.Duration
+}
+
 // Options is what a driver needs.
 type Options struct {
 	Log       *zap.Logger
@@ -252,11 +258,8 @@
 		return
 	}
 	d.met.received.Inc()
-	if f := d.opts.Callbacks.PeerRevision; f != nil {
-		f(m.Sender.PeerAddress, m.ConfigRevision)
-	}
-	if f := d.opts.Callbacks.PeerConfirmed; f != nil && m.ConfirmedAgeMs > 0 {
-		f(m.Sender, m.ConfigRevision, time.Duration(m.ConfirmedAgeMs)*time.Millisecond)
+	if f := d.opts.Callbacks.Heard; f != nil {
+		f(Announcement{m.Sender, m.ConfigRevision, time.Duration(m.ConfirmedAgeMs) * time.Millisecond})
 	}
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -49,6 +49,12 @@
 	gauge("sycamorekeel_catalog_confirmed_age_seconds", "Time since the store last confirmed the view, here or at a peer.", func() float64 {
 		return n.reader.confirmedAge(time.Now()).Seconds()
 	})
+	gauge("sycamorekeel_catalog_reader", "1 while this VM reads the store for the others.", func() float64 {
+		if n.reader.isReader() {
+			return 1
+		}
+		return 0
+	})
 	gauge("sycamorekeel_catalog_upstreams", "Upstreams known.", func() float64 {
 		if v := n.engine.View(); v != nil {
 			return float64(len(v.Upstreams))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -206,11 +206,11 @@
 			},
 		},
 		Callbacks: gossip.Callbacks{
-			View:          n.membersChanged,
-			PeerConfirmed: n.reader.heard,
-			Revalidate:    func() { n.log.Warn("gossip: this process was paused") },
-			Revalidated:   func(alone bool) { n.log.Info("gossip: peers heard again", zap.Bool("alone", alone)) },
-			Superseded:    func(uint64) {},
+			View:        n.membersChanged,
+			Heard:       n.reader.announced,
+			Revalidate:  func() { n.log.Warn("gossip: this process was paused") },
+			Revalidated: func(alone bool) { n.log.Info("gossip: peers heard again", zap.Bool("alone", alone)) },
+			Superseded:  func(uint64) {},
 		},
 	})
 }
@@ -326,7 +326,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	packets, err := net.ListenPacket("udp", n.set.Load().PeerAddress)
+	packets, err := net.ListenPacket("udp", n.set.Load().peerListen())
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -15,6 +15,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/follow"
+	"sycamorekeel.example/sycamorekeel/internal/gossip"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
@@ -68,6 +69,8 @@
 	follower *follow.Follower
 	joinFrom int
 	failing  bool
+	// reads says whether this VM was a reader when it was last looked at.
+	reads bool
 }
 
 // run moves the follower on until ctx ends.
@@ -86,8 +89,12 @@
 
 // step gives the follower an event and does what it asks for.
 func (r *reader) step(event func(*follow.Follower, time.Time) []follow.Action) {
+	now := time.Now()
 	r.mu.Lock()
-	actions := event(r.follower, time.Now())
+	actions := event(r.follower, now)
+	reads := r.follower.Reader(now)
+	turned := reads != r.reads
+	r.reads = reads
 	var view *catalog.View
 	for _, a := range actions {
 		if _, ok := a.(follow.Changed); ok {
@@ -98,6 +105,9 @@
 	revision := r.follower.State().Revision()
 	confirmed := r.follower.Confirmed()
 	r.mu.Unlock()
+	if turned {
+		r.log.Info("store: reader", zap.Bool("reads", reads), zap.Uint64("revision", revision), zap.Duration("view_age", sinceOrZero(now, confirmed)))
+	}
 	for _, x := range rejected {
 		r.log.Warn("store: item rejected", zap.String("key", x.Key), zap.Uint64("revision", x.Revision), zap.Error(x.Err))
 	}
@@ -107,6 +117,21 @@
 	r.do(actions, revision, confirmed)
 }
 
+// sinceOrZero is the time since another, 0 if that never came.
+func sinceOrZero(now, then time.Time) time.Duration {
+	if then.IsZero() {
+		return 0
+	}
+	return now.Sub(then)
+}
+
+// isReader tells whether this VM reads the store.
+func (r *reader) isReader() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reads
+}
+
 func (r *reader) do(actions []follow.Action, revision uint64, confirmed time.Time) {
 	var tell *follow.Announce
 	for _, a := range actions {
@@ -326,7 +351,15 @@
 	r.follower.SetBound(bound)
 }
 
-// heard passes a peer's announcement on.
+// announced passes on what a peer's datagram says of its configuration. One that
+// does not say when the store confirmed it says nothing that can be relied on.
+func (r *reader) announced(a gossip.Announcement) {
+	if a.Age > 0 {
+		r.heard(a.From, a.Revision, a.Age)
+	}
+}
+
+// heard passes a peer's revision on.
 func (r *reader) heard(peer *pb.MemberUpdate, revision uint64, age time.Duration) {
 	from := follow.Peer{VM: peer.Vm, Region: peer.Region, Address: peer.PeerAddress}
 	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
