Measure what control alone costs each VM

Cause: the bytes, the processor time and the calls to the store of a fleet without callers were not known apart from what operators' test requests cost.

--- a/cmd/sycamorekeel-edge/main.go
+++ b/cmd/sycamorekeel-edge/main.go
@@ -15,6 +15,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/node"
@@ -87,7 +88,7 @@
 	logged := make(chan error, 1)
 	go func() { logged <- ring.Run(logCtx) }()
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(ring)
+	registry.MustRegister(ring, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n := node.New(set, node.Options{
 		Logs:     ring.Loggers(),
 		Registry: registry,
--- a/cmd/sycamorekeel-soak/main.go
+++ b/cmd/sycamorekeel-soak/main.go
@@ -25,6 +25,7 @@
 	Calm    time.Duration `default:"18s" help:"How long callers go on after that; service has 12 s to recover."`
 	Dir     string        `default:"soak-results" help:"Folder for logs and settings, one folder a seed."`
 	Readers bool          `help:"Measure instead how long a change takes to reach every VM while readers of the store are in trouble."`
+	Idle    bool          `help:"Measure instead what control alone costs each VM of a fleet without callers."`
 	Verbose bool          `short:"v" help:"Print each fault."`
 }
 
@@ -48,6 +49,9 @@
 	if f.Readers {
 		return false, f.readers(binary)
 	}
+	if f.Idle {
+		return false, f.idle(binary)
+	}
 	fmt.Println("| seed | faults | requests | served | arrivals | p50 ms | p99 ms | broken promises |\n|---|---|---|---|---|---|---|---|")
 	for seed := f.Seed; seed < f.Seed+uint64(f.Seeds); seed++ {
 		dir, err := filepath.Abs(filepath.Join(f.Dir, fmt.Sprint(seed)))
@@ -74,6 +78,20 @@
 	return broken, nil
 }
 
+func (f *flags) idle(binary string) error {
+	dir, err := filepath.Abs(filepath.Join(f.Dir, "idle"))
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	row, err := soak.MeasureIdle(soak.Options{Binary: binary, Seed: f.Seed, VMs: f.VMs, Shards: f.Shards, Dir: dir})
+	if err != nil {
+		return err
+	}
+	fmt.Println("| VMs | calls to the store a second | kB to peers a second, middle / most | % of a core | MB |\n|---|---|---|---|---|")
+	fmt.Println(row)
+	return nil
+}
+
 func (f *flags) readers(binary string) error {
 	dir, err := filepath.Abs(filepath.Join(f.Dir, "readers"))
 	if err != nil {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -11,6 +11,8 @@
 type storeMetrics struct {
 	reads *prometheus.CounterVec
 	pulls *prometheus.CounterVec
+	// pulled is bytes of peers' pages.
+	pulled prometheus.Counter
 }
 
 func newStoreMetrics(reg prometheus.Registerer) *storeMetrics {
@@ -22,6 +24,9 @@
 		pulls: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "sycamorekeel_catalog_pulls_total", Help: "Pulls from peers by result.",
 		}, []string{"result"}),
+		pulled: f.NewCounter(prometheus.CounterOpts{
+			Name: "sycamorekeel_catalog_pulled_bytes_total", Help: "Bytes of the pages that peers gave.",
+		}),
 	}
 }
 
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -193,7 +193,7 @@
 
 // pull asks a peer for what it knows.
 func (r *reader) pull(p follow.Pull) {
-	page, err := fetchPage(pullPath, p)
+	page, err := r.fetchPage(pullPath, p)
 	r.met.pulls.WithLabelValues(resultOf(err)).Inc()
 	if err != nil {
 		r.log.Info("peer: pull failed", zap.String("peer", p.Address), zap.Uint64("after", p.After), zap.Error(err))
@@ -206,7 +206,7 @@
 	})
 }
 
-func fetchPage(path string, p follow.Pull) (*pb.CatalogPage, error) {
+func (r *reader) fetchPage(path string, p follow.Pull) (*pb.CatalogPage, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -221,6 +221,7 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, trace.ConnectionProblem(nil, "the peer answered with status %d", resp.StatusCode())
 	}
+	r.met.pulled.Add(float64(len(resp.Body())))
 	page := &pb.CatalogPage{}
 	return page, trace.Wrap(proto.Unmarshal(resp.Body(), page))
 }
@@ -274,7 +275,7 @@
 // askSeed asks one seed for what it holds of the fleet and gives its revision, 0
 // when it does not answer.
 func (r *reader) askSeed(seed string) uint64 {
-	page, err := fetchPage(membersPath, follow.Pull{Address: seed, Timeout: joinTimeout})
+	page, err := r.fetchPage(membersPath, follow.Pull{Address: seed, Timeout: joinTimeout})
 	if err != nil {
 		r.log.Info("peer: join failed", zap.String("peer", seed), zap.Error(err))
 		return 0
