--- a/internal/frontend/parameters_test.go
+++ b/internal/frontend/parameters_test.go
@@ -13,6 +13,8 @@
 	for _, body := range []string{
 		`{"key":"royalty-17","limit":3,"query":{"a":[1,2,{"key":"x"}]}}`,
 		`{}`, `{"key":"a","key":"b"}`, `{"limit":-1}`, `{"limit":1e3}`, `{"Key":"a"}`,
+		`{"query":"lease","limit":2}`, `{"\u006bey":"a","key":"b"}`, `{"limit":1e400}`, `{"limit":"2"}`,
+		`{} {}`, `{`, `{"a":[[[[[[]]]]]]}`,
 		`[]`, `null`, ``, `{}{}`, `{"key":null}`, `{"a":1,}`, "{\"\xff\":1}", `{"key":"\ud800"}`,
 	} {
 		f.Add([]byte(body))
@@ -26,7 +28,7 @@
 			return
 		}
 		var members map[string]json.RawMessage
-		if err := json.Unmarshal(body, &members); err != nil || p.Limit < 0 {
+		if err := json.Unmarshal(body, &members); err != nil || members == nil || p.Limit < 0 {
 			t.Fatalf("%q is taken: %v", body, err)
 		}
 		var key string
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -60,15 +60,21 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 
-	mu      sync.Mutex
-	links   map[string]*link
-	retryAt map[string]time.Time
-	// doubted are the peers whose last stream broke: until one of them is heard
-	// again, no frame waits for it.
-	doubted  map[string]bool
+	mu    sync.Mutex
+	links map[string]*link
+	// broken holds the peers whose last stream broke.
+	broken   map[string]breakage
 	shutdown bool
 }
 
+// breakage is what is known of a peer whose last stream broke.
+type breakage struct {
+	// retryAt is when it may be dialled again.
+	retryAt time.Time
+	// doubted says that it has not been heard since: no sub-request waits for it.
+	doubted bool
+}
+
 // NewPool makes a pool with no streams; Send opens them.
 func NewPool(opts Options) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -80,8 +86,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		links:    map[string]*link{},
-		retryAt:  map[string]time.Time{},
-		doubted:  map[string]bool{},
+		broken:   map[string]breakage{},
 	}
 	p.done.Go(p.look)
 	return p
@@ -137,27 +142,26 @@
 func (p *Pool) link(address string) (*link, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	doubted := p.doubted[address]
+	b := p.broken[address]
 	if l := p.links[address]; l != nil {
-		return l, doubted
+		return l, b.doubted
 	}
-	if p.shutdown || time.Now().Before(p.retryAt[address]) {
-		return nil, doubted
+	if p.shutdown || time.Now().Before(b.retryAt) {
+		return nil, b.doubted
 	}
-	l := &link{pool: p, address: address, out: newOutbox(), chunks: newJoiner(), waiting: map[uint64]*pb.Frame{}, proving: doubted}
+	l := &link{pool: p, address: address, out: newOutbox(), chunks: newJoiner(), waiting: map[uint64]*pb.Frame{}, proving: b.doubted}
 	l.ctx, l.cancel = context.WithCancelCause(p.ctx)
 	p.links[address] = l
 	p.done.Go(l.run)
-	return l, doubted
+	return l, b.doubted
 }
 
 // forget drops what is known of peers that nobody tried to reach for long: they
 // may have been replaced under other addresses. The caller holds mu.
 func (p *Pool) forget(now time.Time) {
-	for address, at := range p.retryAt {
-		if p.links[address] == nil && now.Sub(at) > forgetAfter {
-			delete(p.retryAt, address)
-			delete(p.doubted, address)
+	for address, b := range p.broken {
+		if p.links[address] == nil && now.Sub(b.retryAt) > forgetAfter {
+			delete(p.broken, address)
 		}
 	}
 }
@@ -167,7 +171,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.links[l.address] == l {
-		delete(p.doubted, l.address)
+		b := p.broken[l.address]
+		b.doubted = false
+		p.broken[l.address] = b
 	}
 }
 
@@ -176,8 +182,7 @@
 	defer p.mu.Unlock()
 	if p.links[l.address] == l {
 		delete(p.links, l.address)
-		p.retryAt[l.address] = time.Now().Add(redialAfter)
-		p.doubted[l.address] = true
+		p.broken[l.address] = breakage{retryAt: time.Now().Add(redialAfter), doubted: true}
 	}
 }
 
