Share the documents of tests that run fleets

Five test files wrote the same customer and services out in TOML, 230 lines with three numbers that differ; standin.Office and standin.Service write them. The tests are as they were; the token's hash is worked out in place of copied.

--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -31,6 +31,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/query"
 	"sycamorekeel.example/sycamorekeel/internal/refusal"
 	"sycamorekeel.example/sycamorekeel/internal/share"
+	"sycamorekeel.example/sycamorekeel/internal/standin"
 )
 
 func TestCallerAPI(t *testing.T) {
@@ -38,53 +39,13 @@
 	RunSpecs(t, "Caller API")
 }
 
-// The token is "land-office-token".
-const document = `
-[[customers]]
-name = "office"
-token_sha256 = ["104d6e5897d9c6d1fa55b3cec2f13b3a70c9deeafe8e2d1671bbef2999855474"]
-[[customers.kinds]]
-name = "search"
-service = "s"
-rate_per_second = 1000
-concurrency = 100
-weight = 1
-priority = "normal"
-deadline_ms = 5000
-coverage_floor = 1
-idempotent = true
-merge = "top_k"
-[[customers.kinds]]
-name = "pay"
-service = "s"
-rate_per_second = 1000
-concurrency = 100
-weight = 1
-priority = "normal"
-deadline_ms = 5000
-coverage_floor = 1
-idempotent = false
-merge = "single"
-[[services]]
-name = "s"
-path = "/s"
-[[services.upstreams]]
-id = "a"
-address = "127.0.0.1:1"
-data_centre = "d"
-slots = 1
-connections = 1
-[[services.maps]]
-generation = 1
-versions = [1]
-[[services.maps.shards]]
-id = 0
-documents = 1
-replicas = ["a"]
-`
+var document = standin.Office(
+	standin.Kind{Name: "search", Service: "s", RatePerSecond: 1000, Concurrency: 100, DeadlineMS: 5000, CoverageFloor: 1, Idempotent: true, Merge: "top_k"},
+	standin.Kind{Name: "pay", Service: "s", RatePerSecond: 1000, Concurrency: 100, DeadlineMS: 5000, CoverageFloor: 1, Merge: "single"},
+) + standin.Service{Name: "s", Path: "/s", Upstreams: []string{"a"}, Slots: 1, Connections: 1, Shards: [][]string{{"a"}}}.Text()
 
 const (
-	token    = "land-office-token"
+	token    = standin.Token
 	vmName   = "vm-1"
 	bodyMax  = 1000
 	headMax  = 2000
--- a/internal/daemon/shares_test.go
+++ b/internal/daemon/shares_test.go
@@ -27,40 +27,12 @@
 	searchBurst = 30
 )
 
-// searches is a customer with one kind. The token is "land-office-token".
-var searches = fmt.Sprintf(`
-[[customers]]
-name = "office"
-token_sha256 = ["104d6e5897d9c6d1fa55b3cec2f13b3a70c9deeafe8e2d1671bbef2999855474"]
-[[customers.kinds]]
-name = "search"
-service = "leases"
-rate_per_second = %d
-concurrency = 12
-weight = 1
-priority = "normal"
-deadline_ms = 2000
-coverage_floor = 1
-idempotent = true
-retry_percent = 10
-merge = "top_k"
-[[services]]
-name = "leases"
-path = "/search"
-[[services.upstreams]]
-id = "a"
-address = "127.0.0.1:1"
-data_centre = "d1"
-slots = 20
-connections = 40
-[[services.maps]]
-generation = 1
-versions = [1]
-[[services.maps.shards]]
-id = 0
-documents = 1
-replicas = ["a"]
-`, searchRate)
+// searches is a customer with one kind.
+var searches = standin.Office(standin.Kind{
+	Name: "search", Service: "leases", RatePerSecond: searchRate, Concurrency: 12, DeadlineMS: 2000, CoverageFloor: 1, Idempotent: true, RetryPercent: 10, Merge: "top_k",
+}) + standin.Service{
+	Name: "leases", Path: "/search", Upstreams: []string{"a"}, Slots: 20, Connections: 40, Shards: [][]string{{"a"}},
+}.Text()
 
 func startSearches(t *testing.T, vms int) *fleet.Fleet {
 	leaks := goleak.IgnoreCurrent()
--- a/internal/fleet/once_test.go
+++ b/internal/fleet/once_test.go
@@ -23,46 +23,12 @@
 )
 
 // payments is a customer with one non-idempotent kind over one shard with two
-// replicas. The token is "land-office-token".
-const payments = `
-[[customers]]
-name = "office"
-token_sha256 = ["104d6e5897d9c6d1fa55b3cec2f13b3a70c9deeafe8e2d1671bbef2999855474"]
-[[customers.kinds]]
-name = "pay"
-service = "royalty"
-rate_per_second = 100000
-concurrency = 3000
-weight = 1
-priority = "normal"
-deadline_ms = 20000
-coverage_floor = 1
-idempotent = false
-retry_percent = 10
-merge = "single"
-[[services]]
-name = "royalty"
-path = "/pay"
-[[services.upstreams]]
-id = "a"
-address = "127.0.0.1:1"
-data_centre = "d1"
-slots = 20
-connections = 40
-[[services.upstreams]]
-id = "b"
-address = "127.0.0.1:2"
-data_centre = "d2"
-slots = 20
-connections = 40
-[[services.maps]]
-generation = 1
-versions = [1]
-[[services.maps.shards]]
-id = 0
-documents = 1
-replicas = ["a", "b"]
-`
+// replicas.
+var payments = standin.Office(standin.Kind{
+	Name: "pay", Service: "royalty", CoverageFloor: 1, RetryPercent: 10, Merge: "single",
+}) + standin.Service{
+	Name: "royalty", Path: "/pay", Upstreams: []string{"a", "b"}, Slots: 20, Connections: 40, Shards: [][]string{{"a", "b"}},
+}.Text()
 
 // deployment is a running fleet and what its callers were told.
 type deployment struct {
--- a/internal/fleet/query_test.go
+++ b/internal/fleet/query_test.go
@@ -23,45 +23,26 @@
 // scattered is a customer with a scattered kind over three shards of two replicas
 // each; shard i is at upstreams a<i> and b<i>.
 func scattered() string {
-	var b strings.Builder
-	b.WriteString(`
-[[customers]]
-name = "office"
-token_sha256 = ["104d6e5897d9c6d1fa55b3cec2f13b3a70c9deeafe8e2d1671bbef2999855474"]
-[[customers.kinds]]
-name = "search"
-service = "lease"
-rate_per_second = 100000
-concurrency = 3000
-weight = 1
-priority = "normal"
-deadline_ms = 20000
-coverage_floor = 0
-wait_for_full = true
-idempotent = true
-hedge_percent = 5
-retry_percent = 10
-merge = "concat"
-[[services]]
-name = "lease"
-path = "/search"
-`)
-	for i := range 6 {
-		fmt.Fprintf(&b, "[[services.upstreams]]\nid = \"%c%d\"\naddress = \"127.0.0.1:%d\"\ndata_centre = \"d%d\"\nslots = 20\nconnections = 40\n",
-			'a'+i/3, i%3, i+1, i%3+1)
-	}
-	b.WriteString(mapText(1, "[1]", 3))
-	return b.String()
+	return standin.Office(standin.Kind{
+		Name: "search", Service: "lease", WaitForFull: true, Idempotent: true, HedgePercent: 5, RetryPercent: 10, Merge: "concat",
+	}) + standin.Service{
+		Name: "lease", Path: "/search", Upstreams: []string{"a0", "a1", "a2", "b0", "b1", "b2"}, Slots: 20, Connections: 40,
+		Shards: pairs(3), Documents: 10,
+	}.Text()
 }
 
 // mapText is a shard map whose shard i is at the upstreams of i.
 func mapText(generation int, versions string, shards int) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "[[services.maps]]\ngeneration = %d\nversions = %s\n", generation, versions)
-	for i := range shards {
-		fmt.Fprintf(&b, "[[services.maps.shards]]\nid = %d\ndocuments = 10\nreplicas = [\"a%d\", \"b%d\"]\n", i, i, i)
+	return standin.MapText(generation, versions, pairs(shards), 10)
+}
+
+// pairs is the replicas of shards that are at the upstreams of their number.
+func pairs(shards int) [][]string {
+	out := make([][]string, shards)
+	for i := range out {
+		out[i] = []string{fmt.Sprintf("a%d", i), fmt.Sprintf("b%d", i)}
 	}
-	return b.String()
+	return out
 }
 
 // searcher is a fleet under a steady load of queries.
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -21,83 +21,14 @@
 )
 
 // searches is a customer with one idempotent and one non-idempotent kind over
-// four shards. The token is "land-office-token".
-const searches = `
-[[customers]]
-name = "office"
-token_sha256 = ["104d6e5897d9c6d1fa55b3cec2f13b3a70c9deeafe8e2d1671bbef2999855474"]
-[[customers.kinds]]
-name = "search"
-service = "lease"
-rate_per_second = 100000
-concurrency = 3000
-weight = 1
-priority = "normal"
-deadline_ms = 20000
-coverage_floor = 1
-idempotent = true
-retry_percent = 10
-merge = "top_k"
-max_hits = 5
-[[customers.kinds]]
-name = "pay"
-service = "lease"
-rate_per_second = 100000
-concurrency = 3000
-weight = 1
-priority = "normal"
-deadline_ms = 20000
-coverage_floor = 1
-idempotent = false
-retry_percent = 10
-merge = "single"
-[[services]]
-name = "lease"
-path = "/lease"
-[[services.upstreams]]
-id = "a"
-address = "127.0.0.1:1"
-data_centre = "d1"
-slots = 20
-connections = 80
-[[services.upstreams]]
-id = "b"
-address = "127.0.0.1:2"
-data_centre = "d2"
-slots = 20
-connections = 80
-[[services.upstreams]]
-id = "c"
-address = "127.0.0.1:3"
-data_centre = "d3"
-slots = 20
-connections = 80
-[[services.upstreams]]
-id = "d"
-address = "127.0.0.1:4"
-data_centre = "d1"
-slots = 20
-connections = 80
-[[services.maps]]
-generation = 1
-versions = [1]
-[[services.maps.shards]]
-id = 0
-documents = 1
-replicas = ["a", "b"]
-[[services.maps.shards]]
-id = 1
-documents = 1
-replicas = ["b", "c"]
-[[services.maps.shards]]
-id = 2
-documents = 1
-replicas = ["c", "d"]
-[[services.maps.shards]]
-id = 3
-documents = 1
-replicas = ["d", "a"]
-`
+// four shards.
+var searches = standin.Office(
+	standin.Kind{Name: "search", Service: "lease", CoverageFloor: 1, Idempotent: true, RetryPercent: 10, Merge: "top_k", MaxHits: 5},
+	standin.Kind{Name: "pay", Service: "lease", CoverageFloor: 1, RetryPercent: 10, Merge: "single"},
+) + standin.Service{
+	Name: "lease", Path: "/lease", Upstreams: []string{"a", "b", "c", "d"}, Slots: 20, Connections: 80,
+	Shards: [][]string{{"a", "b"}, {"b", "c"}, {"c", "d"}, {"d", "a"}},
+}.Text()
 
 // caller is one that keeps what endpoints told it for its time to live, and
 // goes round the addresses.
