--- a/cmd/sycamorekeel-soak/main.go
+++ b/cmd/sycamorekeel-soak/main.go
@@ -46,21 +46,24 @@
 	if err != nil {
 		return false, trace.ConvertSystemError(err)
 	}
-	if f.Readers {
+	switch {
+	case f.Readers:
 		return false, f.readers(binary)
-	}
-	if f.Idle {
+	case f.Idle:
 		return false, f.idle(binary)
+	default:
+		return f.soak(binary)
 	}
+}
+
+func (f *flags) soak(binary string) (broken bool, err error) {
 	fmt.Println("| seed | faults | requests | served | arrivals | p50 ms | p99 ms | broken promises |\n|---|---|---|---|---|---|---|---|")
 	for seed := f.Seed; seed < f.Seed+uint64(f.Seeds); seed++ {
-		dir, err := filepath.Abs(filepath.Join(f.Dir, fmt.Sprint(seed)))
+		opts, err := f.options(binary, fmt.Sprint(seed))
 		if err != nil {
-			return false, trace.ConvertSystemError(err)
-		}
-		opts := soak.Options{
-			Binary: binary, Seed: seed, VMs: f.VMs, Shards: f.Shards, Callers: f.Callers, Faulty: f.Faulty, Calm: f.Calm, Dir: dir,
+			return broken, err
 		}
+		opts.Seed = seed
 		if f.Verbose {
 			opts.Say = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
 		}
@@ -78,12 +81,20 @@
 	return broken, nil
 }
 
+// options is a run whose files go to a folder of its own.
+func (f *flags) options(binary, folder string) (soak.Options, error) {
+	dir, err := filepath.Abs(filepath.Join(f.Dir, folder))
+	return soak.Options{
+		Binary: binary, Seed: f.Seed, VMs: f.VMs, Shards: f.Shards, Callers: f.Callers, Faulty: f.Faulty, Calm: f.Calm, Dir: dir,
+	}, trace.ConvertSystemError(err)
+}
+
 func (f *flags) idle(binary string) error {
-	dir, err := filepath.Abs(filepath.Join(f.Dir, "idle"))
+	opts, err := f.options(binary, "idle")
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return err
 	}
-	row, err := soak.MeasureIdle(soak.Options{Binary: binary, Seed: f.Seed, VMs: f.VMs, Shards: f.Shards, Dir: dir})
+	row, err := soak.MeasureIdle(opts)
 	if err != nil {
 		return err
 	}
@@ -93,11 +104,11 @@
 }
 
 func (f *flags) readers(binary string) error {
-	dir, err := filepath.Abs(filepath.Join(f.Dir, "readers"))
+	opts, err := f.options(binary, "readers")
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return err
 	}
-	rows, err := soak.Readers(soak.Options{Binary: binary, Seed: f.Seed, VMs: f.VMs, Shards: f.Shards, Dir: dir})
+	rows, err := soak.Readers(opts)
 	if err != nil {
 		return err
 	}
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -88,17 +88,59 @@
 	if first < 0 {
 		return nil
 	}
+	about := concerns(request, lines)
 	var out []Line
 	for i, l := range lines {
 		recent := i >= first || lines[first].Time.Sub(l.Time) <= beliefsBefore
 		last := !slices.ContainsFunc(lines[i:], is)
-		if is(l) || recent && !last && believes(l.Message) {
+		if is(l) || recent && !last && believes(l.Message) && about.matter(l) {
 			out = append(out, l)
 		}
 	}
 	return out
 }
 
+// subjects are the upstreams and services that the lines of a request name.
+type subjects map[string]bool
+
+// upstreamLines begin the messages on what an upstream counts as.
+const upstreamLines = "upstream: "
+
+func concerns(request string, lines []Line) subjects {
+	out := subjects{}
+	for _, l := range lines {
+		if l.Request != request {
+			continue
+		}
+		for _, name := range []string{"upstream", "slowest_upstream", "service"} {
+			if v := l.field(name); v != "" {
+				out[v] = true
+			}
+		}
+	}
+	return out
+}
+
+// matter tells whether a line on a belief can have to do with the request. With
+// hundreds of upstreams, most change their state for reasons of their own; a
+// request that names none, as a refused one, may have to do with any.
+func (s subjects) matter(l Line) bool {
+	if len(s) == 0 || !strings.HasPrefix(l.Message, upstreamLines) {
+		return true
+	}
+	return s[l.field("upstream")] || s[l.field("service")]
+}
+
+// field is a field's value, empty without it.
+func (l *Line) field(name string) string {
+	for _, f := range l.Fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return ""
+}
+
 func believes(message string) bool {
 	return slices.ContainsFunc(beliefs, func(p string) bool { return strings.HasPrefix(message, p) })
 }
--- a/internal/explain/timeline_test.go
+++ b/internal/explain/timeline_test.go
@@ -46,3 +46,27 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// Symptom: the time line of one late request is hundreds of lines long.
+// Sequence: every upstream that was slow for a moment has a line; few of them were
+// asked by the request.
+// Cause: all that a VM believes was shown.
+func TestTimelineLeavesOutOtherUpstreams(t *testing.T) {
+	const log = `{"ts":"2026-01-01T00:00:01.000Z","msg":"upstream: state","vm":"a","upstream":"u1","service":"s1","is":"slow"}
+{"ts":"2026-01-01T00:00:01.100Z","msg":"upstream: state","vm":"a","upstream":"u2","service":"s1","is":"slow"}
+{"ts":"2026-01-01T00:00:01.200Z","msg":"upstream: state","vm":"a","upstream":"u3","service":"s2","is":"slow"}
+{"ts":"2026-01-01T00:00:01.300Z","msg":"log: lines left out","vm":"a","class":"sample","count":3}
+{"ts":"2026-01-01T00:00:02.000Z","msg":"edge: sent again","vm":"a","request":"r1","upstream":"u1","service":"s1"}
+{"ts":"2026-01-01T00:00:02.100Z","msg":"edge: request ended","vm":"a","request":"r1","reason":"timed_out"}
+{"ts":"2026-01-01T00:00:02.200Z","msg":"edge: request ended","vm":"a","request":"r2","reason":"congested"}
+`
+	for request, want := range map[string]int{"r1": 5, "r2": 5} {
+		lines, err := Timeline(request, strings.NewReader(log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(lines) != want {
+			t.Errorf("%s: %d lines, want %d: %v", request, len(lines), want, lines)
+		}
+	}
+}
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -12,7 +12,7 @@
 	Usable State = iota
 	// Slow ones take much longer than usual.
 	Slow
-	// Paused ones have an open request that is overdue.
+	// Paused ones have an open request that is overdue by far.
 	Paused
 	// Failing ones answer a good part of their requests with failures.
 	Failing
@@ -39,6 +39,9 @@
 	// failShare, so that it takes two that are close together.
 	failingFrom  = 0.4
 	failingUntil = 0.2
+	// pausedFrom is how long the oldest open request must have waited: pauses of
+	// a garbage collector are over before, and too frequent for a line each.
+	pausedFrom = 400 * time.Millisecond
 )
 
 // Turn is a change of an upstream's state and the grounds for it.
@@ -116,7 +119,7 @@
 		return Unreachable
 	case u.failing(now) >= failing:
 		return Failing
-	case u.paused(now):
+	case u.paused(now) && u.oldest(now) >= pausedFrom:
 		return Paused
 	case u.slowness(now) >= slow:
 		return Slow
@@ -124,3 +127,12 @@
 		return Usable
 	}
 }
+
+// oldest is how long the oldest open request has waited.
+func (u *upstream) oldest(now time.Time) time.Duration {
+	var longest time.Duration
+	for _, o := range u.open {
+		longest = max(longest, now.Sub(o.sentAt))
+	}
+	return longest
+}
--- a/internal/replica/state_test.go
+++ b/internal/replica/state_test.go
@@ -19,8 +19,12 @@
 		{"four times slower", func(r *rig) { r.answer(r.ups[0], 120*ms); r.answer(r.ups[0], 120*ms) }, Slow},
 		{"no answer yet, far beyond the usual time", func(r *rig) {
 			r.table.Sent(r.now, "k", usual, r.ups[0], 1e6)
-			r.now = r.now.Add(100 * ms)
+			r.now = r.now.Add(400 * ms)
 		}, Paused},
+		{"no answer for as long as a short pause", func(r *rig) {
+			r.table.Sent(r.now, "k", usual, r.ups[0], 1e6)
+			r.now = r.now.Add(100 * ms)
+		}, Usable},
 		{"takes no connection", func(r *rig) {
 			r.table.Sent(r.now, "k", usual, r.ups[0], 1e6)
 			r.table.Unreachable(r.now, r.ups[0], 1e6)
