Hold that a process behind its predecessor's clock becomes known

The code against it (a higher incarnation is outdone where a name has one VM) had no test. With that code taken out, the three cases fail; with it the fleet agrees within 30 s of simulated time and stays so. Where there may be two processes of a name, the older is still told of the newer.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -20,6 +20,56 @@
 const limit = 3 * time.Minute
 
 var _ = Describe("membership", func() {
+	// Symptom: a VM that was replaced gets no callers for as long as it runs.
+	// Sequence: the VM's clock was ahead, or is set back; its next process starts
+	// with a lower incarnation than the peers remember.
+	// Cause: peers drop what comes from a lower incarnation, and the new process
+	// took their word for a newer process beside it.
+	DescribeTable("a process behind its predecessor's clock",
+		func(fault func(w *network)) {
+			w := newNetwork(1)
+			w.fill(9)
+			w.run(20 * time.Second)
+			fault(w)
+			h := w.addBehind(3, 10*time.Minute, true)
+			w.do(h, func(n *membership.Node) membership.Actions { return n.SetList(w.now, listed(9)) })
+			known := func() bool {
+				for _, other := range w.hosts {
+					if !other.down && other.node.Rank(h.name).Incarnation != h.node.Rank(h.name).Incarnation {
+						return false
+					}
+				}
+				return w.agree(upTo(9)...)
+			}
+			_, ok := w.until(30*time.Second, known)
+			Expect(ok).To(BeTrue())
+			w.run(30 * time.Second)
+			Expect(known()).To(BeTrue(), "it must stay")
+			Expect(h.events).NotTo(ContainElement("superseded"))
+		},
+		Entry("replaced at once", func(w *network) { w.hosts[3].down = true }),
+		Entry("replaced after it was held dead", func(w *network) {
+			w.hosts[3].down = true
+			w.run(time.Minute)
+		}),
+		Entry("replaced after a planned stop", func(w *network) {
+			w.do(w.hosts[3], func(n *membership.Node) membership.Actions { return n.Leave(w.now) })
+			w.run(5 * time.Second)
+			w.hosts[3].down = true
+		}),
+	)
+
+	It("tells a process that a newer one has its VM's name, where there may be two", func() {
+		w := newNetwork(1)
+		w.fill(9)
+		w.run(20 * time.Second)
+		w.hosts[3].down = true
+		h := w.addBehind(3, 10*time.Minute, false)
+		w.do(h, func(n *membership.Node) membership.Actions { return n.SetList(w.now, listed(9)) })
+		w.run(10 * time.Second)
+		Expect(h.events).To(ContainElement("superseded"))
+	})
+
 	// Symptom: an upstream's new owner starts while the old one is alive, or a
 	// dead owner keeps its upstreams.
 	// Sequence: each row's fault on a settled fleet of nine.
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -82,16 +82,29 @@
 
 // addAt starts a process of VM i at an address of its own.
 func (w *network) addAt(i int, address string) *host {
-	h := &host{name: hostName(i)}
-	h.opts = membership.Options{
-		Self: &pb.MemberUpdate{Vm: h.name, Incarnation: uint64(w.now.UnixMicro()) + uint64(i), Region: "north", DataCentre: "north-1",
+	return w.addWith(membership.Options{
+		Self: &pb.MemberUpdate{Vm: hostName(i), Incarnation: uint64(w.now.UnixMicro()) + uint64(i), Region: "north", DataCentre: "north-1",
 			CallerAddress: "10.0.0.1:7000", PeerAddress: address},
 		Seed: w.rand.Uint64(),
-	}
+	})
+}
+
+// addBehind starts a process of VM i whose clock is set back.
+func (w *network) addBehind(i int, by time.Duration, sole bool) *host {
+	return w.addWith(membership.Options{
+		Self: &pb.MemberUpdate{Vm: hostName(i), Incarnation: uint64(w.now.Add(-by).UnixMicro()), Region: "north", DataCentre: "north-1",
+			CallerAddress: "10.0.0.1:7000", PeerAddress: address(i)},
+		Sole: sole,
+		Seed: w.rand.Uint64(),
+	})
+}
+
+func (w *network) addWith(opts membership.Options) *host {
+	h := &host{name: opts.Self.Vm, opts: opts}
 	h.node = membership.New(w.now, h.opts)
 	w.hosts = append(w.hosts, h)
 	w.byVM[h.name] = h
-	w.byAddress[address] = h
+	w.byAddress[opts.Self.PeerAddress] = h
 	return h
 }
 
