--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -5,6 +5,7 @@
 package logring
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -18,6 +19,10 @@
 	bufferBytes = 64 << 10
 	// bytesPerSecond bounds the volume: about 200 lines a second.
 	bytesPerSecond = 64 << 10
+	// writeBytes bounds one write to the output: a pipe takes as much at once or
+	// not at all, so that lines of several writers do not mix, and collectors that
+	// read in small pieces lose nothing of a long one.
+	writeBytes = 4 << 10
 	// flushEvery is how often what waits is written, in one call.
 	flushEvery = 250 * time.Millisecond
 )
@@ -87,16 +92,31 @@
 	r.spare = nil
 	r.mu.Unlock()
 	buf = r.tellDropped(buf)
-	var err error
-	if len(buf) > 0 {
-		_, err = r.out.Write(buf)
-	}
+	err := r.write(buf)
 	r.mu.Lock()
 	r.spare = buf[:0]
 	r.mu.Unlock()
 	return err
 }
 
+// write writes whole lines, as many at a time as writeBytes holds, at least one.
+func (r *Ring) write(lines []byte) error {
+	for len(lines) > 0 {
+		n := len(lines)
+		if n > writeBytes {
+			n = bytes.LastIndexByte(lines[:writeBytes], '\n') + 1
+		}
+		if n == 0 {
+			n = bytes.IndexByte(lines, '\n') + 1
+		}
+		if _, err := r.out.Write(lines[:n]); err != nil {
+			return err
+		}
+		lines = lines[n:]
+	}
+	return nil
+}
+
 // tellDropped appends a line for each class of which lines were left out since
 // the last one.
 func (r *Ring) tellDropped(buf []byte) []byte {
--- a/internal/logring/logring_test.go
+++ b/internal/logring/logring_test.go
@@ -114,6 +114,48 @@
 	}
 }
 
+// pieces keeps what each write brought.
+type pieces [][]byte
+
+func (p *pieces) Write(b []byte) (int, error) {
+	*p = append(*p, bytes.Clone(b))
+	return len(b), nil
+}
+
+// Symptom: refused requests have no line, though none was left out.
+// Sequence: many lines are written in a quarter of a second; whoever collects them
+// takes eight kilobytes of each write.
+// Cause: all that had gathered was written in one piece.
+func TestLinesAreWrittenInPiecesOfWholeLines(t *testing.T) {
+	var out pieces
+	r := New("v", &out, time.Now)
+	long := strings.Repeat("y", writeBytes) + "\n"
+	var want string
+	for i := range 100 {
+		line := strings.Repeat("x", 10*i) + "\n"
+		if i == 50 {
+			line = long
+		}
+		want += line
+		if _, err := change(r).Write([]byte(line)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := r.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	got := ""
+	for _, p := range out {
+		if len(p) > writeBytes && string(p) != long || p[len(p)-1] != '\n' {
+			t.Errorf("a piece of %d bytes that ends in %q", len(p), p[len(p)-1])
+		}
+		got += string(p)
+	}
+	if got != want {
+		t.Errorf("%d bytes were written of %d", len(got), len(want))
+	}
+}
+
 func TestRunWritesWhatIsLeft(t *testing.T) {
 	var out bytes.Buffer
 	r := New("v", &out, time.Now)
