--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"sycamorekeel.example/sycamorekeel/internal/logring"
 )
 
 // beliefsBefore is how long before a request lines on what its VM believed are
@@ -163,7 +165,7 @@
 	l.Request, _ = fields["request"].(string)
 	if at, ok := fields["ts"].(string); ok {
 		// A line whose time cannot be read keeps its place in its own log.
-		l.Time, _ = time.Parse("2006-01-02T15:04:05.000Z0700", at)
+		l.Time, _ = time.Parse(logring.TimeLayout, at)
 	}
 	for _, k := range []string{"vm", "msg", "request", "ts", "level"} {
 		delete(fields, k)
--- a/internal/logring/classes.go
+++ b/internal/logring/classes.go
@@ -5,8 +5,8 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// timeLayout is how lines tell the time.
-const timeLayout = "2006-01-02T15:04:05.000Z0700"
+// TimeLayout is how lines tell the time, in the field ts.
+const TimeLayout = "2006-01-02T15:04:05.000Z0700"
 
 // Class is how much a line matters when not all can be kept.
 type Class int
@@ -54,7 +54,7 @@
 
 func (r *Ring) logger(class Class) *zap.Logger {
 	c := zap.NewProductionEncoderConfig()
-	c.EncodeTime = zapcore.TimeEncoderOfLayout(timeLayout)
+	c.EncodeTime = zapcore.TimeEncoderOfLayout(TimeLayout)
 	c.EncodeDuration = zapcore.MillisDurationEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), writer{r, class}, zapcore.InfoLevel)
 	return zap.New(core).With(zap.String("vm", r.vm))
--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -126,7 +126,7 @@
 			continue
 		}
 		buf = fmt.Appendf(buf, `{"level":"warn","ts":%q,"msg":"log: lines left out","vm":%q,"class":%q,"count":%d}`+"\n",
-			r.now().Format(timeLayout), r.vm, class, dropped-r.told[class])
+			r.now().Format(TimeLayout), r.vm, class, dropped-r.told[class])
 		r.told[class] = dropped
 	}
 	return buf
--- a/internal/standin/document.go
+++ b/internal/standin/document.go
@@ -10,9 +10,9 @@
 // Token is the bearer token of the customer that Office makes.
 const Token = "land-office-token"
 
-// Kind is a request kind of a document for tests. Zero fields are left out, but
-// for those with a default that does not bind: RatePerSecond, Concurrency and
-// DeadlineMS.
+// Kind is a request kind of a document for tests. RatePerSecond, Concurrency and
+// DeadlineMS that are zero get bounds that no test reaches; MaxHits that is zero
+// leaves the number of hits to the request.
 type Kind struct {
 	Name, Service string
 	RatePerSecond int
@@ -27,7 +27,7 @@
 	MaxHits       int
 }
 
-// Defaults of Kind: bounds that no test reaches.
+// Bounds that no test reaches.
 const (
 	freeRate        = 100_000
 	freeConcurrency = 3000
