--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -199,10 +199,7 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	a := e.serve(r)
-	a.Took = e.now().Sub(r.Received)
-	a.Stages.finish(a.Took)
-	e.opts.Metrics.ended(&a)
-	e.logEnd(r, &a)
+	e.end(r, &a)
 	return a
 }
 
@@ -210,12 +207,18 @@
 // rules, so that it has its line and its counter as every other.
 func (e *Engine) Refuse(r *Request, reason Reason) Answer {
 	a := refuse(reason, 0)
-	a.Took = e.now().Sub(r.Received)
-	e.opts.Metrics.ended(&a)
-	e.logEnd(r, &a)
+	e.end(r, &a)
 	return a
 }
 
+// end counts a request that has its answer, and logs it.
+func (e *Engine) end(r *Request, a *Answer) {
+	a.Took = e.now().Sub(r.Received)
+	a.Stages.finish(a.Took)
+	e.opts.Metrics.ended(a)
+	e.logEnd(r, a)
+}
+
 func (e *Engine) serve(r *Request) Answer {
 	v := e.view.Load()
 	if v == nil || v.Table == nil {
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -77,6 +77,7 @@
 func (e *Engine) logTurn(t replica.Turn) {
 	fields := []zap.Field{
 		zap.String("upstream", t.Upstream),
+		zap.String("service", e.serviceOf(t.Upstream)),
 		zap.Stringer("was", t.Was),
 		zap.Stringer("is", t.Is),
 		zap.Float64("slowness", rounded(t.Slowness)),
@@ -85,9 +86,6 @@
 	}
 	if v := e.view.Load(); v != nil {
 		fields = append(fields, zap.Uint64("revision", v.Revision))
-		if u := v.Upstreams[t.Upstream]; u != nil {
-			fields = append(fields, zap.String("service", u.Service))
-		}
 	}
 	e.opts.Logs.Changes.Info("upstream: state", fields...)
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -45,6 +45,9 @@
 	withdrawn bool
 }
 
+// open tells whether the send's answer is waited for.
+func (s *send) open() bool { return !s.replied && !s.withdrawn }
+
 // inbox collects the replies of a run. It never blocks those who put.
 type inbox struct {
 	mu     sync.Mutex
@@ -233,7 +236,7 @@
 // withdraw ends the interest in the sends that are still open.
 func (x *run) withdraw(linger time.Duration) {
 	for i := range x.sends {
-		if s := &x.sends[i]; !s.replied && !s.withdrawn {
+		if s := &x.sends[i]; s.open() {
 			x.withdrawSend(s, linger)
 		}
 	}
@@ -246,7 +249,7 @@
 func (x *run) withdrawFar(part int) {
 	for i := range x.sends {
 		s := &x.sends[i]
-		if s.part == part && !s.replied && !s.withdrawn && x.far(s) {
+		if s.part == part && s.open() && x.far(s) {
 			x.withdrawSend(s, 0)
 		}
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -52,7 +52,7 @@
 		return nil, err
 	}
 	p := &Platform{ln: ln, versions: map[string][]platform.Document{}, changed: make(chan struct{}), pageBytes: platformPageBytes}
-	p.http = &fasthttp.Server{Handler: p.handle, CloseOnShutdown: true, Logger: quiet{}}
+	p.http = &fasthttp.Server{Handler: p.handle, CloseOnShutdown: true, Logger: Quiet{}}
 	go func() { _ = p.http.Serve(ln) }()
 	return p, nil
 }
--- a/internal/standin/quiet.go
+++ b/internal/standin/quiet.go
@@ -1,7 +1,9 @@
 package standin
 
-// quiet drops the library's own lines: a daemon that dials the port of a peer
-// that has died may find a stand-in there.
-type quiet struct{}
+// Quiet is a logger of the HTTP library that drops its lines: faults close
+// connections, and a daemon that dials the port of a peer that has died may find a
+// stand-in there.
+type Quiet struct{}
 
-func (quiet) Printf(string, ...any) {}
+// Printf implements fasthttp.Logger.
+func (Quiet) Printf(string, ...any) {}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -107,7 +107,7 @@
 		releases:  map[string]chan struct{}{},
 		serving:   map[string]net.Conn{},
 	}
-	u.http = &fasthttp.Server{Handler: u.handle, ConnState: u.connState, CloseOnShutdown: true, Logger: quiet{}}
+	u.http = &fasthttp.Server{Handler: u.handle, ConnState: u.connState, CloseOnShutdown: true, Logger: Quiet{}}
 	go func() { _ = u.http.Serve(ln) }()
 	return u, nil
 }
