Let requests wait for the first configuration of a process that starts

Callers try twice; their first try was spent on a VM that was down, so that the refusal was their end. Ruled out: a longer Retry-After (a second refusal is final whatever it says). Change: a process younger than 0.4 s lets requests wait, up to its bound on requests in flight; an older one without a configuration refuses at once as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -42,6 +42,11 @@
 	linger = 400 * time.Millisecond
 	// capUnknown is the connections to an upstream that publishes no bound.
 	capUnknown = 32
+	// startHold is how old a process may be to let requests wait for its first
+	// configuration: it has one 0.05 to 0.3 s after its start, unless the store and
+	// all peers are away. Callers try twice, and after the loss of all processes the
+	// first try was spent on VMs that were down.
+	startHold = 400 * time.Millisecond
 	// usualShare is the part of the objective taken for the usual answer time of
 	// a kind of which no answer has been seen.
 	usualShare = 0.25
@@ -76,6 +81,9 @@
 	// lag is how late this process is woken, in nanoseconds.
 	lag     atomic.Int64
 	started time.Time
+	// known is closed once there is a configuration.
+	known     chan struct{}
+	knownOnce sync.Once
 
 	mu       sync.Mutex
 	replicas *replica.Table
@@ -91,6 +99,7 @@
 		opts:     opts,
 		now:      time.Now,
 		started:  now,
+		known:    make(chan struct{}),
 		replicas: replica.New(opts.Place, opts.Random),
 		budgets:  map[string]*retrybudget.Budget{},
 		scatters: map[string]*congestion.Limiter{},
@@ -104,6 +113,9 @@
 // SetView puts a view in force for the requests that come after it.
 func (e *Engine) SetView(now time.Time, v *catalog.View) {
 	e.view.Store(v)
+	if v.Table != nil {
+		e.knownOnce.Do(func() { close(e.known) })
+	}
 	e.mu.Lock()
 	e.replicas.Keep(now, v.Upstreams)
 	e.forget(now, v.Config)
@@ -220,15 +232,18 @@
 }
 
 func (e *Engine) serve(r *Request) Answer {
-	v := e.view.Load()
-	if v == nil || v.Table == nil {
+	if e.inFlight.Load() > int64(e.opts.MaxRequests) {
+		return refuse(Overloaded, overloadRetry)
+	}
+	v := e.awaitView()
+	if v == nil {
 		return refuse(Unready, unreadyRetry)
 	}
 	r.Route = v.Table.Lookup(r.Host, r.Path)
 	if r.Route == nil {
 		return refuse(NoRoute, 0)
 	}
-	if e.inFlight.Load() > int64(e.opts.MaxRequests) || e.tooSlow(r.Route) {
+	if e.tooSlow(r.Route) {
 		return refuse(Overloaded, overloadRetry)
 	}
 	if !r.Route.FanOut() {
@@ -243,6 +258,26 @@
 	return a
 }
 
+// awaitView is the view in force. A process that has just started waits for its
+// first one; nil when there is none.
+func (e *Engine) awaitView() *catalog.View {
+	if v := e.view.Load(); v != nil && v.Table != nil {
+		return v
+	}
+	left := startHold - e.now().Sub(e.started)
+	if left <= 0 {
+		return nil
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-e.known:
+		return e.view.Load()
+	case <-t.C:
+		return nil
+	}
+}
+
 // plan works out the parts and times of a request. The services are fixed here,
 // once: a configuration that comes meanwhile does not mix into the request.
 func (e *Engine) plan(r *Request) scatter.Plan {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -163,3 +163,37 @@
 		t.Errorf("%d budgets and %d limiters are kept", len(e.budgets), len(e.scatters))
 	}
 }
+
+// Symptom: after the loss of all processes a hundred callers are refused twice
+// within half a second and give up.
+// Sequence: they lose their first try with the VMs; those that are back have no
+// configuration for the first tenths of a second and refuse the second one.
+// Cause: a process that knew that it would be ready at once refused nonetheless.
+func TestAProcessThatStartsLetsRequestsWait(t *testing.T) {
+	o := newObserved()
+	o.opts.MaxRequests = 10
+	answered := make(chan Answer)
+	go func() { answered <- o.Serve(request("/other/")) }()
+	for o.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	o.know()
+	if a := <-answered; a.Reason != NoRoute {
+		t.Errorf("ended with %q, want the answer of the configuration", a.Reason)
+	}
+}
+
+// A process that has been without a configuration for longer expects none soon:
+// it refuses at once. So does one that holds as many requests as it may.
+func TestWaitingForAConfigurationIsBounded(t *testing.T) {
+	o := newObserved()
+	o.started = time.Now().Add(-startHold)
+	if a := o.Serve(request("/p/")); a.Reason != Unready || a.RetryAfter == 0 || a.Took > startHold/2 {
+		t.Errorf("ended with %q after %v, to come back in %v", a.Reason, a.Took, a.RetryAfter)
+	}
+	o = newObserved()
+	o.inFlight.Add(1)
+	if a := o.Serve(request("/p/")); a.Reason != Overloaded {
+		t.Errorf("ended with %q beyond the bound", a.Reason)
+	}
+}
