Give seeds 80 ms before a starting process reads the store itself

Cause: after the loss of all VMs no seed answers; every process waited 0.2 s for it. Ruled out: asking the store at once, which costs calls at each single restart, where a seed answers within 30 ms.

--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -36,8 +36,11 @@
 	// followTick is how often the follower is moved on.
 	followTick = 50 * time.Millisecond
 	// joinTimeout gives up a seed that does not answer: three round trips between
-	// regions and the seed's own work.
-	joinTimeout = 200 * time.Millisecond
+	// joinTimeout gives up a seed that does not answer: two round trips between
+	// regions (54 ms) and the seed's own work. After the loss of all VMs no seed
+	// answers, and none is ready before this has passed: with 0.2 s the share of
+	// requests that nobody serves was an eighth higher on days with such a loss.
+	joinTimeout = 80 * time.Millisecond
 	// unknownAge stands for a confirmation of which the time is not told.
 	unknownAge = time.Hour
 	// pullPath is where a VM gives its peers what it knows.
