Treat connections as scarce: shut out, free or waited for

Waits for a free connection counted as slowness of the upstream, as its pause, and as congestion, so that queries were refused while upstreams were a third busy. TestConnectionsThatAreClosedAtOnceAreShutOut and the tests of replica failed before.

--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -30,6 +30,10 @@
 	bufferBytes = 2048
 	// maxReplyBytes bounds an answer that is held whole in memory.
 	maxReplyBytes = 16 << 20
+	// shutMargin is added to the time that a connection took to open: one that is
+	// closed within both, before any byte of an answer, was not let in. Work and
+	// the set-up of a connection at an upstream take longer.
+	shutMargin = 4 * time.Millisecond
 	// asideBytes is the body size from which a request is written beside the
 	// reading of the answer: an upstream may answer before it has read a long
 	// body, and writing would wait for it to read on.
@@ -46,17 +50,22 @@
 	work chan *Call
 	// idleUntil is when the upstream may close the idle connection.
 	idleUntil time.Time
+	// dialed is how long the connection took to open; 0 once it has carried an
+	// answer.
+	dialed time.Duration
 }
 
 // run opens the connection and serves calls until it is of no more use.
 func (c *conn) run(call *Call) {
 	defer c.pool.ended(c)
+	began := time.Now()
 	nc, err := net.DialTimeout("tcp", c.pool.address, min(dialTimeout, max(time.Until(call.Deadline), time.Millisecond)))
 	if err != nil {
 		c.pool.refuse(call, err)
 		return
 	}
 	c.net = nc
+	c.dialed = time.Since(began)
 	c.br = bufio.NewReaderSize(nc, bufferBytes)
 	c.bw = bufio.NewWriterSize(nc, bufferBytes)
 	c.idleUntil = time.Now().Add(idleDefault)
@@ -84,9 +93,14 @@
 	c.pool.protocol.Encode(&req, call.Message, call.Upstream, left)
 	written, err := c.write(&req, len(call.Message.Body))
 	if err != nil {
-		call.finish(lost(err))
+		call.finish(c.unanswered(err, time.Since(now)))
+		return false
+	}
+	if _, err = c.br.Peek(1); err != nil {
+		call.finish(c.unanswered(err, time.Since(now)))
 		return false
 	}
+	c.dialed = 0
 	resp := &fasthttp.Response{}
 	resp.SkipBody = req.Header.IsHead()
 	err = resp.ReadLimitBody(c.br, maxReplyBytes)
@@ -152,8 +166,19 @@
 	return idleDefault
 }
 
+// unanswered is the reply of a call that was written, at least in part, and of
+// whose answer no byte has come after so long.
+func (c *conn) unanswered(err error, after time.Duration) Reply {
+	reply := lost(err)
+	if c.dialed > 0 && after < c.dialed+shutMargin {
+		c.pool.shut(time.Now())
+		reply.Result = scatter.Shut
+	}
+	return reply
+}
+
 // lost is the reply of a call that was written, at least in part, and has no
-// answer.
+// whole answer.
 func lost(err error) Reply {
 	detail := "connection: " + err.Error()
 	var ne net.Error
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -306,6 +307,59 @@
 	}
 }
 
+// Symptom: after a loss of power queries lose a tenth of their parts and the
+// retry budget with them, while the upstreams are a third busy.
+// Sequence: an upstream counts the connections of processes that are gone; their
+// successors open new ones, and it closes each at once. Each was taken for a
+// request that may have run, and the next call opened one more.
+// Cause: being over an upstream's cap was not told from a lost answer.
+func TestConnectionsThatAreClosedAtOnceAreShutOut(t *testing.T) {
+	over := atomic.Bool{}
+	over.Store(true)
+	s := newServer(t, func(_ int, c net.Conn) {
+		if over.Load() {
+			return
+		}
+		answering(func(id string) string { return whole(id, "x") })(0, c)
+	})
+	cl := newClient(t, s, 3)
+	if r := cl.call("1"); r.Result != scatter.Shut {
+		t.Fatalf("%v (%s)", r.Result, r.Detail)
+	}
+	if ahead := cl.pools.Ahead(time.Now(), []*catalog.Upstream{cl.up}); ahead[0] != shutAhead {
+		t.Errorf("%v answers ahead of an upstream that lets nothing in", ahead[0])
+	}
+	if r := cl.call("2"); r.Result != scatter.NoConnection || s.connections() != 1 {
+		t.Errorf("%v (%s) just after, %d connections opened", r.Result, r.Detail, s.connections())
+	}
+	over.Store(false)
+	time.Sleep(shutPause)
+	if r := cl.call("3"); r.Result != scatter.Answered {
+		t.Errorf("%v (%s) once the pause is over", r.Result, r.Detail)
+	}
+}
+
+// Each row is how a pool is used and what a further call would wait for.
+func TestAheadCountsTheAnswersToWaitFor(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		pool *Pool
+		want float64
+	}{
+		{"an idle connection", &Pool{limit: 1, open: 1, idle: []*conn{{}}}, 0},
+		{"one may be opened", &Pool{limit: 2, open: 1}, 0},
+		{"both are out", &Pool{limit: 2, open: 2}, 0.5},
+		{"and some wait", &Pool{limit: 2, open: 2, waiting: make([]*Call, 3)}, 2},
+		{"shut out, with one", &Pool{limit: 2, open: 1, shutUntil: now.Add(time.Second)}, 1},
+		{"shut out, with none", &Pool{limit: 2, shutUntil: now.Add(time.Second)}, shutAhead},
+	} {
+		if got := c.pool.ahead(now); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 func TestAnAddressThatRefusesWasNotReached(t *testing.T) {
 	s := newServer(t, answering(func(id string) string { return whole(id, "x") }))
 	cl := newClient(t, s, 1)
--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -13,6 +13,13 @@
 // waits behind more than that would not be in time.
 const maxWaiting = 64
 
+// shutPause is how long no connection is opened after the upstream has closed one
+// at once. Without it each waiting call would try the same: an upstream that
+// counts the connections of processes that are gone, as after a loss of power,
+// would close hundreds, and as many calls lose a round trip. Half of the longest
+// objective that such a call could still meet.
+const shutPause = 100 * time.Millisecond
+
 // Pool is the connections to one upstream.
 type Pool struct {
 	address  string
@@ -25,6 +32,8 @@
 	idle    []*conn
 	waiting []*Call
 	closed  bool
+	// shutUntil is when a connection may be opened again after one was shut out.
+	shutUntil time.Time
 }
 
 func newPool(u *catalog.Upstream, protocol Protocol, limit int) *Pool {
@@ -36,28 +45,45 @@
 	now := time.Now()
 	p.mu.Lock()
 	c, dead := p.takeIdle(now)
-	refused := ""
+	refused := Reply{}
 	switch {
 	case p.closed:
-		refused = "upstream is gone"
+		refused = Reply{Result: scatter.Unreached, Detail: goneUpstream}
 	case c != nil:
 		c.work <- call
-	case p.open < p.limit:
-		p.open++
-		p.opened++
-		go (&conn{pool: p, work: make(chan *Call, 1)}).run(call)
-	case len(p.waiting) < maxWaiting:
+	case p.mayOpen(now):
+		p.start(call)
+	case p.open > 0 && len(p.waiting) < maxWaiting:
 		p.enqueue(call)
 	default:
-		refused = "no free connection"
+		refused = Reply{Result: scatter.NoConnection, Detail: noneFree}
 	}
 	p.mu.Unlock()
 	endAll(dead)
-	if refused != "" {
-		call.finish(Reply{Result: scatter.Unreached, Detail: refused})
+	if refused.Detail != "" {
+		call.finish(refused)
 	}
 }
 
+// mayOpen tells whether one more connection may be opened. The caller holds mu.
+func (p *Pool) mayOpen(now time.Time) bool {
+	return p.open < p.limit && !now.Before(p.shutUntil)
+}
+
+// start opens a connection for a call. The caller holds mu.
+func (p *Pool) start(call *Call) {
+	p.open++
+	p.opened++
+	go (&conn{pool: p, work: make(chan *Call, 1)}).run(call)
+}
+
+// shut notes that the upstream has closed a connection as soon as it was open.
+func (p *Pool) shut(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shutUntil = now.Add(shutPause)
+}
+
 // enqueue keeps the waiting calls in order of priority, then of arrival.
 func (p *Pool) enqueue(call *Call) {
 	i, _ := slices.BinarySearchFunc(p.waiting, call, func(a, b *Call) int {
@@ -123,20 +149,35 @@
 }
 
 // ended takes note that a connection is gone and opens one for a waiting call.
+// Without any connection left, and none to be opened yet, nothing would ever take
+// those that wait: they are given back.
 func (p *Pool) ended(c *conn) {
 	p.mu.Lock()
 	p.open--
-	var call *Call
-	if !p.closed && p.open < p.limit {
-		call = p.takeWaiting()
-	}
-	if call != nil {
-		p.open++
-		p.opened++
+	var stranded []*Call
+	switch {
+	case p.closed:
+	case p.mayOpen(time.Now()):
+		if call := p.takeWaiting(); call != nil {
+			p.start(call)
+		}
+	case p.open == 0:
+		stranded = p.waiting
+		p.waiting = nil
 	}
 	p.mu.Unlock()
-	if call != nil {
-		go (&conn{pool: p, work: make(chan *Call, 1)}).run(call)
+	finishAll(stranded, Reply{Result: scatter.NoConnection, Detail: noneFree})
+}
+
+// Details of calls that no connection takes.
+const (
+	noneFree     = "no free connection"
+	goneUpstream = "upstream is gone"
+)
+
+func finishAll(calls []*Call, reply Reply) {
+	for _, c := range calls {
+		c.finish(reply)
 	}
 }
 
@@ -153,9 +194,7 @@
 	p.mu.Unlock()
 	reply := Reply{Result: scatter.Unreached, Detail: dialDetail + err.Error()}
 	call.finish(reply)
-	for _, o := range others {
-		o.finish(reply)
-	}
+	finishAll(others, reply)
 }
 
 // dialDetail begins the detail of calls whose connection could not be opened.
@@ -185,9 +224,7 @@
 	p.idle, p.waiting = nil, nil
 	p.mu.Unlock()
 	endAll(idle)
-	for _, call := range waiting {
-		call.finish(Reply{Result: scatter.Unreached, Detail: "upstream is gone"})
-	}
+	finishAll(waiting, Reply{Result: scatter.Unreached, Detail: goneUpstream})
 }
 
 func (p *Pool) setLimit(n int) {
@@ -196,6 +233,25 @@
 	p.limit = n
 }
 
+// shutAhead stands for the wait for an upstream that lets nothing in: it is
+// passed over while others answer within as many of their usual times.
+const shutAhead = 4.0
+
+// ahead is how many answers must come before a further call gets a connection: 0
+// when one is free or may be opened.
+func (p *Pool) ahead(now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case len(p.idle) > 0 || p.mayOpen(now):
+		return 0
+	case p.open == 0:
+		return shutAhead
+	default:
+		return float64(len(p.waiting)+1) / float64(p.open)
+	}
+}
+
 // Pools is the connections to all upstreams.
 type Pools struct {
 	protocol Protocol
@@ -223,6 +279,24 @@
 	pool.do(call)
 }
 
+// Ahead is, for each upstream, how many answers must come from it before a
+// further call gets a connection: 0 when one is free or may be opened.
+func (p *Pools) Ahead(now time.Time, upstreams []*catalog.Upstream) []float64 {
+	pools := make([]*Pool, len(upstreams))
+	p.mu.Lock()
+	for i, u := range upstreams {
+		pools[i] = p.pools[u.ID]
+	}
+	p.mu.Unlock()
+	out := make([]float64, len(upstreams))
+	for i, pool := range pools {
+		if pool != nil {
+			out[i] = pool.ahead(now)
+		}
+	}
+	return out
+}
+
 // Keep closes the pools of upstreams that are gone and brings the limits of the
 // others up to date.
 func (p *Pools) Keep(known map[string]*catalog.Upstream) {
--- a/internal/edge/observe_test.go
+++ b/internal/edge/observe_test.go
@@ -139,7 +139,7 @@
 	o.know(u)
 	now := time.Now()
 	for i := range uint64(2) {
-		o.replicas.Sent(now, "plain", time.Second, u, i)
+		o.replicas.Sent(now, "plain", time.Second, u, i, (&direct.Call{}).Waited)
 		o.replicas.Failed(now, u, i)
 	}
 	o.Tick(now)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -183,7 +183,7 @@
 		e.replicas.Answered(now, x.req.Route.Name, x.usual, u, s.id, s.reply.Took)
 	case scatter.Unreached:
 		e.replicas.Unreachable(now, u, s.id)
-	case scatter.Expired:
+	case scatter.Expired, scatter.Shut, scatter.NoConnection:
 		e.replicas.Unsent(u, s.id)
 	default:
 		e.replicas.Failed(now, u, s.id)
@@ -223,7 +223,7 @@
 	e.mu.Lock()
 	e.sends++
 	id := e.sends
-	e.replicas.Sent(now, x.req.Route.Name, x.usual, s.Upstream, id)
+	e.replicas.Sent(now, x.req.Route.Name, x.usual, s.Upstream, id, call.Waited)
 	e.mu.Unlock()
 	x.sends = append(x.sends, send{id: id, part: s.Part, call: call, cause: s.Cause, sentAt: now})
 	e.opts.Metrics.sent(s.Cause)
@@ -271,7 +271,7 @@
 	}
 	s.call.Withdraw(linger)
 	e.mu.Lock()
-	e.replicas.Abandoned(now, x.req.Route.Name, x.usual, s.call.Upstream, s.id, now.Sub(s.sentAt))
+	e.replicas.Abandoned(now, x.req.Route.Name, x.usual, s.call.Upstream, s.id, now.Sub(s.sentAt)-s.call.Waited(now))
 	e.mu.Unlock()
 }
 
@@ -303,12 +303,11 @@
 // crowdedParts is how many parts found no room: an upstream refused them, or they
 // waited for a connection for a good part of the objective.
 func (x *run) crowdedParts() int {
-	now := x.engine.now()
 	crowded := map[int]bool{}
 	for i := range x.sends {
 		s := &x.sends[i]
 		refused := s.replied && s.reply.Result == scatter.Refused
-		if refused || s.call.Waited(now) > crowdedWait*x.usual {
+		if refused {
 			crowded[s.part] = true
 		}
 	}
@@ -365,9 +364,11 @@
 	// The upstreams in force now and not those of the request's own view: one
 	// that has begun to leave meanwhile takes no new work.
 	candidates := e.view.Load().Services[x.plan.Services[part]]
+	now := e.now()
+	ahead := e.pools.Ahead(now, candidates)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.replicas.Choose(e.now(), x.req.Route.Name, x.usual, candidates, tried)
+	return e.replicas.Choose(now, x.req.Route.Name, x.usual, candidates, ahead, tried)
 }
 
 // Spend implements scatter.Policy.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -139,6 +139,14 @@
 	attempt uint64
 	sentAt  time.Time
 	usual   time.Duration
+	// waited is how long the send has waited here for a connection: that says
+	// nothing of the upstream.
+	waited func(time.Time) time.Duration
+}
+
+// age is how long the upstream has had the send.
+func (o *open) age(now time.Time) time.Duration {
+	return now.Sub(o.sentAt) - o.waited(now)
 }
 
 // Table is what this VM knows of all upstreams. It is not safe for concurrent
@@ -180,16 +188,21 @@
 
 // Choose is the candidate with the least expected answer time, none of the
 // excluded; nil without one. usual is the answer time of the kind before any is
-// known.
-func (t *Table) Choose(now time.Time, kindName string, usual time.Duration, candidates []*catalog.Upstream, excluded []string) *catalog.Upstream {
+// known; ahead is how many answers of each candidate come before a connection to
+// it is free, nil when all are.
+func (t *Table) Choose(now time.Time, kindName string, usual time.Duration, candidates []*catalog.Upstream, ahead []float64, excluded []string) *catalog.Upstream {
 	k := t.kind(kindName, usual)
 	var best *catalog.Upstream
 	var bestCost float64
-	for _, c := range candidates {
+	for i, c := range candidates {
 		if slices.Contains(excluded, c.ID) {
 			continue
 		}
-		cost := t.cost(now, k, c) * (1 + jitter*t.rand.Float64())
+		wait := 0.0
+		if ahead != nil {
+			wait = ahead[i]
+		}
+		cost := t.cost(now, k, c, wait) * (1 + jitter*t.rand.Float64())
 		if best == nil || cost < bestCost {
 			best = c
 			bestCost = cost
@@ -205,11 +218,11 @@
 // coldFactor is how much slower an upstream is taken to be just after its start.
 const coldFactor = 1.6
 
-// cost is the expected answer time in seconds.
-func (t *Table) cost(now time.Time, k *kind, c *catalog.Upstream) float64 {
+// cost is the expected answer time in seconds, after ahead others.
+func (t *Table) cost(now time.Time, k *kind, c *catalog.Upstream, ahead float64) float64 {
 	u := t.upstream(c.ID)
 	base := t.median(now, k, t.place.Distance(c.DataCentre)).Seconds()
-	cost := base * u.slowness(now)
+	cost := base * u.slowness(now) * (1 + ahead)
 	if now.Before(u.coldUntil) {
 		cost *= coldFactor
 	}
@@ -238,20 +251,21 @@
 // paused tells whether the oldest open request has waited far beyond its usual
 // time. Answers alone would show a pause only when it is over.
 func (u *upstream) paused(now time.Time) bool {
-	for _, o := range u.open {
-		if float64(now.Sub(o.sentAt)) > lateFactor*float64(o.usual) {
+	for i := range u.open {
+		if o := &u.open[i]; float64(o.age(now)) > lateFactor*float64(o.usual) {
 			return true
 		}
 	}
 	return false
 }
 
-// Sent notes a send to an upstream.
-func (t *Table) Sent(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, attempt uint64) {
+// Sent notes a send to an upstream; waited tells how long it has waited for a
+// connection, at any time until it has ended.
+func (t *Table) Sent(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, attempt uint64, waited func(time.Time) time.Duration) {
 	k := t.kind(kindName, usual)
 	u := t.upstream(c.ID)
 	expected := t.median(now, k, t.place.Distance(c.DataCentre))
-	u.open = append(u.open, open{attempt: attempt, sentAt: now, usual: expected})
+	u.open = append(u.open, open{attempt: attempt, sentAt: now, usual: expected, waited: waited})
 }
 
 // Answered notes an answer after the time that it took.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -40,13 +40,13 @@
 }
 
 func (r *rig) choose() *catalog.Upstream {
-	return r.table.Choose(r.now, "k", usual, r.ups, nil)
+	return r.table.Choose(r.now, "k", usual, r.ups, nil, nil)
 }
 
 // answer plays one request to an upstream that takes so long.
 func (r *rig) answer(u *catalog.Upstream, took time.Duration) {
 	r.attempt++
-	r.table.Sent(r.now, "k", usual, u, r.attempt)
+	r.table.Sent(r.now, "k", usual, u, r.attempt, unqueued)
 	r.now = r.now.Add(took)
 	r.table.Answered(r.now, "k", usual, u, r.attempt, took)
 }
@@ -100,7 +100,7 @@
 	r.warm()
 	began := r.now
 	for i := range uint64(5) {
-		r.table.Sent(began.Add(time.Duration(i)*50*ms), "k", usual, r.ups[0], 1000+i)
+		r.table.Sent(began.Add(time.Duration(i)*50*ms), "k", usual, r.ups[0], 1000+i, unqueued)
 	}
 	r.now = began.Add(250 * ms)
 	if u := r.choose(); u.ID == "a" {
@@ -123,7 +123,7 @@
 	r.warm()
 	for range 3 {
 		r.attempt++
-		r.table.Sent(r.now, "k", usual, r.ups[0], r.attempt)
+		r.table.Sent(r.now, "k", usual, r.ups[0], r.attempt, unqueued)
 		r.now = r.now.Add(230 * ms)
 		r.table.Abandoned(r.now, "k", usual, r.ups[0], r.attempt, 230*ms)
 	}
@@ -132,6 +132,47 @@
 	}
 }
 
+// Symptom: after a restart every upstream counts as paused or slow, and work goes
+// to other regions, although all answer as fast as ever.
+// Sequence: sends wait here for one of the few connections; their whole age is
+// taken for the upstream's.
+// Cause: a wait that this VM makes was held against the upstream.
+func TestTheWaitForAConnectionIsNotTheUpstreams(t *testing.T) {
+	r := newRig()
+	r.warm()
+	const wait = 400 * ms
+	r.table.Sent(r.now, "k", usual, r.ups[0], 1e6, func(time.Time) time.Duration { return wait })
+	r.now = r.now.Add(wait + 10*ms)
+	if u := r.choose(); u.ID != "a" {
+		t.Errorf("%s chosen while a send to the nearest waited for a connection", u.ID)
+	}
+	r.now = r.now.Add(200 * ms)
+	if u := r.choose(); u.ID == "a" {
+		t.Error("chosen while the upstream itself has kept a request for 0.2 s")
+	}
+}
+
+// Symptom: queries wait for a connection to one upstream while its copies idle.
+// Sequence: all connections to the nearest copy are out.
+// Cause: the choice saw the upstream's slots and not its own connections.
+func TestABusyPoolIsPassedOver(t *testing.T) {
+	r := newRig()
+	r.warm()
+	for _, c := range []struct {
+		ahead []float64
+		want  string
+	}{
+		{[]float64{0, 0, 0}, "a"},
+		{[]float64{0.5, 0, 0}, "a"},
+		{[]float64{3, 0, 0}, "b"},
+		{[]float64{3, 4, 4}, "a"},
+	} {
+		if u := r.table.Choose(r.now, "k", usual, r.ups, c.ahead, nil); u.ID != c.want {
+			t.Errorf("ahead %v: %s, want %s", c.ahead, u.ID, c.want)
+		}
+	}
+}
+
 func TestUnreachableUpstreamsArePassedOver(t *testing.T) {
 	r := newRig()
 	r.warm()
@@ -139,7 +180,7 @@
 	if u := r.choose(); u.ID == "a" {
 		t.Error("chosen at once again")
 	}
-	if u := r.table.Choose(r.now, "k", usual, r.ups[:1], nil); u == nil || u.ID != "a" {
+	if u := r.table.Choose(r.now, "k", usual, r.ups[:1], nil, nil); u == nil || u.ID != "a" {
 		t.Error("not tried though there is no other")
 	}
 	r.now = r.now.Add(downFirst)
@@ -161,10 +202,10 @@
 
 func TestExcludedAndNone(t *testing.T) {
 	r := newRig()
-	if u := r.table.Choose(r.now, "k", usual, r.ups, []string{"a", "b"}); u == nil || u.ID != "c" {
+	if u := r.table.Choose(r.now, "k", usual, r.ups, nil, []string{"a", "b"}); u == nil || u.ID != "c" {
 		t.Errorf("%v", u)
 	}
-	if u := r.table.Choose(r.now, "k", usual, nil, nil); u != nil {
+	if u := r.table.Choose(r.now, "k", usual, nil, nil, nil); u != nil {
 		t.Errorf("%v of none", u)
 	}
 }
@@ -197,6 +238,9 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		r.table.Choose(r.now, "k", usual, ups, nil)
+		r.table.Choose(r.now, "k", usual, ups, nil, nil)
 	}
 }
+
+// unqueued is the wait of a send that got a connection at once.
+func unqueued(time.Time) time.Duration { return 0 }
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -131,8 +131,8 @@
 // oldest is how long the oldest open request has waited.
 func (u *upstream) oldest(now time.Time) time.Duration {
 	var longest time.Duration
-	for _, o := range u.open {
-		longest = max(longest, now.Sub(o.sentAt))
+	for i := range u.open {
+		longest = max(longest, u.open[i].age(now))
 	}
 	return longest
 }
--- a/internal/replica/state_test.go
+++ b/internal/replica/state_test.go
@@ -18,15 +18,15 @@
 		{"failures in a row", func(r *rig) { r.fail(); r.fail() }, Failing},
 		{"four times slower", func(r *rig) { r.answer(r.ups[0], 120*ms); r.answer(r.ups[0], 120*ms) }, Slow},
 		{"no answer yet, far beyond the usual time", func(r *rig) {
-			r.table.Sent(r.now, "k", usual, r.ups[0], 1e6)
+			r.table.Sent(r.now, "k", usual, r.ups[0], 1e6, unqueued)
 			r.now = r.now.Add(400 * ms)
 		}, Paused},
 		{"no answer for as long as a short pause", func(r *rig) {
-			r.table.Sent(r.now, "k", usual, r.ups[0], 1e6)
+			r.table.Sent(r.now, "k", usual, r.ups[0], 1e6, unqueued)
 			r.now = r.now.Add(100 * ms)
 		}, Usable},
 		{"takes no connection", func(r *rig) {
-			r.table.Sent(r.now, "k", usual, r.ups[0], 1e6)
+			r.table.Sent(r.now, "k", usual, r.ups[0], 1e6, unqueued)
 			r.table.Unreachable(r.now, r.ups[0], 1e6)
 		}, Unreachable},
 	} {
@@ -69,6 +69,6 @@
 
 func (r *rig) fail() {
 	r.attempt++
-	r.table.Sent(r.now, "k", usual, r.ups[0], r.attempt)
+	r.table.Sent(r.now, "k", usual, r.ups[0], r.attempt, unqueued)
 	r.table.Failed(r.now, r.ups[0], r.attempt)
 }
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -21,8 +21,8 @@
 	// for again: a slice of the budget's window at the usual size lasts longer,
 	// so that asking more often would gain nothing.
 	hedgeAgain = 25 * time.Millisecond
-	// refusedPause is the first wait before a part that every upstream refused
-	// is offered again; it doubles. A slot of a full upstream frees about that
+	// refusedPause is the first wait before a part that every upstream refused or
+	// was full for is offered again; it doubles. A slot of a full upstream frees about that
 	// often.
 	refusedPause = 20 * time.Millisecond
 	// maxRefused is how often one part may be refused before it is given up.
@@ -49,15 +49,24 @@
 	Lost
 	// Expired was not sent, because no time was left.
 	Expired
+	// Shut was written to a connection that the upstream closed as soon as it was
+	// open, sooner than anything could have run: it takes no more connections.
+	// That is no proof, so a request that may run only once is not sent again.
+	Shut
+	// NoConnection never left this VM: it may have no more connections to the
+	// upstream, and none came free.
+	NoConnection
 )
 
 // NotRun tells whether the result proves that the upstream has not run the
 // request.
-func (r Result) NotRun() bool { return r == Unreached || r == Refused || r == Expired }
+func (r Result) NotRun() bool {
+	return r == Unreached || r == Refused || r == Expired || r == NoConnection
+}
 
 // String is the result's name in logs and metrics.
 func (r Result) String() string {
-	return [...]string{"answered", "unreached", "refused", "failed", "lost", "expired"}[r]
+	return [...]string{"answered", "unreached", "refused", "failed", "lost", "expired", "shut", "no_connection"}[r]
 }
 
 // Reason says why a request ended without an answer, in logs, metrics and the
@@ -111,10 +120,12 @@
 
 // Causes.
 const (
-	First         Cause = "first"
-	AfterRefusal  Cause = "after_refusal"
-	AfterFailure  Cause = "after_failure"
-	AfterUnreach  Cause = "after_unreached"
+	First        Cause = "first"
+	AfterRefusal Cause = "after_refusal"
+	AfterFailure Cause = "after_failure"
+	AfterUnreach Cause = "after_unreached"
+	// AfterFull follows a send that was not let in, or found no connection.
+	AfterFull     Cause = "after_full"
 	BecauseIsLate Cause = "hedge"
 )
 
@@ -154,11 +165,15 @@
 	open    int
 	// mayHaveRun counts the sends that are not proved not run.
 	mayHaveRun int
-	refused    int
-	tried      []string
-	// hedgeAt and againAt are zero when nothing is planned.
-	hedgeAt time.Time
-	againAt time.Time
+	// shut counts the sends that were shut out.
+	shut    int
+	refused int
+	tried   []string
+	// hedgeAt and againAt are zero when nothing is planned; againFor is why a send
+	// is planned at againAt.
+	hedgeAt  time.Time
+	againAt  time.Time
+	againFor Cause
 }
 
 func (p *part) ended() bool { return p.answer >= 0 || p.given }
@@ -229,7 +244,7 @@
 		if due(p.againAt, now) {
 			p.againAt = time.Time{}
 			p.tried = p.tried[:0]
-			q.again(i, AfterRefusal)
+			q.again(i, p.againFor)
 		}
 		if due(p.hedgeAt, now) {
 			q.hedge(i)
@@ -292,6 +307,11 @@
 		return
 	case Refused:
 		p.refused++
+	case NoConnection:
+		p.refused++
+	case Shut:
+		p.refused++
+		p.shut++
 	}
 	q.again(i, causeOf(r))
 }
@@ -302,6 +322,8 @@
 		return AfterUnreach
 	case Refused:
 		return AfterRefusal
+	case Shut, NoConnection:
+		return AfterFull
 	default:
 		return AfterFailure
 	}
@@ -311,7 +333,7 @@
 // another send of the part is open, that one is waited for.
 func (q *Query) again(i int, cause Cause) {
 	p := &q.parts[i]
-	if p.open > 0 && cause != AfterRefusal && cause != AfterUnreach && !q.mayRunAgain(p) {
+	if p.open > 0 && cause == AfterFailure && !q.mayRunAgain(p) {
 		return
 	}
 	if q.trySend(i, cause) || p.open > 0 {
@@ -319,6 +341,7 @@
 	}
 	if q.mayRunAgain(p) && p.refused > 0 && p.refused < maxRefused {
 		p.againAt = q.now.Add(refusedPause << (p.refused - 1))
+		p.againFor = cause
 		if p.againAt.Before(q.plan.GiveUp) {
 			return
 		}
@@ -327,7 +350,7 @@
 }
 
 // trySend sends a part again when the rules and the budget allow it. A send that
-// never reached an upstream costs no budget: no upstream saw it.
+// never reached an upstream, or was shut out, costs no budget: no upstream read it.
 func (q *Query) trySend(i int, cause Cause) bool {
 	p := &q.parts[i]
 	if !q.mayRunAgain(p) || p.refused >= maxRefused {
@@ -337,7 +360,8 @@
 	if u == nil {
 		return false
 	}
-	if cause != AfterUnreach && !q.policy.Spend(i, retrybudget.Retry) {
+	free := cause == AfterUnreach || cause == AfterFull
+	if !free && !q.policy.Spend(i, retrybudget.Retry) {
 		return false
 	}
 	q.put(i, u, cause)
@@ -349,7 +373,7 @@
 	if p.mayHaveRun == 0 {
 		return true
 	}
-	return q.plan.Idempotent && p.mayHaveRun < q.plan.Attempts
+	return q.plan.Idempotent && p.mayHaveRun-p.shut < q.plan.Attempts
 }
 
 func (q *Query) send(i int, cause Cause) {
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -78,7 +78,7 @@
 		var n int
 		var result string
 		fmt.Sscanf(strings.Replace(step, "=", " ", 1), "%d %s", &n, &result)
-		for r := Answered; r <= Expired; r++ {
+		for r := Answered; r <= NoConnection; r++ {
 			if r.String() == result {
 				note(q.Ended(now, n, r))
 			}
@@ -116,6 +116,14 @@
 			"0:0/0:first 1:0/1:after_refusal 2:0/2:after_failure end::notrun=false:[2]"},
 		{"an upstream that cannot be reached costs no budget", plan(1, 1), policy{2, 0, 0}, "0=unreached 1=answered",
 			"0:0/0:first 1:0/1:after_unreached end::notrun=false:[1]"},
+		{"an upstream that lets nothing in costs neither budget nor attempt", plan(1, 1), policy{3, 0, 0}, "0=shut 1=shut 2=answered",
+			"0:0/0:first 1:0/1:after_full 2:0/2:after_full end::notrun=false:[2]"},
+		{"but is no proof that nothing ran", unsafe(plan(1, 1)), policy{2, 9, 0}, "0=shut",
+			"0:0/0:first end:upstream_failed:notrun=false:[-1]"},
+		{"nor is it asked for ever", plan(1, 1), policy{1, 0, 0}, "0=shut +20 1=shut +60 2=shut +140 3=shut +300 4=shut",
+			"0:0/0:first 1:0/0:after_full 2:0/0:after_full 3:0/0:after_full 4:0/0:after_full end:upstream_failed:notrun=false:[-1]"},
+		{"work that found no connection waits for one", unsafe(plan(1, 1)), policy{1, 0, 0}, "0=no_connection +20 1=answered",
+			"0:0/0:first 1:0/0:after_full end::notrun=false:[1]"},
 		{"all refused is not run, after pauses", plan(1, 1), policy{1, 9, 0}, "0=refused +20 1=refused +60 2=refused +140 3=refused +300 4=refused",
 			"0:0/0:first 1:0/0:after_refusal 2:0/0:after_refusal 3:0/0:after_refusal 4:0/0:after_refusal end:all_refused:notrun=true:[-1]"},
 		{"enough parts when the objective is near", plan(3, 2), policy{1, 0, 0}, "0=answered 2=answered +199 +200",
