--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -363,6 +363,15 @@
 	return e.replicas.Choose(now, x.req.Route.Name, x.usual, candidates, ahead, tried)
 }
 
+// Reachable implements scatter.Policy.
+func (x *run) Reachable(part int) bool {
+	e := x.engine
+	candidates := e.view.Load().Services[x.plan.Services[part]]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.replicas.Reachable(e.now(), candidates)
+}
+
 // Spend implements scatter.Policy.
 func (x *run) Spend(part int, kind retrybudget.Kind) bool {
 	e := x.engine
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -211,6 +211,13 @@
 	return best
 }
 
+// Reachable tells whether one of the candidates is not passed over as unreachable.
+func (t *Table) Reachable(now time.Time, candidates []*catalog.Upstream) bool {
+	return slices.ContainsFunc(candidates, func(c *catalog.Upstream) bool {
+		return !now.Before(t.upstream(c.ID).downUntil)
+	})
+}
+
 // downCost is the cost in seconds of an upstream that cannot be reached: it is
 // chosen only when all others are out as well.
 const downCost = 60.0
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -189,6 +189,24 @@
 	}
 }
 
+func TestReachableUntilAllAreDown(t *testing.T) {
+	r := newRig()
+	r.warm()
+	for i, u := range r.ups {
+		if !r.table.Reachable(r.now, r.ups) {
+			t.Errorf("not reachable with %d of %d down", i, len(r.ups))
+		}
+		r.table.Unreachable(r.now, u, 0)
+	}
+	if r.table.Reachable(r.now, r.ups) || r.table.Reachable(r.now, nil) {
+		t.Error("reachable though all are down, or there is none")
+	}
+	r.now = r.now.Add(downFirst)
+	if !r.table.Reachable(r.now, r.ups) {
+		t.Error("never tried again")
+	}
+}
+
 func TestFailingUpstreamsAreLeft(t *testing.T) {
 	r := newRig()
 	r.warm()
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -111,6 +111,9 @@
 	Choose(part int, tried []string) *catalog.Upstream
 	// Spend takes an extra send of a part's service from the budget.
 	Spend(part int, kind retrybudget.Kind) bool
+	// Reachable tells whether any upstream of a part may be reached; false while
+	// all of them have just been found unreachable.
+	Reachable(part int) bool
 	// HedgeDelay is how long to wait for an upstream before a part is hedged.
 	HedgeDelay(part int, u *catalog.Upstream) time.Duration
 }
@@ -203,15 +206,32 @@
 	return q
 }
 
-// Start sends each part once.
+// Start sends each part once. Nothing is sent when too few parts have an upstream
+// that can be reached: the caller then learns at once that nothing has run, and
+// when to come back, in place of a failure of which it can make nothing.
 func (q *Query) Start(now time.Time) []Send {
 	q.begin(now)
+	if !q.hopeful() {
+		q.finish(NoUpstream)
+		return nil
+	}
 	for i := range q.parts {
 		q.send(i, First)
 	}
 	return q.end()
 }
 
+// hopeful tells whether enough parts have an upstream that can be reached.
+func (q *Query) hopeful() bool {
+	reachable := 0
+	for i := range q.parts {
+		if q.policy.Reachable(i) {
+			reachable++
+		}
+	}
+	return reachable >= q.plan.MinParts
+}
+
 // Ended takes in how a send ended. A result of a part that has its answer
 // changes nothing.
 func (q *Query) Ended(now time.Time, n int, r Result) []Send {
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -44,6 +44,8 @@
 	return true
 }
 
+func (p *policy) Reachable(int) bool { return p.replicas > 0 }
+
 func (p *policy) HedgeDelay(int, *catalog.Upstream) time.Duration { return 50 * ms }
 
 func plan(parts, least int) Plan {
@@ -153,6 +155,32 @@
 	}
 }
 
+// cutOff is a policy whose first part cannot be reached.
+type cutOff struct{ policy }
+
+func (p *cutOff) Reachable(part int) bool { return part > 0 }
+
+// Symptom: while all copies of two shards are down, queries that need both fail
+// with 502 and the caller's second try, made at once, fails as well.
+// Sequence: each copy has refused a connection a moment ago; a query comes, the
+// parts of the other shards run, and the two end it.
+// Cause: what was known of the copies was used to order them, not to tell that the
+// query could not be answered; a caller that hears that nothing ran comes back
+// later.
+func TestAQueryThatCannotBeAnsweredIsNotBegun(t *testing.T) {
+	q := New(plan(3, 3), &cutOff{policy{2, 9, 0}})
+	if sends := q.Start(start); len(sends) != 0 {
+		t.Errorf("%d sends", len(sends))
+	}
+	if v := q.Verdict(); v == nil || v.Reason != NoUpstream || !v.NotRun {
+		t.Errorf("ended with %+v", v)
+	}
+	q = New(plan(3, 2), &cutOff{policy{2, 9, 0}})
+	if sends := q.Start(start); len(sends) != 3 {
+		t.Errorf("%d sends of a query that can do without the part: the copies are tried again by somebody", len(sends))
+	}
+}
+
 // partPolicy has no upstream for the first part.
 type partPolicy struct{ policy }
 
