Bound the open sends to an upstream that answers late; who can be in time goes first

Cause: with two of three copies of a shard slow or dark the third gets a queue, and every request that waits in it is late. Ruled out: the retry budget (an unbounded one is worse); parts left out at once. Change: a late answer halves the sends that may be open to its upstream from this VM, at least one, once for all that were open together; one in time lets one more go. What waits for a connection and can still be in time goes before what cannot.

--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -58,6 +58,8 @@
 	Upstream *catalog.Upstream
 	// Deadline is when nobody waits for the answer any more.
 	Deadline time.Time
+	// AnswerBy is when the answer should be there; zero when it never is late.
+	AnswerBy time.Time
 	// Priority orders calls that wait for a connection; 0 goes first.
 	Priority int
 	// Done gets the reply, once, from another goroutine; not after Withdraw.
@@ -110,7 +112,9 @@
 func (c *Call) dequeued(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waited = max(now.Sub(c.queuedAt), 1)
+	if !c.queuedAt.IsZero() {
+		c.waited = max(now.Sub(c.queuedAt), 1)
+	}
 }
 
 // start binds the call to a connection; false when it was withdrawn.
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -130,6 +130,13 @@
 
 // begin makes a call and gives the channel of its reply.
 func (c *client) begin(id string, body []byte, priority int) (*Call, <-chan Reply) {
+	call, done := c.prepare(id, body, priority)
+	c.pools.Do(call)
+	return call, done
+}
+
+// prepare is a call that is not made yet, and the channel of its reply.
+func (c *client) prepare(id string, body []byte, priority int) (*Call, <-chan Reply) {
 	done := make(chan Reply, 1)
 	call := &Call{
 		Message:  &Message{ID: id, Body: body},
@@ -138,7 +145,6 @@
 		Priority: priority,
 		Done:     func(r Reply) { done <- r },
 	}
-	c.pools.Do(call)
 	return call, done
 }
 
@@ -307,6 +313,72 @@
 	}
 }
 
+// Symptom: under more load than an upstream carries every request is late.
+// Sequence: three calls wait; the first of them cannot be in time any more.
+// Cause: it had its turn nonetheless, and the next one was late by then as well.
+func TestWhoCanBeInTimeGoesFirst(t *testing.T) {
+	order, release := make(chan string, 4), make(chan bool, 4)
+	s := newServer(t, answering(func(id string) string {
+		order <- id
+		<-release
+		return whole(id, "x")
+	}))
+	cl := newClient(t, s, 1)
+	var replies []<-chan Reply
+	for i, answerBy := range []time.Duration{patience, -time.Second, patience, -time.Second} {
+		call, done := cl.prepare(fmt.Sprint(i), nil, 0)
+		call.AnswerBy = time.Now().Add(answerBy)
+		cl.pools.Do(call)
+		replies = append(replies, done)
+	}
+	for range replies {
+		release <- true
+	}
+	got := ""
+	for _, done := range replies {
+		cl.wait(done)
+		got += <-order
+	}
+	if got != "0213" {
+		t.Errorf("served in the order %s, want 0213", got)
+	}
+}
+
+// A pool with a window leaves further connections alone, and goes on as soon as
+// the window allows it.
+func TestAWindowBoundsWhatIsUnderWay(t *testing.T) {
+	arrived, release := make(chan bool, 4), make(chan bool, 4)
+	s := newServer(t, answering(func(id string) string {
+		arrived <- true
+		<-release
+		return whole(id, "x")
+	}))
+	cl := newClient(t, s, 4)
+	_, first := cl.begin("1", nil, 0)
+	<-arrived
+	cl.pools.SetWindow(cl.up.ID, 1)
+	_, second := cl.begin("2", nil, 0)
+	_, third := cl.begin("3", nil, 0)
+	if ahead := cl.pools.Ahead(time.Now(), []*catalog.Upstream{cl.up}); ahead[0] != 3 {
+		t.Errorf("%v answers ahead with one under way and two that wait", ahead[0])
+	}
+	release <- true
+	cl.wait(first)
+	<-arrived
+	if n := s.connections(); n != 1 {
+		t.Errorf("%d connections with a window of 1", n)
+	}
+	cl.pools.SetWindow(cl.up.ID, 0)
+	<-arrived
+	release <- true
+	release <- true
+	cl.wait(second)
+	cl.wait(third)
+	if n := s.connections(); n != 2 {
+		t.Errorf("%d connections, want the two that were needed", n)
+	}
+}
+
 // Symptom: after a loss of power queries lose a tenth of their parts and the
 // retry budget with them, while the upstreams are a third busy.
 // Sequence: an upstream counts the connections of processes that are gone; their
--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -20,18 +20,25 @@
 // objective that such a call could still meet.
 const shutPause = 100 * time.Millisecond
 
+// usualOf is how many answers the usual time of a pool is about the mean of.
+const usualOf = 8
+
 // Pool is the connections to one upstream.
 type Pool struct {
 	address  string
 	protocol Protocol
 
-	mu      sync.Mutex
-	limit   int
+	mu    sync.Mutex
+	limit int
+	// window is how many connections may be in use at a time, 0 for all.
+	window  int
 	open    int
 	opened  uint64
 	idle    []*conn
 	waiting []*Call
 	closed  bool
+	// usual is about how long answers take.
+	usual time.Duration
 	// shutUntil is when a connection may be opened again after one was shut out.
 	shutUntil time.Time
 }
@@ -44,19 +51,19 @@
 func (p *Pool) do(call *Call) {
 	now := time.Now()
 	p.mu.Lock()
-	c, dead := p.takeIdle(now)
 	refused := Reply{}
+	var dead []*conn
 	switch {
 	case p.closed:
 		refused = Reply{Result: scatter.Unreached, Detail: goneUpstream}
-	case c != nil:
-		c.work <- call
-	case p.mayOpen(now):
-		p.start(call)
-	case p.open > 0 && len(p.waiting) < maxWaiting:
-		p.enqueue(call)
-	default:
+	case p.open == 0 && !p.mayOpen(now), len(p.waiting) >= maxWaiting:
 		refused = Reply{Result: scatter.NoConnection, Detail: noneFree}
+	default:
+		p.enqueue(call)
+		dead = p.dispatch(now)
+		if slices.Contains(p.waiting, call) {
+			call.queued(now)
+		}
 	}
 	p.mu.Unlock()
 	endAll(dead)
@@ -65,6 +72,35 @@
 	}
 }
 
+// dispatch hands waiting calls to connections as long as there are both, and gives
+// the idle connections that are to be ended. The caller holds mu.
+func (p *Pool) dispatch(now time.Time) (dead []*conn) {
+	for len(p.waiting) > 0 && p.hasRoom() {
+		c, useless := p.takeIdle(now)
+		dead = append(dead, useless...)
+		if c == nil && !p.mayOpen(now) {
+			return dead
+		}
+		call := p.takeWaiting(now)
+		switch {
+		case call == nil && c != nil:
+			p.idle = append(p.idle, c)
+		case call == nil:
+		case c != nil:
+			c.work <- call
+		default:
+			p.start(call)
+		}
+	}
+	return dead
+}
+
+// hasRoom tells whether one more connection may be in use. The caller holds mu.
+func (p *Pool) hasRoom() bool { return p.window == 0 || p.busy() < p.window }
+
+// busy is how many connections are in use. The caller holds mu.
+func (p *Pool) busy() int { return p.open - len(p.idle) }
+
 // mayOpen tells whether one more connection may be opened. The caller holds mu.
 func (p *Pool) mayOpen(now time.Time) bool {
 	return p.open < p.limit && !now.Before(p.shutUntil)
@@ -93,7 +129,6 @@
 		return 1
 	})
 	p.waiting = slices.Insert(p.waiting, i, call)
-	call.queued(time.Now())
 }
 
 // takeIdle is the idle connection used last that can still be used; those that
@@ -120,55 +155,73 @@
 // next is the connection's next call: one that waits, or one that comes later.
 // It is nil when the connection is to end.
 func (p *Pool) next(c *conn) *Call {
+	now := time.Now()
 	p.mu.Lock()
 	if p.closed || p.open > p.limit {
 		p.mu.Unlock()
 		return nil
 	}
-	if call := p.takeWaiting(); call != nil {
-		p.mu.Unlock()
-		return call
-	}
 	p.idle = append(p.idle, c)
+	dead := p.dispatch(now)
 	p.mu.Unlock()
+	endAll(dead)
 	return <-c.work
 }
 
-// takeWaiting is the first waiting call that is still wanted. The caller holds
-// mu.
-func (p *Pool) takeWaiting() *Call {
-	for len(p.waiting) > 0 {
-		call := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		if !call.isWithdrawn() {
-			call.dequeued(time.Now())
-			return call
-		}
+// takeWaiting takes the first waiting call that can still be in time, else the
+// first that is still wanted; those that are not are dropped. Under more load than
+// the upstream carries, in the order of arrival each would get its turn when it is
+// late already. The caller holds mu.
+func (p *Pool) takeWaiting(now time.Time) *Call {
+	p.waiting = slices.DeleteFunc(p.waiting, (*Call).isWithdrawn)
+	if len(p.waiting) == 0 {
+		return nil
 	}
-	return nil
+	i := max(0, slices.IndexFunc(p.waiting, func(c *Call) bool { return now.Add(p.usual).Before(c.AnswerBy) }))
+	call := p.waiting[i]
+	p.waiting = slices.Delete(p.waiting, i, i+1)
+	call.dequeued(now)
+	return call
 }
 
 // ended takes note that a connection is gone and opens one for a waiting call.
 // Without any connection left, and none to be opened yet, nothing would ever take
 // those that wait: they are given back.
 func (p *Pool) ended(c *conn) {
+	now := time.Now()
 	p.mu.Lock()
 	p.open--
 	var stranded []*Call
-	switch {
-	case p.closed:
-	case p.mayOpen(time.Now()):
-		if call := p.takeWaiting(); call != nil {
-			p.start(call)
+	var dead []*conn
+	if !p.closed {
+		dead = p.dispatch(now)
+		if p.open == 0 {
+			stranded = p.waiting
+			p.waiting = nil
 		}
-	case p.open == 0:
-		stranded = p.waiting
-		p.waiting = nil
 	}
 	p.mu.Unlock()
+	endAll(dead)
 	finishAll(stranded, Reply{Result: scatter.NoConnection, Detail: noneFree})
 }
 
+// setWindow bounds how many connections are in use at a time; 0 is no bound.
+func (p *Pool) setWindow(n int) {
+	now := time.Now()
+	p.mu.Lock()
+	p.window = n
+	dead := p.dispatch(now)
+	p.mu.Unlock()
+	endAll(dead)
+}
+
+// answered takes in how long an answer took.
+func (p *Pool) answered(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usual += (took - p.usual) / usualOf
+}
+
 // Details of calls that no connection takes.
 const (
 	noneFree     = "no free connection"
@@ -243,12 +296,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
-	case len(p.idle) > 0 || p.mayOpen(now):
+	case p.hasRoom() && (len(p.idle) > 0 || p.mayOpen(now)):
 		return 0
 	case p.open == 0:
 		return shutAhead
 	default:
-		return float64(len(p.waiting)+1) / float64(p.open)
+		return float64(len(p.waiting)+1) / float64(max(1, p.busy()))
 	}
 }
 
@@ -297,6 +350,17 @@
 	return out
 }
 
+// SetWindow bounds how many requests are under way at an upstream from here; 0 is
+// no bound but that of connections.
+func (p *Pools) SetWindow(upstream string, n int) {
+	p.mu.Lock()
+	pool := p.pools[upstream]
+	p.mu.Unlock()
+	if pool != nil {
+		pool.setWindow(n)
+	}
+}
+
 // Keep closes the pools of upstreams that are gone and brings the limits of the
 // others up to date.
 func (p *Pools) Keep(known map[string]*catalog.Upstream) {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -166,14 +166,16 @@
 	if s.reply.Result != scatter.Answered {
 		e.opts.Logs.Failures.Info("edge: send failed", x.fields(s, zap.Stringer("result", s.reply.Result), zap.String("detail", s.reply.Detail))...)
 	}
-	if turn, turned := x.note(now, s); turned {
+	turn, turned, window := x.note(now, s)
+	e.pools.SetWindow(s.call.Upstream.ID, window)
+	if turned {
 		e.logTurn(turn)
 	}
 }
 
 // note gives a reply to what is kept of its upstream, and tells whether that
-// counts as something else now.
-func (x *run) note(now time.Time, s *send) (replica.Turn, bool) {
+// counts as something else now, and how many sends to it may be open.
+func (x *run) note(now time.Time, s *send) (turn replica.Turn, turned bool, window int) {
 	e := x.engine
 	u := s.call.Upstream
 	e.mu.Lock()
@@ -188,7 +190,8 @@
 	default:
 		e.replicas.Failed(now, u, s.id)
 	}
-	return e.replicas.Turned(now, u.ID)
+	turn, turned = e.replicas.Turned(now, u.ID)
+	return turn, turned, e.replicas.Window(u.ID)
 }
 
 // fields is what every log line of a send has.
@@ -217,6 +220,7 @@
 		Message:  x.req.Message,
 		Upstream: s.Upstream,
 		Deadline: x.plan.GiveUp,
+		AnswerBy: x.plan.AnswerBy,
 		Priority: x.req.Route.Priority,
 		Done:     func(r direct.Reply) { x.inbox.put(numbered{s.Attempt, r}) },
 	}
@@ -264,7 +268,9 @@
 	s.call.Withdraw()
 	e.mu.Lock()
 	e.replicas.Abandoned(now, x.req.Route.Name, x.usual, s.call.Upstream, s.id, now.Sub(s.sentAt)-s.call.Waited(now))
+	window := e.replicas.Window(s.call.Upstream.ID)
 	e.mu.Unlock()
+	e.pools.SetWindow(s.call.Upstream.ID, window)
 }
 
 // answer turns the verdict into what the caller gets.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -68,6 +68,9 @@
 	// parts of 36-shard queries are hedged on a calm day (6.4% for 9.4%), and more
 	// answers are in time when upstreams fail, as the budget lasts longer.
 	patience = 1.4
+	// windowMost is the bound on open sends from which on there is none: more than
+	// a VM's part of the connections to one upstream.
+	windowMost = 16
 	// refresh is how long quantiles are kept before they are worked out anew.
 	refresh = 200 * time.Millisecond
 	// jitter spreads choices between equals.
@@ -129,6 +132,10 @@
 	lateUntil time.Time
 	// lateBefore says that the last answer was late as well.
 	lateBefore bool
+	// window is how many sends may be open at a time, 0 for any number; cutAt is
+	// when it was cut last.
+	window float64
+	cutAt  time.Time
 	// open holds the sends that have not ended.
 	open []open
 	// state is what it counted as when it was last asked for.
@@ -279,12 +286,15 @@
 func (t *Table) Answered(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, attempt uint64, took time.Duration) {
 	k := t.kind(kindName, usual)
 	u := t.upstream(c.ID)
+	open := len(u.open)
 	u.close(attempt)
 	d := t.place.Distance(c.DataCentre)
 	if !now.Before(u.coldUntil) {
 		k.far[d].tracker.Observe(now, took)
 	}
-	u.observe(now, now.Add(-took), float64(took)/float64(t.median(now, k, d)))
+	ratio := float64(took) / float64(t.median(now, k, d))
+	u.observe(now, now.Add(-took), ratio)
+	u.turnWindow(now, now.Add(-took), ratio, open)
 	u.failures = u.failing(now) * (1 - failShare)
 	u.failedAt = now
 	u.downUntil = time.Time{}
@@ -297,11 +307,15 @@
 func (t *Table) Abandoned(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, attempt uint64, waited time.Duration) {
 	k := t.kind(kindName, usual)
 	u := t.upstream(c.ID)
+	open := len(u.open)
 	u.close(attempt)
 	ratio := float64(waited) / float64(t.median(now, k, t.place.Distance(c.DataCentre)))
 	if ratio > u.slowness(now) {
 		u.observe(now, now.Add(-waited), ratio)
 	}
+	if ratio > lateFactor {
+		u.turnWindow(now, now.Add(-waited), ratio, open)
+	}
 }
 
 // Failed notes a send that brought no answer.
@@ -363,6 +377,27 @@
 	u.seen = now
 }
 
+// turnWindow moves the bound on open sends after one that took ratio times the
+// usual: a late one halves what was open, once for all that were open together; one
+// in time lets one more go. Without it an upstream that has become slow, or is left
+// alone with the load of its copies, gets a queue of seconds, and each request is
+// late that waits in it.
+func (u *upstream) turnWindow(now, sentAt time.Time, ratio float64, open int) {
+	switch {
+	case ratio > lateFactor && sentAt.After(u.cutAt):
+		u.cutAt = now
+		u.window = max(1, float64(open)/2)
+	case ratio <= lateFactor && u.window > 0:
+		u.window++
+		if u.window > windowMost {
+			u.window = 0
+		}
+	}
+}
+
+// Window is how many sends to an upstream may be open at a time, 0 for any number.
+func (t *Table) Window(id string) int { return int(t.upstream(id).window) }
+
 func (u *upstream) close(attempt uint64) {
 	u.open = slices.DeleteFunc(u.open, func(o open) bool { return o.attempt == attempt })
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -173,6 +173,57 @@
 	}
 }
 
+// Symptom: while two of three copies of a shard are slow or dark, every query is
+// late, also those for which the third has room.
+// Sequence: all of the load goes to the third; it gets a queue, and each request
+// that waits in it is late.
+// Cause: nothing bounded what one VM had open at one upstream.
+func TestLateAnswersBoundTheOpenSends(t *testing.T) {
+	r := newRig()
+	r.warm()
+	if w := r.table.Window("a"); w != 0 {
+		t.Fatalf("%d before any late answer", w)
+	}
+	open := func(n int) {
+		for range n {
+			r.attempt++
+			r.table.Sent(r.now, "k", usual, r.ups[0], r.attempt, unqueued)
+		}
+	}
+	end := func(took time.Duration) {
+		r.table.Answered(r.now, "k", usual, r.ups[0], r.attempt, took)
+		r.attempt--
+	}
+	open(8)
+	r.now = r.now.Add(200 * ms)
+	end(200 * ms)
+	if w := r.table.Window("a"); w != 4 {
+		t.Errorf("%d after a late answer with 8 open, want 4", w)
+	}
+	end(200 * ms)
+	if w := r.table.Window("a"); w != 4 {
+		t.Errorf("%d after a second one that was open beside it, want 4", w)
+	}
+	end(30 * ms)
+	if w := r.table.Window("a"); w != 5 {
+		t.Errorf("%d after one in time, want 5", w)
+	}
+	for range 5 {
+		r.now = r.now.Add(time.Second)
+		end(500 * ms)
+	}
+	if w := r.table.Window("a"); w != 1 {
+		t.Errorf("%d after many late ones, want one that tries it", w)
+	}
+	open(windowMost)
+	for range windowMost {
+		end(30 * ms)
+	}
+	if w := r.table.Window("a"); w != 0 {
+		t.Errorf("%d once it is well again", w)
+	}
+}
+
 func TestUnreachableUpstreamsArePassedOver(t *testing.T) {
 	r := newRig()
 	r.warm()
