--- a/cmd/sycamorekeel/explain.go
+++ b/cmd/sycamorekeel/explain.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"os"
+	"text/tabwriter"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -17,15 +19,22 @@
 	Address string   `help:"Operator address of a VM, as IP:port; not needed with --log."`
 	Token   string   `env:"SYCAMOREKEEL_OPERATOR_TOKEN" help:"Bearer token of the operators."`
 	Log     []string `type:"existingfile" help:"Log file of a VM; may be given more than once. The request is explained from the logs, and no VM is asked."`
-	Request string   `arg:"" help:"Request id, as an answer or a refusal gives it."`
+	Losses  bool     `help:"Instead of one request, count those of the logs that did not end as promised, by second, outcome and VM, with where their time went."`
+	Request string   `arg:"" optional:"" help:"Request id, as an answer or a refusal gives it."`
 }
 
 // Run prints what the VM did for the request, one attempt a line.
 func (c *explainCommand) Run(out *output) error {
-	if len(c.Log) > 0 {
+	switch {
+	case c.Losses && (c.Request != "" || len(c.Log) == 0):
+		return trace.BadParameter("--losses takes --log and no request")
+	case c.Losses:
+		return c.losses(out)
+	case c.Request == "":
+		return trace.BadParameter("a request, or --losses, must be given")
+	case len(c.Log) > 0:
 		return c.fromLogs(out)
-	}
-	if c.Address == "" {
+	case c.Address == "":
 		return trace.BadParameter("one of --address and --log must be given")
 	}
 	var rec explain.Record
@@ -36,18 +45,61 @@
 	return out.print(rec, func() { printRecord(out, &rec) })
 }
 
-// fromLogs prints the lines of the request from the logs of many VMs as one time
-// line, with what the VMs that served it believed.
-func (c *explainCommand) fromLogs(out *output) error {
-	var logs []io.Reader
-	for _, path := range c.Log {
+// losses prints what the logs of many VMs tell of requests that ended badly.
+func (c *explainCommand) losses(out *output) error {
+	logs, closeAll, err := openAll(c.Log)
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	losses, err := explain.Losses(logs...)
+	if err != nil {
+		return err
+	}
+	return out.print(losses, func() { printLosses(out, losses) })
+}
+
+func printLosses(out *output, losses []explain.Loss) {
+	w := tabwriter.NewWriter(out.to, 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "second\toutcome\tvm\trequests\tage\tplan\tresend\tconnect\tupstream\tfinish\tbudget\tmissing\tsends\tin flight\texample")
+	for _, l := range losses {
+		s := l.Stages
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.0f\t%.0f\t%s\n",
+			l.Second.Format("15:04:05"), l.Outcome, l.VM, l.Requests, s.Age, s.Plan, s.Resend, s.Connect, s.Upstream, s.Finish,
+			l.BudgetRefusals, l.Missing, l.Sends, l.InFlight, l.Example)
+	}
+}
+
+// openAll opens files to read; the function it gives closes them.
+func openAll(paths []string) (files []io.Reader, closeAll func(), err error) {
+	var opened []*os.File
+	closeAll = func() {
+		for _, f := range opened {
+			// They were only read.
+			_ = f.Close()
+		}
+	}
+	for _, path := range paths {
 		f, err := os.Open(path)
 		if err != nil {
-			return trace.ConvertSystemError(err)
+			closeAll()
+			return nil, nil, trace.ConvertSystemError(err)
 		}
-		defer f.Close()
-		logs = append(logs, f)
+		opened = append(opened, f)
+		files = append(files, f)
+	}
+	return files, closeAll, nil
+}
+
+// fromLogs prints the lines of the request from the logs of many VMs as one time
+// line, with what the VMs that served it believed.
+func (c *explainCommand) fromLogs(out *output) error {
+	logs, closeAll, err := openAll(c.Log)
+	if err != nil {
+		return err
 	}
+	defer closeAll()
 	lines, err := explain.Timeline(c.Request, logs...)
 	if err != nil {
 		return err
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -49,19 +49,13 @@
 // the first brace of a line is passed over, and so are lines that are no JSON.
 func Timeline(request string, logs ...io.Reader) ([]Line, error) {
 	byVM := map[string][]Line{}
-	order := 0
-	for _, log := range logs {
-		sc := bufio.NewScanner(log)
-		sc.Buffer(nil, maxLine)
-		for sc.Scan() {
-			order++
-			if l, ok := parseLine(sc.Bytes(), order); ok {
-				byVM[l.VM] = append(byVM[l.VM], l)
-			}
-		}
-		if err := sc.Err(); err != nil {
-			return nil, trace.Wrap(err)
+	err := scan(logs, func(order int, raw []byte) {
+		if l, ok := parseLine(raw, order); ok {
+			byVM[l.VM] = append(byVM[l.VM], l)
 		}
+	})
+	if err != nil {
+		return nil, err
 	}
 	var out []Line
 	for _, lines := range byVM {
@@ -74,6 +68,26 @@
 	return out, nil
 }
 
+// scan gives each line of the logs, numbered over all of them, from its first brace
+// on; lines without one are passed over.
+func scan(logs []io.Reader, each func(order int, raw []byte)) error {
+	order := 0
+	for _, log := range logs {
+		sc := bufio.NewScanner(log)
+		sc.Buffer(nil, maxLine)
+		for sc.Scan() {
+			order++
+			if start := bytes.IndexByte(sc.Bytes(), '{'); start >= 0 {
+				each(order, sc.Bytes()[start:])
+			}
+		}
+		if err := sc.Err(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
 // before orders lines of one VM by their place and those of others by time.
 func before(a, b *Line) bool {
 	if a.VM == b.VM {
@@ -148,12 +162,8 @@
 }
 
 func parseLine(text []byte, order int) (Line, bool) {
-	i := bytes.IndexByte(text, '{')
-	if i < 0 {
-		return Line{}, false
-	}
 	var fields map[string]any
-	dec := json.NewDecoder(bytes.NewReader(text[i:]))
+	dec := json.NewDecoder(bytes.NewReader(text))
 	// Revisions and incarnations are whole numbers of up to 64 bits.
 	dec.UseNumber()
 	if err := dec.Decode(&fields); err != nil {
