Keep the budget of extra sends in a bucket, so that its bound is proved

Cause: the bound was the ratio of a VM's own window of requests. What a VM had earned in one window could be spent in the next, beside what the VMs earned to which its callers had moved; the check in the test added the requests of two windows, where the rule takes the window that has most. Held against the rule as written, with callers that move and VMs that spend all they may, the old budget breaks the bound within the first runs of the test. Change: a bucket a service: requests put the ratio in, it holds the VM's part of the allowance (one at least), and is empty at a start. Over all VMs a window has at most the ratio of its own requests and the allowance, whatever moves or restarts. A budget without requests needs no memory and is dropped at once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -115,16 +115,15 @@
 	}
 	e.mu.Lock()
 	e.replicas.Keep(now, v.Upstreams)
-	e.forget(now, v.Config)
+	e.forget(v.Config)
 	e.mu.Unlock()
 	e.pools.Keep(v.Upstreams)
 }
 
 // forget drops what is kept of routes and services that the configuration no
 // longer names: with each change it names some others, and a process would grow
-// by them for as long as it runs. A budget is kept until its window has passed.
-// The caller holds mu.
-func (e *Engine) forget(now time.Time, c *routing.Config) {
+// by them for as long as it runs. The caller holds mu.
+func (e *Engine) forget(c *routing.Config) {
 	if c == nil {
 		return
 	}
@@ -136,8 +135,8 @@
 		services[s.Name] = true
 	}
 	e.replicas.KeepKinds(routes)
-	for name, b := range e.budgets {
-		if !services[name] && b.Empty(now) {
+	for name := range e.budgets {
+		if !services[name] {
 			delete(e.budgets, name)
 		}
 	}
@@ -337,7 +336,7 @@
 func (e *Engine) budget(service string) *retrybudget.Budget {
 	b := e.budgets[service]
 	if b == nil {
-		b = retrybudget.New(e.opts.Budget, e.started)
+		b = retrybudget.New(e.opts.Budget)
 		e.budgets[service] = b
 	}
 	return b
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -93,11 +93,10 @@
 
 // countRequest counts a request in the budgets of its services.
 func (e *Engine) countRequest(services []string) {
-	now := e.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range services {
-		e.budget(s).Request(now)
+		e.budget(s).Request()
 	}
 }
 
@@ -382,7 +381,7 @@
 func (x *run) Spend(part int, kind retrybudget.Kind) bool {
 	e := x.engine
 	e.mu.Lock()
-	ok := e.budget(x.plan.Services[part]).Spend(e.now(), kind, e.shares.Load().of(1))
+	ok := e.budget(x.plan.Services[part]).Spend(kind, e.shares.Load().of(1))
 	e.mu.Unlock()
 	if !ok {
 		x.unspent++
