--- a/cmd/sycamorekeel-soak/main.go
+++ b/cmd/sycamorekeel-soak/main.go
@@ -57,7 +57,7 @@
 }
 
 func (f *flags) soak(binary string) (broken bool, err error) {
-	fmt.Println("| seed | faults | requests | served | arrivals | p50 ms | p99 ms | broken promises |\n|---|---|---|---|---|---|---|---|")
+	fmt.Println("| seed | faults | requests | served | caller left | arrivals | p50 ms | p99 ms | broken promises |\n|---|---|---|---|---|---|---|---|---|")
 	for seed := f.Seed; seed < f.Seed+uint64(f.Seeds); seed++ {
 		opts, err := f.options(binary, fmt.Sprint(seed))
 		if err != nil {
@@ -71,8 +71,8 @@
 		if err != nil {
 			return broken, err
 		}
-		fmt.Printf("| %d | %d | %d | %d | %d | %d | %d | %d |\n",
-			r.Seed, r.Faults, r.Requests, r.Served, r.Arrivals, r.Median.Milliseconds(), r.Tail.Milliseconds(), len(r.Violations))
+		fmt.Printf("| %d | %d | %d | %d | %d | %d | %d | %d | %d |\n",
+			r.Seed, r.Faults, r.Requests, r.Served, r.Left, r.Arrivals, r.Median.Milliseconds(), r.Tail.Milliseconds(), len(r.Violations))
 		for _, v := range r.Violations {
 			fmt.Println("  " + v)
 		}
--- /dev/null
+++ b/internal/direct/pools.go
@@ -0,0 +1,119 @@
+package direct
+
+import (
+	"sync"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+)
+
+// Pools is the connections to all upstreams.
+type Pools struct {
+	protocol Protocol
+
+	mu    sync.Mutex
+	limit func(service string) int
+	pools map[string]*Pool
+}
+
+// NewPools has no connection. limit is how many this VM may have to one
+// upstream of a service.
+func NewPools(protocol Protocol, limit func(service string) int) *Pools {
+	return &Pools{protocol: protocol, limit: limit, pools: map[string]*Pool{}}
+}
+
+// Do carries a call; its Done gets the reply.
+func (p *Pools) Do(call *Call) {
+	p.mu.Lock()
+	pool := p.pools[call.Upstream.ID]
+	if pool == nil {
+		pool = newPool(call.Upstream, p.protocol, p.limit(call.Upstream.Service))
+		p.pools[call.Upstream.ID] = pool
+	}
+	p.mu.Unlock()
+	pool.do(call)
+}
+
+// Ahead is, for each upstream, how many answers must come from it before a
+// further call gets a connection: 0 when one is free or may be opened.
+func (p *Pools) Ahead(now time.Time, upstreams []*catalog.Upstream) []float64 {
+	pools := make([]*Pool, len(upstreams))
+	p.mu.Lock()
+	for i, u := range upstreams {
+		pools[i] = p.pools[u.ID]
+	}
+	p.mu.Unlock()
+	out := make([]float64, len(upstreams))
+	for i, pool := range pools {
+		if pool != nil {
+			out[i] = pool.ahead(now)
+		}
+	}
+	return out
+}
+
+// SetWindow bounds how many requests are under way at an upstream from here; 0 is
+// no bound but that of connections.
+func (p *Pools) SetWindow(upstream string, n int) {
+	p.mu.Lock()
+	pool := p.pools[upstream]
+	p.mu.Unlock()
+	if pool != nil {
+		pool.setWindow(n)
+	}
+}
+
+// Keep closes the pools of upstreams that are gone and brings the limits of the
+// others up to date.
+func (p *Pools) Keep(known map[string]*catalog.Upstream) {
+	p.mu.Lock()
+	var gone []*Pool
+	for id, pool := range p.pools {
+		u := known[id]
+		if u == nil {
+			gone = append(gone, pool)
+			delete(p.pools, id)
+			continue
+		}
+		pool.setLimit(p.limit(u.Service))
+	}
+	p.mu.Unlock()
+	for _, pool := range gone {
+		pool.close()
+	}
+}
+
+// Expire ends the idle connections that upstreams are about to close.
+func (p *Pools) Expire(now time.Time) {
+	for _, pool := range p.all() {
+		pool.expire(now)
+	}
+}
+
+// Opened is how many connections were opened so far to present upstreams.
+func (p *Pools) Opened() uint64 {
+	var n uint64
+	for _, pool := range p.all() {
+		pool.mu.Lock()
+		n += pool.opened
+		pool.mu.Unlock()
+	}
+	return n
+}
+
+// Close ends all idle connections; busy ones end with their call.
+func (p *Pools) Close() {
+	for _, pool := range p.all() {
+		pool.close()
+	}
+}
+
+func (p *Pools) all() []*Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*Pool, 0, len(p.pools))
+	for _, pool := range p.pools {
+		out = append(out, pool)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/edge/policy.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
+)
+
+// Choose implements scatter.Policy.
+func (x *run) Choose(part int, tried []string) *catalog.Upstream {
+	e := x.engine
+	// The upstreams in force now and not those of the request's own view: one
+	// that has begun to leave meanwhile takes no new work.
+	candidates := e.view.Load().Services[x.plan.Services[part]]
+	now := e.now()
+	ahead := e.pools.Ahead(now, candidates)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.replicas.Choose(now, x.req.Route.Name, x.usual, candidates, ahead, tried)
+}
+
+// Reachable implements scatter.Policy.
+func (x *run) Reachable(part int) bool {
+	e := x.engine
+	candidates := e.view.Load().Services[x.plan.Services[part]]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.replicas.Reachable(e.now(), candidates)
+}
+
+// Spend implements scatter.Policy.
+func (x *run) Spend(part int, kind retrybudget.Kind) bool {
+	e := x.engine
+	e.mu.Lock()
+	ok := e.budget(x.plan.Services[part]).Spend(kind, e.shares.Load().of(1))
+	e.mu.Unlock()
+	if !ok {
+		x.unspent++
+		e.opts.Metrics.unspent(kind)
+	}
+	return ok
+}
+
+// HedgeDelay implements scatter.Policy.
+func (x *run) HedgeDelay(_ int, u *catalog.Upstream) time.Duration {
+	e := x.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.replicas.HedgeDelay(e.now(), x.req.Route.Name, x.usual, objective(x.req.Route)-answerMargin, u)
+}
