Let half of the allowance of extra sends flow in over the window

Change: a bucket holds half of the VM's part and the other half flows in over a window; the proof stays (what is held, what flows in a window and the ratio of its requests).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -337,7 +337,7 @@
 func (e *Engine) budget(service string) *retrybudget.Budget {
 	b := e.budgets[service]
 	if b == nil {
-		b = retrybudget.New(e.opts.Budget)
+		b = retrybudget.New(e.opts.Budget, e.now())
 		e.budgets[service] = b
 	}
 	return b
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -136,7 +136,7 @@
 	defer e.mu.Unlock()
 	for service, b := range e.budgets {
 		for _, kind := range retrybudget.Kinds {
-			out = append(out, gauge(budgetLeft, max(0, b.Left(kind, share)), service, kind.String()))
+			out = append(out, gauge(budgetLeft, max(0, b.Left(now, kind, share)), service, kind.String()))
 		}
 	}
 	count := e.replicas.Count()
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -2,15 +2,22 @@
 // add to a service. The bound that operators set covers all VMs together: in any
 // window, at most a share of the service's requests plus an allowance. No
 // message is needed for it. Each VM has a bucket: a request puts the share in, an
-// extra send takes one out, and it holds at most the VM's part of the allowance.
-// What a VM sends in a window is then at most what its requests of that very window
-// put in, and what was in the bucket before: over all VMs, the share of the requests
-// and the allowance. A bucket is empty when a process starts, so that this holds
-// however callers move between VMs, and however often processes are replaced.
+// extra send takes one out. Half of the VM's part of the allowance is what the bucket
+// holds, the other half flows in over a window. What a VM sends in a window is then at
+// most what its requests of that very window put in, what flowed in meanwhile, and
+// what was in the bucket before: over all VMs, the share of the requests and the
+// allowance. A bucket is empty when a process starts, so that this holds however
+// callers move between VMs, and however often processes are replaced.
 package retrybudget
 
 import "time"
 
+// burstShare is the part of the allowance that a bucket holds; the rest flows in.
+// With all of it held, extra sends of troubles that last are those that requests
+// earn alone: on a calm day of 70 VMs with some slow upstreams twice as many answers
+// left parts out (178 of 1,995 for 103).
+const burstShare = 0.5
+
 // leastBurst is the least that a bucket holds: with less nothing could ever be
 // sent, as where there is no allowance. Fleets with as many VMs as extra sends in
 // their allowance, or more, may pass the bound by what their buckets hold beyond it.
@@ -40,8 +47,7 @@
 type Limit struct {
 	// Ratio is extra sends for each request.
 	Ratio float64
-	// Window is the span that operators state the bound for. The bucket keeps it for
-	// every span, so that nothing depends on it.
+	// Window is the span that the bound holds for; the allowance flows in over it.
 	Window time.Duration
 	// Allowance is extra sends in a window beside the ratio.
 	Allowance float64
@@ -50,12 +56,14 @@
 // Budget is the bucket of one service on one VM. It is not safe for concurrent use.
 type Budget struct {
 	limit Limit
-	// left is what is in the bucket, before it is cut to what it may hold.
-	left float64
+	// left is what is in the bucket, before it is cut to what it may hold; flowed is
+	// up to when the allowance has flowed in.
+	left   float64
+	flowed time.Time
 }
 
-// New is an empty bucket.
-func New(limit Limit) *Budget { return &Budget{limit: limit} }
+// New is an empty bucket of a process that is there from now on.
+func New(limit Limit, now time.Time) *Budget { return &Budget{limit: limit, flowed: now} }
 
 // SetLimit changes the ratio and the allowance.
 func (b *Budget) SetLimit(limit Limit) { b.limit = limit }
@@ -65,8 +73,8 @@
 
 // Spend takes one extra send from the budget; false when it is used up. share is
 // this VM's part of the allowance, 0 to 1.
-func (b *Budget) Spend(kind Kind, share float64) bool {
-	if b.Left(kind, share) < 1 {
+func (b *Budget) Spend(now time.Time, kind Kind, share float64) bool {
+	if b.Left(now, kind, share) < 1 {
 		return false
 	}
 	b.left--
@@ -74,8 +82,13 @@
 }
 
 // Left is how many extra sends of a kind may be made now.
-func (b *Budget) Left(kind Kind, share float64) float64 {
-	most := max(leastBurst, b.limit.Allowance*share)
+func (b *Budget) Left(now time.Time, kind Kind, share float64) float64 {
+	part := b.limit.Allowance * share
+	if since := now.Sub(b.flowed); since > 0 && b.limit.Window > 0 {
+		b.left += (1 - burstShare) * part * since.Seconds() / b.limit.Window.Seconds()
+		b.flowed = now
+	}
+	most := max(leastBurst, burstShare*part)
 	b.left = min(b.left, most)
 	if kind == Hedge {
 		return b.left - retryReserve*(most-leastBurst)
