Tell what a pull asked for, how long it took, and why a VM reads the store

Cause: the three hypotheses on changes that were late could not be told apart: a failed pull did not say how far its VM was behind nor what was asked for, a slow one said nothing, and a VM that reads did not say whether it was its turn. Ruled out: a line for every pull (10 a second a VM in a storm). Change: slow and failed pulls are told with their time, items and lag; a histogram of pulls, a counter of items, a gauge of revisions behind; the reader's line says whether it was elected. No change of logic.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -183,11 +183,23 @@
 // Confirmed is when the store last confirmed what is known, here or at a peer.
 func (f *Follower) Confirmed() time.Time { return f.confirmed }
 
+// Lead is the furthest revision that a peer claims, 0 when none is ahead.
+func (f *Follower) Lead() uint64 {
+	if f.lead.revision <= f.state.Revision() {
+		return 0
+	}
+	return f.lead.revision
+}
+
 // Reader tells whether this VM is to read the store.
 func (f *Follower) Reader(now time.Time) bool {
-	return f.rank == 0 || now.Before(f.actingUntil)
+	return f.Elected() || now.Before(f.actingUntil)
 }
 
+// Elected tells whether it is this VM's turn to read for the others; one that reads
+// without it has heard of no confirmation for too long.
+func (f *Follower) Elected() bool { return f.rank == 0 }
+
 // SetPeers tells which VMs live, this one left out. Two VMs read the store: the
 // first of all by rendezvous, and the first outside its region, so that the loss
 // of a region leaves a reader.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -13,8 +13,15 @@
 	pulls *prometheus.CounterVec
 	// pulled is bytes of peers' pages.
 	pulled prometheus.Counter
+	// pulledItems is items of these pages, each version of one counted.
+	pulledItems prometheus.Counter
+	pullSeconds prometheus.Histogram
 }
 
+// pullBuckets are seconds: from a round trip in a data centre to the time at which
+// a change is due everywhere.
+var pullBuckets = []float64{0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2}
+
 func newStoreMetrics(reg prometheus.Registerer) *storeMetrics {
 	f := promauto.With(reg)
 	return &storeMetrics{
@@ -27,6 +34,12 @@
 		pulled: f.NewCounter(prometheus.CounterOpts{
 			Name: "sycamorekeel_catalog_pulled_bytes_total", Help: "Bytes of the pages that peers gave.",
 		}),
+		pulledItems: f.NewCounter(prometheus.CounterOpts{
+			Name: "sycamorekeel_catalog_pulled_items_total", Help: "Items of the pages that peers gave, each version of one counted.",
+		}),
+		pullSeconds: f.NewHistogram(prometheus.HistogramOpts{
+			Name: "sycamorekeel_catalog_pull_seconds", Help: "Time of a pull from a peer, failed ones included.", Buckets: pullBuckets,
+		}),
 	}
 }
 
@@ -54,6 +67,9 @@
 	gauge("sycamorekeel_catalog_confirmed_age_seconds", "Time since the store last confirmed the view, here or at a peer.", func() float64 {
 		return n.reader.confirmedAge(time.Now()).Seconds()
 	})
+	gauge("sycamorekeel_catalog_behind_revisions", "Revisions that the peer furthest ahead claims above the one in force.", func() float64 {
+		return n.reader.behind()
+	})
 	gauge("sycamorekeel_catalog_reader", "1 while this VM reads the store for the others.", func() float64 {
 		if n.reader.isReader() {
 			return 1
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -41,6 +41,9 @@
 	// answers, and none is ready before this has passed: with 0.2 s the share of
 	// requests that nobody serves was an eighth higher on days with such a loss.
 	joinTimeout = 80 * time.Millisecond
+	// slowPull is a pull's time from which on it is logged: several round trips
+	// between regions.
+	slowPull = 200 * time.Millisecond
 	// unknownAge stands for a confirmation of which the time is not told.
 	unknownAge = time.Hour
 	// pullPath is where a VM gives its peers what it knows.
@@ -96,6 +99,8 @@
 	r.mu.Lock()
 	actions := event(r.follower, now)
 	reads := r.follower.Reader(now)
+	elected := r.follower.Elected()
+	lead := r.follower.Lead()
 	turned := reads != r.reads
 	r.reads = reads
 	var view *catalog.View
@@ -109,7 +114,8 @@
 	confirmed := r.follower.Confirmed()
 	r.mu.Unlock()
 	if turned {
-		r.log.Info("store: reader", zap.Bool("reads", reads), zap.Uint64("revision", revision), zap.Duration("view_age", sinceOrZero(now, confirmed)))
+		r.log.Info("store: reader", zap.Bool("reads", reads), zap.Bool("elected", elected),
+			zap.Uint64("revision", revision), zap.Uint64("lead", lead), zap.Duration("view_age", sinceOrZero(now, confirmed)))
 	}
 	for _, x := range rejected {
 		r.log.Warn("store: item rejected", zap.String("key", x.Key), zap.Uint64("revision", x.Revision), zap.Error(x.Err))
@@ -196,11 +202,9 @@
 
 // pull asks a peer for what it knows.
 func (r *reader) pull(p follow.Pull) {
+	began := time.Now()
 	page, err := r.fetchPage(pullPath, p)
-	r.met.pulls.WithLabelValues(resultOf(err)).Inc()
-	if err != nil {
-		r.log.Info("peer: pull failed", zap.String("peer", p.Address), zap.Uint64("after", p.After), zap.Error(err))
-	}
+	r.notePull(p, page, err, time.Since(began))
 	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
 		if err != nil {
 			return f.PullFailed(now, p.ID)
@@ -209,6 +213,33 @@
 	})
 }
 
+// notePull tells of a pull that failed or was slow, with how far this VM was behind
+// the peer's claim when it ended: a fleet that falls behind shows here first.
+func (r *reader) notePull(p follow.Pull, page *pb.CatalogPage, err error, took time.Duration) {
+	r.met.pulls.WithLabelValues(resultOf(err)).Inc()
+	r.met.pullSeconds.Observe(took.Seconds())
+	if err == nil {
+		r.met.pulledItems.Add(float64(len(page.Items)))
+	}
+	if err == nil && took < slowPull {
+		return
+	}
+	r.mu.Lock()
+	lead := r.follower.Lead()
+	confirmed := r.follower.Confirmed()
+	r.mu.Unlock()
+	r.log.Info("peer: pull "+pullOutcome(err), zap.String("peer", p.Address), zap.Uint64("after", p.After),
+		zap.Uint64("lead", lead), zap.Int("items", len(page.GetItems())), zap.Duration("took", took),
+		zap.Duration("view_age", sinceOrZero(time.Now(), confirmed)), zap.Error(err))
+}
+
+func pullOutcome(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "slow"
+}
+
 func (r *reader) fetchPage(path string, p follow.Pull) (*pb.CatalogPage, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -348,6 +379,17 @@
 	return now.Sub(r.follower.Confirmed())
 }
 
+// behind is how many revisions the peer furthest ahead claims above what is known.
+func (r *reader) behind() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lead := r.follower.Lead()
+	if lead == 0 {
+		return 0
+	}
+	return float64(lead - r.follower.State().Revision())
+}
+
 // setBound changes the time within which a change must be in force.
 func (r *reader) setBound(bound time.Duration) {
 	r.mu.Lock()
