Show by a test how changes come too late in a storm over a large document

Cause: shown, not mended: a page holds every version of an item since the one its reader has, a pull is given up after 600 ms whatever it has brought, and the next one asks for more over the same link. Change: the model of the fleet has links with a bandwidth and a store with its versions; a page is built in the catalog, where a test reaches it. No change of logic.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -231,6 +231,31 @@
 	return changes, true
 }
 
+// Page is what one VM gives another of what it knows.
+type Page struct {
+	// Revision is the store's revision that the page brings the receiver to.
+	Revision uint64
+	// After is the revision that the items join on to; a whole page joins on to any.
+	After uint64
+	// Whole says that the items are all that are known, and not changes.
+	Whole bool
+	Items []Item
+}
+
+// PageSince is the page for a peer that knows everything up to a revision: the
+// changes above it, or all items when the log does not go back so far.
+func (s *State) PageSince(after uint64) Page {
+	page := Page{Revision: s.revision, After: after}
+	changes, ok := s.Since(after)
+	if ok && after > 0 {
+		page.Items = changes
+		return page
+	}
+	page.Whole = true
+	_, page.Items = s.Items()
+	return page
+}
+
 // put takes in one item; false when it changed nothing that is in force.
 func (s *State) put(it Item) bool {
 	if held, ok := s.items[it.Key]; ok && held.Revision >= it.Revision {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -337,17 +337,17 @@
 }
 
 // Pulled takes in a peer's page.
-func (f *Follower) Pulled(now time.Time, id uint64, after, revision uint64, whole bool, items []catalog.Item) []Action {
+func (f *Follower) Pulled(now time.Time, id uint64, page catalog.Page) []Action {
 	f.out = nil
 	if f.pull != nil && f.pull.ID == id {
 		f.pull = nil
 	}
 	before := f.state.Revision()
 	changed := false
-	if whole {
-		changed = f.state.Replace(now, revision, items)
+	if page.Whole {
+		changed = f.state.Replace(now, page.Revision, page.Items)
 	} else {
-		changed, _ = f.state.Apply(now, after, revision, items)
+		changed, _ = f.state.Apply(now, page.After, page.Revision, page.Items)
 	}
 	if f.state.Revision() > before {
 		f.relist = false
--- /dev/null
+++ b/internal/follow/storm_test.go
@@ -0,0 +1,86 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The fleet of these tests: VMs of unlike links, as on large sites.
+const (
+	stormBound = 5 * time.Second
+	// stormGap is the time between two changes, stormTime how long they go on.
+	stormGap  = 125 * time.Millisecond
+	stormTime = 14 * time.Second
+	mbit      = 1e6 / 8
+	// storeLink is bytes a second that the store can send.
+	storeLink = 1000 * mbit
+)
+
+// stormLinks are the links of VMs in turn, in bytes a second.
+var stormLinks = []float64{20 * mbit, 50 * mbit, 100 * mbit, 200 * mbit}
+
+// storm is a fleet that has settled before the changes begin.
+func storm(t *testing.T, seed uint64, vms, document int) *fleet {
+	fl := newFleet(t, seed, vms)
+	fl.setBound(stormBound)
+	fl.store = link{up: storeLink, down: storeLink}
+	for i, v := range fl.vms {
+		rate := stormLinks[i%len(stormLinks)]
+		v.link = link{up: rate, down: rate}
+	}
+	fl.document = make([]byte, document)
+	fl.run(4 * time.Second)
+	return fl
+}
+
+// Symptom: seconds after a change was acknowledged, some VMs answer a new route with
+// "not found". Pulls between VMs fail by the dozen, and every few seconds all VMs read
+// the store at once.
+// Sequence: the configuration is large, and changes come several a second while VMs are
+// lost. A VM's pull is given up; it asks again, for all versions since.
+// Cause: a page held every version of the document since the one that the VM had, so
+// that each failure made the next page larger, over the same link; no pull ended any
+// more, and what the store gave instead grew as well.
+// Proved by the sizes of pages and the versions that failed pulls asked for again.
+func TestAStormOfChangesOverALargeDocument(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		harm func(*fleet)
+	}{
+		{"no loss", func(*fleet) {}},
+		{"readers lost", func(fl *fleet) {
+			for _, v := range fl.readers() {
+				v.dead = true
+			}
+		}},
+		{"every tenth VM lost", func(fl *fleet) {
+			for i, v := range fl.vms {
+				v.dead = v.dead || i%10 == 0
+			}
+		}},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/%d", c.name, seed), func(t *testing.T) {
+				fl := storm(t, seed, 70, 150_000)
+				t.Cleanup(func() {
+					t.Logf("latest %v, %d pulls lost, %.0f MB between VMs, %d calls", fl.late, fl.lost, fl.pulled/1e6, fl.calls)
+				})
+				fl.blow(stormTime / 3)
+				c.harm(fl)
+				fl.blow(time.Second)
+				fl.setPeers()
+				fl.blow(2 * stormTime / 3)
+				fl.run(stormBound)
+			})
+		}
+	}
+}
+
+// blow lets changes come for a while.
+func (fl *fleet) blow(d time.Duration) {
+	for end := fl.now.Add(d); fl.now.Before(end); {
+		fl.change()
+		fl.run(stormGap)
+	}
+}
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -209,7 +209,7 @@
 		if err != nil {
 			return f.PullFailed(now, p.ID)
 		}
-		return f.Pulled(now, p.ID, page.After, page.Revision, page.Whole, itemsOf(page))
+		return f.Pulled(now, p.ID, pageOf(page))
 	})
 }
 
@@ -260,12 +260,12 @@
 	return page, trace.Wrap(proto.Unmarshal(resp.Body(), page))
 }
 
-func itemsOf(page *pb.CatalogPage) []catalog.Item {
-	items := make([]catalog.Item, len(page.Items))
-	for i, it := range page.Items {
-		items[i] = catalog.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted}
+func pageOf(m *pb.CatalogPage) catalog.Page {
+	page := catalog.Page{Revision: m.Revision, After: m.After, Whole: m.Whole}
+	for _, it := range m.Items {
+		page.Items = append(page.Items, catalog.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted})
 	}
-	return items
+	return page
 }
 
 // join asks the seeds for what they hold of the fleet: all of them at the start,
@@ -356,14 +356,9 @@
 func (r *reader) page(after uint64) *pb.CatalogPage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	state := r.follower.State()
-	changes, ok := state.Since(after)
-	page := &pb.CatalogPage{Revision: state.Revision(), After: after}
-	if !ok || after == 0 {
-		page.Whole = true
-		_, changes = state.Items()
-	}
-	for _, it := range changes {
+	known := r.follower.State().PageSince(after)
+	page := &pb.CatalogPage{Revision: known.Revision, After: known.After, Whole: known.Whole}
+	for _, it := range known.Items {
 		page.Items = append(page.Items, &pb.CatalogItem{
 			Key: it.Key, Value: it.Value, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted,
 		})
