Send a changed document as what changed

Cause: a configuration is one document, replaced whole at each change; each VM was sent it whole for a change of some bytes. Ruled out: a delta by common start and end (the version stands at the front, the change anywhere); a delta for each route (the decoder of documents is not the pages' business); keeping every version as a base (1 MB each; the one that a batch ends with is what VMs hold). Change: a pull names by its hash the configuration that the asker holds; its page is compressed with Zstandard, against that document where the giver has had it too, and checked by the format's checksum. A page that cannot be read is counted, and the next is asked for without a base. Releases that differ talk plainly. Of versions that come at once only the newest is decoded.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -121,6 +121,10 @@
 	// configItem is what the configuration in force was decoded from: not the newest
 	// version while that one is rejected.
 	configItem Item
+	documents  documents
+	// candidates are the versions of the configuration that came together, not yet
+	// decoded.
+	candidates []Item
 	config     *routing.Config
 	table      *routing.Table
 	upstreams  map[string]*Upstream
@@ -177,6 +181,7 @@
 		listed[it.Key] = true
 		changed = s.put(it) || changed
 	}
+	changed = s.settleConfig() || changed
 	for key, it := range s.items {
 		if !listed[key] && it.Revision <= revision {
 			changed = s.remove(now, key) || changed
@@ -204,6 +209,7 @@
 		}
 		s.keepDeletion(it)
 	}
+	changed = s.settleConfig() || changed
 	s.revision = max(s.revision, revision)
 	return changed, true
 }
@@ -271,6 +277,13 @@
 	return page
 }
 
+// InForce is the text of the configuration in force, the zero Document without one.
+func (s *State) InForce() Document { return s.documents.newest() }
+
+// Document is the text with a hash, in force now or lately; the zero Document when it is
+// not kept.
+func (s *State) Document(sum uint64) Document { return s.documents.find(sum) }
+
 // put takes in one item; false when it changed nothing that is in force.
 func (s *State) put(it Item) bool {
 	if held, ok := s.items[it.Key]; ok && held.Revision >= it.Revision {
@@ -279,7 +292,8 @@
 	s.items[it.Key] = it
 	switch s.decoder.Kind(it.Key) {
 	case Configuration:
-		return s.putConfig(it)
+		s.candidates = append(s.candidates, it)
+		return false
 	case Registration:
 		return s.putUpstream(it)
 	default:
@@ -287,6 +301,19 @@
 	}
 }
 
+// settleConfig puts the newest of the versions that came together in force, and an older
+// one only where the newer are rejected. Of a document that changes several times a second
+// a reader gets some versions at once: decoding those that are over already would take a
+// weak VM most of its time, and nobody would hold them to be sent changes against.
+func (s *State) settleConfig() bool {
+	slices.SortFunc(s.candidates, func(a, b Item) int { return cmp.Compare(b.Revision, a.Revision) })
+	changed := slices.ContainsFunc(s.candidates, s.putConfig)
+	s.candidates = nil
+	return changed
+}
+
+// putConfig puts one version in force; false when it is older than that in force or is
+// rejected.
 func (s *State) putConfig(it Item) bool {
 	if it.Revision <= s.configItem.Revision {
 		return false
@@ -297,6 +324,7 @@
 		return false
 	}
 	s.configItem = it
+	s.documents.keep(it.Value)
 	s.config = c
 	s.table = routing.Compile(c)
 	return true
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -210,6 +210,44 @@
 	}
 }
 
+// Of versions that come together only the newest is decoded, and an older one only where
+// the newer are rejected.
+func TestOfVersionsThatComeTogetherOneIsDecoded(t *testing.T) {
+	for name, c := range map[string]struct {
+		values  []string
+		want    uint64
+		decoded int
+	}{
+		"all good":          {[]string{"a", "b", "c"}, 13, 1},
+		"the newest is bad": {[]string{"a", "b", "bad"}, 12, 2},
+		"all bad":           {[]string{"bad", "bad"}, 3, 2},
+	} {
+		d := &counting{}
+		s := New(start, d)
+		s.Replace(start, 10, []Item{put("config", "h", 3)})
+		d.configs = 0
+		var changes []Item
+		for i, v := range c.values {
+			changes = append(changes, put("config", v, uint64(11+i)))
+		}
+		changed, _ := s.Apply(start, 10, 13, changes)
+		if got := s.View().Config.Version; got != c.want || d.configs != c.decoded || changed != (c.want > 3) {
+			t.Errorf("%s: version %d, %d decoded, changed %v", name, got, d.configs, changed)
+		}
+	}
+}
+
+// counting counts the configurations that are decoded.
+type counting struct {
+	plain
+	configs int
+}
+
+func (d *counting) Config(it Item) (*routing.Config, error) {
+	d.configs++
+	return d.plain.Config(it)
+}
+
 // Whatever was written, removed and written again: a peer that knew everything up to any
 // earlier revision holds, after the changes since, the very items of its giver.
 func TestSinceBringsAPeerToTheSameState(t *testing.T) {
--- a/internal/follow/fleet_test.go
+++ b/internal/follow/fleet_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -25,6 +26,13 @@
 	listPatience = 1200 * time.Millisecond
 	// overhead is bytes of a message beside the items in it.
 	overhead = 300
+	// packedChange is bytes of a page packed against a document that both sides hold, and
+	// packedWhole the share that is left of one packed alone (a seventh, measured in
+	// package pagepack).
+	packedChange = 200
+	packedWhole  = 1.0 / 7
+	// documentKey is the item that changes write.
+	documentKey = "config"
 )
 
 // fleet is followers over a model of the store and of the network between them.
@@ -40,9 +48,11 @@
 	revision uint64
 	since    map[uint64]time.Time
 	written  []catalog.Item
-	// document is what each change writes, under one key.
-	document []byte
-	calls    int
+	// document is the size of what each change writes, in bytes.
+	document int
+	// packed says that pages are packed; VMs of differing releases send them plainly.
+	packed bool
+	calls  int
 
 	store     link
 	transfers []*transfer
@@ -91,7 +101,7 @@
 func newFleet(t *testing.T, seed uint64, n int) *fleet {
 	fl := &fleet{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: start, bound: bound, revision: 1,
-		since: map[uint64]time.Time{}, written: []catalog.Item{put("u", 1)}, document: []byte("x"),
+		since: map[uint64]time.Time{}, written: []catalog.Item{put(documentKey, 1)}, document: 1,
 	}
 	for i := range n {
 		name := fmt.Sprintf("vm%d", i)
@@ -265,6 +275,13 @@
 	}
 	page := from.f.State().PageSince(p.After)
 	size := sizeOf(page.Items)
+	held := v.f.State().InForce().Sum
+	switch {
+	case fl.packed && from.f.State().Document(held).Text != nil:
+		size = overhead + packedChange
+	case fl.packed:
+		size = overhead + size*packedWhole
+	}
 	fl.send(&from.link, v, size, p.Timeout, func() []Action {
 		fl.pulled += size
 		return v.f.Pulled(fl.now, p.ID, page)
@@ -335,11 +352,18 @@
 func (fl *fleet) change() {
 	fl.revision++
 	fl.since[fl.revision] = fl.now
-	it := put("u", fl.revision)
-	it.Value = fl.document
+	it := put(documentKey, fl.revision)
+	it.Value = fl.textOf(fl.revision)
 	fl.written = append(fl.written, it)
 }
 
+// textOf is the document's version of a revision.
+func (fl *fleet) textOf(revision uint64) []byte {
+	text := make([]byte, max(fl.document, 8))
+	binary.LittleEndian.PutUint64(text, revision)
+	return text
+}
+
 // readers are the VMs that read the store now.
 func (fl *fleet) readers() []*vm {
 	var out []*vm
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -15,10 +15,15 @@
 
 var start = time.Unix(1000, 0)
 
-// plain decodes every item as an upstream of one service.
+// plain decodes every item but the document as an upstream of one service.
 type plain struct{}
 
-func (plain) Kind(string) catalog.Kind { return catalog.Registration }
+func (plain) Kind(key string) catalog.Kind {
+	if key == documentKey {
+		return catalog.Configuration
+	}
+	return catalog.Registration
+}
 
 func (plain) Config(catalog.Item) (*routing.Config, error) { return &routing.Config{}, nil }
 
--- a/internal/follow/storm_test.go
+++ b/internal/follow/storm_test.go
@@ -31,7 +31,7 @@
 		rate := stormLinks[i%len(stormLinks)]
 		v.link = link{up: rate, down: rate}
 	}
-	fl.document = make([]byte, document)
+	fl.document = document
 	fl.run(4 * time.Second)
 	return fl
 }
@@ -121,3 +121,26 @@
 		}
 	}
 }
+
+// A change travels as what changed: every VM has each change, or a later one, within half
+// of the bound, whatever the size of the document, and what VMs send each other is a
+// twentieth of what it is when the document travels whole.
+func TestAChangeCostsWhatChanged(t *testing.T) {
+	const document = 1_000_000
+	for _, vms := range []int{9, 70, 300} {
+		fl := storm(t, 1, vms, document)
+		fl.packed = true
+		before := fl.pulled
+		fl.blow(stormTime)
+		fl.run(stormBound)
+		sent := fl.pulled - before
+		t.Logf("%d VMs: latest %v, %d pulls lost, %.1f MB between VMs, %d calls", vms, fl.late, fl.lost, sent/1e6, fl.calls)
+		if fl.late > stormBound/2 {
+			t.Errorf("%d VMs: a change came after %v", vms, fl.late)
+		}
+		changes := stormTime.Seconds() / stormGap.Seconds()
+		if whole := float64(vms) * changes / 3 * document; sent > whole/20 {
+			t.Errorf("%d VMs: %.1f MB between VMs, of %.1f MB", vms, sent/1e6, whole/1e6)
+		}
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 )
@@ -51,6 +52,15 @@
 	return "ok"
 }
 
+// pullResult is the label of a pull: a page that came and could not be read is told
+// from one that did not come.
+func pullResult(err error) string {
+	if trace.IsBadParameter(err) {
+		return "unreadable"
+	}
+	return resultOf(err)
+}
+
 // showState registers gauges of what the VM believes now.
 func (n *Node) showState(reg prometheus.Registerer) {
 	reg.MustRegister(n.engine)
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -7,11 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/follow"
@@ -35,7 +32,6 @@
 const (
 	// followTick is how often the follower is moved on.
 	followTick = 50 * time.Millisecond
-	// joinTimeout gives up a seed that does not answer: three round trips between
 	// joinTimeout gives up a seed that does not answer: two round trips between
 	// regions (54 ms) and the seed's own work. After the loss of all VMs no seed
 	// answers, and none is ready before this has passed: with 0.2 s the share of
@@ -46,12 +42,6 @@
 	slowPull = 200 * time.Millisecond
 	// unknownAge stands for a confirmation of which the time is not told.
 	unknownAge = time.Hour
-	// pullPath is where a VM gives its peers what it knows.
-	pullPath = "/catalog"
-	// membersPath is where a VM gives its peers what it holds of the fleet.
-	membersPath = "/members"
-	// maxPage bounds a peer's page: every item of a large store.
-	maxPage = 64 << 20
 )
 
 // joinWaits are the pauses before each further question to a seed, while VMs that
@@ -60,7 +50,7 @@
 
 // reader drives a follow.Follower.
 //
-// Lock order: mu is a leaf; actions are done after it is released.
+// Lock order: mu and the lock of packed are leaves; actions are done after it is released.
 type reader struct {
 	log      *zap.Logger
 	met      *storeMetrics
@@ -77,6 +67,11 @@
 	failing  bool
 	// reads says whether this VM was a reader when it was last looked at.
 	reads bool
+	// unreadable says that the last page could not be unpacked: the next is asked for
+	// without a base.
+	unreadable bool
+
+	packed packedPages
 }
 
 // run moves the follower on until ctx ends.
@@ -203,7 +198,7 @@
 // pull asks a peer for what it knows.
 func (r *reader) pull(p follow.Pull) {
 	began := time.Now()
-	page, err := r.fetchPage(pullPath, p)
+	page, err := r.fetchCatalog(p)
 	r.notePull(p, page, err, time.Since(began))
 	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
 		if err != nil {
@@ -216,7 +211,7 @@
 // notePull tells of a pull that failed or was slow, with how far this VM was behind
 // the peer's claim when it ended: a fleet that falls behind shows here first.
 func (r *reader) notePull(p follow.Pull, page *pb.CatalogPage, err error, took time.Duration) {
-	r.met.pulls.WithLabelValues(resultOf(err)).Inc()
+	r.met.pulls.WithLabelValues(pullResult(err)).Inc()
 	r.met.pullSeconds.Observe(took.Seconds())
 	if err == nil {
 		r.met.pulledItems.Add(float64(len(page.Items)))
@@ -240,34 +235,6 @@
 	return "slow"
 }
 
-func (r *reader) fetchPage(path string, p follow.Pull) (*pb.CatalogPage, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetHost(p.Address)
-	req.SetRequestURI(path)
-	req.URI().QueryArgs().SetUint("after", int(p.After))
-	req.SetConnectionClose()
-	client := &fasthttp.HostClient{Addr: p.Address, MaxResponseBodySize: maxPage, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1}
-	if err := client.DoTimeout(req, resp, p.Timeout); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, trace.ConnectionProblem(nil, "the peer answered with status %d", resp.StatusCode())
-	}
-	r.met.pulled.Add(float64(len(resp.Body())))
-	page := &pb.CatalogPage{}
-	return page, trace.Wrap(proto.Unmarshal(resp.Body(), page))
-}
-
-func pageOf(m *pb.CatalogPage) catalog.Page {
-	page := catalog.Page{Revision: m.Revision, After: m.After, Whole: m.Whole}
-	for _, it := range m.Items {
-		page.Items = append(page.Items, catalog.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted})
-	}
-	return page
-}
-
 // join asks the seeds for what they hold of the fleet: all of them at the start,
 // then one a few times. Left to datagrams, a process that starts in a large fleet
 // would take seconds to know it, and meanwhile send callers to the wrong VMs and
@@ -309,7 +276,7 @@
 // askSeed asks one seed for what it holds of the fleet and gives its revision, 0
 // when it does not answer.
 func (r *reader) askSeed(seed string) uint64 {
-	page, err := r.fetchPage(membersPath, follow.Pull{Address: seed, Timeout: joinTimeout})
+	page, err := r.fetchMembers(seed)
 	if err != nil {
 		r.log.Info("peer: join failed", zap.String("peer", seed), zap.Error(err))
 		return 0
@@ -323,49 +290,12 @@
 	return page.Revision
 }
 
-// serve answers a peer's pull.
-func (r *reader) serve(ctx *fasthttp.RequestCtx) {
-	after, err := ctx.QueryArgs().GetUint("after")
-	var page *pb.CatalogPage
-	switch path := string(ctx.Path()); {
-	case path == pullPath && err == nil:
-		page = r.page(uint64(after))
-	case path == membersPath:
-		page = &pb.CatalogPage{Revision: r.revision(), Members: r.members()}
-	default:
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
-	body, err := proto.Marshal(page)
-	if err != nil {
-		r.log.Error("peer: page could not be made", zap.Error(err))
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetBody(body)
-}
-
 func (r *reader) revision() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.follower.State().Revision()
 }
 
-// page is the changes above a revision, or everything when they are not known
-// any more.
-func (r *reader) page(after uint64) *pb.CatalogPage {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	known := r.follower.State().PageSince(after)
-	page := &pb.CatalogPage{Revision: known.Revision, After: known.After, Whole: known.Whole}
-	for _, it := range known.Items {
-		page.Items = append(page.Items, &pb.CatalogItem{
-			Key: it.Key, Value: it.Value, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted,
-		})
-	}
-	return page
-}
-
 // confirmedAge is the time since the store last confirmed what is known; a long
 // time when it never has.
 func (r *reader) confirmedAge(now time.Time) time.Duration {
