Read the newest versions from the store where a watch would bring more

A reader over 20 Mbit/s with a document of 1 MB needs longer for them than an answer may take, fails, and asks for as many and those that came since; a VM that reads because it heard of nothing for 3.3 s asks for the versions of that time. Change: the next read is a listing when the versions replaced in the last answer outweigh all that is known, when a watch took its whole time and failed, and when a VM reads out of its turn; it stays so while three revisions and more lie between two listings. What a listing shows to be gone is told to peers as deletions, where before they were sent everything after each listing.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -152,6 +152,15 @@
 // Revision is the store's revision up to which everything is known.
 func (s *State) Revision() uint64 { return s.revision }
 
+// Bytes is the size of all values known.
+func (s *State) Bytes() int {
+	bytes := 0
+	for _, it := range s.items {
+		bytes += len(it.Value)
+	}
+	return bytes
+}
+
 // Answered notes an answer of the store; it may end an outage.
 func (s *State) Answered(now time.Time) {
 	if s.outage {
@@ -169,7 +178,7 @@
 }
 
 // Replace takes in a whole listing: items that are known at or below its
-// revision and not in it are gone. It is for listings of the store and for the
+// revision and not in it are gone, and are told to peers as deletions at that revision. It is for listings of the store and for the
 // states of peers. A listing older than what is known changes nothing.
 func (s *State) Replace(now time.Time, revision uint64, items []Item) bool {
 	if revision < s.revision {
@@ -182,14 +191,17 @@
 		changed = s.put(it) || changed
 	}
 	changed = s.settleConfig() || changed
+	first := s.revision == 0
 	for key, it := range s.items {
 		if !listed[key] && it.Revision <= revision {
 			changed = s.remove(now, key) || changed
+			s.keepDeletion(Item{Key: key, Revision: revision, Deleted: true})
 		}
 	}
 	s.revision = revision
-	s.deletions = nil
-	s.deletionsFloor = revision
+	if first {
+		s.deletionsFloor = revision
+	}
 	return changed
 }
 
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -168,7 +168,7 @@
 		t.Errorf("the peer has %q at %d", ids(peer, "s"), peer.Revision())
 	}
 	if _, ok := s.Since(9); ok {
-		t.Error("changes before the listing are not known")
+		t.Error("changes before the first listing are not known")
 	}
 	for r := uint64(13); r < 13+2*keptDeletions; r++ {
 		s.Apply(start, r-1, r, []Item{gone(fmt.Sprintf("up/%d", r), r)})
@@ -249,10 +249,11 @@
 }
 
 // Whatever was written, removed and written again: a peer that knew everything up to any
-// earlier revision holds, after the changes since, the very items of its giver.
+// earlier revision holds, after the changes since, the very items of its giver, whether
+// that one learnt of them by changes or by listings.
 func TestSinceBringsAPeerToTheSameState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s, revision := filled(), uint64(10)
+		store, s, revision := filled(), filled(), uint64(10)
 		peers := []*State{filled()}
 		for range rapid.IntRange(1, 40).Draw(t, "changes") {
 			revision++
@@ -261,7 +262,18 @@
 			if rapid.Bool().Draw(t, "deleted") {
 				change = gone(key, revision)
 			}
-			s.Apply(start, revision-1, revision, []Item{change})
+			store.Apply(start, revision-1, revision, []Item{change})
+			if rapid.Bool().Draw(t, "listed") {
+				r, items := store.Items()
+				s.Replace(start, r, items)
+			} else {
+				r := s.Revision()
+				missed, ok := store.Since(r)
+				if !ok {
+					t.Fatal("a model of a store that forgets")
+				}
+				s.Apply(start, r, revision, missed)
+			}
 			if rapid.Bool().Draw(t, "keep") {
 				peer := New(start, plain{})
 				r, items := s.Items()
--- a/internal/follow/fleet_test.go
+++ b/internal/follow/fleet_test.go
@@ -31,6 +31,8 @@
 	// package pagepack).
 	packedChange = 200
 	packedWhole  = 1.0 / 7
+	// storeText is how much longer values are in the store's answers than in pages.
+	storeText = 4.0 / 3
 	// documentKey is the item that changes write.
 	documentKey = "config"
 )
@@ -230,7 +232,7 @@
 		return
 	}
 	revision, items := fl.revision, fl.written[len(fl.written)-1:]
-	fl.send(&fl.store, v, sizeOf(items), listPatience, func() []Action { return v.f.Listed(fl.now, revision, items) }, fail)
+	fl.send(&fl.store, v, storeText*sizeOf(items), listPatience, func() []Action { return v.f.Listed(fl.now, revision, items) }, fail)
 }
 
 // watch answers when the store has moved on or the wait is over.
@@ -246,7 +248,7 @@
 		case fl.revision > w.After:
 			revision, changes := fl.revision, fl.changesAbove(w.After)
 			patience := until.Add(watchSlack).Sub(fl.now)
-			fl.send(&fl.store, v, sizeOf(changes), patience, func() []Action { return v.f.Watched(fl.now, w.After, revision, changes) }, fail)
+			fl.send(&fl.store, v, storeText*sizeOf(changes), patience, func() []Action { return v.f.Watched(fl.now, w.After, revision, changes) }, fail)
 			return nil
 		default:
 			return v.f.Watched(fl.now, w.After, w.After, nil)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -31,6 +31,9 @@
 	// spacingShare is the least time between two calls to the store, as a part
 	// of the bound: changes that come close together are read by one call.
 	spacingShare = 0.13
+	// stormRevisions is how many revisions between two listings show that changes still
+	// come so close together that a watch would bring several versions.
+	stormRevisions = 3
 	// staleShare is the part of the bound after which a VM that has heard of no
 	// confirmation reads for itself.
 	staleShare = 0.65
@@ -145,10 +148,14 @@
 	// reading says that a call to the store is open.
 	reading bool
 	// began is when the last call to the store was made.
-	began       time.Time
-	nextRead    time.Time
-	failures    int
-	relist      bool
+	began    time.Time
+	nextRead time.Time
+	failures int
+	// relist says that a watch would not do: what is known has a gap.
+	relist bool
+	// listNext says that a listing is likely to bring less than a watch would: a watch
+	// brings every version of a document, a listing the newest.
+	listNext    bool
 	actingUntil time.Time
 	confirmed   time.Time
 
@@ -292,6 +299,7 @@
 		return f.out
 	}
 	f.relist = false
+	f.listNext = f.listNext && revision-f.state.Revision() >= stormRevisions
 	changed := f.state.Replace(now, revision, items)
 	f.confirm(now, changed)
 	f.advanceRead(now)
@@ -304,6 +312,7 @@
 func (f *Follower) Watched(now time.Time, after, revision uint64, changes []catalog.Item) []Action {
 	f.out = nil
 	f.answered(now)
+	f.listNext = replacedBytes(changes) > f.state.Bytes()
 	changed, joined := f.state.Apply(now, after, max(after, lastRevision(changes)), changes)
 	if !joined || revision > f.state.Revision() {
 		f.relist = true
@@ -317,6 +326,21 @@
 	return f.out
 }
 
+// replacedBytes is the size of the versions among some changes that later ones replace.
+func replacedBytes(changes []catalog.Item) int {
+	newest := make(map[string]uint64, len(changes))
+	for _, it := range changes {
+		newest[it.Key] = max(newest[it.Key], it.Revision)
+	}
+	bytes := 0
+	for _, it := range changes {
+		if it.Revision < newest[it.Key] {
+			bytes += len(it.Value)
+		}
+	}
+	return bytes
+}
+
 func lastRevision(changes []catalog.Item) uint64 {
 	var last uint64
 	for _, it := range changes {
@@ -337,6 +361,7 @@
 		return f.out
 	}
 	f.state.Failed(now)
+	f.listNext = !f.listNext && now.Sub(f.began) >= f.share(waitShare)
 	wait := min(retryFirst<<min(f.failures, 8), retryMost)
 	f.failures++
 	f.nextRead = now.Add(time.Duration((0.75 + 0.5*f.opts.Random.Float64()) * float64(wait)))
@@ -453,7 +478,7 @@
 
 // patience is how long a peer's lead is left to others.
 func (f *Follower) patience() time.Duration {
-	if f.reading && !f.relist && f.state.Revision() > 0 {
+	if f.reading && !f.relist && !f.listNext && f.state.Revision() > 0 {
 		return pullPatience
 	}
 	if !f.lead.near {
@@ -471,7 +496,7 @@
 	}
 	f.reading = true
 	f.began = now
-	if f.relist {
+	if f.relist || f.listNext {
 		f.emit(List{})
 		return
 	}
@@ -488,6 +513,10 @@
 	if now.Sub(f.confirmed) < f.share(staleShare)+f.rankDelay() {
 		return false
 	}
+	if !now.Before(f.actingUntil) {
+		// Of what came since the last confirmation the newest versions do.
+		f.listNext = true
+	}
 	f.actingUntil = now.Add(actingFor)
 	return true
 }
--- a/internal/follow/storm_test.go
+++ b/internal/follow/storm_test.go
@@ -177,3 +177,21 @@
 		}
 	}
 }
+
+// Symptom: no VM gets any further in a storm of changes of a very large document; the
+// readers' calls to the store fail one after the other.
+// Sequence: a reader's watch brings every version since the last; over its link that takes
+// longer than an answer may, and the next watch asks for as many and those that came since.
+// Cause: a watch that had failed was repeated as it was.
+func TestAReaderThatCannotTakeAllVersionsTakesTheNewest(t *testing.T) {
+	for seed := range uint64(3) {
+		fl := storm(t, seed, 9, 1_000_000)
+		fl.packed = true
+		for _, v := range fl.vms {
+			v.link = link{up: 20 * mbit, down: 20 * mbit}
+		}
+		fl.blow(stormTime)
+		fl.run(stormBound)
+		t.Logf("seed %d: latest %v, %d calls", seed, fl.late, fl.calls)
+	}
+}
