Tell starts of an upstream apart, and take no entry of another writer for one

Cause: an upstream may start again under its id. What was held by the id (connections, open sends, slowness, failures, coldness, windows) was then taken for the new process's; behind a cut, what was under way waited until its deadline. Ruled out: comparing addresses (the same one may come back), comparing the revision at which an entry first appeared (a rewritten entry keeps it). Change: an upstream's entry says when it was born. A later birth ends the pool of connections (what is under way there is lost, as it may have run), and all that was observed; a reply of the former start says nothing of the new one; an entry of an earlier start that arrives late changes nothing, and pages carry what is in force instead. An entry with a field missing, of another type or out of range names no upstream until a good one is back; it is told of once for each fault and counted each time.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -16,36 +16,6 @@
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 )
 
-// returnGrace is how long upstreams that went missing during an outage of the
-// store are kept after its return. Their entries lapse when they cannot renew
-// them; those that live are back within about two seconds, and a tenth is added
-// for the way of the news.
-const returnGrace = 2200 * time.Millisecond
-
-// outageAfter is how long the store must have given no answer for entries to be
-// suspected of having lapsed: shorter than the three heartbeats after which an
-// entry lapses, longer than one lost answer and its repetition.
-const outageAfter = 1500 * time.Millisecond
-
-// Upstream is one upstream's registration.
-type Upstream struct {
-	// ID names one start of the upstream: after a restart it is another one.
-	ID         string
-	Service    string
-	Address    string
-	DataCentre string
-	// Software is the version of its program.
-	Software string
-	// Slots is how many requests it runs at a time.
-	Slots int
-	// Leaving upstreams take no new work.
-	Leaving bool
-	// ColdFor is how long it said that it would still be slow.
-	ColdFor time.Duration
-	// Registered is the revision at which the entry first appeared.
-	Registered uint64
-}
-
 // Kind tells what an item describes.
 type Kind int
 
@@ -81,12 +51,14 @@
 	Upstream(Item) (Upstream, error)
 }
 
-// Rejected is an item that could not be decoded: its last good revision stays in
-// force.
+// Rejected is an item that could not be decoded. Of a configuration the last good version
+// stays in force; the entry of an upstream names none.
 type Rejected struct {
 	Key      string
 	Revision uint64
 	Err      error
+	// Repeated says that the key's version before was rejected for the same reason.
+	Repeated bool
 }
 
 // View is what is in force. It is immutable.
@@ -103,11 +75,6 @@
 	Upstreams map[string]*Upstream
 }
 
-// keptDeletions is how many deletions are kept for peers that are a little behind;
-// one that is further behind takes everything. It is some hundred upstreams replaced
-// within seconds; a deletion takes about 100 bytes.
-const keptDeletions = 512
-
 // State is the items known. It is not safe for concurrent use.
 type State struct {
 	decoder  Decoder
@@ -132,10 +99,15 @@
 	// the time at which they are given up.
 	doubtful map[string]time.Time
 
+	// kept holds the items in force whose newest version is not in force.
+	kept map[string]Item
+
 	lastAnswer time.Time
 	returned   time.Time
 	outage     bool
 	rejected   []Rejected
+	// faults is what is wrong with the newest version of a key, in words.
+	faults map[string]string
 }
 
 // New is an empty state.
@@ -145,6 +117,8 @@
 		items:      map[string]Item{},
 		upstreams:  map[string]*Upstream{},
 		doubtful:   map[string]time.Time{},
+		kept:       map[string]Item{},
+		faults:     map[string]string{},
 		lastAnswer: now,
 	}
 }
@@ -184,6 +158,8 @@
 	if revision < s.revision {
 		return false
 	}
+	// A peer's page may hold two versions of an item: the earlier one first.
+	items = slices.SortedFunc(slices.Values(items), byRevision)
 	listed := make(map[string]bool, len(items))
 	changed := false
 	for _, it := range items {
@@ -226,69 +202,6 @@
 	return changed, true
 }
 
-// keepDeletion keeps a deletion above what is known for peers.
-func (s *State) keepDeletion(it Item) {
-	if it.Revision <= s.revision {
-		return
-	}
-	s.deletions = append(s.deletions, it)
-	if over := len(s.deletions) - keptDeletions; over > 0 {
-		s.deletionsFloor = s.deletions[over-1].Revision
-		s.deletions = slices.Clone(s.deletions[over:])
-	}
-}
-
-// Since is the changes above a revision, for a peer, lowest revision first; false when
-// the deletions do not go back so far.
-//
-// Only the newest version of an item is in it. With every version since, a peer that
-// falls behind while a large document changes gets a page that grows with its lag, over
-// a link that was too slow for the last one: its pulls are given up one after the other
-// and it never catches up. Of 70 VMs over links of 20 to 200 Mbit/s, with a document of
-// 150 kB that changes eight times a second, none kept up for 5 s.
-func (s *State) Since(after uint64) (changes []Item, ok bool) {
-	if after < s.deletionsFloor {
-		return nil, false
-	}
-	for _, it := range s.known() {
-		if it.Revision > after {
-			changes = append(changes, it)
-		}
-	}
-	for _, it := range s.deletions {
-		if it.Revision > after && s.items[it.Key].Revision < it.Revision {
-			changes = append(changes, it)
-		}
-	}
-	slices.SortFunc(changes, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
-	return changes, true
-}
-
-// Page is what one VM gives another of what it knows.
-type Page struct {
-	// Revision is the store's revision that the page brings the receiver to.
-	Revision uint64
-	// After is the revision that the items join on to; a whole page joins on to any.
-	After uint64
-	// Whole says that the items are all that are known, and not changes.
-	Whole bool
-	Items []Item
-}
-
-// PageSince is the page for a peer that knows everything up to a revision: the
-// changes above it, or all items when these are not known any more.
-func (s *State) PageSince(after uint64) Page {
-	page := Page{Revision: s.revision, After: after}
-	changes, ok := s.Since(after)
-	if ok && after > 0 {
-		page.Items = changes
-		return page
-	}
-	page.Whole = true
-	_, page.Items = s.Items()
-	return page
-}
-
 // InForce is the text of the configuration in force, the zero Document without one.
 func (s *State) InForce() Document { return s.documents.newest() }
 
@@ -298,7 +211,8 @@
 
 // put takes in one item; false when it changed nothing that is in force.
 func (s *State) put(it Item) bool {
-	if held, ok := s.items[it.Key]; ok && held.Revision >= it.Revision {
+	former, ok := s.items[it.Key]
+	if ok && former.Revision >= it.Revision {
 		return false
 	}
 	s.items[it.Key] = it
@@ -307,7 +221,7 @@
 		s.candidates = append(s.candidates, it)
 		return false
 	case Registration:
-		return s.putUpstream(it)
+		return s.putUpstream(it, former)
 	default:
 		return false
 	}
@@ -321,6 +235,12 @@
 	slices.SortFunc(s.candidates, func(a, b Item) int { return cmp.Compare(b.Revision, a.Revision) })
 	changed := slices.ContainsFunc(s.candidates, s.putConfig)
 	s.candidates = nil
+	good := s.configItem
+	if good.Key != "" && s.items[good.Key].Revision != good.Revision {
+		s.kept[good.Key] = good
+	} else {
+		delete(s.kept, good.Key)
+	}
 	return changed
 }
 
@@ -335,6 +255,7 @@
 		s.reject(it, err)
 		return false
 	}
+	delete(s.faults, it.Key)
 	s.configItem = it
 	s.documents.keep(it.Value)
 	s.config = c
@@ -342,20 +263,10 @@
 	return true
 }
 
-func (s *State) putUpstream(it Item) bool {
-	u, err := s.decoder.Upstream(it)
-	if err != nil {
-		s.reject(it, err)
-		return false
-	}
-	delete(s.doubtful, it.Key)
-	old := s.upstreams[it.Key]
-	s.upstreams[it.Key] = &u
-	return old == nil || *old != u
-}
-
 func (s *State) reject(it Item, err error) {
-	s.rejected = append(s.rejected, Rejected{Key: it.Key, Revision: it.Revision, Err: err})
+	fault := err.Error()
+	s.rejected = append(s.rejected, Rejected{Key: it.Key, Revision: it.Revision, Err: err, Repeated: s.faults[it.Key] == fault})
+	s.faults[it.Key] = fault
 }
 
 // TakeRejected is the items rejected since the last call.
@@ -365,68 +276,6 @@
 	return r
 }
 
-// remove takes an item out. A configuration is never taken back: an absent one
-// would leave nothing to serve by.
-//
-// While the store is away, upstreams that live cannot renew their entries. Taken
-// as gone, the whole fleet of upstreams would vanish at the store's return, and
-// every request be refused until they have registered again.
-func (s *State) remove(now time.Time, key string) bool {
-	if s.decoder.Kind(key) == Configuration {
-		return false
-	}
-	delete(s.items, key)
-	if s.upstreams[key] == nil {
-		return false
-	}
-	if s.outage || now.Sub(s.returned) < returnGrace && !s.returned.IsZero() {
-		s.doubtful[key] = now.Add(returnGrace)
-		return false
-	}
-	delete(s.upstreams, key)
-	return true
-}
-
-// Tick gives up doubtful upstreams whose time is over; true when any was.
-func (s *State) Tick(now time.Time) bool {
-	if s.outage {
-		return false
-	}
-	changed := false
-	for key, until := range s.doubtful {
-		if now.Before(until) || now.Sub(s.returned) < returnGrace {
-			continue
-		}
-		delete(s.doubtful, key)
-		delete(s.upstreams, key)
-		changed = true
-	}
-	return changed
-}
-
-// known is the newest version of each item, and the configuration in force where the
-// newest one was rejected: peers that missed it would go on by an older one.
-func (s *State) known() []Item {
-	items := make([]Item, 0, len(s.items)+1)
-	for _, it := range s.items {
-		items = append(items, it)
-	}
-	good := s.configItem
-	if good.Key != "" && s.items[good.Key].Revision != good.Revision {
-		items = append(items, good)
-	}
-	return items
-}
-
-// Items is everything known, for a peer, by key and revision.
-func (s *State) Items() (revision uint64, items []Item) {
-	items = s.known()
-	slices.SortFunc(items, func(a, b Item) int {
-		return cmp.Or(strings.Compare(a.Key, b.Key), cmp.Compare(a.Revision, b.Revision))
-	})
-	return s.revision, items
-}
-
 // View is what is in force now.
 func (s *State) View() *View {
 	v := &View{
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -35,9 +36,20 @@
 	return &routing.Config{Version: it.Revision}, nil
 }
 
+// Upstream reads a service and words after it: "leaving", or a birth in seconds.
 func (plain) Upstream(it Item) (Upstream, error) {
-	service, state, _ := strings.Cut(string(it.Value), " ")
-	return Upstream{ID: strings.TrimPrefix(it.Key, "up/"), Service: service, Leaving: state == "leaving"}, nil
+	words := strings.Fields(string(it.Value))
+	if len(words) == 0 || words[0] == "bad" {
+		return Upstream{}, errors.New("no entry of an upstream")
+	}
+	u := Upstream{ID: strings.TrimPrefix(it.Key, "up/"), Service: words[0]}
+	for _, word := range words[1:] {
+		if born, err := strconv.Atoi(word); err == nil {
+			u.Born = time.Unix(int64(born), 0)
+		}
+		u.Leaving = u.Leaving || word == "leaving"
+	}
+	return u, nil
 }
 
 func put(key, value string, revision uint64) Item {
--- /dev/null
+++ b/internal/catalog/registrations.go
@@ -0,0 +1,85 @@
+package catalog
+
+import "time"
+
+// returnGrace is how long upstreams that went missing during an outage of the
+// store are kept after its return. Their entries lapse when they cannot renew
+// them; those that live are back within about two seconds, and a tenth is added
+// for the way of the news.
+const returnGrace = 2200 * time.Millisecond
+
+// outageAfter is how long the store must have given no answer for entries to be
+// suspected of having lapsed: shorter than the three heartbeats after which an
+// entry lapses, longer than one lost answer and its repetition.
+const outageAfter = 1500 * time.Millisecond
+
+// putUpstream takes in an entry whose former version is given. One that cannot be read is
+// some other writer's and names no upstream: the address it had may be another service's by
+// now. One of an earlier start was under way while the upstream started again, and changes
+// nothing.
+func (s *State) putUpstream(it, former Item) bool {
+	old := s.upstreams[it.Key]
+	u, err := s.decoder.Upstream(it)
+	if err != nil {
+		s.reject(it, err)
+		return s.drop(it.Key)
+	}
+	delete(s.faults, it.Key)
+	delete(s.doubtful, it.Key)
+	if old != nil && old.StartedAfter(&u) {
+		if _, ok := s.kept[it.Key]; !ok {
+			s.kept[it.Key] = former
+		}
+		return false
+	}
+	delete(s.kept, it.Key)
+	s.upstreams[it.Key] = &u
+	return old == nil || *old != u
+}
+
+// drop takes an upstream out of use at once.
+func (s *State) drop(key string) bool {
+	_, held := s.upstreams[key]
+	delete(s.upstreams, key)
+	delete(s.doubtful, key)
+	delete(s.kept, key)
+	return held
+}
+
+// remove takes an item out. A configuration is never taken back: an absent one
+// would leave nothing to serve by.
+//
+// While the store is away, upstreams that live cannot renew their entries. Taken
+// as gone, the whole fleet of upstreams would vanish at the store's return, and
+// every request be refused until they have registered again.
+func (s *State) remove(now time.Time, key string) bool {
+	if s.decoder.Kind(key) == Configuration {
+		return false
+	}
+	delete(s.items, key)
+	delete(s.faults, key)
+	delete(s.kept, key)
+	if s.upstreams[key] == nil {
+		return false
+	}
+	if s.outage || now.Sub(s.returned) < returnGrace && !s.returned.IsZero() {
+		s.doubtful[key] = now.Add(returnGrace)
+		return false
+	}
+	return s.drop(key)
+}
+
+// Tick gives up doubtful upstreams whose time is over; true when any was.
+func (s *State) Tick(now time.Time) bool {
+	if s.outage {
+		return false
+	}
+	changed := false
+	for key, until := range s.doubtful {
+		if now.Before(until) || now.Sub(s.returned) < returnGrace {
+			continue
+		}
+		changed = s.drop(key) || changed
+	}
+	return changed
+}
--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -59,11 +59,17 @@
 func (c *conn) run(call *Call) {
 	defer c.pool.ended(c)
 	began := time.Now()
-	nc, err := net.DialTimeout("tcp", c.pool.address, min(dialTimeout, max(time.Until(call.Deadline), time.Millisecond)))
+	nc, err := net.DialTimeout("tcp", c.pool.upstream.Address, min(dialTimeout, max(time.Until(call.Deadline), time.Millisecond)))
 	if err != nil {
 		c.pool.refuse(call, err)
 		return
 	}
+	if !c.pool.opens(nc) {
+		// An error says no more than that it is closed.
+		_ = nc.Close()
+		call.finish(Reply{Result: scatter.Unreached, Detail: goneUpstream})
+		return
+	}
 	c.net = nc
 	c.dialed = time.Since(began)
 	c.br = bufio.NewReaderSize(nc, bufferBytes)
@@ -171,7 +177,7 @@
 // whose answer no byte has come after so long.
 func (c *conn) unanswered(err error, after time.Duration) Reply {
 	reply := lost(err)
-	if c.dialed > 0 && after < c.dialed+shutMargin {
+	if c.dialed > 0 && after < c.dialed+shutMargin && !c.pool.isAbandoned() {
 		c.pool.shut(time.Now())
 		reply.Result = scatter.Shut
 	}
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -356,7 +356,7 @@
 	cl := newClient(t, s, 4)
 	_, first := cl.begin("1", nil, 0)
 	<-arrived
-	cl.pools.SetWindow(cl.up.ID, 1)
+	cl.pools.SetWindow(cl.up, 1)
 	_, second := cl.begin("2", nil, 0)
 	_, third := cl.begin("3", nil, 0)
 	if ahead := cl.pools.Ahead(time.Now(), []*catalog.Upstream{cl.up}); ahead[0] != 3 {
@@ -368,7 +368,7 @@
 	if n := s.connections(); n != 1 {
 		t.Errorf("%d connections with a window of 1", n)
 	}
-	cl.pools.SetWindow(cl.up.ID, 0)
+	cl.pools.SetWindow(cl.up, 0)
 	<-arrived
 	release <- true
 	release <- true
--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"maps"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -23,9 +25,9 @@
 // usualOf is how many answers the usual time of a pool is about the mean of.
 const usualOf = 8
 
-// Pool is the connections to one upstream.
+// Pool is the connections to one start of an upstream.
 type Pool struct {
-	address  string
+	upstream *catalog.Upstream
 	protocol Protocol
 
 	mu    sync.Mutex
@@ -37,6 +39,10 @@
 	idle    []*conn
 	waiting []*Call
 	closed  bool
+	// sockets holds the open connections. abandoned says that they were closed, as the
+	// upstream has started again.
+	sockets   map[net.Conn]bool
+	abandoned bool
 	// usual is about how long answers take.
 	usual time.Duration
 	// shutUntil is when a connection may be opened again after one was shut out.
@@ -44,7 +50,7 @@
 }
 
 func newPool(u *catalog.Upstream, protocol Protocol, limit int) *Pool {
-	return &Pool{address: u.Address, protocol: protocol, limit: limit}
+	return &Pool{upstream: u, protocol: protocol, limit: limit, sockets: map[net.Conn]bool{}}
 }
 
 // do gives the call to an idle connection, opens one, or lets it wait.
@@ -192,6 +198,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	p.open--
+	delete(p.sockets, c.net)
 	var stranded []*Call
 	var dead []*conn
 	if !p.closed {
@@ -281,6 +288,44 @@
 	finishAll(waiting, Reply{Result: scatter.Unreached, Detail: goneUpstream})
 }
 
+// abandon closes the pool of a process that is over. What is under way there may have run
+// and gets no answer any more: behind a partition not even a reset would tell, and callers
+// wait for it until their deadline.
+func (p *Pool) abandon() {
+	p.mu.Lock()
+	p.abandoned = true
+	sockets := slices.Collect(maps.Keys(p.sockets))
+	p.mu.Unlock()
+	p.close()
+	for _, s := range sockets {
+		// An error means that it is closed already.
+		_ = s.Close()
+	}
+}
+
+// serves tells whether what is meant for a registration may go to this pool: its own, or
+// an earlier one of the same place.
+func (p *Pool) serves(u *catalog.Upstream) bool {
+	return !p.upstream.StartedAfter(u) || p.upstream.Address == u.Address && p.upstream.Service == u.Service
+}
+
+// opens takes in a socket; false when the pool was abandoned meanwhile.
+func (p *Pool) opens(s net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.abandoned {
+		return false
+	}
+	p.sockets[s] = true
+	return true
+}
+
+func (p *Pool) isAbandoned() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.abandoned
+}
+
 func (p *Pool) setLimit(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/direct/pools.go
+++ b/internal/direct/pools.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
 
 // Pools is the connections to all upstreams.
@@ -24,13 +25,22 @@
 
 // Do carries a call; its Done gets the reply.
 func (p *Pools) Do(call *Call) {
+	u := call.Upstream
 	p.mu.Lock()
-	pool := p.pools[call.Upstream.ID]
-	if pool == nil {
-		pool = newPool(call.Upstream, p.protocol, p.limit(call.Upstream.Service))
-		p.pools[call.Upstream.ID] = pool
+	pool := p.pools[u.ID]
+	var former *Pool
+	if pool == nil || u.StartedAfter(pool.upstream) {
+		former, pool = pool, newPool(u, p.protocol, p.limit(u.Service))
+		p.pools[u.ID] = pool
 	}
 	p.mu.Unlock()
+	if former != nil {
+		former.abandon()
+	}
+	if !pool.serves(u) {
+		call.finish(Reply{Result: scatter.Unreached, Detail: goneUpstream})
+		return
+	}
 	pool.do(call)
 }
 
@@ -53,34 +63,41 @@
 }
 
 // SetWindow bounds how many requests are under way at an upstream from here; 0 is
-// no bound but that of connections.
-func (p *Pools) SetWindow(upstream string, n int) {
+// no bound but that of connections. It means the start that the registration shows.
+func (p *Pools) SetWindow(u *catalog.Upstream, n int) {
 	p.mu.Lock()
-	pool := p.pools[upstream]
+	pool := p.pools[u.ID]
 	p.mu.Unlock()
-	if pool != nil {
+	if pool != nil && !pool.upstream.StartedAfter(u) {
 		pool.setWindow(n)
 	}
 }
 
-// Keep closes the pools of upstreams that are gone and brings the limits of the
-// others up to date.
+// Keep closes the pools of upstreams that are gone, abandons those of upstreams that have
+// started again, and brings the limits of the others up to date.
 func (p *Pools) Keep(known map[string]*catalog.Upstream) {
 	p.mu.Lock()
-	var gone []*Pool
+	var gone, former []*Pool
 	for id, pool := range p.pools {
 		u := known[id]
-		if u == nil {
+		switch {
+		case u == nil:
 			gone = append(gone, pool)
 			delete(p.pools, id)
-			continue
+		case u.StartedAfter(pool.upstream):
+			former = append(former, pool)
+			delete(p.pools, id)
+		default:
+			pool.setLimit(p.limit(u.Service))
 		}
-		pool.setLimit(p.limit(u.Service))
 	}
 	p.mu.Unlock()
 	for _, pool := range gone {
 		pool.close()
 	}
+	for _, pool := range former {
+		pool.abandon()
+	}
 }
 
 // Expire ends the idle connections that upstreams are about to close.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -164,7 +164,7 @@
 		e.opts.Logs.Failures.Info("edge: send failed", x.fields(s, zap.Stringer("result", s.reply.Result), zap.String("detail", s.reply.Detail))...)
 	}
 	turn, turned, window := x.note(now, s)
-	e.pools.SetWindow(s.call.Upstream.ID, window)
+	e.pools.SetWindow(s.call.Upstream, window)
 	if turned {
 		e.logTurn(turn)
 	}
@@ -188,7 +188,7 @@
 		e.replicas.Failed(now, u, s.id)
 	}
 	turn, turned = e.replicas.Turned(now, u.ID)
-	return turn, turned, e.replicas.Window(u.ID)
+	return turn, turned, e.replicas.Window(u)
 }
 
 // fields is what every log line of a send has.
@@ -265,7 +265,7 @@
 	s.call.Withdraw()
 	e.mu.Lock()
 	e.replicas.Abandoned(now, x.req.Route.Name, x.usual, s.call.Upstream, s.id, now.Sub(s.sentAt)-s.call.Waited(now))
-	window := e.replicas.Window(s.call.Upstream.ID)
+	window := e.replicas.Window(s.call.Upstream)
 	e.mu.Unlock()
-	e.pools.SetWindow(s.call.Upstream.ID, window)
+	e.pools.SetWindow(s.call.Upstream, window)
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -17,6 +17,7 @@
 	// pulledItems is items of these pages, each version of one counted.
 	pulledItems prometheus.Counter
 	pullSeconds prometheus.Histogram
+	rejected    prometheus.Counter
 }
 
 // pullBuckets are seconds: from a round trip in a data centre to the time at which
@@ -38,6 +39,9 @@
 		pulledItems: f.NewCounter(prometheus.CounterOpts{
 			Name: "sycamorekeel_catalog_pulled_items_total", Help: "Items of the pages that peers gave, each version of one counted.",
 		}),
+		rejected: f.NewCounter(prometheus.CounterOpts{
+			Name: "sycamorekeel_catalog_rejected_items_total", Help: "Versions of items that could not be read.",
+		}),
 		pullSeconds: f.NewHistogram(prometheus.HistogramOpts{
 			Name: "sycamorekeel_catalog_pull_seconds", Help: "Time of a pull from a peer, failed ones included.", Buckets: pullBuckets,
 		}),
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -113,6 +113,10 @@
 			zap.Uint64("revision", revision), zap.Uint64("lead", lead), zap.Duration("view_age", sinceOrZero(now, confirmed)))
 	}
 	for _, x := range rejected {
+		r.met.rejected.Inc()
+		if x.Repeated {
+			continue
+		}
 		r.log.Warn("store: item rejected", zap.String("key", x.Key), zap.Uint64("revision", x.Revision), zap.Error(x.Err))
 	}
 	if view != nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -114,16 +114,18 @@
 	tail    time.Duration
 }
 
-// upstream is what is known of one upstream.
+// upstream is what is known of one upstream since it started.
 type upstream struct {
-	slow      float64
-	weight    float64
-	failures  float64
-	seen      time.Time
-	failedAt  time.Time
-	downUntil time.Time
-	downFor   time.Duration
-	coldUntil time.Time
+	// registered is the registration of that start.
+	registered *catalog.Upstream
+	slow       float64
+	weight     float64
+	failures   float64
+	seen       time.Time
+	failedAt   time.Time
+	downUntil  time.Time
+	downFor    time.Duration
+	coldUntil  time.Time
 	// lateUntil is when the last late answer came: what was sent before it and
 	// comes after it was held up by the same pause.
 	lateUntil time.Time
@@ -167,7 +169,10 @@
 	return &Table{place: place, rand: r, kinds: map[string]*kind{}, upstreams: map[string]*upstream{}}
 }
 
-// Keep forgets the upstreams that are gone and notes how long new ones are cold.
+// Keep forgets the upstreams that are gone, and the former starts of those that have
+// started again, and notes how long new ones are cold. A process that has started again
+// knows nothing of before: judged by what the former one showed, it would be passed over
+// for as long as that is remembered, or get full work while it is cold.
 func (t *Table) Keep(now time.Time, known map[string]*catalog.Upstream) {
 	for id := range t.upstreams {
 		if known[id] == nil {
@@ -175,8 +180,9 @@
 		}
 	}
 	for id, u := range known {
-		if t.upstreams[id] == nil {
-			t.upstreams[id] = &upstream{slow: 1, coldUntil: now.Add(u.ColdFor)}
+		held := t.upstreams[id]
+		if held == nil || u.StartedAfter(held.registered) {
+			t.upstreams[id] = &upstream{registered: u, slow: 1, coldUntil: now.Add(u.ColdFor)}
 		}
 	}
 }
@@ -218,7 +224,7 @@
 // Reachable tells whether one of the candidates is not passed over as unreachable.
 func (t *Table) Reachable(now time.Time, candidates []*catalog.Upstream) bool {
 	return slices.ContainsFunc(candidates, func(c *catalog.Upstream) bool {
-		return !now.Before(t.upstream(c.ID).downUntil)
+		return !now.Before(t.upstream(c).downUntil)
 	})
 }
 
@@ -231,7 +237,7 @@
 
 // cost is the expected answer time in seconds, after ahead others.
 func (t *Table) cost(now time.Time, k *kind, c *catalog.Upstream, ahead float64) float64 {
-	u := t.upstream(c.ID)
+	u := t.upstream(c)
 	base := t.median(now, k, t.place.Distance(c.DataCentre)).Seconds()
 	cost := base * u.slowness(now) * (1 + ahead)
 	if now.Before(u.coldUntil) {
@@ -274,7 +280,7 @@
 // connection, at any time until it has ended.
 func (t *Table) Sent(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, attempt uint64, waited func(time.Time) time.Duration) {
 	k := t.kind(kindName, usual)
-	u := t.upstream(c.ID)
+	u := t.upstream(c)
 	expected := t.median(now, k, t.place.Distance(c.DataCentre))
 	u.open = append(u.open, open{attempt: attempt, sentAt: now, usual: expected, waited: waited})
 }
@@ -282,7 +288,7 @@
 // Answered notes an answer after the time that it took.
 func (t *Table) Answered(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, attempt uint64, took time.Duration) {
 	k := t.kind(kindName, usual)
-	u := t.upstream(c.ID)
+	u := t.upstream(c)
 	open := len(u.open)
 	u.close(attempt)
 	d := t.place.Distance(c.DataCentre)
@@ -303,7 +309,7 @@
 // alone it would stay unknown and look as good as the others.
 func (t *Table) Abandoned(now time.Time, kindName string, usual time.Duration, c *catalog.Upstream, attempt uint64, waited time.Duration) {
 	k := t.kind(kindName, usual)
-	u := t.upstream(c.ID)
+	u := t.upstream(c)
 	open := len(u.open)
 	u.close(attempt)
 	ratio := float64(waited) / float64(t.median(now, k, t.place.Distance(c.DataCentre)))
@@ -317,7 +323,7 @@
 
 // Failed notes a send that brought no answer.
 func (t *Table) Failed(now time.Time, c *catalog.Upstream, attempt uint64) {
-	u := t.upstream(c.ID)
+	u := t.upstream(c)
 	u.close(attempt)
 	u.failures = u.failing(now)*(1-failShare) + failShare
 	u.failedAt = now
@@ -325,7 +331,7 @@
 
 // Unreachable notes an upstream to which no connection could be made.
 func (t *Table) Unreachable(now time.Time, c *catalog.Upstream, attempt uint64) {
-	u := t.upstream(c.ID)
+	u := t.upstream(c)
 	u.close(attempt)
 	u.downFor = min(max(downFirst, 2*u.downFor), downMost)
 	u.downUntil = now.Add(u.downFor)
@@ -333,7 +339,7 @@
 
 // Unsent notes a send that was not made after all.
 func (t *Table) Unsent(c *catalog.Upstream, attempt uint64) {
-	t.upstream(c.ID).close(attempt)
+	t.upstream(c).close(attempt)
 }
 
 // HedgeDelay is how long an answer of the upstream may take before the request
@@ -378,11 +384,17 @@
 	u.open = slices.DeleteFunc(u.open, func(o open) bool { return o.attempt == attempt })
 }
 
-func (t *Table) upstream(id string) *upstream {
-	u := t.upstreams[id]
+// upstream is what is known of a registration's start. Of one that is over by now it is
+// nothing, and what is noted of it is lost: a query that was planned before may still hold
+// the registration.
+func (t *Table) upstream(c *catalog.Upstream) *upstream {
+	u := t.upstreams[c.ID]
 	if u == nil {
-		u = &upstream{slow: 1}
-		t.upstreams[id] = u
+		u = &upstream{registered: c, slow: 1}
+		t.upstreams[c.ID] = u
+	}
+	if u.registered.StartedAfter(c) {
+		return &upstream{registered: c, slow: 1}
 	}
 	return u
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -181,7 +181,7 @@
 func TestLateAnswersBoundTheOpenSends(t *testing.T) {
 	r := newRig()
 	r.warm()
-	if w := r.table.Window("a"); w != 0 {
+	if w := r.table.Window(r.ups[0]); w != 0 {
 		t.Fatalf("%d before any late answer", w)
 	}
 	open := func(n int) {
@@ -197,29 +197,29 @@
 	open(8)
 	r.now = r.now.Add(200 * ms)
 	end(200 * ms)
-	if w := r.table.Window("a"); w != 4 {
+	if w := r.table.Window(r.ups[0]); w != 4 {
 		t.Errorf("%d after a late answer with 8 open, want 4", w)
 	}
 	end(200 * ms)
-	if w := r.table.Window("a"); w != 4 {
+	if w := r.table.Window(r.ups[0]); w != 4 {
 		t.Errorf("%d after a second one that was open beside it, want 4", w)
 	}
 	end(30 * ms)
-	if w := r.table.Window("a"); w != 5 {
+	if w := r.table.Window(r.ups[0]); w != 5 {
 		t.Errorf("%d after one in time, want 5", w)
 	}
 	for range 5 {
 		r.now = r.now.Add(time.Second)
 		end(500 * ms)
 	}
-	if w := r.table.Window("a"); w != 1 {
+	if w := r.table.Window(r.ups[0]); w != 1 {
 		t.Errorf("%d after many late ones, want one that tries it", w)
 	}
 	open(windowMost)
 	for range windowMost {
 		end(30 * ms)
 	}
-	if w := r.table.Window("a"); w != 0 {
+	if w := r.table.Window(r.ups[0]); w != 0 {
 		t.Errorf("%d once it is well again", w)
 	}
 }
--- a/internal/replica/window.go
+++ b/internal/replica/window.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+)
 
 // windowMost is the bound on open sends from which on there is none: more than
 // a VM's part of the connections to one upstream.
@@ -26,4 +30,4 @@
 }
 
 // Window is how many sends to an upstream may be open at a time, 0 for any number.
-func (t *Table) Window(id string) int { return int(t.upstream(id).window) }
+func (t *Table) Window(c *catalog.Upstream) int { return int(t.upstream(c).window) }
