--- /dev/null
+++ b/internal/follow/pull.go
@@ -0,0 +1,156 @@
+package follow
+
+import (
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+)
+
+const (
+	// pullPatience is how long a reader leaves a peer's lead to its own watch,
+	// which is about to bring the change.
+	pullPatience = 150 * time.Millisecond
+	// farPatience is how long a VM that hears of a change from another region
+	// waits for a peer of its own to have it: a configuration of hundreds of
+	// kilobytes then crosses between regions a few times and not once a VM.
+	farPatience = 150 * time.Millisecond
+	// pullStall gives up a peer of which nothing has come for so long: several round
+	// trips between regions. A page of which some is coming may take up to the bound:
+	// given up by the time it takes, one over a slow link is begun anew without end, and
+	// its VM stays at an old version.
+	pullStall = 600 * time.Millisecond
+)
+
+// lead is the furthest revision that a peer claims.
+type lead struct {
+	address  string
+	revision uint64
+	// near says that the peer is of this VM's region.
+	near bool
+	// since is when this VM first heard that it is behind.
+	since time.Time
+	// confirmed is when the store last confirmed the lead.
+	confirmed time.Time
+}
+
+// Heard takes in what a peer announces: its revision and when the store last
+// confirmed it.
+func (f *Follower) Heard(now time.Time, peer Peer, revision uint64, age time.Duration) []Action {
+	f.out = nil
+	if revision >= f.state.Revision() && revision > 0 {
+		f.heardAhead(now, peer, revision, now.Add(-age))
+	}
+	return f.out
+}
+
+func (f *Follower) heardAhead(now time.Time, peer Peer, revision uint64, at time.Time) {
+	if revision == f.state.Revision() {
+		f.confirmedBy(now, at)
+		return
+	}
+	if f.lead.revision <= f.state.Revision() {
+		f.lead = lead{since: now}
+	}
+	near := peer.Region == f.opts.Region
+	if revision >= f.lead.revision && (near || !f.lead.near) || near && !f.lead.near {
+		f.lead.revision = revision
+		f.lead.address = peer.Address
+		f.lead.near = near
+		f.lead.confirmed = at
+	}
+	f.advancePull(now)
+}
+
+// Pulled takes in a peer's page.
+func (f *Follower) Pulled(now time.Time, id uint64, page catalog.Page) []Action {
+	f.out = nil
+	if f.pull != nil && f.pull.ID == id {
+		f.pull = nil
+	}
+	before := f.state.Revision()
+	changed, joined := f.state.Take(now, page)
+	if f.state.Revision() > before {
+		f.relist = false
+		f.emit(Announce{})
+	}
+	f.confirmedByPeer(now)
+	if joined && f.state.Revision() == before && f.lead.revision > before {
+		// The peer has not got what it claims. Asked again at once, it would be
+		// asked without end.
+		f.lead = lead{}
+	}
+	if changed {
+		f.emit(Changed{})
+	}
+	f.advancePull(now)
+	return f.out
+}
+
+// PullFailed takes in that a peer gave nothing.
+func (f *Follower) PullFailed(now time.Time, id uint64) []Action {
+	f.out = nil
+	if f.pull == nil || f.pull.ID != id {
+		return f.out
+	}
+	f.pull = nil
+	// Another peer's next word sets a new lead.
+	f.lead = lead{}
+	return f.out
+}
+
+// confirmedByPeer takes in the confirmations of what was asked for and of the furthest
+// claim, if these are reached. While changes come faster than pulls end the furthest
+// claim never is; by it alone, VMs that keep up take themselves for cut off, and all of
+// them read the store: 57 of 70 at once were seen.
+func (f *Follower) confirmedByPeer(now time.Time) {
+	for _, claim := range []lead{f.asked, f.lead} {
+		if f.state.Revision() >= claim.revision {
+			f.confirmedBy(now, claim.confirmed)
+		}
+	}
+}
+
+// confirmedBy takes in a confirmation that a peer had. It ends an outage here as
+// the store's own answer does, and after the changes it came with.
+func (f *Follower) confirmedBy(now, at time.Time) {
+	if at.After(f.confirmed) {
+		f.confirmed = at
+		f.state.Answered(now)
+	}
+}
+
+// advancePull asks the peer that is ahead.
+func (f *Follower) advancePull(now time.Time) {
+	if f.pull != nil {
+		if now.Sub(f.pullSince) < f.pull.Timeout {
+			return
+		}
+		f.pull = nil
+		f.lead = lead{}
+	}
+	if f.lead.revision <= f.state.Revision() {
+		return
+	}
+	if now.Sub(f.lead.since) < f.patience() {
+		return
+	}
+	f.lastPull++
+	f.pull = &Pull{ID: f.lastPull, Address: f.lead.address, After: f.state.Revision(), Stall: pullStall, Timeout: f.pullTimeout()}
+	f.pullSince = now
+	f.asked = f.lead
+	f.emit(*f.pull)
+}
+
+// pullTimeout is the time limit of a whole pull.
+func (f *Follower) pullTimeout() time.Duration { return max(pullStall, f.opts.Bound) }
+
+// patience is how long a peer's lead is left to others.
+func (f *Follower) patience() time.Duration {
+	if f.reading && !f.relist && !f.listNext && f.state.Revision() > 0 {
+		return pullPatience
+	}
+	if !f.lead.near {
+		return farPatience
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/follow/read.go
@@ -0,0 +1,192 @@
+package follow
+
+import (
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+)
+
+const (
+	// waitShare is the part of the bound on changes that a watch waits. A watch
+	// may hang without a word; it is then noticed after its wait, and there is
+	// as much time left to read anew.
+	waitShare = 0.4
+	// spacingShare is the least time between two calls to the store, as a part
+	// of the bound: changes that come close together are read by one call.
+	spacingShare = 0.13
+	// stormRevisions is how many revisions between two listings show that changes still
+	// come so close together that a watch would bring several versions.
+	stormRevisions = 3
+	// staleShare is the part of the bound after which a VM that has heard of no
+	// confirmation reads for itself.
+	staleShare = 0.65
+	// rankStep delays each further VM of the region, so that not all of them
+	// begin to read when a reader is lost.
+	rankStep = 100 * time.Millisecond
+	// maxRankDelay keeps the last of many VMs within the bound.
+	maxRankDelay = 400 * time.Millisecond
+	// actingFor is how long a VM that had to read for itself goes on reading.
+	actingFor = 5 * time.Second
+	// retryFirst and retryMost bound the pause after a read that failed.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = time.Second
+	// hearFirst is how long a process that starts alone listens for a peer, which
+	// costs the store no call; a peer answers within a round trip.
+	hearFirst = 350 * time.Millisecond
+	// settleSeed and settleOthers are the same for a start of the whole system,
+	// when no peer knows anything: the VMs named as seeds find each other first
+	// and read for the others.
+	settleSeed   = 600 * time.Millisecond
+	settleOthers = 1500 * time.Millisecond
+)
+
+// Listed takes in a whole listing of the store.
+func (f *Follower) Listed(now time.Time, revision uint64, items []catalog.Item) []Action {
+	f.out = nil
+	f.answered(now)
+	if revision < f.state.Revision() {
+		// An answer from before what is known: to be read again.
+		f.relist = true
+		f.nextRead = now.Add(retryFirst)
+		return f.out
+	}
+	f.relist = false
+	f.listNext = f.listNext && revision-f.state.Revision() >= stormRevisions
+	changed := f.state.Replace(now, revision, items)
+	f.confirm(now, changed)
+	f.advanceRead(now)
+	return f.out
+}
+
+// Watched takes in the answer of a watch. Its revision must be explained by its
+// changes: a store that has lost a change in between says nothing of it, and
+// what it tells later would join on to a gap.
+func (f *Follower) Watched(now time.Time, after, revision uint64, changes []catalog.Item) []Action {
+	f.out = nil
+	f.answered(now)
+	f.listNext = replacedBytes(changes) > f.state.Bytes()
+	changed, joined := f.state.Apply(now, after, max(after, lastRevision(changes)), changes)
+	if !joined || revision > f.state.Revision() {
+		f.relist = true
+	}
+	if joined && !f.relist {
+		f.confirm(now, changed)
+	} else if changed {
+		f.emit(Changed{})
+	}
+	f.advanceRead(now)
+	return f.out
+}
+
+// replacedBytes is the size of the versions among some changes that later ones replace.
+func replacedBytes(changes []catalog.Item) int {
+	newest := make(map[string]uint64, len(changes))
+	for _, it := range changes {
+		newest[it.Key] = max(newest[it.Key], it.Revision)
+	}
+	bytes := 0
+	for _, it := range changes {
+		if it.Revision < newest[it.Key] {
+			bytes += len(it.Value)
+		}
+	}
+	return bytes
+}
+
+func lastRevision(changes []catalog.Item) uint64 {
+	var last uint64
+	for _, it := range changes {
+		last = max(last, it.Revision)
+	}
+	return last
+}
+
+// ReadFailed takes in that a read brought nothing. compacted says that the store
+// no longer has the history asked for.
+func (f *Follower) ReadFailed(now time.Time, compacted bool) []Action {
+	f.out = nil
+	f.reading = false
+	if compacted {
+		f.relist = true
+		f.nextRead = now
+		f.advanceRead(now)
+		return f.out
+	}
+	f.state.Failed(now)
+	f.listNext = !f.listNext && now.Sub(f.began) >= f.share(waitShare)
+	wait := min(retryFirst<<min(f.failures, 8), retryMost)
+	f.failures++
+	f.nextRead = now.Add(time.Duration((0.75 + 0.5*f.opts.Random.Float64()) * float64(wait)))
+	return f.out
+}
+
+func (f *Follower) answered(now time.Time) {
+	f.reading = false
+	f.failures = 0
+	f.nextRead = f.began.Add(f.share(spacingShare))
+}
+
+// confirm notes that what is known is what the store holds now, and says so: left
+// to the peers' turns alone, the word would take more of the bound in a large
+// fleet than the store's own wait, and VMs would read for themselves.
+func (f *Follower) confirm(now time.Time, changed bool) {
+	f.confirmed = now
+	f.state.Answered(now)
+	f.emit(Announce{Wide: true})
+	if changed {
+		f.emit(Changed{})
+	}
+}
+
+// advanceRead reads the store when it is this VM's turn. While a peer's answer
+// is on its way, it waits for that, but not for one that is slow.
+func (f *Follower) advanceRead(now time.Time) {
+	answering := f.pull != nil && now.Sub(f.pullSince) < pullStall
+	if f.reading || answering || now.Before(f.nextRead) || !f.mayRead(now) {
+		return
+	}
+	f.reading = true
+	f.began = now
+	if f.relist || f.listNext {
+		f.emit(List{})
+		return
+	}
+	f.emit(Watch{After: f.state.Revision(), Wait: f.share(waitShare)})
+}
+
+func (f *Follower) mayRead(now time.Time) bool {
+	if f.state.Revision() == 0 {
+		return now.Sub(f.started) >= f.firstWait()+f.rankDelay()
+	}
+	if f.Reader(now) {
+		return true
+	}
+	if now.Sub(f.confirmed) < f.share(staleShare)+f.rankDelay() {
+		return false
+	}
+	if !now.Before(f.actingUntil) {
+		// Of what came since the last confirmation the newest versions do.
+		f.listNext = true
+	}
+	f.actingUntil = now.Add(actingFor)
+	return true
+}
+
+// firstWait is how long a process that knows nothing leaves the reading to
+// others.
+func (f *Follower) firstWait() time.Duration {
+	switch {
+	case f.alone && !f.opts.FirstStart:
+		return 0
+	case !f.opts.FirstStart:
+		return hearFirst
+	case f.opts.Seed:
+		return settleSeed
+	default:
+		return settleOthers
+	}
+}
+
+func (f *Follower) rankDelay() time.Duration {
+	return min(time.Duration(f.rank)*rankStep, maxRankDelay)
+}
