--- a/internal/node/stall_test.go
+++ b/internal/node/stall_test.go
@@ -39,3 +39,17 @@
 		}
 	}
 }
+
+// A peer that takes the question and says nothing is given up by the stall time alone.
+func TestASilentPeerIsGivenUp(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	p := pullOf(ln.Addr().String(), 0)
+	p.Stall, p.Timeout = 50*time.Millisecond, time.Hour
+	if _, err := readerAt().fetchCatalog(p); err == nil {
+		t.Error("a page of a silent peer")
+	}
+}
