--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -153,9 +153,10 @@
 	}
 }
 
-// Replace takes in a whole listing: items that are known at or below its
-// revision and not in it are gone, and are told to peers as deletions at that revision. It is for listings of the store and for the
-// states of peers. A listing older than what is known changes nothing.
+// Replace takes in a whole listing: items that are known at or below its revision
+// and not in it are gone, and are told to peers as deletions at that revision. It is
+// for listings of the store and for the states of peers. A listing older than what is
+// known changes nothing.
 func (s *State) Replace(now time.Time, revision uint64, items []Item) bool {
 	if revision < s.revision {
 		return false
