Wait in a test for the end of the connection that was shut out

In between one answer is counted ahead, not four; a call made then is given back as well. Change: the test waits for the end, then asks the same and wants the same.

--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -165,6 +165,24 @@
 	return c.wait(done)
 }
 
+// untilNoneOpen waits until the upstream's last connection counts as ended: a reply is
+// handed over just before, by the connection's own goroutine.
+func (c *client) untilNoneOpen() {
+	c.t.Helper()
+	c.pools.mu.Lock()
+	pool := c.pools.pools[c.up.ID]
+	c.pools.mu.Unlock()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		pool.mu.Lock()
+		open := pool.open
+		pool.mu.Unlock()
+		if open == 0 {
+			return
+		}
+	}
+	c.t.Fatal("the connection does not end")
+}
+
 // Each row is a way in which upstreams break answers. What belongs to no request
 // or is not whole never becomes an answer, and the connection is not used again.
 func TestBrokenAnswers(t *testing.T) {
@@ -398,6 +416,7 @@
 	if r := cl.call("1"); r.Result != scatter.Shut {
 		t.Fatalf("%v (%s)", r.Result, r.Detail)
 	}
+	cl.untilNoneOpen()
 	if ahead := cl.pools.Ahead(time.Now(), []*catalog.Upstream{cl.up}); ahead[0] != shutAhead {
 		t.Errorf("%v answers ahead of an upstream that lets nothing in", ahead[0])
 	}
