Count the bytes that a VM exchanges, by purpose and distance

Ruled out: counting at the sockets alone (tells no purpose); a line a request (volume).

Distance moves from package replica to locality, as gossip and pages need it too.

--- a/cmd/sycamorekeel-edge/main.go
+++ b/cmd/sycamorekeel-edge/main.go
@@ -20,6 +20,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/node"
 	"sycamorekeel.example/sycamorekeel/internal/standalone"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 	"sycamorekeel.example/sycamorekeel/platform"
 )
 
@@ -53,13 +54,16 @@
 // environment is what the daemon runs in.
 type environment struct {
 	load    func() (*node.Settings, error)
-	adapter func(*node.Settings) node.Adapter
+	adapter func(*node.Settings, *traffic.Meter) node.Adapter
 }
 
 func (f *flags) environment() environment {
 	env := environment{platform.LoadSettings, platform.Adapter}
 	if f.Settings != "" {
-		env = environment{func() (*node.Settings, error) { return standalone.LoadSettings(f.Settings) }, standalone.Adapter}
+		env = environment{
+			func() (*node.Settings, error) { return standalone.LoadSettings(f.Settings) },
+			func(set *node.Settings, _ *traffic.Meter) node.Adapter { return standalone.Adapter(set) },
+		}
 	}
 	load := env.load
 	env.load = func() (*node.Settings, error) {
@@ -89,10 +93,12 @@
 	go func() { logged <- ring.Run(logCtx) }()
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(ring, collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	meter := &traffic.Meter{}
 	n := node.New(set, node.Options{
+		Traffic:  meter,
 		Logs:     ring.Loggers(),
 		Registry: registry,
-		Adapter:  env.adapter(set),
+		Adapter:  env.adapter(set, meter),
 		Reloading: node.Reloading{
 			Load:    env.load,
 			Signals: hup,
--- a/cmd/sycamorekeel/explain.go
+++ b/cmd/sycamorekeel/explain.go
@@ -20,18 +20,23 @@
 	Token   string   `env:"SYCAMOREKEEL_OPERATOR_TOKEN" help:"Bearer token of the operators."`
 	Log     []string `type:"existingfile" help:"Log file of a VM; may be given more than once. The request is explained from the logs, and no VM is asked."`
 	Losses  bool     `help:"Instead of one request, count those of the logs that did not end as promised, by second, outcome and VM, with where their time went."`
+	Bytes   bool     `help:"Instead of one request, add up what the VMs of the logs exchanged, by purpose and distance."`
 	Request string   `arg:"" optional:"" help:"Request id, as an answer or a refusal gives it."`
 }
 
 // Run prints what the VM did for the request, one attempt a line.
 func (c *explainCommand) Run(out *output) error {
 	switch {
-	case c.Losses && (c.Request != "" || len(c.Log) == 0):
-		return trace.BadParameter("--losses takes --log and no request")
+	case c.Losses && c.Bytes:
+		return trace.BadParameter("only one of --losses and --bytes can be given")
+	case (c.Losses || c.Bytes) && (c.Request != "" || len(c.Log) == 0):
+		return trace.BadParameter("--losses and --bytes take --log and no request")
 	case c.Losses:
 		return c.losses(out)
+	case c.Bytes:
+		return c.bytes(out)
 	case c.Request == "":
-		return trace.BadParameter("a request, or --losses, must be given")
+		return trace.BadParameter("a request, --losses or --bytes must be given")
 	case len(c.Log) > 0:
 		return c.fromLogs(out)
 	case c.Address == "":
@@ -71,6 +76,29 @@
 	}
 }
 
+// bytes prints what the VMs of the logs exchanged.
+func (c *explainCommand) bytes(out *output) error {
+	logs, closeAll, err := openAll(c.Log)
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	flows, err := explain.Flows(logs...)
+	if err != nil {
+		return err
+	}
+	return out.print(flows, func() { printFlows(out, flows) })
+}
+
+func printFlows(out *output, flows []explain.Flow) {
+	w := tabwriter.NewWriter(out.to, 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "callers\tpurpose\tdistance\tbytes or connections")
+	for _, f := range flows {
+		fmt.Fprintf(w, "%t\t%s\t%s\t%d\n", f.Carrying, f.Purpose, f.Distance, f.Count)
+	}
+}
+
 // openAll opens files to read; the function it gives closes them.
 func openAll(paths []string) (files []io.Reader, closeAll func(), err error) {
 	var opened []*os.File
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -60,6 +60,8 @@
 	Deadline time.Time
 	// AnswerBy is when the answer should be there; zero when it never is late.
 	AnswerBy time.Time
+	// Extra says that the message was sent to an upstream of the same service before.
+	Extra bool
 	// Priority orders calls that wait for a connection; 0 goes first.
 	Priority int
 	// Done gets the reply, once, from another goroutine; not after Withdraw.
--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -6,12 +6,14 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 const (
@@ -44,8 +46,10 @@
 type conn struct {
 	pool *Pool
 	net  net.Conn
-	br   *bufio.Reader
-	bw   *bufio.Writer
+	// bytes is what the present call has moved, both ways.
+	bytes atomic.Int64
+	br    *bufio.Reader
+	bw    *bufio.Writer
 	// work hands over the next call; it is closed to end the connection.
 	work chan *Call
 	// idleUntil is when the upstream may close the idle connection.
@@ -72,8 +76,10 @@
 	}
 	c.net = nc
 	c.dialed = time.Since(began)
-	c.br = bufio.NewReaderSize(nc, bufferBytes)
-	c.bw = bufio.NewWriterSize(nc, bufferBytes)
+	c.pool.counter.Opened(c.pool.upstream)
+	counted := traffic.CountConn(nc, func(n int) { c.bytes.Add(int64(n)) })
+	c.br = bufio.NewReaderSize(counted, bufferBytes)
+	c.bw = bufio.NewWriterSize(counted, bufferBytes)
 	c.idleUntil = time.Now().Add(idleDefault)
 	defer nc.Close()
 	for call != nil {
@@ -95,6 +101,7 @@
 	if !call.start(c.net) {
 		return true
 	}
+	defer func() { c.pool.counter.Sent(c.pool.upstream, call.Extra, int(c.bytes.Swap(0))) }()
 	var req fasthttp.Request
 	c.pool.protocol.Encode(&req, call.Message, call.Upstream, left)
 	written, err := c.write(&req, len(call.Message.Body))
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// nobody counts nothing.
+type nobody struct{}
+
+func (nobody) Opened(*catalog.Upstream) {}
+
+func (nobody) Sent(*catalog.Upstream, bool, int) {}
+
 // client is pools with a limit, and a way to make calls.
 type client struct {
 	t     *testing.T
@@ -123,7 +130,7 @@
 }
 
 func newClient(t *testing.T, s *server, limit int) *client {
-	c := &client{t: t, pools: NewPools(plain{}, func(string) int { return limit }), up: s.upstream()}
+	c := &client{t: t, pools: NewPools(plain{}, nobody{}, func(string) int { return limit }), up: s.upstream()}
 	t.Cleanup(c.pools.Close)
 	return c
 }
@@ -577,7 +584,7 @@
 			go answering(func(id string) string { return whole(id, "x") })(0, c)
 		}
 	}()
-	pools := NewPools(plain{}, func(string) int { return 4 })
+	pools := NewPools(plain{}, nobody{}, func(string) int { return 4 })
 	up := &catalog.Upstream{ID: "u", Address: ln.Addr().String()}
 	done := make(chan Reply, 1)
 	b.ReportAllocs()
--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -29,6 +29,7 @@
 type Pool struct {
 	upstream *catalog.Upstream
 	protocol Protocol
+	counter  Counter
 
 	mu    sync.Mutex
 	limit int
@@ -49,8 +50,8 @@
 	shutUntil time.Time
 }
 
-func newPool(u *catalog.Upstream, protocol Protocol, limit int) *Pool {
-	return &Pool{upstream: u, protocol: protocol, limit: limit, sockets: map[net.Conn]bool{}}
+func newPool(u *catalog.Upstream, protocol Protocol, counter Counter, limit int) *Pool {
+	return &Pool{upstream: u, protocol: protocol, counter: counter, limit: limit, sockets: map[net.Conn]bool{}}
 }
 
 // do gives the call to an idle connection, opens one, or lets it wait.
--- a/internal/direct/pools.go
+++ b/internal/direct/pools.go
@@ -11,16 +11,25 @@
 // Pools is the connections to all upstreams.
 type Pools struct {
 	protocol Protocol
+	counter  Counter
 
 	mu    sync.Mutex
 	limit func(service string) int
 	pools map[string]*Pool
 }
 
+// Counter takes in what connections to upstreams cost.
+type Counter interface {
+	// Opened counts a connection.
+	Opened(u *catalog.Upstream)
+	// Sent counts the bytes of a call, both ways.
+	Sent(u *catalog.Upstream, extra bool, bytes int)
+}
+
 // NewPools has no connection. limit is how many this VM may have to one
 // upstream of a service.
-func NewPools(protocol Protocol, limit func(service string) int) *Pools {
-	return &Pools{protocol: protocol, limit: limit, pools: map[string]*Pool{}}
+func NewPools(protocol Protocol, counter Counter, limit func(service string) int) *Pools {
+	return &Pools{protocol: protocol, counter: counter, limit: limit, pools: map[string]*Pool{}}
 }
 
 // Do carries a call; its Done gets the reply.
@@ -30,7 +39,7 @@
 	pool := p.pools[u.ID]
 	var former *Pool
 	if pool == nil || u.StartedAfter(pool.upstream) {
-		former, pool = pool, newPool(u, p.protocol, p.limit(u.Service))
+		former, pool = pool, newPool(u, p.protocol, p.counter, p.limit(u.Service))
 		p.pools[u.ID] = pool
 	}
 	p.mu.Unlock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,11 +16,13 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/locality"
 	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 const (
@@ -55,7 +57,9 @@
 	Logs     logring.Loggers
 	Metrics  *Metrics
 	Protocol direct.Protocol
-	Place    replica.Place
+	Place    locality.Place
+	// Traffic counts the bytes exchanged with upstreams.
+	Traffic *traffic.Meter
 	// Budget bounds extra sends over all VMs.
 	Budget retrybudget.Limit
 	// MaxRequests bounds the requests in flight on this VM.
@@ -103,7 +107,7 @@
 		scatters: map[string]*congestion.Limiter{},
 	}
 	e.shares.Store(&Shares{VMs: 1, Carriers: 1, Carrying: true})
-	e.pools = direct.NewPools(opts.Protocol, e.connectionLimit)
+	e.pools = direct.NewPools(opts.Protocol, upstreamTraffic{opts.Traffic, opts.Place}, e.connectionLimit)
 	e.do = e.pools.Do
 	return e
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -12,6 +12,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 func TestMinParts(t *testing.T) {
@@ -141,7 +142,7 @@
 func TestWhatAConfigurationNoLongerNamesIsForgotten(t *testing.T) {
 	start := time.Unix(1000, 0)
 	limit := retrybudget.Limit{Ratio: 1, Window: 10 * time.Second}
-	e := New(start, Options{Budget: limit, Random: rand.New(rand.NewPCG(1, 2))})
+	e := New(start, Options{Traffic: &traffic.Meter{}, Budget: limit, Random: rand.New(rand.NewPCG(1, 2))})
 	view := func(i int) *catalog.View {
 		name := fmt.Sprint(i)
 		c := &routing.Config{Routes: []routing.Route{{Name: name}}, Services: []routing.Service{{Name: name}}}
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -14,11 +14,12 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/locality"
 	"sycamorekeel.example/sycamorekeel/internal/logring"
-	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 // The load of these tests: one VM in data centre a, a query of some shards with a
@@ -89,9 +90,10 @@
 func newSim(seed uint64) *sim {
 	s := &sim{start: start, now: start, rand: rand.New(rand.NewPCG(seed, 1)), ill: map[string]conduct{}, sent: map[string]map[int]int{}}
 	s.engine = New(s.start, Options{
+		Traffic:     &traffic.Meter{},
 		Logs:        logring.Nop(),
 		Metrics:     NewMetrics(prometheus.NewRegistry()),
-		Place:       replica.Place{DataCentre: "a", Region: "ra", Regions: map[string]string{"a": "ra", "b": "rb", "c": "rc"}},
+		Place:       locality.Place{DataCentre: "a", Region: "ra", Regions: map[string]string{"a": "ra", "b": "rb", "c": "rc"}},
 		Budget:      retrybudget.Limit{Ratio: 0.2, Window: 10 * time.Second, Allowance: 30},
 		MaxRequests: 10_000,
 		Random:      rand.New(rand.NewPCG(seed, 2)),
--- a/internal/edge/observe_test.go
+++ b/internal/edge/observe_test.go
@@ -17,6 +17,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 // observed is an engine whose lines and metrics are looked at.
@@ -31,6 +32,7 @@
 	o := &observed{registry: prometheus.NewRegistry()}
 	o.ring = logring.New("v", &o.out, time.Now)
 	o.Engine = New(time.Now(), Options{
+		Traffic:     &traffic.Meter{},
 		Logs:        o.ring.Loggers(),
 		Metrics:     NewMetrics(o.registry),
 		Budget:      retrybudget.Limit{Ratio: 0.5, Allowance: 10},
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -219,6 +219,7 @@
 		Deadline: x.plan.GiveUp,
 		AnswerBy: x.plan.AnswerBy,
 		Priority: x.req.Route.Priority,
+		Extra:    s.Cause != scatter.First,
 		Done:     func(r direct.Reply) { x.inbox.put(numbered{s.Attempt, r}) },
 	}
 	e.mu.Lock()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -61,7 +61,10 @@
 	Node      membership.Options
 	Keys      []*pb.PeerKey
 	Callbacks Callbacks
-	Now       func() time.Time
+	// Sent counts a datagram's bytes by the place of its receiver, which is empty when it
+	// is not known; may be nil.
+	Sent func(region, dataCentre string, bytes int)
+	Now  func() time.Time
 }
 
 // Driver runs one node.
@@ -293,8 +296,9 @@
 
 // packet is a signed datagram.
 type packet struct {
-	to   netip.AddrPort
-	data []byte
+	to                 netip.AddrPort
+	region, dataCentre string
+	data               []byte
 }
 
 // seal stamps and signs datagrams in the order they are sent. The caller holds
@@ -315,7 +319,7 @@
 			d.log.Error("gossip: datagram could not be made", zap.Int("bytes", len(data)), zap.Error(err))
 			continue
 		}
-		out = append(out, packet{to: to, data: data})
+		out = append(out, packet{to: to, region: s.Region, dataCentre: s.DataCentre, data: data})
 	}
 	return out
 }
@@ -332,6 +336,9 @@
 		}
 		d.met.sent.Inc()
 		d.met.sentBytes.Add(float64(len(p.data)))
+		if f := d.opts.Sent; f != nil {
+			f(p.region, p.dataCentre, len(p.data))
+		}
 	}
 }
 
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -75,8 +75,11 @@
 
 // Send is a datagram to send. The driver stamps its sequence.
 type Send struct {
-	Address  string
-	Datagram *pb.Datagram
+	Address string
+	// Region and DataCentre are the receiver's, empty when only its address is known.
+	Region     string
+	DataCentre string
+	Datagram   *pb.Datagram
 }
 
 // Actions is what the driver has to do after a step.
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -132,7 +132,11 @@
 	if len(digest) == digestBuckets {
 		n.addDiffering(&p, digest)
 	}
-	n.out.Sends = append(n.out.Sends, Send{Address: address, Datagram: d})
+	s := Send{Address: address, Datagram: d}
+	if to != nil {
+		s.Region, s.DataCentre = to.Region, to.DataCentre
+	}
+	n.out.Sends = append(n.out.Sends, s)
 }
 
 // confirmedAge is the age announced with each datagram, in milliseconds and at
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,12 +26,13 @@
 	"sycamorekeel.example/sycamorekeel/internal/edge"
 	"sycamorekeel.example/sycamorekeel/internal/follow"
 	"sycamorekeel.example/sycamorekeel/internal/gossip"
+	"sycamorekeel.example/sycamorekeel/internal/locality"
 	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/placement"
-	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/strain"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 const (
@@ -94,6 +95,8 @@
 
 // Options is what a node needs.
 type Options struct {
+	// Traffic counts the bytes that this VM exchanges.
+	Traffic   *traffic.Meter
 	Logs      logring.Loggers
 	Registry  *prometheus.Registry
 	Adapter   Adapter
@@ -118,8 +121,11 @@
 	upstreams atomic.Pointer[map[string]int]
 	leaving   atomic.Bool
 	strained  atomic.Bool
-	sharers   sharers
-	callers   callerCount
+	// carrying says that callers are told to use this VM.
+	carrying atomic.Bool
+	sharers  sharers
+	traffic  *traffic.Meter
+	callers  callerCount
 }
 
 // New wires a node; Run starts it.
@@ -132,6 +138,7 @@
 		log:      opts.Logs.Changes,
 		registry: opts.Registry,
 		adapter:  opts.Adapter,
+		traffic:  opts.Traffic,
 		started:  now,
 	}
 	n.set.Store(set)
@@ -142,7 +149,8 @@
 		Logs:        opts.Logs,
 		Metrics:     edge.NewMetrics(opts.Registry),
 		Protocol:    opts.Adapter.Upstreams,
-		Place:       replica.Place{DataCentre: set.DataCentre, Region: set.Region, Regions: set.Regions},
+		Place:       placeOf(set),
+		Traffic:     opts.Traffic,
 		Budget:      set.Budget,
 		MaxRequests: max(leastRequests, int(maxRequests*set.Cores)),
 		Random:      random,
@@ -154,6 +162,9 @@
 		store:    opts.Adapter.Store,
 		announce: n.announce,
 		changed:  n.changed,
+		exchanged: func(p traffic.Purpose, address string, bytes int) {
+			n.traffic.Add(p, n.distanceOf(address), bytes)
+		},
 		follower: follow.New(now, follow.Options{
 			VM:         set.VM,
 			Region:     set.Region,
@@ -166,6 +177,7 @@
 	}
 	n.gossip = n.newGossip(now, set)
 	n.showState(opts.Registry)
+	opts.Registry.MustRegister(opts.Traffic)
 	n.reader.members = n.gossip.Updates
 	n.reader.learn = n.gossip.Learn
 	n.reader.joinFrom = random.IntN(max(1, len(set.Seeds)))
@@ -179,6 +191,23 @@
 	return h.Sum64()
 }
 
+func placeOf(set *Settings) locality.Place {
+	return locality.Place{DataCentre: set.DataCentre, Region: set.Region, Regions: set.Regions}
+}
+
+// place is where this VM is.
+func (n *Node) place() locality.Place { return placeOf(n.set.Load()) }
+
+// distanceOf is how far the peer with an address is, Unknown when no member has it.
+func (n *Node) distanceOf(address string) locality.Distance {
+	for _, m := range n.members.Load().Members {
+		if m.PeerAddress == address {
+			return n.place().To(m.Region, m.DataCentre)
+		}
+	}
+	return locality.Unknown
+}
+
 // otherSeeds is the seeds without this VM.
 func otherSeeds(set *Settings) []string {
 	return slices.DeleteFunc(slices.Clone(set.Seeds), func(s string) bool { return s == set.PeerAddress })
@@ -189,7 +218,10 @@
 		Log:      n.log,
 		Registry: n.registry,
 		Now:      time.Now,
-		Keys:     []*pb.PeerKey{{Id: "open", Secret: gossipKey}},
+		Sent: func(region, dataCentre string, bytes int) {
+			n.traffic.Add(traffic.Gossip, n.place().To(region, dataCentre), bytes)
+		},
+		Keys: []*pb.PeerKey{{Id: "open", Secret: gossipKey}},
 		Node: membership.Options{
 			Self: &pb.MemberUpdate{
 				Vm:            set.VM,
@@ -290,10 +322,11 @@
 func (n *Node) showShares(now time.Time) {
 	members := n.members.Load()
 	carriers := placement.Carriers(members.Members, n.placementBounds())
+	n.carrying.Store(carriers[n.set.Load().CallerAddress])
 	shares := n.sharers.count(now, edge.Shares{
 		VMs:      len(members.Serving()),
 		Carriers: len(carriers),
-		Carrying: carriers[n.set.Load().CallerAddress],
+		Carrying: n.carrying.Load(),
 	})
 	if now.Sub(n.started) < settleAfter {
 		shares.VMs = max(shares.VMs, startVMs)
@@ -342,6 +375,7 @@
 	group.Go(func() error { return n.reader.join(run, otherSeeds(n.set.Load())) })
 	group.Go(func() error { return n.tick(run) })
 	group.Go(func() error { return n.watchStrain(run) })
+	group.Go(func() error { return n.logTraffic(run) })
 	group.Go(func() error { return n.watchSettings(run) })
 	for _, s := range servers {
 		group.Go(s.serve)
--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -16,6 +16,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/follow"
 	"sycamorekeel.example/sycamorekeel/internal/pagepack"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 const (
@@ -49,7 +50,7 @@
 	if len(base.Text) > 0 {
 		args.Set(argBase, strconv.FormatUint(base.Sum, 16))
 	}
-	page, err := r.fetch(req, p, base)
+	page, err := r.fetch(req, traffic.Page, p, base)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unreadable = trace.IsBadParameter(err)
@@ -60,7 +61,7 @@
 func (r *reader) fetchMembers(seed string) (*pb.CatalogPage, error) {
 	req := question(seed, membersPath)
 	defer fasthttp.ReleaseRequest(req)
-	return r.fetch(req, follow.Pull{Address: seed, Stall: joinTimeout, Timeout: joinTimeout}, catalog.Document{})
+	return r.fetch(req, traffic.Members, follow.Pull{Address: seed, Stall: joinTimeout, Timeout: joinTimeout}, catalog.Document{})
 }
 
 // question is a request to a peer, to be released. The host comes first: the library
@@ -85,12 +86,18 @@
 
 // fetch sends a question to a peer and decodes its page. A page that cannot be read is a
 // trace.BadParameter.
-func (r *reader) fetch(req *fasthttp.Request, p follow.Pull, base catalog.Document) (*pb.CatalogPage, error) {
+func (r *reader) fetch(req *fasthttp.Request, purpose traffic.Purpose, p follow.Pull, base catalog.Document) (*pb.CatalogPage, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	client := &fasthttp.HostClient{
 		Addr: p.Address, MaxResponseBodySize: maxPage, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
-		DialTimeout: func(addr string, _ time.Duration) (net.Conn, error) { return dialStalling(addr, p.Stall) },
+		DialTimeout: func(addr string, _ time.Duration) (net.Conn, error) {
+			conn, err := dialStalling(addr, p.Stall)
+			if err != nil {
+				return nil, err
+			}
+			return traffic.CountConn(conn, func(n int) { r.exchanged(purpose, p.Address, n) }), nil
+		},
 	}
 	if err := client.DoTimeout(req, resp, p.Timeout); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -19,6 +19,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/follow"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 // anyConfig decodes each item as a configuration.
@@ -35,7 +36,7 @@
 // readerAt is a reader that holds each of some texts in turn, from revision 1 on.
 func readerAt(texts ...string) *reader {
 	now := time.Now()
-	r := &reader{
+	r := &reader{exchanged: func(traffic.Purpose, string, int) {},
 		log: zap.NewNop(), met: newStoreMetrics(prometheus.NewRegistry()),
 		follower: follow.New(now, follow.Options{VM: "a", Bound: time.Second, Decoder: anyConfig{}, Random: rand.New(rand.NewPCG(1, 1))}),
 	}
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -15,6 +15,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/gossip"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 // ErrCompacted is the error of a watch whose history the store no longer has.
@@ -57,6 +58,8 @@
 	store    Store
 	announce func(revision uint64, confirmed time.Time, tell *follow.Announce)
 	changed  func(*catalog.View)
+	// exchanged counts bytes exchanged with the peer that has an address.
+	exchanged func(p traffic.Purpose, address string, bytes int)
 	// members and learn give and take what is known of the fleet.
 	members func() []*pb.MemberUpdate
 	learn   func([]*pb.MemberUpdate)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -16,6 +16,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/httpserver"
 	"sycamorekeel.example/sycamorekeel/internal/placement"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 const (
@@ -46,6 +47,9 @@
 	quietPoll = 100 * time.Millisecond
 )
 
+// directoryServer is the name of the server that tells callers which VMs to use.
+const directoryServer = "directory"
+
 // server is one listener and what answers there.
 type server struct {
 	name string
@@ -107,7 +111,7 @@
 		addresses = append(addresses, address)
 	}
 	add("ready", n.set.Load().ReadyAddress, n.adapter.Ready(n.ready))
-	add("directory", n.set.Load().DirectoryAddress, n.adapter.Directory(n.choose, n.set.Load().directoryTTL()))
+	add(directoryServer, n.set.Load().DirectoryAddress, n.adapter.Directory(n.choose, n.set.Load().directoryTTL()))
 	add("peers", n.set.Load().peerListen(), n.reader.serve)
 	add("metrics", n.set.Load().MetricsAddress, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
 	for i, s := range out {
@@ -115,6 +119,9 @@
 		if err != nil {
 			return nil, trace.Wrap(err, "%s", s.name)
 		}
+		if s.name == directoryServer {
+			ln = n.traffic.Listener(ln, traffic.Directory)
+		}
 		s.ln = ln
 	}
 	return out, nil
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -11,20 +11,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/latency"
-)
-
-// Distance is how far an upstream is from this VM.
-type Distance int
-
-// Distances.
-const (
-	// Near upstreams are in this VM's data centre.
-	Near Distance = iota
-	// Regional ones are in another data centre of its region.
-	Regional
-	// Far ones are in another region.
-	Far
-	distances
+	"sycamorekeel.example/sycamorekeel/internal/locality"
 )
 
 const (
@@ -78,32 +65,12 @@
 
 // farPrior is the time added to what is known of nearer upstreams while none at
 // the distance has answered: round trips inside a region and between regions.
-var farPrior = [distances]time.Duration{0, 2 * time.Millisecond, 25 * time.Millisecond}
-
-// Place is where this VM is.
-type Place struct {
-	DataCentre string
-	Region     string
-	// Regions maps data centres to regions.
-	Regions map[string]string
-}
-
-// Distance is how far an upstream's data centre is.
-func (p Place) Distance(dataCentre string) Distance {
-	switch {
-	case dataCentre == p.DataCentre:
-		return Near
-	case p.Regions[dataCentre] == p.Region:
-		return Regional
-	default:
-		return Far
-	}
-}
+var farPrior = [locality.Distances]time.Duration{0, 2 * time.Millisecond, 25 * time.Millisecond}
 
 // kind is what is known of one kind of requests.
 type kind struct {
 	first time.Duration
-	far   [distances]distanceTimes
+	far   [locality.Distances]distanceTimes
 }
 
 // distanceTimes is the answer times of the upstreams at one distance.
@@ -158,14 +125,14 @@
 // Table is what this VM knows of all upstreams. It is not safe for concurrent
 // use.
 type Table struct {
-	place     Place
+	place     locality.Place
 	rand      *rand.Rand
 	kinds     map[string]*kind
 	upstreams map[string]*upstream
 }
 
 // New is a table that knows nothing.
-func New(place Place, r *rand.Rand) *Table {
+func New(place locality.Place, r *rand.Rand) *Table {
 	return &Table{place: place, rand: r, kinds: map[string]*kind{}, upstreams: map[string]*upstream{}}
 }
 
@@ -355,7 +322,7 @@
 	if tail == 0 {
 		return usual
 	}
-	room := objective - time.Duration(spareMedians*float64(t.median(now, k, Far)))
+	room := objective - time.Duration(spareMedians*float64(t.median(now, k, locality.Far)))
 	return min(max(tail, min(room, time.Duration(patience*float64(usual)))), 2*usual)
 }
 
@@ -410,7 +377,7 @@
 
 // median is the usual answer time of a kind at a distance, and brings its tail
 // up to date.
-func (t *Table) median(now time.Time, k *kind, d Distance) time.Duration {
+func (t *Table) median(now time.Time, k *kind, d locality.Distance) time.Duration {
 	f := &k.far[d]
 	if f.median == 0 || now.Sub(f.at) >= refresh {
 		f.at = now
@@ -425,8 +392,8 @@
 	if f.median > 0 {
 		return f.median
 	}
-	if d > Near && k.far[Near].median > 0 {
-		return k.far[Near].median + farPrior[d]
+	if d > locality.Near && k.far[locality.Near].median > 0 {
+		return k.far[locality.Near].median + farPrior[d]
 	}
 	return k.first/2 + farPrior[d]
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/locality"
 )
 
 const (
@@ -27,7 +28,7 @@
 }
 
 func newRig() *rig {
-	place := Place{DataCentre: "a", Region: "ra", Regions: map[string]string{"a": "ra", "a2": "ra", "b": "rb", "c": "rc"}}
+	place := locality.Place{DataCentre: "a", Region: "ra", Regions: map[string]string{"a": "ra", "a2": "ra", "b": "rb", "c": "rc"}}
 	r := &rig{table: New(place, rand.New(rand.NewPCG(1, 2))), now: start}
 	known := map[string]*catalog.Upstream{}
 	for _, dc := range []string{"a", "b", "c"} {
--- a/internal/standalone/standalone_test.go
+++ b/internal/standalone/standalone_test.go
@@ -18,6 +18,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/node"
 	"sycamorekeel.example/sycamorekeel/internal/standin"
 	"sycamorekeel.example/sycamorekeel/internal/topk"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 const example = "../../docs/examples/edge/"
@@ -127,7 +128,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	n := node.New(set, node.Options{
-		Logs: logring.Nop(), Registry: prometheus.NewRegistry(), Adapter: Adapter(set),
+		Traffic: &traffic.Meter{},
+		Logs:    logring.Nop(), Registry: prometheus.NewRegistry(), Adapter: Adapter(set),
 		Reloading: node.Reloading{Load: func() (*node.Settings, error) { return set, nil }},
 	})
 	go func() { ended <- n.Run(ctx) }()
