Share out the requests of a split evenly, not by independent draws

Cause: operators hold each part of a split to its weight within 0.1 over 300 requests. Ruled out: counts a part that VMs exchange (messages for what a sequence does alone); smooth weighted round robin (all VMs begin with the same part).

Change: each VM takes the multiples of the golden ratio from a place of its own, a sequence a route. A request stays with its part when that is short of room, as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -92,7 +92,9 @@
 	budgets  map[string]*retrybudget.Budget
 	// scatters limits the queries under way, by the first of their shards.
 	scatters map[string]*congestion.Limiter
-	sends    uint64
+	// draws shares out the requests of a route by its weights.
+	draws map[string]*routing.Draws
+	sends uint64
 }
 
 // New is an engine that knows no configuration yet.
@@ -105,6 +107,7 @@
 		replicas: replica.New(opts.Place, opts.Random),
 		budgets:  map[string]*retrybudget.Budget{},
 		scatters: map[string]*congestion.Limiter{},
+		draws:    map[string]*routing.Draws{},
 	}
 	e.shares.Store(&Shares{VMs: 1, Carriers: 1, Carrying: true})
 	e.pools = direct.NewPools(opts.Protocol, upstreamTraffic{opts.Traffic, opts.Place}, e.connectionLimit)
@@ -140,6 +143,11 @@
 		services[s.Name] = true
 	}
 	e.replicas.KeepKinds(routes)
+	for name := range e.draws {
+		if !routes[name] {
+			delete(e.draws, name)
+		}
+	}
 	for name := range e.budgets {
 		if !services[name] {
 			delete(e.budgets, name)
@@ -292,7 +300,7 @@
 		GiveUp:     r.Received.Add(r.wait()),
 	}
 	if !route.FanOut() {
-		p.Services = []string{route.Pick(e.random())}
+		p.Services = []string{route.Pick(e.draw(route.Name))}
 		return p
 	}
 	p.MinParts = minParts(route)
@@ -326,10 +334,16 @@
 	return min(max(1, n), len(route.Shards))
 }
 
-func (e *Engine) random() float64 {
+// draw is the next number by which a request of a route is given to a part of its split.
+func (e *Engine) draw(route string) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.opts.Random.Float64()
+	d := e.draws[route]
+	if d == nil {
+		d = routing.NewDraws(e.opts.Random.Float64())
+		e.draws[route] = d
+	}
+	return d.Next()
 }
 
 // usual is the answer time assumed of a route of which no answer has been seen.
