Let the store win over a revision that a peer made up

Ruled out: trusting the lower of the two (an answer to an earlier question would take a sound VM back); a bound on the step of a claim (an honest VM may be far ahead).

Change: the store is linearizable, so an answer to a question that was asked after a revision was reached cannot be of an earlier one. Two such answers discard what is known, with an error in the log and a counter; claims of that revision or above are not believed until the store has reached it. A watch whose answer is below what was asked for is followed by a listing.

A slow listing disproves nothing (test).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,7 +4,8 @@
 //
 // The state at a revision is the same on every VM, so a VM that is behind may
 // take a peer's state whole. Nothing ever goes back: an item is replaced only by
-// a later revision of itself, and a state only by one of a later revision.
+// a later revision of itself, and a state only by one of a later revision, unless it was
+// never the store's and is discarded.
 package catalog
 
 import (
@@ -63,6 +64,9 @@
 
 // View is what is in force. It is immutable.
 type View struct {
+	// Epoch counts how often what was known had to be discarded; views of a later epoch
+	// replace those of earlier ones, whatever their revision.
+	Epoch uint64
 	// Revision is the store's revision that the view shows.
 	Revision uint64
 	// Table is nil until a configuration is known.
@@ -75,9 +79,18 @@
 	Upstreams map[string]*Upstream
 }
 
+// Before tells whether another view is to replace this one.
+func (v *View) Before(other *View) bool {
+	if v.Epoch != other.Epoch {
+		return v.Epoch < other.Epoch
+	}
+	return v.Revision <= other.Revision
+}
+
 // State is the items known. It is not safe for concurrent use.
 type State struct {
 	decoder  Decoder
+	epoch    uint64
 	revision uint64
 	items    map[string]Item
 	// deletions holds the latest deletions, lowest revision first; all above
@@ -137,6 +150,13 @@
 	return bytes
 }
 
+// Discard forgets everything: it was not what the store holds.
+func (s *State) Discard(now time.Time) {
+	epoch := s.epoch + 1
+	*s = *New(now, s.decoder)
+	s.epoch = epoch
+}
+
 // Answered notes an answer of the store; it may end an outage.
 func (s *State) Answered(now time.Time) {
 	if s.outage {
@@ -277,6 +297,7 @@
 // View is what is in force now.
 func (s *State) View() *View {
 	v := &View{
+		Epoch:     s.epoch,
 		Revision:  s.revision,
 		Table:     s.table,
 		Config:    s.config,
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -92,11 +92,16 @@
 // Changed says that the catalog's view has changed.
 type Changed struct{}
 
-func (List) action()     {}
-func (Watch) action()    {}
-func (Pull) action()     {}
-func (Announce) action() {}
-func (Changed) action()  {}
+// Disproved says that the store holds no such revision: what was known came from a peer
+// that made it up, and is discarded.
+type Disproved struct{ Revision uint64 }
+
+func (List) action()      {}
+func (Watch) action()     {}
+func (Pull) action()      {}
+func (Announce) action()  {}
+func (Changed) action()   {}
+func (Disproved) action() {}
 
 // Follower is one VM's reading. It is not safe for concurrent use.
 type Follower struct {
@@ -123,6 +128,12 @@
 	confirmed   time.Time
 	// staleAt is when a stale listing told what is known, zero when none did.
 	staleAt time.Time
+	// reachedAt is when the revision known now was reached; disproved is a revision that
+	// the store did not have at a time when a peer claimed it, 0 for none.
+	reachedAt time.Time
+	disproved uint64
+	// contradictions is how often the store has said since that it is not there yet.
+	contradictions int
 	// vms is how many VMs live, this one included.
 	vms int
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -53,6 +53,8 @@
 			out = append(out, "announce")
 		case Changed:
 			out = append(out, "changed")
+		case Disproved:
+			out = append(out, "disproved")
 		}
 	}
 	return strings.Join(out, " ")
--- /dev/null
+++ b/internal/follow/forged_test.go
@@ -0,0 +1,85 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+)
+
+const forged = 1_000_000
+
+// believer is a reader that has taken in a forged page.
+func believer(t *testing.T) (*Follower, time.Time) {
+	t.Helper()
+	f, now := reader()
+	f.SetPeers([]Peer{{VM: "b", Region: "r"}})
+	now = now.Add(time.Second)
+	f.Heard(now, Peer{VM: "b", Region: "r", Address: "b"}, forged, time.Millisecond)
+	now = now.Add(time.Second)
+	f.Tick(now)
+	f.Pulled(now, f.lastPull, catalog.Page{Revision: forged, Whole: true, Items: []catalog.Item{put("nowhere", forged)}})
+	if f.State().Revision() != forged {
+		t.Fatalf("at revision %d", f.State().Revision())
+	}
+	return f, now
+}
+
+// Symptom: changes no longer come into force on some VMs, which list the store without end.
+// Sequence: a peer gives a page of a revision far above the store's; the store then answers
+// with its own.
+// Cause: what is known was replaced by later revisions only, and the store's look old.
+func TestTheStoreWinsOverAForgedRevision(t *testing.T) {
+	f, now := believer(t)
+	f.began = now.Add(time.Second)
+	now = now.Add(1100 * time.Millisecond)
+	if got := names(f.Listed(now, 12, []catalog.Item{put("u1", 11)})); got != "" {
+		t.Errorf("listed once: %q", got)
+	}
+	if got := names(f.Listed(now, 12, []catalog.Item{put("u1", 11)})); got != "disproved announce changed" {
+		t.Errorf("listed: %q", got)
+	}
+	if v := f.State().View(); v.Revision != 12 || v.Upstreams["nowhere"] != nil || v.Upstreams["u1"] == nil {
+		t.Errorf("revision %d with %v", v.Revision, v.Upstreams)
+	}
+	now = now.Add(time.Second)
+	peer := Peer{VM: "b", Region: "r", Address: "b"}
+	if got := names(f.Heard(now, peer, forged, time.Millisecond)); got != "" {
+		t.Errorf("the claim is believed again: %q", got)
+	}
+	f.Heard(now, peer, 13, time.Millisecond)
+	if f.Lead() != 13 {
+		t.Errorf("the lead is %d: a true claim is to be followed", f.Lead())
+	}
+}
+
+// A watch above a revision that does not exist hears nothing; its answer tells.
+func TestAWatchShowsAForgedRevision(t *testing.T) {
+	f, now := believer(t)
+	f.reading = true
+	if got := names(f.Watched(now, forged, 12, nil)); got != "" {
+		t.Errorf("watched: %q", got)
+	}
+	if got := names(f.Tick(now.Add(time.Second))); got != "list" {
+		t.Errorf("then: %q", got)
+	}
+}
+
+// Symptom: a VM discards what it knows and serves nobody.
+// Sequence: a listing is slow; meanwhile a peer brings a later revision.
+// Cause: an answer to an earlier question was taken for a proof.
+func TestASlowListingDisprovesNothing(t *testing.T) {
+	f, now := reader()
+	f.began = now
+	now = now.Add(time.Second)
+	f.SetPeers([]Peer{{VM: "b", Region: "r"}})
+	f.Heard(now, Peer{VM: "b", Region: "r", Address: "b"}, 20, time.Millisecond)
+	f.Tick(now.Add(pullPatience))
+	f.Pulled(now, f.lastPull, catalog.Page{Revision: 20, Whole: true, Items: []catalog.Item{put("u2", 20)}})
+	if got := names(f.Listed(now.Add(time.Second), 12, nil)); got != "" {
+		t.Errorf("listed: %q", got)
+	}
+	if f.State().Revision() != 20 {
+		t.Errorf("at revision %d", f.State().Revision())
+	}
+}
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -44,7 +44,7 @@
 // confirmed it.
 func (f *Follower) Heard(now time.Time, peer Peer, revision uint64, age time.Duration) []Action {
 	f.out = nil
-	if revision >= f.state.Revision() && revision > 0 {
+	if revision >= f.state.Revision() && revision > 0 && f.believable(revision) {
 		f.heardAhead(now, peer, revision, now.Add(-age))
 	}
 	return f.out
@@ -74,10 +74,15 @@
 	if f.pull != nil && f.pull.ID == id {
 		f.pull = nil
 	}
+	if !f.believable(page.Revision) {
+		f.lead = lead{}
+		return f.out
+	}
 	before := f.state.Revision()
 	changed, joined := f.state.Take(now, page)
 	if f.state.Revision() > before {
 		f.relist = false
+		f.reachedAt, f.contradictions = now, 0
 		f.emit(Announce{})
 	}
 	f.confirmedByPeer(now)
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -41,6 +41,9 @@
 	// hearFirst is how long a process that starts alone listens for a peer, which
 	// costs the store no call; a peer answers within a round trip.
 	hearFirst = 350 * time.Millisecond
+	// enoughContradictions is how many answers of the store show that a revision does not
+	// exist: one might come from a part of the store that lags.
+	enoughContradictions = 2
 	// settleElected is how old a VM must be to know the others well enough to be
 	// elected among them.
 	settleElected = 1200 * time.Millisecond
@@ -56,14 +59,19 @@
 	f.out = nil
 	f.answered(now)
 	if revision < f.state.Revision() {
-		// An answer from before what is known: to be read again.
-		f.relist = true
-		f.nextRead = now.Add(retryFirst)
-		return f.out
+		if !f.contradicted() {
+			// An answer from before what is known: to be read again.
+			f.relist = true
+			f.nextRead = now.Add(retryFirst)
+			return f.out
+		}
+		f.disprove(now)
 	}
+	f.contradictions = 0
 	f.relist = false
 	f.listNext = f.listNext && revision-f.state.Revision() >= stormRevisions
 	changed := f.state.Replace(now, revision, items)
+	f.reached(now, revision)
 	f.confirm(now, changed)
 	f.advanceRead(now)
 	return f.out
@@ -80,6 +88,7 @@
 	}
 	f.relist = false
 	changed := f.state.Replace(now, revision, items)
+	f.reached(now, revision)
 	f.emit(Announce{})
 	if changed {
 		f.emit(Changed{})
@@ -96,8 +105,12 @@
 	f.out = nil
 	f.answered(now)
 	f.listNext = replacedBytes(changes) > f.state.Bytes()
+	before := f.state.Revision()
 	changed, joined := f.state.Apply(now, after, max(after, lastRevision(changes)), changes)
-	if !joined || revision > f.state.Revision() {
+	if f.state.Revision() > before {
+		f.reached(now, f.state.Revision())
+	}
+	if !joined || revision > f.state.Revision() || revision < after {
 		f.relist = true
 	}
 	if joined && !f.relist {
@@ -109,6 +122,43 @@
 	return f.out
 }
 
+// reached notes that a revision is known now. One that the store itself has told may stand
+// where a peer's claim was disproved before.
+func (f *Follower) reached(now time.Time, revision uint64) {
+	f.reachedAt = now
+	f.contradictions = 0
+	if revision >= f.disproved {
+		f.disproved = 0
+	}
+}
+
+// contradicted tells whether the store has now said twice that there is no such revision as
+// is known here, each time to a question that was asked after it was reached.
+func (f *Follower) contradicted() bool {
+	if f.began.Before(f.reachedAt) {
+		return false
+	}
+	f.contradictions++
+	return f.contradictions >= enoughContradictions
+}
+
+// disprove discards what is known: answers that the store gave to later questions are of
+// an earlier revision. The store never goes back, so what is known was made up by a peer.
+// Kept, it would stand for good: all that the store tells would look old, and one notices
+// a VM that lists the store without end, or a fleet in which no change comes into force.
+func (f *Follower) disprove(now time.Time) {
+	f.disproved = f.state.Revision()
+	f.emit(Disproved{f.disproved})
+	f.state.Discard(now)
+	f.lead = lead{}
+	f.pull = nil
+}
+
+// believable tells whether a peer may have a revision.
+func (f *Follower) believable(revision uint64) bool {
+	return f.disproved == 0 || revision < f.disproved
+}
+
 // replacedBytes is the size of the versions among some changes that later ones replace.
 func replacedBytes(changes []catalog.Item) int {
 	newest := make(map[string]uint64, len(changes))
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -18,6 +18,7 @@
 	pulledItems prometheus.Counter
 	pullSeconds prometheus.Histogram
 	rejected    prometheus.Counter
+	disproved   prometheus.Counter
 }
 
 // pullBuckets are seconds: from a round trip in a data centre to the time at which
@@ -42,6 +43,9 @@
 		rejected: f.NewCounter(prometheus.CounterOpts{
 			Name: "sycamorekeel_catalog_rejected_items_total", Help: "Versions of items that could not be read.",
 		}),
+		disproved: f.NewCounter(prometheus.CounterOpts{
+			Name: "sycamorekeel_catalog_disproved_total", Help: "Revisions that peers gave and the store does not have.",
+		}),
 		pullSeconds: f.NewHistogram(prometheus.HistogramOpts{
 			Name: "sycamorekeel_catalog_pull_seconds", Help: "Time of a pull from a peer, failed ones included.", Buckets: pullBuckets,
 		}),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -265,7 +265,7 @@
 // changed puts a view of the catalog in force.
 func (n *Node) changed(v *catalog.View) {
 	old := n.engine.View()
-	if old != nil && old.Revision > v.Revision {
+	if old != nil && !old.Before(v) {
 		return
 	}
 	n.engine.SetView(time.Now(), v)
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -148,6 +148,9 @@
 			go r.pull(a)
 		case follow.Announce:
 			tell = &a
+		case follow.Disproved:
+			r.met.disproved.Inc()
+			r.log.Error("store: a revision that a peer gave does not exist: discarded", zap.Uint64("revision", a.Revision))
 		}
 	}
 	r.announce(revision, confirmed, tell)
--- a/internal/spread/fleet.go
+++ b/internal/spread/fleet.go
@@ -206,6 +206,12 @@
 	}
 }
 
+// Forge lets one VM hold a revision that the store does not have.
+func (fl *Fleet) Forge(vm int, revision uint64) {
+	made := catalog.Item{Key: documentKey, Value: []byte("forged"), Revision: revision}
+	fl.vms[vm].f.State().Replace(fl.now, revision, []catalog.Item{made})
+}
+
 // Refuse lets the store refuse every call at once, or serve again.
 func (fl *Fleet) Refuse(refuses bool) { fl.store.refuses = refuses }
 
--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -101,6 +101,27 @@
 	}
 }
 
+// Symptom: a whole fleet stays at a revision that does not exist, and no change comes into
+// force any more.
+// Sequence: one VM gives out a revision far above the store's; all take it in, the readers
+// too.
+// Cause: nothing known was ever replaced by an earlier revision, the store's own included.
+func TestAForgedRevisionDoesNotLast(t *testing.T) {
+	for seed := range uint64(5) {
+		fl := New(Options{VMs: 70, Seed: seed, Bound: largeBound})
+		fl.Run(10 * time.Second)
+		fl.Forge(33, 1_000_000)
+		fl.Run(3 * largeBound)
+		fl.Change()
+		fl.Run(largeBound)
+		for _, v := range fl.vms {
+			if got := v.f.State().Revision(); got != fl.store.revision {
+				t.Fatalf("seed %d: %s is at revision %d, the store at %d", seed, v.peer.VM, got, fl.store.revision)
+			}
+		}
+	}
+}
+
 // A seed repeats a run to the last byte.
 func TestASeedRepeatsARun(t *testing.T) {
 	run := func() Result {
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -92,7 +92,7 @@
 		case v.cut:
 			return fail()
 		case fl.store.revision <= w.After:
-			return v.f.Watched(fl.now, w.After, w.After, nil)
+			return v.f.Watched(fl.now, w.After, fl.store.revision, nil)
 		}
 		revision, changes := fl.store.revision, fl.store.above(w.After)
 		patience := until.Add(watchSlack).Sub(fl.now)
