Let budgets of extra sends fill before they are used

A budget was made when a service was first sent to, and empty then, though its VM had spent nothing for as long as it ran. Ruled out: a larger burst (the bound); full buckets at a first start alone (an index that is cut anew is the same case).

Change: the bucket has filled since the process started or since its part of the allowance rose, whichever is later; its part is set, and what flows in before counts by the former part. A bucket that is not full outlives its service's name.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,6 +47,10 @@
 	// first try was spent on VMs that were down: the share that nobody serves on days
 	// with trouble fell from 0.49% to 0.39% with it.
 	startHold = 400 * time.Millisecond
+	// shareRise is how many times its part of the bounds a VM must be given for the part
+	// to be a new one: the number of VMs that callers are sent to changes by one now and
+	// then, which is no reason to begin with empty budgets.
+	shareRise = 1.25
 	// usualShare is the part of the objective taken for the usual answer time of
 	// a kind of which no answer has been seen.
 	usualShare = 0.25
@@ -90,6 +94,8 @@
 	mu       sync.Mutex
 	replicas *replica.Table
 	budgets  map[string]*retrybudget.Budget
+	// shareSince is since when this VM has had about its present part of the bounds.
+	shareSince time.Time
 	// scatters limits the queries under way, by the first of their shards.
 	scatters map[string]*congestion.Limiter
 	// draws shares out the requests of a route by its weights.
@@ -100,14 +106,15 @@
 // New is an engine that knows no configuration yet.
 func New(now time.Time, opts Options) *Engine {
 	e := &Engine{
-		opts:     opts,
-		now:      time.Now,
-		started:  now,
-		known:    make(chan struct{}),
-		replicas: replica.New(opts.Place, opts.Random),
-		budgets:  map[string]*retrybudget.Budget{},
-		scatters: map[string]*congestion.Limiter{},
-		draws:    map[string]*routing.Draws{},
+		opts:       opts,
+		now:        time.Now,
+		started:    now,
+		shareSince: now,
+		known:      make(chan struct{}),
+		replicas:   replica.New(opts.Place, opts.Random),
+		budgets:    map[string]*retrybudget.Budget{},
+		scatters:   map[string]*congestion.Limiter{},
+		draws:      map[string]*routing.Draws{},
 	}
 	e.shares.Store(&Shares{VMs: 1, Carriers: 1, Carrying: true})
 	e.pools = direct.NewPools(opts.Protocol, upstreamTraffic{opts.Traffic, opts.Place}, e.connectionLimit)
@@ -123,7 +130,7 @@
 	}
 	e.mu.Lock()
 	e.replicas.Keep(now, v.Upstreams)
-	e.forget(v.Config)
+	e.forget(now, v.Config)
 	e.mu.Unlock()
 	e.pools.Keep(v.Upstreams)
 }
@@ -131,7 +138,7 @@
 // forget drops what is kept of routes and services that the configuration no
 // longer names: with each change it names some others, and a process would grow
 // by them for as long as it runs. The caller holds mu.
-func (e *Engine) forget(c *routing.Config) {
+func (e *Engine) forget(now time.Time, c *routing.Config) {
 	if c == nil {
 		return
 	}
@@ -149,7 +156,9 @@
 		}
 	}
 	for name := range e.budgets {
-		if !services[name] {
+		// One that is not full is kept: a service that is named again would else have
+		// at once what has just been spent.
+		if !services[name] && e.budgets[name].Full(now) {
 			delete(e.budgets, name)
 		}
 	}
@@ -164,15 +173,29 @@
 func (e *Engine) View() *catalog.View { return e.view.Load() }
 
 // SetShares tells what part of the fleet's bounds is this VM's.
-func (e *Engine) SetShares(s Shares) {
-	if old := e.shares.Swap(&s); *old == s {
+func (e *Engine) SetShares(now time.Time, s Shares) {
+	old := e.shares.Swap(&s)
+	if *old == s {
 		return
 	}
+	e.setBudgetShares(now, old.of(1), s.of(1))
 	if v := e.view.Load(); v != nil {
 		e.pools.Keep(v.Upstreams)
 	}
 }
 
+// setBudgetShares brings the budgets to a new part of the allowance.
+func (e *Engine) setBudgetShares(now time.Time, old, share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, b := range e.budgets {
+		b.SetShare(now, share)
+	}
+	if share > shareRise*old {
+		e.shareSince = now
+	}
+}
+
 // SetBudget changes the bound on extra sends.
 func (e *Engine) SetBudget(limit retrybudget.Limit) {
 	e.mu.Lock()
@@ -355,7 +378,7 @@
 func (e *Engine) budget(service string) *retrybudget.Budget {
 	b := e.budgets[service]
 	if b == nil {
-		b = retrybudget.New(e.opts.Budget, e.now())
+		b = retrybudget.New(e.opts.Budget, e.shares.Load().of(1), e.shareSince)
 		e.budgets[service] = b
 	}
 	return b
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -130,13 +130,12 @@
 	gauge := func(d *prometheus.Desc, value float64, labels ...string) prometheus.Metric {
 		return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
 	}
-	share := e.shares.Load().of(1)
 	var out []prometheus.Metric
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for service, b := range e.budgets {
 		for _, kind := range retrybudget.Kinds {
-			out = append(out, gauge(budgetLeft, max(0, b.Left(now, kind, share)), service, kind.String()))
+			out = append(out, gauge(budgetLeft, max(0, b.Left(now, kind)), service, kind.String()))
 		}
 	}
 	count := e.replicas.Count()
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -33,7 +33,7 @@
 func (x *run) Spend(part int, kind retrybudget.Kind) bool {
 	e := x.engine
 	e.mu.Lock()
-	ok := e.budget(x.plan.Services[part]).Spend(e.now(), kind, e.shares.Load().of(1))
+	ok := e.budget(x.plan.Services[part]).Spend(e.now(), kind)
 	e.mu.Unlock()
 	if !ok {
 		x.unspent++
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -334,7 +334,7 @@
 		shares.VMs = max(shares.VMs, startVMs)
 		shares.Carriers = max(shares.Carriers, startCarriers)
 	}
-	n.engine.SetShares(shares)
+	n.engine.SetShares(now, shares)
 }
 
 func (n *Node) logMembers(old, view *membership.View) {
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -7,7 +7,8 @@
 // most what its requests of that very window put in, what flowed in meanwhile, and
 // what was in the bucket before: over all VMs, the share of the requests and the
 // allowance. A bucket is empty when a process starts, so that this holds however
-// callers move between VMs, and however often processes are replaced.
+// callers move between VMs, and however often processes are replaced. Of a service that a
+// process has not sent to yet the bucket has filled since then all the same.
 package retrybudget
 
 import "time"
@@ -56,25 +57,36 @@
 // Budget is the bucket of one service on one VM. It is not safe for concurrent use.
 type Budget struct {
 	limit Limit
-	// left is what is in the bucket, before it is cut to what it may hold; flowed is
-	// up to when the allowance has flowed in.
+	// share is the VM's part of the allowance, 0 to 1.
+	share float64
+	// left is what is in the bucket; flowed is up to when the allowance has flowed in.
 	left   float64
 	flowed time.Time
 }
 
-// New is an empty bucket of a process that is there from now on.
-func New(limit Limit, now time.Time) *Budget { return &Budget{limit: limit, flowed: now} }
+// New is the bucket of a VM that has had its share since a time and has spent nothing
+// since then: empty at that time.
+func New(limit Limit, share float64, since time.Time) *Budget {
+	return &Budget{limit: limit, share: share, flowed: since}
+}
 
 // SetLimit changes the ratio and the allowance.
 func (b *Budget) SetLimit(limit Limit) { b.limit = limit }
 
+// SetShare changes the VM's part of the allowance. What has flowed in until now is of the
+// former part: a VM that callers are moved to would else have at once what those spent
+// that they came from.
+func (b *Budget) SetShare(now time.Time, share float64) {
+	b.flow(now)
+	b.share = share
+}
+
 // Request counts a request of a caller.
 func (b *Budget) Request() { b.left += b.limit.Ratio }
 
-// Spend takes one extra send from the budget; false when it is used up. share is
-// this VM's part of the allowance, 0 to 1.
-func (b *Budget) Spend(now time.Time, kind Kind, share float64) bool {
-	if b.Left(now, kind, share) < 1 {
+// Spend takes one extra send from the budget; false when it is used up.
+func (b *Budget) Spend(now time.Time, kind Kind) bool {
+	if b.Left(now, kind) < 1 {
 		return false
 	}
 	b.left--
@@ -82,20 +94,34 @@
 }
 
 // Left is how many extra sends of a kind may be made now.
-func (b *Budget) Left(now time.Time, kind Kind, share float64) float64 {
-	part := b.limit.Allowance * share
-	if since := now.Sub(b.flowed); since > 0 && b.limit.Window > 0 {
-		b.left += (1 - burstShare) * part * since.Seconds() / b.limit.Window.Seconds()
-		b.flowed = now
-	}
-	most := max(leastBurst, burstShare*part)
-	b.left = min(b.left, most)
+func (b *Budget) Left(now time.Time, kind Kind) float64 {
+	b.flow(now)
 	if kind == Hedge {
-		return b.left - retryReserve*(most-leastBurst)
+		return b.left - retryReserve*(b.most()-leastBurst)
 	}
 	return b.left
 }
 
+// Full tells whether the bucket holds all that it may: a new one would hold no more.
+func (b *Budget) Full(now time.Time) bool {
+	b.flow(now)
+	return b.left >= b.most()
+}
+
+// most is what the bucket may hold.
+func (b *Budget) most() float64 { return max(leastBurst, burstShare*b.part()) }
+
+func (b *Budget) part() float64 { return b.limit.Allowance * b.share }
+
+// flow lets in what the allowance has given since the last time.
+func (b *Budget) flow(now time.Time) {
+	if since := now.Sub(b.flowed); since > 0 && b.limit.Window > 0 {
+		b.left += (1 - burstShare) * b.part() * since.Seconds() / b.limit.Window.Seconds()
+		b.flowed = now
+	}
+	b.left = min(b.left, b.most())
+}
+
 // String is the kind's name in logs and metrics.
 func (k Kind) String() string {
 	if k == Hedge {
