Give calls back that wait for an upstream gone silent

Cause: read in the code while requests that may run once were traced which end at their deadline of 15 s with one send. A call waits for one of the connections that this VM may have to an upstream; when all of them hang on an upstream that has gone silent, none gets free, and a request that may run but once is not offered elsewhere, though it has not run.

Change: nothing from an upstream for 1 s, or four of its usual times, gives the calls that wait for it back as not sent; they are offered to another one. The test fails without it.

--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -437,6 +438,35 @@
 	}
 }
 
+// Symptom: a request that may run but once ends at its deadline with one send that was
+// never written, though other upstreams of its service were free.
+// Sequence: an upstream goes silent with requests under way on all connections that this VM
+// may have to it; another request has been given to it and waits for one of them.
+// Cause: a connection gets free with an answer or an end, and neither comes.
+func TestCallsThatWaitForASilentUpstreamAreGivenBack(t *testing.T) {
+	silent := newServer(t, func(_ int, c net.Conn) {
+		_, _ = io.Copy(io.Discard, c)
+	})
+	c := newClient(t, silent, 1)
+	_, sent := c.begin("sent", nil, 0)
+	_, waiting := c.begin("waiting", nil, 0)
+	c.pools.Expire(time.Now())
+	select {
+	case r := <-waiting:
+		t.Fatalf("given back at once: %+v", r)
+	default:
+	}
+	c.pools.Expire(time.Now().Add(stuckAfter))
+	if r := c.wait(waiting); r.Result != scatter.NoConnection || !r.Result.NotRun() {
+		t.Errorf("the call that waits ends as %+v", r)
+	}
+	select {
+	case r := <-sent:
+		t.Errorf("the call that was sent ends as %+v", r)
+	default:
+	}
+}
+
 // Each row is how a pool is used and what a further call would wait for.
 func TestAheadCountsTheAnswersToWaitFor(t *testing.T) {
 	now := time.Now()
--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -22,6 +22,17 @@
 // about two answers of the connections that are open in that time.
 const shutPause = 100 * time.Millisecond
 
+// stuckAfter is how long nothing may come of an upstream until the calls that wait for a
+// connection to it are given back: several pauses as upstreams make them. A call that has
+// not been sent has not run, so that another upstream may have it whatever its kind. Left
+// to wait, a request that may run but once stays with an upstream that has gone silent until
+// its deadline: one notices requests that end as timed_out with one send and no time
+// in connect.
+const stuckAfter = time.Second
+
+// stuckUsual is how many times its usual time an upstream may be silent at least.
+const stuckUsual = 4
+
 // usualOf is how many answers the usual time of a pool is about the mean of.
 const usualOf = 8
 
@@ -46,6 +57,8 @@
 	abandoned bool
 	// usual is about how long answers take.
 	usual time.Duration
+	// movedAt is when something last came of a connection.
+	movedAt time.Time
 	// shutUntil is when a connection may be opened again after one was shut out.
 	shutUntil time.Time
 }
@@ -115,6 +128,9 @@
 
 // start opens a connection for a call. The caller holds mu.
 func (p *Pool) start(call *Call) {
+	if p.open == 0 {
+		p.movedAt = time.Now()
+	}
 	p.open++
 	p.opened++
 	go (&conn{pool: p, work: make(chan *Call, 1)}).run(call)
@@ -199,6 +215,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	p.open--
+	p.movedAt = now
 	delete(p.sockets, c.net)
 	var stranded []*Call
 	var dead []*conn
@@ -229,11 +246,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.usual += (took - p.usual) / usualOf
+	p.movedAt = time.Now()
+}
+
+// unstick gives back the calls that wait for a connection to an upstream of which nothing
+// has come for long.
+func (p *Pool) unstick(now time.Time) {
+	p.mu.Lock()
+	var stuck []*Call
+	if now.Sub(p.movedAt) >= max(stuckAfter, stuckUsual*p.usual) {
+		stuck = p.waiting
+		p.waiting = nil
+	}
+	p.mu.Unlock()
+	finishAll(stuck, Reply{Result: scatter.NoConnection, Detail: nothingComes})
 }
 
 // Details of calls that no connection takes.
 const (
 	noneFree     = "no free connection"
+	nothingComes = "no connection gets free"
 	goneUpstream = "upstream is gone"
 )
 
--- a/internal/direct/pools.go
+++ b/internal/direct/pools.go
@@ -109,10 +109,12 @@
 	}
 }
 
-// Expire ends the idle connections that upstreams are about to close.
+// Expire ends the idle connections that upstreams are about to close, and gives back the
+// calls that wait for upstreams which have gone silent.
 func (p *Pools) Expire(now time.Time) {
 	for _, pool := range p.all() {
 		pool.expire(now)
+		pool.unstick(now)
 	}
 }
 
