--- a/internal/catalog/pages.go
+++ b/internal/catalog/pages.go
@@ -90,10 +90,11 @@
 // changes above it, or all items when these are not known any more.
 func (s *State) PageSince(after uint64) Page {
 	page := Page{Revision: s.revision, After: after}
-	changes, ok := s.Since(after)
-	if ok && after > 0 {
-		page.Items = changes
-		return page
+	if after > 0 {
+		if changes, ok := s.Since(after); ok {
+			page.Items = changes
+			return page
+		}
 	}
 	page.Whole = true
 	_, page.Items = s.Items()
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -104,7 +104,8 @@
 func (f *Follower) Watched(now time.Time, after, revision uint64, changes []catalog.Item) []Action {
 	f.out = nil
 	f.answered(now)
-	f.listNext = replacedBytes(changes) > f.state.Bytes()
+	replaced := replacedBytes(changes)
+	f.listNext = replaced > 0 && replaced > f.state.Bytes()
 	before := f.state.Revision()
 	changed, joined := f.state.Apply(now, after, max(after, lastRevision(changes)), changes)
 	if f.state.Revision() > before {
--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -33,8 +33,6 @@
 	argBase = "base"
 	// packedEncoding marks a packed page.
 	packedEncoding = "zstd"
-	// maxPage bounds a peer's page in bytes: every item of a large store.
-	maxPage = 64 << 20
 	// maxPacked bounds the pages kept packed: askers of one revision hold few others.
 	maxPacked = 32
 )
@@ -83,7 +81,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	client := &fasthttp.HostClient{
-		Addr: p.Address, MaxResponseBodySize: maxPage, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
+		Addr: p.Address, MaxResponseBodySize: pagepack.MaxPage, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
 		DialTimeout: func(addr string, _ time.Duration) (net.Conn, error) {
 			conn, err := dialStalling(addr, p.Stall)
 			if err != nil {
--- a/internal/pagepack/pagepack.go
+++ b/internal/pagepack/pagepack.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// maxPage bounds a page in bytes: every item of a large store.
-	maxPage = 64 << 20
+	// MaxPage bounds a page in bytes, packed or not: every item of a large store.
+	MaxPage = 64 << 20
 	// minWindow and maxWindow bound how far back, in bytes, a repetition is found, and
 	// with it the memory of an encoder.
 	minWindow = 64 << 10
@@ -68,7 +68,7 @@
 	options := []zstd.DOption{
 		zstd.WithDecoderConcurrency(1),
 		zstd.WithDecoderLowmem(true),
-		zstd.WithDecoderMaxMemory(maxPage),
+		zstd.WithDecoderMaxMemory(MaxPage),
 	}
 	if len(base.Text) > 0 {
 		options = append(options, zstd.WithDecoderDictRaw(dictionary(base), base.Text))
