Take a claim without a confirmation for none

Cause: found in reading. What nobody had confirmed was told as confirmed an hour ago; a process that has no confirmation yet took that for one, and for an answer of the store, which may be away: upstreams whose entries had lapsed could be dropped before its return. Change: the age of what is not confirmed is a constant of its own that confirms nothing.

--- a/internal/follow/confirm_test.go
+++ b/internal/follow/confirm_test.go
@@ -44,3 +44,22 @@
 		}
 	}
 }
+
+// Symptom: a VM takes a store that is away for one that answers, and drops upstreams that
+// live.
+// Sequence: it has listed what may be stale, and hears of a peer that has done the same.
+// Cause: a claim without a confirmation was taken for an old confirmation.
+func TestAClaimWithoutAConfirmationConfirmsNothing(t *testing.T) {
+	f := newFollower(start, "a", "r", false)
+	f.ListedStale(start, 10, []catalog.Item{put("u1", 5)})
+	if got := names(f.Heard(start.Add(time.Second), Peer{VM: "b", Region: "s", Address: "b"}, 10, Unconfirmed)); got != "" {
+		t.Errorf("heard: %q", got)
+	}
+	if !f.Confirmed().IsZero() {
+		t.Errorf("confirmed at %v", f.Confirmed())
+	}
+	f.Heard(start.Add(time.Second), Peer{VM: "b", Region: "r", Address: "b"}, 12, Unconfirmed)
+	if f.Lead() != 12 {
+		t.Errorf("the lead is %d: what a peer has may be asked for", f.Lead())
+	}
+}
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -36,16 +36,23 @@
 	distance locality.Distance
 	// since is when this VM first heard that it is behind.
 	since time.Time
-	// confirmed is when the store last confirmed the lead.
+	// confirmed is when the store last confirmed the lead, zero when nobody says so.
 	confirmed time.Time
 }
 
-// Heard takes in what a peer announces: its revision and when the store last
+// Unconfirmed is the age of a confirmation that a peer does not tell of.
+const Unconfirmed time.Duration = -1
+
+// Heard takes in what a peer announces: its revision and how long ago the store last
 // confirmed it.
 func (f *Follower) Heard(now time.Time, peer Peer, revision uint64, age time.Duration) []Action {
 	f.out = nil
+	at := now.Add(-age)
+	if age == Unconfirmed {
+		at = time.Time{}
+	}
 	if revision >= f.state.Revision() && revision > 0 && f.believable(revision) {
-		f.heardAhead(now, peer, revision, now.Add(-age))
+		f.heardAhead(now, peer, revision, at)
 	}
 	return f.out
 }
@@ -114,6 +121,9 @@
 // this VM and comes from elsewhere is passed on in the data centre: peers of which most
 // talk to their neighbours would hear of it too late, and read the store for themselves.
 func (f *Follower) heardConfirmed(now time.Time, distance locality.Distance, at time.Time) {
+	if at.IsZero() {
+		return
+	}
 	fresh := at.Sub(f.confirmed) >= f.share(passOnShare)
 	f.confirmedBy(now, at)
 	if fresh && distance != locality.Near {
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -154,7 +154,7 @@
 	r.learn(page.Members)
 	for _, m := range page.Members {
 		if m.PeerAddress == address && page.Revision > 0 {
-			r.heard(m, page.Revision, unknownAge)
+			r.heard(m, page.Revision, follow.Unconfirmed)
 		}
 	}
 	return page.Revision
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -35,8 +35,6 @@
 	// slowPull is a pull's time from which on it is logged: several round trips
 	// between regions.
 	slowPull = 200 * time.Millisecond
-	// unknownAge stands for a confirmation of which the time is not told.
-	unknownAge = time.Hour
 )
 
 // reader drives a follow.Follower.
@@ -279,7 +277,7 @@
 func (r *reader) announced(a gossip.Announcement) {
 	age := a.Age
 	if age == 0 {
-		age = unknownAge
+		age = follow.Unconfirmed
 	}
 	r.heard(a.From, a.Revision, age)
 }
--- a/internal/spread/fleet.go
+++ b/internal/spread/fleet.go
@@ -354,6 +354,9 @@
 		return
 	}
 	revision, age := v.f.State().Revision(), fl.now.Sub(v.f.Confirmed())
+	if v.f.Confirmed().IsZero() {
+		age = follow.Unconfirmed
+	}
 	fl.later(to, hop, func() []follow.Action { return to.f.Heard(fl.now, v.peer, revision, age) })
 }
 
