Count no time without calls as an upstream's silence

Cause: found in reading. The last sign of an upstream was that of its last answer, however long ago; the first call that waited after a pause without calls could be given back at once. Change: silence counts from the first call that is under way.

--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -438,6 +438,35 @@
 	}
 }
 
+// Symptom: calls that wait for a moment are given back, as if their upstream were silent.
+// Sequence: nobody has called for a while; then two calls come, and the second waits for the
+// first one's connection.
+// Cause: the time in which nobody had called was counted.
+func TestATimeWithoutCallsIsNoSilence(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, answering(func(id string) string {
+		if id != "before" {
+			<-release
+		}
+		return whole(id, "x")
+	}))
+	c := newClient(t, s, 1)
+	c.call("before")
+	pool := c.pools.all()[0]
+	pool.mu.Lock()
+	pool.movedAt = time.Now().Add(-time.Hour)
+	pool.mu.Unlock()
+	_, sent := c.begin("sent", nil, 0)
+	_, waiting := c.begin("waiting", nil, 0)
+	c.pools.Expire(time.Now())
+	close(release)
+	for _, done := range []<-chan Reply{sent, waiting} {
+		if r := c.wait(done); r.Result != scatter.Answered {
+			t.Errorf("ended as %v: %s", r.Result, r.Detail)
+		}
+	}
+}
+
 // Symptom: a request that may run but once ends at its deadline with one send that was
 // never written, though other upstreams of its service were free.
 // Sequence: an upstream goes silent with requests under way on all connections that this VM
--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -57,7 +57,8 @@
 	abandoned bool
 	// usual is about how long answers take.
 	usual time.Duration
-	// movedAt is when something last came of a connection.
+	// movedAt is when something last came of a connection, or when the first one of those
+	// in use got its call.
 	movedAt time.Time
 	// shutUntil is when a connection may be opened again after one was shut out.
 	shutUntil time.Time
@@ -79,6 +80,9 @@
 	case p.open == 0 && !p.mayOpen(now), len(p.waiting) >= maxWaiting:
 		refused = Reply{Result: scatter.NoConnection, Detail: noneFree}
 	default:
+		if p.busy() == 0 {
+			p.movedAt = now
+		}
 		p.enqueue(call)
 		dead = p.dispatch(now)
 		if slices.Contains(p.waiting, call) {
@@ -128,9 +132,6 @@
 
 // start opens a connection for a call. The caller holds mu.
 func (p *Pool) start(call *Call) {
-	if p.open == 0 {
-		p.movedAt = time.Now()
-	}
 	p.open++
 	p.opened++
 	go (&conn{pool: p, work: make(chan *Call, 1)}).run(call)
