Read the logs of a fleet in one way; start VMs of a data centre in one way in tests

Read again: the third command over collected logs repeated the opening, reading and printing of the other two, and two tests started the same processes by a copy of their options.

--- a/cmd/sycamorekeel/explain.go
+++ b/cmd/sycamorekeel/explain.go
@@ -32,13 +32,14 @@
 	case (c.Losses || c.Bytes) && (c.Request != "" || len(c.Log) == 0):
 		return trace.BadParameter("--losses and --bytes take --log and no request")
 	case c.Losses:
-		return c.losses(out)
+		return printFromLogs(c, out, explain.Losses, printLosses)
 	case c.Bytes:
-		return c.bytes(out)
+		return printFromLogs(c, out, explain.Flows, printFlows)
 	case c.Request == "":
 		return trace.BadParameter("a request, --losses or --bytes must be given")
 	case len(c.Log) > 0:
-		return c.fromLogs(out)
+		timeline := func(logs ...io.Reader) ([]explain.Line, error) { return explain.Timeline(c.Request, logs...) }
+		return printFromLogs(c, out, timeline, printTimeline)
 	case c.Address == "":
 		return trace.BadParameter("one of --address and --log must be given")
 	}
@@ -50,18 +51,18 @@
 	return out.print(rec, func() { printRecord(out, &rec) })
 }
 
-// losses prints what the logs of many VMs tell of requests that ended badly.
-func (c *explainCommand) losses(out *output) error {
+// printFromLogs prints what the logs of many VMs tell, as it is read from them.
+func printFromLogs[T any](c *explainCommand, out *output, read func(...io.Reader) (T, error), text func(*output, T)) error {
 	logs, closeAll, err := openAll(c.Log)
 	if err != nil {
 		return err
 	}
 	defer closeAll()
-	losses, err := explain.Losses(logs...)
+	told, err := read(logs...)
 	if err != nil {
 		return err
 	}
-	return out.print(losses, func() { printLosses(out, losses) })
+	return out.print(told, func() { text(out, told) })
 }
 
 func printLosses(out *output, losses []explain.Loss) {
@@ -76,20 +77,6 @@
 	}
 }
 
-// bytes prints what the VMs of the logs exchanged.
-func (c *explainCommand) bytes(out *output) error {
-	logs, closeAll, err := openAll(c.Log)
-	if err != nil {
-		return err
-	}
-	defer closeAll()
-	flows, err := explain.Flows(logs...)
-	if err != nil {
-		return err
-	}
-	return out.print(flows, func() { printFlows(out, flows) })
-}
-
 func printFlows(out *output, flows []explain.Flow) {
 	w := tabwriter.NewWriter(out.to, 0, 0, 2, ' ', 0)
 	defer w.Flush()
@@ -120,21 +107,8 @@
 	return files, closeAll, nil
 }
 
-// fromLogs prints the lines of the request from the logs of many VMs as one time
-// line, with what the VMs that served it believed.
-func (c *explainCommand) fromLogs(out *output) error {
-	logs, closeAll, err := openAll(c.Log)
-	if err != nil {
-		return err
-	}
-	defer closeAll()
-	lines, err := explain.Timeline(c.Request, logs...)
-	if err != nil {
-		return err
-	}
-	return out.print(lines, func() { printTimeline(out, lines) })
-}
-
+// printTimeline prints the lines of a request from the logs of many VMs as one time line,
+// with what the VMs that served it believed.
 func printTimeline(out *output, lines []explain.Line) {
 	for _, l := range lines {
 		out.printf("%s  %-24s %s", l.Time.Format("15:04:05.000"), l.VM, l.Message)
--- a/internal/membership/near_test.go
+++ b/internal/membership/near_test.go
@@ -21,19 +21,24 @@
 
 func regionOf(i int) string { return fmt.Sprintf("region-%d", i%dataCentres/2) }
 
+// addIn starts a process of VM i in its data centre, with a seed in each region.
+func (w *network) addIn(i int, near bool) *host {
+	return w.addWith(membership.Options{
+		Self: &pb.MemberUpdate{Vm: hostName(i), Incarnation: uint64(w.now.UnixMicro()) + uint64(i), Region: regionOf(i), DataCentre: centre(i),
+			CallerAddress: address(i), PeerAddress: address(i)},
+		Seeds:    []string{address(0), address(2), address(4)},
+		Seed:     w.rand.Uint64(),
+		KeepNear: near,
+		Timing:   edgeTiming,
+	})
+}
+
 // spreadOut starts count VMs in all data centres that know of three seeds.
 func spreadOut(seed uint64, count int, near bool) *network {
 	w := newNetwork(seed)
 	w.loss = 0.01
 	for i := range count {
-		w.addWith(membership.Options{
-			Self: &pb.MemberUpdate{Vm: hostName(i), Incarnation: uint64(w.now.UnixMicro()) + uint64(i), Region: regionOf(i), DataCentre: centre(i),
-				CallerAddress: address(i), PeerAddress: address(i)},
-			Seeds:    []string{address(0), address(2), address(4)},
-			Seed:     w.rand.Uint64(),
-			KeepNear: near,
-			Timing:   edgeTiming,
-		})
+		w.addIn(i, near)
 	}
 	w.run(30 * time.Second)
 	Expect(w.agree(upTo(count)...)).To(BeTrue())
--- a/internal/membership/start_test.go
+++ b/internal/membership/start_test.go
@@ -58,7 +58,7 @@
 			return false
 		}
 		if s.started[q.vm] == nil {
-			s.started[q.vm] = s.process(q.vm)
+			s.started[q.vm] = s.addIn(q.vm, true)
 		}
 		s.ask(q)
 		return true
@@ -66,17 +66,6 @@
 	s.run(tick)
 }
 
-func (s *start) process(i int) *host {
-	return s.addWith(membership.Options{
-		Self: &pb.MemberUpdate{Vm: hostName(i), Incarnation: uint64(s.now.UnixMicro()) + uint64(i), Region: regionOf(i), DataCentre: centre(i),
-			CallerAddress: address(i), PeerAddress: address(i)},
-		Seeds:    []string{address(0), address(2), address(4)},
-		Seed:     s.rand.Uint64(),
-		KeepNear: true,
-		Timing:   edgeTiming,
-	})
-}
-
 // ask puts a question: everybody asks all seeds at its start and then the nearest; seeds
 // ask each other.
 func (s *start) ask(q question) {
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -51,7 +51,7 @@
 // nearest seed. Left to datagrams, a process that starts in a large fleet
 // would take seconds to know it, and meanwhile send callers to the wrong VMs and take too
 // large a part of what the VMs share. Seeds ask each other for all they know, so that
-// nobody else has to ask in another region: In the model of
+// nobody else has to ask in another region: in the model of
 // package membership 295 VMs that start together know each other after 1.6 s in place of
 // 3.2 s, and lists of 0.4 MB cross between regions in place of 9, not packed.
 func (n *Node) join(ctx context.Context) error {
