Tell in logs what was asked of upstreams that ended

The hypotheses of the incident could not be told apart: lines of a request have the id of its attempt, which is new each time, and a connection that the upstream ended looked like an answer that was lost.

Sends whose connection ends before a byte of an answer have the result broken of their own (counter and line), and lines of such sends and of the request's end have a hash of what was asked. No decision goes by it yet.

--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -184,6 +184,9 @@
 // whose answer no byte has come after so long.
 func (c *conn) unanswered(err error, after time.Duration) Reply {
 	reply := lost(err)
+	if !timedOut(err) && !c.pool.isAbandoned() {
+		reply.Result = scatter.Broken
+	}
 	if c.dialed > 0 && after < c.dialed+shutMargin && !c.pool.isAbandoned() {
 		c.pool.shut(time.Now())
 		reply.Result = scatter.Shut
@@ -195,13 +198,18 @@
 // whole answer.
 func lost(err error) Reply {
 	detail := "connection: " + err.Error()
-	var ne net.Error
-	if errors.As(err, &ne) && ne.Timeout() {
+	if timedOut(err) {
 		detail = "no answer in time"
 	}
 	return Reply{Result: scatter.Lost, Detail: detail}
 }
 
+// timedOut tells whether an error of a connection says that its time was up.
+func timedOut(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
 // usable looks whether an idle connection can take a request. A connection that
 // the upstream has closed, or on which something waits that answers no request,
 // cannot: the request would be lost, or get a foreign answer.
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -223,6 +223,26 @@
 	}
 }
 
+// An upstream that ends under a request is told from one whose answer is bad or late.
+func TestAConnectionThatEndsUnderARequestIsBroken(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		s := newServer(t, func(_ int, c net.Conn) {
+			br := bufio.NewReader(c)
+			for id := read(br); id != "end"; id = read(br) {
+				fmt.Fprint(c, whole(id, "x"))
+			}
+			if reset {
+				c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		cl := newClient(t, s, 1)
+		cl.call("1")
+		if r := cl.call("end"); r.Result != scatter.Broken {
+			t.Errorf("reset %v: %v (%s)", reset, r.Result, r.Detail)
+		}
+	}
+}
+
 // An answer without a length is whole when its connection ends, and is not when
 // the connection is reset or ends before its stated length.
 func TestAnswersThatEndWithTheirConnection(t *testing.T) {
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -11,6 +11,7 @@
 func (x *run) answer(v *scatter.Verdict) Answer {
 	a := Answer{Reason: Reason(v.Reason), NotRun: v.NotRun, Sends: len(x.sends), Unspent: x.unspent}
 	a.Crowded = x.crowdedParts()
+	a.Broken, a.Replied = x.count(scatter.Broken), x.count(scatter.Answered)
 	if x.last != nil {
 		a.Slowest = x.last.call.Upstream.ID
 		a.SlowestAfter = x.lastAt.Sub(x.req.Received)
@@ -42,6 +43,17 @@
 	return len(crowded)
 }
 
+// count is how many sends ended with a result.
+func (x *run) count(r scatter.Result) int {
+	n := 0
+	for i := range x.sends {
+		if s := &x.sends[i]; s.replied && s.reply.Result == r {
+			n++
+		}
+	}
+	return n
+}
+
 // fail gives a plain request the failure that its upstream reported, and tells
 // when to come back after work that has not run.
 func (x *run) fail(a *Answer, v *scatter.Verdict) {
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -44,6 +44,9 @@
 	if a.Sends > 0 {
 		fields = append(fields, a.Stages.fields()...)
 	}
+	if a.Broken > 0 {
+		fields = append(fields, zap.Int("broken", a.Broken), zap.Int("answered", a.Replied), zap.Stringer("content", r.content()))
+	}
 	if r.Route != nil {
 		fields = append(fields, zap.String("route", r.Route.Name), zap.Duration("objective", r.Route.Objective))
 	} else {
--- a/internal/edge/observe_test.go
+++ b/internal/edge/observe_test.go
@@ -133,6 +133,26 @@
 	}
 }
 
+// Attempts that ask the same have the same word in their lines, whatever their ids, where
+// upstreams ended under them.
+func TestLinesTellWhatWasAskedOfUpstreamsThatEnded(t *testing.T) {
+	o := newObserved()
+	o.know()
+	line := func(id, path string) string {
+		r := request(path)
+		r.Message.ID = id
+		r.Message.Header.SetRequestURI(path)
+		o.logEnd(r, &Answer{Reason: Reason(scatter.TooFewParts), Sends: 2, Broken: 2})
+		_, content, _ := strings.Cut(o.lines(t), `"content":"`)
+		content, _, _ = strings.Cut(content, `"`)
+		return content
+	}
+	first := line("1", "/q/x")
+	if len(first) != 32 || first != line("2", "/q/x") || first == line("3", "/q/y") {
+		t.Errorf("contents %q, %q and %q", first, line("2", "/q/x"), line("3", "/q/y"))
+	}
+}
+
 // An upstream that begins to fail or is well again has a line with the grounds,
 // and shows on the metrics address.
 func TestStatesOfUpstreamsAreTold(t *testing.T) {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/fingerprint"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
@@ -27,6 +28,18 @@
 	Conn net.Conn
 	// Route is set once it is found.
 	Route *routing.Route
+	// fingerprint is what content works out, zero before.
+	fingerprint fingerprint.Fingerprint
+}
+
+// content identifies what is asked. It is worked out when it is needed, which is when
+// upstreams end under requests: the hash of a large body takes a weak VM milliseconds.
+func (r *Request) content() fingerprint.Fingerprint {
+	if r.fingerprint == (fingerprint.Fingerprint{}) {
+		h := r.Message.Header
+		r.fingerprint = fingerprint.Of(string(h.Method()), routing.NormalHost(r.Host), string(h.RequestURI()), r.Message.Body)
+	}
+	return r.fingerprint
 }
 
 // wait is how long the request may take from Received.
@@ -108,6 +121,9 @@
 	Crowded int
 	// Sends is how often upstreams were asked.
 	Sends int
+	// Broken is how many of the sends ended with their connection, without a byte of an
+	// answer, and Replied how many brought a part.
+	Broken, Replied int
 	// Slowest is the upstream whose reply came last, and SlowestAfter how long
 	// after Received; empty when none replied.
 	Slowest      string
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -161,7 +161,7 @@
 	e := x.engine
 	e.opts.Metrics.reply(s.reply.Result)
 	if s.reply.Result != scatter.Answered {
-		e.opts.Logs.Failures.Info("edge: send failed", x.fields(s, zap.Stringer("result", s.reply.Result), zap.String("detail", s.reply.Detail))...)
+		x.logFailed(s)
 	}
 	turn, turned, window := x.note(now, s)
 	e.pools.SetWindow(s.call.Upstream, window)
@@ -170,6 +170,16 @@
 	}
 }
 
+// logFailed writes a line for a send without an answer, with what was asked when the
+// upstream may have ended under it.
+func (x *run) logFailed(s *send) {
+	fields := x.fields(s, zap.Stringer("result", s.reply.Result), zap.String("detail", s.reply.Detail))
+	if s.reply.Result == scatter.Broken {
+		fields = append(fields, zap.Stringer("content", x.req.content()))
+	}
+	x.engine.opts.Logs.Failures.Info("edge: send failed", fields...)
+}
+
 // note gives a reply to what is kept of its upstream, and tells whether that
 // counts as something else now, and how many sends to it may be open.
 func (x *run) note(now time.Time, s *send) (turn replica.Turn, turned bool, window int) {
--- /dev/null
+++ b/internal/fingerprint/fingerprint_test.go
@@ -0,0 +1,22 @@
+package fingerprint
+
+import "testing"
+
+// Requests that differ in any part an upstream sees have other fingerprints, also where the
+// parts joined together read the same.
+func TestOf(t *testing.T) {
+	seen := map[Fingerprint]bool{}
+	for _, c := range [][4]string{
+		{"GET", "h", "/p", ""}, {"PUT", "h", "/p", ""}, {"GET", "h2", "/p", ""}, {"GET", "h", "/p?q", ""},
+		{"GET", "h", "/p", "body"}, {"GET", "h/", "p", ""}, {"GET", "h", "", "/p"},
+	} {
+		f := Of(c[0], c[1], c[2], []byte(c[3]))
+		if seen[f] {
+			t.Errorf("%q has the fingerprint of another one", c)
+		}
+		seen[f] = true
+		if f != Of(c[0], c[1], c[2], []byte(c[3])) {
+			t.Errorf("%q has another one the next time", c)
+		}
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -130,7 +130,7 @@
 // Lookup is the route of a request, nil without one. A port in the host is
 // ignored.
 func (t *Table) Lookup(host, path string) *Route {
-	routes := t.byHost[normalHost(host)]
+	routes := t.byHost[NormalHost(host)]
 	// Prefixes of the path sort before it, longer ones later: the last match
 	// below the path's place is the longest.
 	for i := searchPrefix(routes, path) - 1; i >= 0; i-- {
@@ -150,7 +150,8 @@
 	return n
 }
 
-func normalHost(host string) string {
+// NormalHost is a host as routes are looked up by: without its port, in lower case.
+func NormalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -22,6 +22,9 @@
 	Failed
 	// Lost has no valid answer; the upstream may have run it.
 	Lost
+	// Broken was written to an upstream that ended the connection before any byte of an
+	// answer: it may have run it, or have crashed under it.
+	Broken
 	// Expired was not sent, because no time was left.
 	Expired
 	// Shut was written to a connection that the upstream closed as soon as it was
@@ -41,7 +44,7 @@
 
 // String is the result's name in logs and metrics.
 func (r Result) String() string {
-	return [...]string{"answered", "unreached", "refused", "failed", "lost", "expired", "shut", "no_connection"}[r]
+	return [...]string{"answered", "unreached", "refused", "failed", "lost", "broken", "expired", "shut", "no_connection"}[r]
 }
 
 // Reason says why a request ended without an answer, in logs, metrics and the
