Decide which requests crash upstreams

Cause looked for in the incident of requests that crash upstreams: nothing remembers what a request has done. This is the decision alone, pure and not yet used: a request becomes a suspect by the third upstream that ended under it, is tried at one upstream alone, blocked when that ends too, and cleared by any upstream that survives it.

--- /dev/null
+++ b/internal/quarantine/admit.go
@@ -0,0 +1,70 @@
+package quarantine
+
+import (
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/fingerprint"
+)
+
+const (
+	// turnWithin is the span over which VMs to which a suspect comes at the same moment draw
+	// their turns to try it: several times the way of the word that a trial has begun, which
+	// is half a round trip between regions, so that hardly two begin unaware of each other.
+	turnWithin = 300 * time.Millisecond
+	// patience is how long a suspect waits for a trial of its own or for what comes of
+	// another one.
+	patience = time.Second
+	// askAgain is how often a suspect that waits is looked at: a fraction of a trial.
+	askAgain = 10 * time.Millisecond
+)
+
+// Waiting is one attempt of a suspect that waits until it may be tried.
+type Waiting struct {
+	turn, until time.Time
+}
+
+// Wait is an attempt that comes now; draw, from 0 to 1, gives its turn.
+func Wait(now time.Time, draw float64) Waiting {
+	return Waiting{
+		turn:  now.Add(time.Duration(draw * float64(turnWithin))),
+		until: now.Add(patience),
+	}
+}
+
+// Admission is how an attempt may go on.
+type Admission struct {
+	Standing Standing
+	// Again is when to ask once more; zero once it is decided.
+	Again time.Time
+	// Held says that a suspect could not be tried in time, as others are trying it.
+	Held bool
+	// Until is when a block ends.
+	Until time.Time
+}
+
+// Admit tells whether an attempt may be run: as any other, alone as a trial, which begins
+// with it, or not at all.
+func (t *Table) Admit(now time.Time, content fingerprint.Fingerprint, w Waiting) Admission {
+	standing, until := t.Standing(now, content)
+	a := Admission{Standing: standing, Until: until}
+	switch {
+	case standing != Suspect:
+	case !now.Before(w.turn) && t.begin(now, content):
+	case now.Before(w.until):
+		a.Again = now.Add(askAgain)
+	default:
+		a.Held = true
+	}
+	return a
+}
+
+// begin begins a trial of a suspect; false while another one is under way.
+func (t *Table) begin(now time.Time, content fingerprint.Fingerprint) bool {
+	r := t.records[content]
+	if now.Before(r.tryingUntil) {
+		return false
+	}
+	r.tryingUntil = now.Add(trialFor)
+	r.trial, r.news = true, true
+	return true
+}
--- /dev/null
+++ b/internal/quarantine/wire_test.go
@@ -0,0 +1,56 @@
+package quarantine
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+)
+
+func TestEntriesOnTheWire(t *testing.T) {
+	want := []Entry{
+		{Content: content(1), Epoch: 3, Rounds: 4, Blocks: 1, Ended: []uint32{1, 1 << 31}, Age: 7 * time.Second, Trial: true},
+		{Content: content(2), Epoch: 2},
+	}
+	got, dropped := Decode(Encode(want))
+	if dropped != 0 || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
+// What a peer with a fault, or somebody else, sends is not taken in.
+func TestEntriesThatMakeNoSense(t *testing.T) {
+	good := Encode([]Entry{{Content: content(1), Epoch: 1, Rounds: 1}})[0]
+	for name, spoil := range map[string]func(*pb.QuarantineEntry){
+		"no content":     func(m *pb.QuarantineEntry) { m.Content = nil },
+		"long content":   func(m *pb.QuarantineEntry) { m.Content = make([]byte, 17) },
+		"no epoch":       func(m *pb.QuarantineEntry) { m.Epoch = 0 },
+		"last epoch":     func(m *pb.QuarantineEntry) { m.Epoch = 1<<32 - 1 },
+		"many upstreams": func(m *pb.QuarantineEntry) { m.Ended = make([]uint32, 9) },
+		"many blocks":    func(m *pb.QuarantineEntry) { m.Blocks = 1 << 31 },
+		"great age":      func(m *pb.QuarantineEntry) { m.AgeMs = 1 << 63 },
+	} {
+		bad := proto.Clone(good).(*pb.QuarantineEntry)
+		spoil(bad)
+		if got, dropped := Decode([]*pb.QuarantineEntry{bad, nil, good}); len(got) != 1 || dropped != 2 {
+			t.Errorf("%s: %d taken in, %d dropped", name, len(got), dropped)
+		}
+	}
+}
+
+// A datagram holds MaxTold entries of the greatest size.
+func TestEntriesFitIntoADatagram(t *testing.T) {
+	// room is what a datagram has beside its signature, sequence and sender.
+	const room = 900
+	d := &pb.Datagram{}
+	for range MaxTold {
+		e := Entry{Content: content(1), Epoch: maxEpoch - 1, Rounds: maxCount - 1, Blocks: maxCount - 1, Ended: make([]uint32, MaxEnded), Age: maxAge, Trial: true}
+		d.Quarantine = append(d.Quarantine, Encode([]Entry{e})...)
+	}
+	if n := proto.Size(d); n > room {
+		t.Errorf("%d bytes", n)
+	}
+}
