Find out whether an upstream that closed a connection has ended

A connection that ends says nothing of the process: resets and lost answers look the same. An upstream is looked at once for all connections that ended in a moment; one that is back before that shows by its registration.

--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -62,6 +62,7 @@
 	movedAt time.Time
 	// shutUntil is when a connection may be opened again after one was shut out.
 	shutUntil time.Time
+	checked   check
 }
 
 func newPool(u *catalog.Upstream, protocol Protocol, counter Counter, limit int) *Pool {
@@ -335,6 +336,7 @@
 		// An error means that it is closed already.
 		_ = s.Close()
 	}
+	p.startedAgain(time.Now())
 }
 
 // serves tells whether what is meant for a registration may go to this pool: its own, or
--- a/internal/direct/pools.go
+++ b/internal/direct/pools.go
@@ -103,6 +103,9 @@
 	p.mu.Unlock()
 	for _, pool := range gone {
 		pool.close()
+		if pool.hasUndecided() && taken(known, pool.upstream.Address) {
+			pool.startedAgain(time.Now())
+		}
 	}
 	for _, pool := range former {
 		pool.abandon()
