Send one part at a time once three upstreams have ended under a query

A query that crashes its upstreams was sent to a second copy of each shard as soon as the first had ended: 20 upstreams of 10 shards. With three ended and none that survived, sends are made alone, and none after one of these has ended its upstream. The first answer of any part ends the care, so that a query whose upstreams end for another reason loses the time until then. Rows of TestCourses and TestAQueryThatEndsUpstreamsStops.

--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -37,6 +37,8 @@
 	part   int
 	ended  bool
 	result Result
+	// alone says that it was sent while the query was careful.
+	alone bool
 }
 
 // part is the state of one part.
@@ -56,6 +58,8 @@
 	hedgeAt  time.Time
 	againAt  time.Time
 	againFor Cause
+	// heldFor is why a send is held back, empty when none is.
+	heldFor Cause
 }
 
 func (p *part) ended() bool { return p.answer >= 0 || p.given }
@@ -68,6 +72,8 @@
 	attempts []attempt
 	answered int
 	failed   int
+	open     int
+	careful  careful
 	// floorAt is when enough parts had come, zero before.
 	floorAt time.Time
 	now     time.Time
@@ -95,7 +101,11 @@
 		return nil
 	}
 	for i := range q.parts {
-		q.send(i, First)
+		if q.holds() {
+			q.parts[i].heldFor = First
+			continue
+		}
+		q.send(i)
 	}
 	return q.end()
 }
@@ -123,6 +133,8 @@
 	a.result = r
 	p := &q.parts[a.part]
 	p.open--
+	q.open--
+	q.careful.ended(a, q.plan.Alone)
 	if r.NotRun() {
 		p.mayHaveRun--
 	}
@@ -137,7 +149,7 @@
 	q.begin(now)
 	for i := range q.parts {
 		p := &q.parts[i]
-		if p.ended() {
+		if p.ended() || p.heldFor != "" {
 			continue
 		}
 		if due(p.againAt, now) {
@@ -160,7 +172,7 @@
 	}
 	for i := range q.parts {
 		p := &q.parts[i]
-		if p.ended() {
+		if p.ended() || p.heldFor != "" {
 			continue
 		}
 		next = earlier(next, p.hedgeAt)
@@ -178,6 +190,7 @@
 }
 
 func (q *Query) end() []Send {
+	q.release()
 	q.settle()
 	if q.verdict != nil {
 		return nil
@@ -235,6 +248,10 @@
 	if p.open > 0 && cause == AfterFailure && !q.mayRunAgain(p) {
 		return
 	}
+	if q.holds() {
+		p.heldFor = cause
+		return
+	}
 	if q.trySend(i, cause) || p.open > 0 {
 		return
 	}
@@ -275,21 +292,22 @@
 	return q.plan.Idempotent && p.mayHaveRun-p.shut < q.plan.Attempts
 }
 
-func (q *Query) send(i int, cause Cause) {
+func (q *Query) send(i int) {
 	u := q.policy.Choose(i, nil)
 	if u == nil {
 		q.giveUp(i)
 		return
 	}
-	q.put(i, u, cause)
+	q.put(i, u, First)
 }
 
 func (q *Query) put(i int, u *catalog.Upstream, cause Cause) {
 	p := &q.parts[i]
 	n := len(q.attempts)
-	q.attempts = append(q.attempts, attempt{part: i})
+	q.attempts = append(q.attempts, attempt{part: i, alone: q.isCareful()})
 	p.tried = append(p.tried, u.ID)
 	p.open++
+	q.open++
 	p.mayHaveRun++
 	p.hedgeAt = time.Time{}
 	if q.mayRunAgain(p) {
@@ -302,6 +320,10 @@
 func (q *Query) hedge(i int) {
 	p := &q.parts[i]
 	p.hedgeAt = time.Time{}
+	if q.isCareful() {
+		p.hedgeAt = q.now.Add(hedgeAgain)
+		return
+	}
 	if !q.mayRunAgain(p) || q.plan.GiveUp.Sub(q.now) < minUseful {
 		return
 	}
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -97,6 +97,10 @@
 		p.Idempotent = false
 		return p
 	}
+	alone := func(p Plan) Plan {
+		p.Alone = true
+		return p
+	}
 	for _, c := range []struct {
 		name   string
 		plan   Plan
@@ -148,6 +152,20 @@
 			"0:0/0:first end:upstream_failed:notrun=false:[-1]"},
 		{"unsafe work that was refused is", unsafe(plan(1, 1)), policy{2, 9, 0}, "0=refused 1=answered",
 			"0:0/0:first 1:0/1:after_refusal end::notrun=false:[1]"},
+		{"three upstreams end, one more is tried alone", plan(4, 1), policy{3, 9, 0}, "0=broken 1=broken 2=broken 3=broken 4=broken 5=broken 6=broken",
+			"0:0/0:first 1:1/0:first 2:2/0:first 3:3/0:first 4:0/1:after_failure 5:1/1:after_failure 6:2/1:after_failure end:too_few_parts:notrun=false:[-1 -1 -1 -1]"},
+		{"without a budget none is", plan(3, 1), policy{2, 0, 0}, "0=broken 1=broken 2=broken",
+			"0:0/0:first 1:1/0:first 2:2/0:first end:too_few_parts:notrun=false:[-1 -1 -1]"},
+		{"the first answer ends the care", plan(5, 5), policy{2, 9, 0}, "0=broken 1=broken 2=broken 3=broken 4=answered 5=answered 6=answered 7=answered 8=answered",
+			"0:0/0:first 1:1/0:first 2:2/0:first 3:3/0:first 4:4/0:first 5:0/1:after_failure 6:1/1:after_failure 7:2/1:after_failure 8:3/1:after_failure end::notrun=false:[5 6 7 8 4]"},
+		{"a suspect is asked of one upstream", alone(plan(3, 3)), policy{2, 9, 0}, "0=broken",
+			"0:0/0:first end:too_few_parts:notrun=false:[-1 -1 -1]"},
+		{"and of the others once that has survived", alone(plan(3, 3)), policy{2, 9, 0}, "+60 0=answered 1=answered 2=answered",
+			"0:0/0:first 1:1/0:first 2:2/0:first end::notrun=false:[0 1 2]"},
+		{"an upstream that cannot be reached has not been asked", alone(plan(2, 2)), policy{2, 9, 0}, "0=unreached 1=answered 2=answered",
+			"0:0/0:first 1:0/1:after_unreached 2:1/0:first end::notrun=false:[1 2]"},
+		{"two that refuse it are enough", alone(plan(2, 1)), policy{3, 9, 0}, "0=refused 1=refused",
+			"0:0/0:first 1:0/1:after_refusal end:all_refused:notrun=true:[-1 -1]"},
 	} {
 		if got := course(New(c.plan, &c.policy), c.script); got != c.want {
 			t.Errorf("%s:\n got %s\nwant %s", c.name, got, c.want)
@@ -205,6 +223,57 @@
 	}
 }
 
+// Symptom: a request that crashes the upstreams that run it ends two copies of each shard
+// before its caller has its failure.
+// Sequence: upstreams end in whatever order under a query of many parts, and others cannot be
+// reached, refuse it or are slow; none answers.
+// Cause: each part was sent again for itself. Once three have ended, sends are made one at a
+// time, and none after one of these has ended its upstream too.
+func TestAQueryThatEndsUpstreamsStops(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := plan(rapid.IntRange(1, 12).Draw(t, "parts"), 1)
+		p.Attempts = rapid.IntRange(1, 4).Draw(t, "attempts")
+		p.Alone = rapid.Bool().Draw(t, "alone")
+		q := New(p, &policy{4, 100, 0})
+		open, broken, lostAlone := map[int]bool{}, 0, false
+		var alone []int
+		take := func(sends []Send) {
+			for _, s := range sends {
+				careful := p.Alone || broken >= 3
+				if careful && (len(open) > 0 || lostAlone) {
+					t.Fatalf("sent with %d open after %d had ended", len(open), broken)
+				}
+				if careful {
+					alone = append(alone, s.Attempt)
+				}
+				open[s.Attempt] = true
+			}
+		}
+		now := start
+		take(q.Start(now))
+		for q.Verdict() == nil {
+			if len(open) == 0 || rapid.IntRange(0, 3).Draw(t, "wait") == 0 {
+				now = now.Add(30 * ms)
+				take(q.Tick(now))
+				continue
+			}
+			var attempts []int
+			for n := range open {
+				attempts = append(attempts, n)
+			}
+			slices.Sort(attempts)
+			n := rapid.SampledFrom(attempts).Draw(t, "which")
+			r := rapid.SampledFrom([]Result{Broken, Broken, Broken, Unreached, Refused}).Draw(t, "result")
+			delete(open, n)
+			if r == Broken {
+				broken++
+				lostAlone = lostAlone || slices.Contains(alone, n)
+			}
+			take(q.Ended(now, n, r))
+		}
+	})
+}
+
 // Whatever comes in whatever order: an unsafe request is never open at two
 // upstreams nor sent after it may have run; a safe one runs at most at Attempts
 // upstreams a part; NotRun is said only when every send was proved not run; the
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -36,6 +36,12 @@
 	NoConnection
 )
 
+// Survived tells whether the result shows that the upstream has run the request and lives.
+func (r Result) Survived() bool { return r == Answered || r == Failed }
+
+// Reached tells whether the request has arrived at the upstream, or may have.
+func (r Result) Reached() bool { return r != Unreached && r != Expired && r != NoConnection }
+
 // NotRun tells whether the result proves that the upstream has not run the
 // request.
 func (r Result) NotRun() bool {
@@ -81,6 +87,9 @@
 	AnswerBy time.Time
 	// GiveUp is when the caller or the route's timeout ends the request.
 	GiveUp time.Time
+	// Alone says that upstreams have ended under the same request before: one is asked
+	// alone, and others once it has survived it.
+	Alone bool
 }
 
 // Policy chooses and accounts; the Query asks it while it is stepped.
