Keep requests that crash upstreams from them

Cause: a VM took each attempt for the first of its kind, and an upstream that ended under it for one that was ill, so that the attempt was sent to another copy, and the caller's next one to all shards again. Class: a retry amplification without a memory of harm.

The engine looks whether an upstream that closed its connection has ended, holds that against what was asked, tells all VMs, tries a suspect at one upstream alone and refuses it once that ends too; any answer clears it. A VM that starts is told with the list of members, one that missed a word within seconds.

Failed on the way, each a test now: waiters that all begin when a trial is over (turns are drawn anew), sends of the very moment of a crash counted as a later round, processes that keep their name when they start again counted once, a process that is back before it is looked at.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/direct"
 	"sycamorekeel.example/sycamorekeel/internal/locality"
 	"sycamorekeel.example/sycamorekeel/internal/logring"
+	"sycamorekeel.example/sycamorekeel/internal/quarantine"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
@@ -79,11 +80,14 @@
 	opts  Options
 	now   func() time.Time
 	pools *direct.Pools
-	// do makes a call to an upstream.
-	do       func(*direct.Call)
-	view     atomic.Pointer[catalog.View]
-	shares   atomic.Pointer[Shares]
-	inFlight atomic.Int64
+	// do makes a call to an upstream, check finds out whether one has ended.
+	do    func(*direct.Call)
+	check func(*catalog.Upstream, func(ended bool))
+	// quarantine keeps requests that crash upstreams from them.
+	quarantine *Quarantine
+	view       atomic.Pointer[catalog.View]
+	shares     atomic.Pointer[Shares]
+	inFlight   atomic.Int64
 	// lag is how late this process is woken, in nanoseconds.
 	lag     atomic.Int64
 	started time.Time
@@ -119,6 +123,8 @@
 	e.shares.Store(&Shares{VMs: 1, Carriers: 1, Carrying: true})
 	e.pools = direct.NewPools(opts.Protocol, upstreamTraffic{opts.Traffic, opts.Place}, e.connectionLimit)
 	e.do = e.pools.Do
+	e.check = e.pools.Check
+	e.quarantine = newQuarantine(opts.Logs, opts.Metrics.quarantine)
 	return e
 }
 
@@ -169,6 +175,9 @@
 	}
 }
 
+// Quarantine is what keeps requests that crash upstreams from them.
+func (e *Engine) Quarantine() *Quarantine { return e.quarantine }
+
 // View is the view in force, nil before the first.
 func (e *Engine) View() *catalog.View { return e.view.Load() }
 
@@ -209,6 +218,7 @@
 // Tick drops what is no longer used; it is to be called about once a second.
 func (e *Engine) Tick(now time.Time) {
 	e.pools.Expire(now)
+	e.quarantine.expire(now)
 	e.mu.Lock()
 	turns := e.replicas.Turns(now)
 	e.mu.Unlock()
@@ -278,6 +288,14 @@
 	if e.tooSlow(r.Route) {
 		return refuse(Overloaded, overloadRetry)
 	}
+	switch a := e.quarantine.admit(e.now, e.random, r); {
+	case a.Standing == quarantine.Blocked:
+		return refuse(Poison, a.Until.Sub(e.now()))
+	case a.Held:
+		return refuse(Held, heldRetry)
+	default:
+		r.alone = a.Standing == quarantine.Suspect
+	}
 	if !r.Route.FanOut() {
 		return e.run(v, r)
 	}
@@ -321,6 +339,7 @@
 		MinParts:   1,
 		AnswerBy:   answerBy(r),
 		GiveUp:     r.Received.Add(r.wait()),
+		Alone:      r.alone,
 	}
 	if !route.FanOut() {
 		p.Services = []string{route.Pick(e.draw(route.Name))}
@@ -369,6 +388,13 @@
 	return d.Next()
 }
 
+// random is a number from 0 to 1.
+func (e *Engine) random() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.opts.Random.Float64()
+}
+
 // usual is the answer time assumed of a route of which no answer has been seen.
 func usual(route *routing.Route) time.Duration {
 	return time.Duration(usualShare * float64(objective(route)))
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"pgregory.net/rapid"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
@@ -142,7 +143,7 @@
 func TestWhatAConfigurationNoLongerNamesIsForgotten(t *testing.T) {
 	start := time.Unix(1000, 0)
 	limit := retrybudget.Limit{Ratio: 1, Window: 10 * time.Second}
-	e := New(start, Options{Traffic: &traffic.Meter{}, Budget: limit, Random: rand.New(rand.NewPCG(1, 2))})
+	e := New(start, Options{Metrics: NewMetrics(prometheus.NewRegistry()), Traffic: &traffic.Meter{}, Budget: limit, Random: rand.New(rand.NewPCG(1, 2))})
 	view := func(i int) *catalog.View {
 		name := fmt.Sprint(i)
 		c := &routing.Config{Routes: []routing.Route{{Name: name}}, Services: []routing.Service{{Name: name}}}
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -151,6 +151,11 @@
 	for d := time.Second; d < simEnd; d += time.Second {
 		s.at(s.start.Add(d), func() { s.engine.Tick(s.now) })
 	}
+	s.drain()
+}
+
+// drain lets everything happen that is planned.
+func (s *sim) drain() {
 	for len(s.todo) > 0 {
 		e := heap.Pop(&s.todo).(event)
 		s.now = e.at
--- a/internal/edge/observe_test.go
+++ b/internal/edge/observe_test.go
@@ -14,6 +14,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/direct"
 	"sycamorekeel.example/sycamorekeel/internal/logring"
+	"sycamorekeel.example/sycamorekeel/internal/quarantine"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
@@ -101,6 +102,14 @@
 			r.Deadline = 100 * time.Millisecond
 			return o.Serve(r)
 		}},
+		{Poison, func(o *observed) Answer {
+			o.know()
+			for i := range uint32(4) {
+				sent := time.Now().Add(time.Duration(i) * time.Second)
+				o.quarantine.crashed(sent, request("/q/"), quarantine.Crash{Start: i, SentAt: sent, EndedAt: sent.Add(time.Millisecond)})
+			}
+			return o.Serve(request("/q/"))
+		}},
 		{Malformed, func(o *observed) Answer { return o.Refuse(request("/p/"), Malformed) }},
 		{TooLarge, func(o *observed) Answer { return o.Refuse(request("/p/"), TooLarge) }},
 		{HeadTooLarge, func(o *observed) Answer { return o.Refuse(request("/p/"), HeadTooLarge) }},
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -14,6 +14,10 @@
 	// that has begun to leave meanwhile takes no new work.
 	candidates := e.view.Load().Services[x.plan.Services[part]]
 	now := e.now()
+	if e.quarantine.blocked(now, x.req) {
+		// It has become known meanwhile, here or at a peer.
+		return nil
+	}
 	ahead := e.pools.Ahead(now, candidates)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -28,6 +28,8 @@
 	Conn net.Conn
 	// Route is set once it is found.
 	Route *routing.Route
+	// alone says that the request is a suspect, which is tried at one upstream first.
+	alone bool
 	// fingerprint is what content works out, zero before.
 	fingerprint fingerprint.Fingerprint
 }
@@ -73,6 +75,10 @@
 	Overloaded Reason = "overloaded"
 	// Congested: the upstreams of the query's shards have no room for more.
 	Congested Reason = "congested"
+	// Poison: upstreams crash under the request, so that it is sent to none.
+	Poison Reason = "poison_request"
+	// Held: upstreams have ended under the request, and others are trying it.
+	Held Reason = "suspect_held"
 	// Gone: the caller closed its connection.
 	Gone Reason = "caller_gone"
 	// Malformed: the request breaks the interface's rules.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +29,11 @@
 	lastAt time.Time
 	// unspent is how many extra sends the budget refused.
 	unspent int
+	// survived says that an upstream has run the request and lives, over that the run has
+	// ended. Checks of upstreams read them from elsewhere.
+	survived, over atomic.Bool
+	// broken says that upstreams have closed their connections under the request.
+	broken bool
 }
 
 // send is one send of a run.
@@ -77,7 +83,9 @@
 }
 
 func (e *Engine) run(v *catalog.View, r *Request) Answer {
-	return e.newRun(v, r).drive()
+	x := e.newRun(v, r)
+	defer x.close()
+	return x.drive()
 }
 
 // newRun plans a query; nothing is sent yet.
@@ -149,6 +157,7 @@
 		s.replied = true
 		x.last, x.lastAt = s, now
 		x.learn(now, s)
+		x.judge(s, now)
 		x.dispatch(x.query.Ended(now, n.attempt, n.reply.Result))
 		if n.reply.Result == scatter.Answered {
 			x.withdrawPart(s.part)
--- a/internal/gossip/fuzz_test.go
+++ b/internal/gossip/fuzz_test.go
@@ -25,6 +25,7 @@
 		{Sender: update(pb.MemberState_LEAVING), Sequence: 2, Body: &pb.Datagram_Probe{Probe: &pb.Probe{Id: 1, Digest: make([]uint32, 16)}}},
 		{Sender: update(pb.MemberState_ALIVE), Sequence: 3, Body: &pb.Datagram_Ack{Ack: &pb.ProbeAck{Id: 9}}},
 		{Sender: update(pb.MemberState_ALIVE), Sequence: 4, Body: &pb.Datagram_ProbeRequest{ProbeRequest: &pb.ProbeRequest{Id: 9, Target: "vm-a"}}},
+		{Sender: update(pb.MemberState_ALIVE), Sequence: 6, Quarantine: []*pb.QuarantineEntry{{Content: make([]byte, 16), Epoch: 1, Ended: []uint32{1}}}},
 		{Sender: update(pb.MemberState_ALIVE), Sequence: 5, Updates: []*pb.MemberUpdate{update(pb.MemberState_DEAD), {Vm: "vm-a", Incarnation: 9, State: pb.MemberState_SUSPECT}}},
 	} {
 		b, err := proto.Marshal(d)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -37,6 +37,8 @@
 	View func(*membership.View)
 	// Heard tells what a peer announced of its configuration; may be nil.
 	Heard func(Announcement)
+	// Quarantine gives entries of a peer; may be nil.
+	Quarantine func(peer string, entries []*pb.QuarantineEntry)
 	// Revalidate says that this process was paused: no new work may start.
 	Revalidate func()
 	// Revalidated ends it; alone says that no peer answered.
@@ -174,6 +176,11 @@
 	d.step(func(now time.Time) membership.Actions { return d.node.Announce(now, wide) })
 }
 
+// Tell gives entries of the quarantine to so many members, or to membership.All.
+func (d *Driver) Tell(entries []*pb.QuarantineEntry, most int) {
+	d.step(func(now time.Time) membership.Actions { return d.node.Tell(now, entries, most) })
+}
+
 // Updates is what this VM holds of the fleet.
 func (d *Driver) Updates() []*pb.MemberUpdate {
 	d.mu.Lock()
@@ -267,6 +274,9 @@
 	if f := d.opts.Callbacks.Heard; f != nil {
 		f(Announcement{m.Sender, m.ConfigRevision, time.Duration(m.ConfirmedAgeMs) * time.Millisecond})
 	}
+	if f := d.opts.Callbacks.Quarantine; f != nil && len(m.Quarantine) > 0 {
+		f(m.Sender.Vm, m.Quarantine)
+	}
 }
 
 // step moves the node on, then does what it asked for without the lock.
--- a/internal/gossip/seal.go
+++ b/internal/gossip/seal.go
@@ -29,6 +29,8 @@
 	maxAddress = 64
 	maxUpdates = 128
 	maxDigest  = 64
+	// maxQuarantine bounds the entries of a datagram.
+	maxQuarantine = 32
 )
 
 // Sealer signs and opens datagrams: an HMAC-SHA-256 and then the message.
@@ -98,7 +100,7 @@
 }
 
 func wellFormed(d *pb.Datagram) bool {
-	if d.Sequence == 0 || len(d.Updates) > maxUpdates || !wellFormedSender(d.Sender) {
+	if d.Sequence == 0 || len(d.Updates) > maxUpdates || len(d.Quarantine) > maxQuarantine || !wellFormedSender(d.Sender) {
 		return false
 	}
 	for _, u := range d.Updates {
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -254,6 +254,18 @@
 	return n.end()
 }
 
+// Tell gives members that take work entries of the quarantine: so many of them, or all.
+func (n *Node) Tell(now time.Time, entries []*pb.QuarantineEntry, most int) Actions {
+	n.begin(now)
+	for _, r := range n.pick(most, func(r *record) bool { return r.serves() }) {
+		n.send(r.PeerAddress, &pb.Datagram{Quarantine: entries}, r)
+	}
+	return n.end()
+}
+
+// All is as many members as there may be.
+const All = math.MaxInt
+
 // group is members of which an announcement goes to a few: those of this node's data
 // centre, of another one of its region, or of another region.
 type group struct {
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -152,6 +152,7 @@
 		return 0
 	}
 	r.learn(page.Members)
+	r.learnQuarantine(address, page.Quarantine)
 	for _, m := range page.Members {
 		if m.PeerAddress == address && page.Revision > 0 {
 			r.heard(m, page.Revision, follow.Unconfirmed)
@@ -195,15 +196,15 @@
 	}
 	args := ctx.QueryArgs()
 	if !args.Has(argPacked) {
-		return proto.Marshal(&pb.CatalogPage{Revision: r.revision(), Members: r.members()})
+		return proto.Marshal(&pb.CatalogPage{Revision: r.revision(), Members: r.members(), Quarantine: r.quarantined()})
 	}
 	ctx.Response.Header.SetContentEncoding(packedEncoding)
 	self := r.self()
 	if !args.Has(argWhole) && string(args.Peek(argRegion)) != self.Region {
-		return pagepack.Pack(&pb.CatalogPage{Revision: r.revision(), Members: []*pb.MemberUpdate{self}}, catalog.Document{})
+		return pagepack.Pack(&pb.CatalogPage{Revision: r.revision(), Members: []*pb.MemberUpdate{self}, Quarantine: r.quarantined()}, catalog.Document{})
 	}
 	return r.memberList.get(time.Now(), func() ([]byte, error) {
-		return pagepack.Pack(&pb.CatalogPage{Revision: r.revision(), Members: r.members()}, catalog.Document{})
+		return pagepack.Pack(&pb.CatalogPage{Revision: r.revision(), Members: r.members(), Quarantine: r.quarantined()}, catalog.Document{})
 	})
 }
 
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -51,6 +51,9 @@
 	// members and learn give and take what is known of the fleet.
 	members func() []*pb.MemberUpdate
 	learn   func([]*pb.MemberUpdate)
+	// quarantined and learnQuarantine give and take requests under which upstreams ended.
+	quarantined     func() []*pb.QuarantineEntry
+	learnQuarantine func(peer string, entries []*pb.QuarantineEntry)
 	// self is what this VM says of itself; view is the members as seen now.
 	self func() *pb.MemberUpdate
 	view func() *membership.View
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -20,15 +20,20 @@
 
 // Waiting is one attempt of a suspect that waits until it may be tried.
 type Waiting struct {
+	// draw places its turn within turnWithin.
+	draw        float64
 	turn, until time.Time
 }
 
 // Wait is an attempt that comes now; draw, from 0 to 1, gives its turn.
 func Wait(now time.Time, draw float64) Waiting {
-	return Waiting{
-		turn:  now.Add(time.Duration(draw * float64(turnWithin))),
-		until: now.Add(patience),
-	}
+	w := Waiting{draw: draw, until: now.Add(patience)}
+	w.setTurn(now)
+	return w
+}
+
+func (w *Waiting) setTurn(from time.Time) {
+	w.turn = from.Add(time.Duration(w.draw * float64(turnWithin)))
 }
 
 // Admission is how an attempt may go on.
@@ -44,12 +49,21 @@
 
 // Admit tells whether an attempt may be run: as any other, alone as a trial, which begins
 // with it, or not at all.
-func (t *Table) Admit(now time.Time, content fingerprint.Fingerprint, w Waiting) Admission {
+func (t *Table) Admit(now time.Time, content fingerprint.Fingerprint, w *Waiting) Admission {
 	standing, until := t.Standing(now, content)
 	a := Admission{Standing: standing, Until: until}
+	if standing != Suspect {
+		return a
+	}
+	r := t.records[content]
+	if now.Before(r.tryingUntil) {
+		// Should nothing come of that trial, those who wait do not all begin at its end.
+		w.setTurn(r.tryingUntil)
+	}
 	switch {
-	case standing != Suspect:
-	case !now.Before(w.turn) && t.begin(now, content):
+	case !now.Before(w.turn):
+		r.tryingUntil = now.Add(trialFor)
+		r.trial, r.news = true, true
 	case now.Before(w.until):
 		a.Again = now.Add(askAgain)
 	default:
@@ -57,14 +71,3 @@
 	}
 	return a
 }
-
-// begin begins a trial of a suspect; false while another one is under way.
-func (t *Table) begin(now time.Time, content fingerprint.Fingerprint) bool {
-	r := t.records[content]
-	if now.Before(r.tryingUntil) {
-		return false
-	}
-	r.tryingUntil = now.Add(trialFor)
-	r.trial, r.news = true, true
-	return true
-}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -151,7 +151,7 @@
 		return Free
 	case r.blocks > 0 && now.Before(r.blockedUntil()):
 		return Blocked
-	case r.blocks > 0 || len(r.ended) >= suspectCrashes || r.rounds >= suspectRounds:
+	case r.blocks > 0 || r.crashes() >= suspectCrashes || r.rounds >= suspectRounds:
 		return Suspect
 	default:
 		return Free
@@ -180,14 +180,14 @@
 	if r.cleared() {
 		*r = record{epoch: r.epoch + 1, shared: r.shared}
 	}
-	if slices.Contains(r.ended, c.Start) {
+	next := r.rounds == 0 || c.SentAt.After(r.roundAt)
+	alone := r.rounds > 0 && c.SentAt.Sub(r.lastCrash) >= settled
+	if slices.Contains(r.ended, c.Start) && !alone {
+		// Another of the connections that ended with it, or one that was found ended a
+		// moment later. After a while it is the next process under the same name.
 		return r.turn(now, content, was)
 	}
-	if len(r.ended) < MaxEnded {
-		r.ended = append(r.ended, c.Start)
-	}
-	next := r.rounds == 0 || !c.SentAt.Before(r.roundAt)
-	alone := r.rounds > 0 && c.SentAt.Sub(r.lastCrash) >= settled
+	r.name(c.Start)
 	if next {
 		r.rounds++
 		r.roundAt = c.EndedAt
@@ -195,7 +195,7 @@
 	if c.EndedAt.After(r.lastCrash) {
 		r.lastCrash = c.EndedAt
 	}
-	if was != Blocked && len(r.ended) >= suspectCrashes && (r.rounds >= blockRounds && r.blocks == 0 || next && alone) {
+	if was != Blocked && r.crashes() >= suspectCrashes && (r.rounds >= blockRounds && r.blocks == 0 || next && alone) {
 		r.blocks++
 	}
 	turn := r.turn(now, content, was)
@@ -255,9 +255,7 @@
 // at the same time stays one.
 func (r *record) join(now time.Time, e Entry, lastCrash time.Time) {
 	for _, start := range e.Ended {
-		if len(r.ended) < MaxEnded && !slices.Contains(r.ended, start) {
-			r.ended = append(r.ended, start)
-		}
+		r.name(start)
 	}
 	if e.Rounds > r.rounds {
 		r.rounds = e.Rounds
@@ -269,9 +267,20 @@
 	}
 }
 
+// name adds an upstream that ended.
+func (r *record) name(start uint32) {
+	if len(r.ended) < MaxEnded && !slices.Contains(r.ended, start) {
+		r.ended = append(r.ended, start)
+	}
+}
+
+// crashes is how many upstreams are known to have ended: where processes keep their names
+// when they start again, more than can be told apart by them.
+func (r *record) crashes() int { return max(len(r.ended), int(r.rounds)) }
+
 // turn is the change since the request had another standing.
 func (r *record) turn(now time.Time, content fingerprint.Fingerprint, was Standing) Turn {
-	return Turn{Content: content, Was: was, Is: r.standing(now), Crashes: len(r.ended), Rounds: r.rounds, Blocks: r.blocks}
+	return Turn{Content: content, Was: was, Is: r.standing(now), Crashes: r.crashes(), Rounds: r.rounds, Blocks: r.blocks}
 }
 
 // hold is the record of a request, made when there is none.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -90,13 +90,29 @@
 	v.is(5*time.Second, Free)
 }
 
-// The same start of an upstream counts once, however many connections to it end.
+// Symptom: a request at no fault is blocked by the loss of many upstreams in one moment.
+// Sequence: its sends begin in the very moment in which the upstreams end.
+// Cause: a send of that moment was taken for one made after the crash was seen.
+func TestSendsOfTheMomentOfACrashAreOfTheSameRound(t *testing.T) {
+	v := newVM(t)
+	for u := range uint32(6) {
+		v.Crashed(start, content(1), Crash{Start: u, SentAt: start, EndedAt: start})
+	}
+	v.is(0, Suspect)
+}
+
+// The same start of an upstream counts once, however many connections to it end; under the
+// name of one that ended long ago there is another process.
 func TestAnUpstreamCountsOnce(t *testing.T) {
 	v := newVM(t)
-	for i := range 10 {
-		v.crashed(1, time.Duration(i)*time.Second)
+	for i := range 20 {
+		v.crashed(1, time.Duration(i)*40*ms)
 	}
-	v.is(10*time.Second, Free)
+	v.is(time.Second, Free)
+	v.crashed(1, 5*time.Second)
+	v.is(5*time.Second, Suspect)
+	v.crashed(1, 10*time.Second)
+	v.is(10*time.Second, Blocked)
 }
 
 // A block ends, and one trial that ends its upstream renews it for longer.
@@ -190,23 +206,28 @@
 	a.crashed(1, 0)
 	a.crashed(2, 50*ms)
 	a.tell(60*ms, b)
-	first := a.Admit(at(time.Second), content(1), Wait(at(time.Second), 0))
+	admit := func(v vm, now time.Duration, w Waiting) Admission { return v.Admit(at(now), content(1), &w) }
+	first := admit(a, time.Second, Wait(at(time.Second), 0))
 	if first.Standing != Suspect || first.Held || !first.Again.IsZero() {
 		t.Errorf("a: %+v", first)
 	}
 	a.tell(time.Second, b)
-	w := Wait(at(time.Second+10*ms), 0)
-	if got := b.Admit(at(time.Second+10*ms), content(1), w); got.Again.IsZero() {
+	w := Wait(at(time.Second+10*ms), 0.5)
+	if got := b.Admit(at(time.Second+10*ms), content(1), &w); got.Again.IsZero() {
 		t.Errorf("b tries as well: %+v", got)
 	}
-	if got := b.Admit(at(time.Second+trialFor+ms), content(1), w); !got.Again.IsZero() || got.Held {
+	end := time.Second + trialFor
+	if got := admit(b, end+turnWithin/2-ms, w); got.Again.IsZero() {
+		t.Errorf("tried as soon as the trial may be over, with all others: %+v", got)
+	}
+	if got := admit(b, end+turnWithin/2, w); !got.Again.IsZero() || got.Held {
 		t.Errorf("a trial of which nothing is heard holds the others up: %+v", got)
 	}
-	if got := b.Admit(at(time.Second+trialFor+2*ms), content(1), Waiting{}); !got.Held {
+	if got := admit(b, end+turnWithin/2+ms, Waiting{}); !got.Held {
 		t.Errorf("one that waits for long is not told: %+v", got)
 	}
 	a.Survived(at(2*time.Second), content(1))
-	if got := a.Admit(at(2*time.Second), content(1), w); got.Standing != Free {
+	if got := admit(a, 2*time.Second, w); got.Standing != Free {
 		t.Errorf("cleared: %+v", got)
 	}
 }
@@ -217,10 +238,10 @@
 	a.crashed(1, 0)
 	a.crashed(2, 50*ms)
 	w := Wait(at(time.Second), 0.5)
-	if got := a.Admit(at(time.Second+turnWithin/2-ms), content(1), w); got.Again.IsZero() {
+	if got := a.Admit(at(time.Second+turnWithin/2-ms), content(1), &w); got.Again.IsZero() {
 		t.Errorf("tried before its turn: %+v", got)
 	}
-	if got := a.Admit(at(time.Second+turnWithin/2), content(1), w); !got.Again.IsZero() {
+	if got := a.Admit(at(time.Second+turnWithin/2), content(1), &w); !got.Again.IsZero() {
 		t.Errorf("not tried at its turn: %+v", got)
 	}
 }
