--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -73,8 +73,13 @@
 	done func(Answer)
 }
 
-// crashSeeds is how many runs each row has.
-const crashSeeds = 2
+// crashSeeds and blameSeeds are how many runs each row has. At blameRate requests a second
+// the draws of two runs differ by a third of what the check allows.
+const (
+	crashSeeds = 2
+	blameSeeds = 4
+	blameRate  = 200
+)
 
 const poisonPath = "/q/poison"
 
@@ -412,11 +417,11 @@
 		}},
 	} {
 		unserved, without, asked := 0, 0, 0
-		for seed := range uint64(crashSeeds) {
+		for seed := range uint64(blameSeeds) {
 			play := func(blind bool) *crashes {
 				c := newCrashes(seed+1, 9)
 				c.blind = blind
-				c.callers(80, 0, simEnd)
+				c.callers(blameRate, 0, simEnd)
 				for _, at := range []time.Duration{4 * s, 12 * s, 20 * s} {
 					c.at(c.start.Add(at), func() { row.ends(c) })
 				}
