--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/direct"
 	"sycamorekeel.example/sycamorekeel/internal/locality"
 	"sycamorekeel.example/sycamorekeel/internal/logring"
+	"sycamorekeel.example/sycamorekeel/internal/poison"
 	"sycamorekeel.example/sycamorekeel/internal/quarantine"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
@@ -83,11 +84,11 @@
 	// do makes a call to an upstream, check finds out whether one has ended.
 	do    func(*direct.Call)
 	check func(*catalog.Upstream, func(ended bool))
-	// quarantine keeps requests that crash upstreams from them.
-	quarantine *Quarantine
-	view       atomic.Pointer[catalog.View]
-	shares     atomic.Pointer[Shares]
-	inFlight   atomic.Int64
+	// poison keeps requests that crash upstreams from them.
+	poison   *poison.Guard
+	view     atomic.Pointer[catalog.View]
+	shares   atomic.Pointer[Shares]
+	inFlight atomic.Int64
 	// lag is how late this process is woken, in nanoseconds.
 	lag     atomic.Int64
 	started time.Time
@@ -124,7 +125,7 @@
 	e.pools = direct.NewPools(opts.Protocol, upstreamTraffic{opts.Traffic, opts.Place}, e.connectionLimit)
 	e.do = e.pools.Do
 	e.check = e.pools.Check
-	e.quarantine = newQuarantine(opts.Logs, opts.Metrics.quarantine)
+	e.poison = poison.New(opts.Logs, opts.Metrics.poison)
 	return e
 }
 
@@ -175,8 +176,8 @@
 	}
 }
 
-// Quarantine is what keeps requests that crash upstreams from them.
-func (e *Engine) Quarantine() *Quarantine { return e.quarantine }
+// Poison is what keeps requests that crash upstreams from them.
+func (e *Engine) Poison() *poison.Guard { return e.poison }
 
 // View is the view in force, nil before the first.
 func (e *Engine) View() *catalog.View { return e.view.Load() }
@@ -218,7 +219,6 @@
 // Tick drops what is no longer used; it is to be called about once a second.
 func (e *Engine) Tick(now time.Time) {
 	e.pools.Expire(now)
-	e.quarantine.expire(now)
 	e.mu.Lock()
 	turns := e.replicas.Turns(now)
 	e.mu.Unlock()
@@ -288,13 +288,13 @@
 	if e.tooSlow(r.Route) {
 		return refuse(Overloaded, overloadRetry)
 	}
-	switch a := e.quarantine.admit(e.now, e.random, r); {
+	switch a := e.admit(r); {
 	case a.Standing == quarantine.Blocked:
 		return refuse(Poison, a.Until.Sub(e.now()))
 	case a.Held:
 		return refuse(Held, heldRetry)
 	default:
-		r.alone = a.Standing == quarantine.Suspect
+		r.trial = a.Standing == quarantine.Suspect
 	}
 	if !r.Route.FanOut() {
 		return e.run(v, r)
@@ -339,7 +339,7 @@
 		MinParts:   1,
 		AnswerBy:   answerBy(r),
 		GiveUp:     r.Received.Add(r.wait()),
-		Alone:      r.alone,
+		Trial:      r.trial,
 	}
 	if !route.FanOut() {
 		p.Services = []string{route.Pick(e.draw(route.Name))}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"sycamorekeel.example/sycamorekeel/internal/poison"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
@@ -25,8 +26,7 @@
 	replies  *prometheus.CounterVec
 	budget   *prometheus.CounterVec
 	stages   stageTimes
-	// quarantine counts requests under which upstreams ended.
-	quarantine *quarantineMetrics
+	poison   *poison.Metrics
 }
 
 // stageTimes is a histogram for each stage.
@@ -79,8 +79,7 @@
 		}, []string{"kind"}),
 	}
 	m.stages = newStageTimes(reg)
-	m.quarantine = newQuarantineMetrics()
-	reg.MustRegister(m.quarantine.crashes, m.quarantine.trials, m.quarantine.turns, m.quarantine.dropped)
+	m.poison = poison.NewMetrics(reg)
 	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budget)
 	return m
 }
@@ -111,8 +110,6 @@
 		"Extra sends to a service that the retry budget allows this VM now.", []string{"service", "kind"}, nil)
 	upstreamStates = prometheus.NewDesc("sycamorekeel_edge_upstreams",
 		"Upstreams by what they count as.", []string{"state"}, nil)
-	quarantined = prometheus.NewDesc("sycamorekeel_edge_quarantined",
-		"Requests under which upstreams ended, by how they are treated.", []string{"standing"}, nil)
 	upstreamState = prometheus.NewDesc("sycamorekeel_edge_upstream_state",
 		"1 for each upstream that is not usable, with what it counts as.", []string{"upstream", "service", "state"}, nil)
 )
@@ -122,7 +119,7 @@
 	out <- budgetLeft
 	out <- upstreamStates
 	out <- upstreamState
-	out <- quarantined
+	e.poison.Describe(out)
 }
 
 // Collect implements prometheus.Collector: budgets and states of upstreams are
@@ -131,6 +128,7 @@
 	for _, m := range e.gauges(e.now()) {
 		out <- m
 	}
+	e.poison.Collect(out)
 }
 
 func (e *Engine) gauges(now time.Time) []prometheus.Metric {
@@ -138,9 +136,6 @@
 		return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
 	}
 	var out []prometheus.Metric
-	for standing, n := range e.quarantine.count(now) {
-		out = append(out, gauge(quarantined, float64(n), standing.String()))
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for service, b := range e.budgets {
--- a/internal/edge/observe_test.go
+++ b/internal/edge/observe_test.go
@@ -106,7 +106,7 @@
 			o.know()
 			for i := range uint32(4) {
 				sent := time.Now().Add(time.Duration(i) * time.Second)
-				o.quarantine.crashed(sent, request("/q/"), quarantine.Crash{Start: i, SentAt: sent, EndedAt: sent.Add(time.Millisecond)})
+				o.poison.Crashed(sent, request("/q/").subject(), quarantine.Crash{Start: i, SentAt: sent, EndedAt: sent.Add(time.Millisecond)})
 			}
 			return o.Serve(request("/q/"))
 		}},
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -137,8 +137,7 @@
 // admit does what Engine.serve does for a request, in virtual time.
 func (v *crashVM) admit(r *Request, w *quarantine.Waiting, done func(a Answer)) {
 	c := v.fleet
-	q := v.engine.quarantine
-	a := q.table.Admit(c.now, r.content(), w)
+	a := v.engine.poison.Step(c.now, r.content(), w)
 	switch {
 	case !a.Again.IsZero():
 		c.at(a.Again, func() { v.admit(r, w, done) })
@@ -150,7 +149,7 @@
 		done(refuse(Held, heldRetry))
 		return
 	}
-	r.alone = a.Standing == quarantine.Suspect
+	r.trial = a.Standing == quarantine.Suspect
 	v.tell()
 	l := &attempted{&load{run: v.engine.newRun(v.view, r)}, done}
 	v.calls[r.Message] = l
@@ -234,7 +233,7 @@
 // tell carries what is new from a VM to the others, as package node does.
 func (v *crashVM) tell() {
 	c := v.fleet
-	entries, _ := v.engine.quarantine.News(c.now)
+	entries, _ := v.engine.poison.News(c.now)
 	v.send(entries, c.vms)
 }
 
@@ -249,7 +248,7 @@
 		}
 		c.at(c.now.Add(crashWord), func() {
 			if !peer.dark {
-				peer.engine.quarantine.Learn(c.now, "peer", entries, 0)
+				peer.engine.poison.Learn(c.now, "peer", entries, 0)
 			}
 		})
 	}
@@ -263,7 +262,7 @@
 				v.engine.Tick(c.now)
 				v.tell()
 				peers := []*crashVM{c.vms[c.rand.IntN(len(c.vms))], c.vms[c.rand.IntN(len(c.vms))]}
-				v.send(v.engine.quarantine.Repeat(c.now), peers)
+				v.send(v.engine.poison.Repeat(c.now), peers)
 			}
 		})
 	}
@@ -345,8 +344,8 @@
 			c.at(c.start.Add(10*s), func() { c.vms[1].dark, c.vms[1].since = false, c.now })
 			c.at(c.start.Add(9*s), func() {
 				late := c.newVM(seed + 77)
-				for _, e := range c.vms[0].engine.quarantine.All(c.now, 100) {
-					late.engine.quarantine.Learn(c.now, "seed", []quarantine.Entry{e}, 0)
+				for _, e := range c.vms[0].engine.poison.All(c.now, 100) {
+					late.engine.poison.Learn(c.now, "seed", []quarantine.Entry{e}, 0)
 				}
 				c.vms = append(c.vms, late)
 			})
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -14,8 +14,7 @@
 	// that has begun to leave meanwhile takes no new work.
 	candidates := e.view.Load().Services[x.plan.Services[part]]
 	now := e.now()
-	if e.quarantine.blocked(now, x.req) {
-		// It has become known meanwhile, here or at a peer.
+	if e.blocked(now, x.req) {
 		return nil
 	}
 	ahead := e.pools.Ahead(now, candidates)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -28,8 +28,8 @@
 	Conn net.Conn
 	// Route is set once it is found.
 	Route *routing.Route
-	// alone says that the request is a suspect, which is tried at one upstream first.
-	alone bool
+	// trial says that the request is a suspect, which is tried at one upstream first.
+	trial bool
 	// fingerprint is what content works out, zero before.
 	fingerprint fingerprint.Fingerprint
 }
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -19,6 +19,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/pagepack"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/quarantine"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
@@ -40,6 +41,9 @@
 	// else be most of what crosses between regions.
 	argRegion = "region"
 	argWhole  = "whole"
+	// crashingMost is how many requests that crash upstreams a VM that starts is told of,
+	// those that are blocked first.
+	crashingMost = 128
 )
 
 // joinWaits are the pauses before each further question, while VMs that start at the same
@@ -152,7 +156,7 @@
 		return 0
 	}
 	r.learn(page.Members)
-	r.learnQuarantine(address, page.Quarantine)
+	r.poison.Heard(address, page.Quarantine)
 	for _, m := range page.Members {
 		if m.PeerAddress == address && page.Revision > 0 {
 			r.heard(m, page.Revision, follow.Unconfirmed)
@@ -196,18 +200,23 @@
 	}
 	args := ctx.QueryArgs()
 	if !args.Has(argPacked) {
-		return proto.Marshal(&pb.CatalogPage{Revision: r.revision(), Members: r.members(), Quarantine: r.quarantined()})
+		return proto.Marshal(&pb.CatalogPage{Revision: r.revision(), Members: r.members(), Quarantine: r.crashing()})
 	}
 	ctx.Response.Header.SetContentEncoding(packedEncoding)
 	self := r.self()
 	if !args.Has(argWhole) && string(args.Peek(argRegion)) != self.Region {
-		return pagepack.Pack(&pb.CatalogPage{Revision: r.revision(), Members: []*pb.MemberUpdate{self}, Quarantine: r.quarantined()}, catalog.Document{})
+		return pagepack.Pack(&pb.CatalogPage{Revision: r.revision(), Members: []*pb.MemberUpdate{self}, Quarantine: r.crashing()}, catalog.Document{})
 	}
 	return r.memberList.get(time.Now(), func() ([]byte, error) {
-		return pagepack.Pack(&pb.CatalogPage{Revision: r.revision(), Members: r.members(), Quarantine: r.quarantined()}, catalog.Document{})
+		return pagepack.Pack(&pb.CatalogPage{Revision: r.revision(), Members: r.members(), Quarantine: r.crashing()}, catalog.Document{})
 	})
 }
 
+// crashing is what a VM that starts is told of requests that crash upstreams.
+func (r *reader) crashing() []*pb.QuarantineEntry {
+	return quarantine.Encode(r.poison.All(time.Now(), crashingMost))
+}
+
 // packedList keeps the list of members packed for a moment. Its lock is held while a list
 // is packed, so that those who ask meanwhile get the same.
 type packedList struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,8 +180,7 @@
 	opts.Registry.MustRegister(opts.Traffic)
 	n.reader.members = n.gossip.Updates
 	n.reader.learn = n.gossip.Learn
-	n.reader.quarantined = n.quarantined
-	n.reader.learnQuarantine = n.learnQuarantine
+	n.reader.poison = n.engine.Poison()
 	n.reader.self = n.gossip.Self
 	n.reader.view = n.members.Load
 	return n
@@ -248,7 +247,7 @@
 		Callbacks: gossip.Callbacks{
 			View:        n.membersChanged,
 			Heard:       n.reader.announced,
-			Quarantine:  n.learnQuarantine,
+			Quarantine:  n.engine.Poison().Heard,
 			Revalidate:  func() { n.log.Warn("gossip: this process was paused") },
 			Revalidated: func(alone bool) { n.log.Info("gossip: peers heard again", zap.Bool("alone", alone)) },
 			Superseded:  func(uint64) {},
@@ -379,7 +378,7 @@
 	group.Go(func() error { return n.reader.run(run) })
 	group.Go(func() error { return n.join(run) })
 	group.Go(func() error { return n.tick(run) })
-	group.Go(func() error { return n.tellQuarantine(run) })
+	group.Go(func() error { return n.engine.Poison().Run(run, n.gossip) })
 	group.Go(func() error { return n.watchStrain(run) })
 	group.Go(func() error { return n.logTraffic(run) })
 	group.Go(func() error { return n.watchSettings(run) })
@@ -434,7 +433,6 @@
 			return nil
 		case now := <-t.C:
 			n.engine.Tick(now)
-			n.repeatQuarantine(now)
 			n.showShares(now)
 		}
 	}
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -13,6 +13,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/gossip"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/poison"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
@@ -51,9 +52,8 @@
 	// members and learn give and take what is known of the fleet.
 	members func() []*pb.MemberUpdate
 	learn   func([]*pb.MemberUpdate)
-	// quarantined and learnQuarantine give and take requests under which upstreams ended.
-	quarantined     func() []*pb.QuarantineEntry
-	learnQuarantine func(peer string, entries []*pb.QuarantineEntry)
+	// poison holds the requests under which upstreams ended.
+	poison *poison.Guard
 	// self is what this VM says of itself; view is the members as seen now.
 	self func() *pb.MemberUpdate
 	view func() *membership.View
--- /dev/null
+++ b/internal/poison/guard_test.go
@@ -0,0 +1,104 @@
+package poison
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"sycamorekeel.example/sycamorekeel/internal/fingerprint"
+	"sycamorekeel.example/sycamorekeel/internal/logring"
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/quarantine"
+)
+
+// patience bounds what a test waits for; no test passes by it running out.
+const patience = 10 * time.Second
+
+var subject = Subject{Content: fingerprint.Of("GET", "h", "/", nil)}
+
+func newGuard() *Guard { return New(logring.Nop(), NewMetrics(prometheus.NewRegistry())) }
+
+// crash ends so many upstreams under the subject, all in one moment.
+func (g *Guard) crash(now time.Time, upstreams uint32) {
+	for u := range upstreams {
+		g.Crashed(now, subject, quarantine.Crash{Start: u, SentAt: now.Add(-time.Second), EndedAt: now})
+	}
+}
+
+// told is what a guard tells, and to how many.
+type told struct {
+	entries []*pb.QuarantineEntry
+	most    int
+}
+
+type teller chan told
+
+func (t teller) Tell(entries []*pb.QuarantineEntry, most int) { t <- told{entries, most} }
+
+func (t teller) next(test *testing.T) told {
+	test.Helper()
+	select {
+	case w := <-t:
+		return w
+	case <-time.After(patience):
+		test.Fatal("nothing is told")
+		return told{}
+	}
+}
+
+// What is new goes to all peers at once, and to some again; a peer that hears it treats the
+// request alike.
+func TestPeersAreTold(t *testing.T) {
+	a, b := newGuard(), newGuard()
+	ctx, cancel := context.WithCancel(context.Background())
+	words := make(teller, 16)
+	done := make(chan error, 1)
+	go func() { done <- a.Run(ctx, words) }()
+	a.crash(time.Now(), 3)
+	first := words.next(t)
+	if first.most != membership.All || len(first.entries) != 1 {
+		t.Errorf("told first: %+v", first)
+	}
+	b.Heard("a", first.entries)
+	if got := b.Step(time.Now(), subject.Content, &quarantine.Waiting{}); got.Standing != quarantine.Suspect {
+		t.Errorf("a peer that heard holds it for %s", got.Standing)
+	}
+	if again := words.next(t); again.most != repeatPeers {
+		t.Errorf("told again: %+v", again)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	b.Heard("a", []*pb.QuarantineEntry{{}})
+	if n := testutil.ToFloat64(b.met.dropped); n != 1 {
+		t.Errorf("%v entries dropped", n)
+	}
+}
+
+// An attempt of a suspect waits while another one tries it, and goes on as any other once
+// that was answered.
+func TestSuspectsWaitForATrial(t *testing.T) {
+	g := newGuard()
+	now := time.Now()
+	g.crash(now, 3)
+	first := func() float64 { return 0 }
+	if a := g.Admit(time.Now, first, subject); a.Standing != quarantine.Suspect || a.Held {
+		t.Fatalf("the trial: %+v", a)
+	}
+	waiting := make(chan quarantine.Admission, 1)
+	go func() { waiting <- g.Admit(time.Now, first, subject) }()
+	g.Survived(time.Now(), subject)
+	select {
+	case a := <-waiting:
+		if a.Standing != quarantine.Free {
+			t.Errorf("after an answer: %+v", a)
+		}
+	case <-time.After(patience):
+		t.Error("it waits on")
+	}
+}
--- /dev/null
+++ b/internal/poison/teller.go
@@ -0,0 +1,63 @@
+package poison
+
+import (
+	"context"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/quarantine"
+)
+
+const (
+	// tellGap is the least time between two words to all peers. The first one goes out at
+	// once; in a storm of crashes one to 300 VMs is at most some megabytes a second.
+	tellGap = 100 * time.Millisecond
+	// repeatEvery is how often peers are told again what they may have missed, repeatPeers
+	// how many: over the fleet each VM hears it about as often.
+	repeatEvery = time.Second
+	repeatPeers = 2
+)
+
+// Teller sends entries to so many members, or to membership.All.
+type Teller interface {
+	Tell(entries []*pb.QuarantineEntry, most int)
+}
+
+// Run tells peers what is known until ctx ends: all of them at once what is new, as the
+// caller may come to any VM next, and some of them each second what they may have missed.
+func (g *Guard) Run(ctx context.Context, to Teller) error {
+	t := time.NewTicker(repeatEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.Changed():
+			g.tellNews(ctx, to)
+		case now := <-t.C:
+			g.Expire(now)
+			if entries := g.Repeat(now); len(entries) > 0 {
+				to.Tell(quarantine.Encode(entries), repeatPeers)
+			}
+		}
+	}
+}
+
+func (g *Guard) tellNews(ctx context.Context, to Teller) {
+	for more := true; more && ctx.Err() == nil; {
+		var entries []quarantine.Entry
+		entries, more = g.News(time.Now())
+		if len(entries) == 0 {
+			return
+		}
+		to.Tell(quarantine.Encode(entries), membership.All)
+		time.Sleep(tellGap)
+	}
+}
+
+// Heard takes in entries as a peer sent them.
+func (g *Guard) Heard(peer string, entries []*pb.QuarantineEntry) {
+	good, dropped := quarantine.Decode(entries)
+	g.Learn(time.Now(), peer, good, dropped)
+}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/quarantine"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 )
 
@@ -73,7 +74,7 @@
 	answered int
 	failed   int
 	open     int
-	careful  careful
+	care     quarantine.Care
 	// floorAt is when enough parts had come, zero before.
 	floorAt time.Time
 	now     time.Time
@@ -83,7 +84,7 @@
 
 // New is a query that has sent nothing.
 func New(plan Plan, policy Policy) *Query {
-	q := &Query{plan: plan, policy: policy, parts: make([]part, len(plan.Services))}
+	q := &Query{plan: plan, policy: policy, parts: make([]part, len(plan.Services)), care: quarantine.Care{Trial: plan.Trial}}
 	for i := range q.parts {
 		q.parts[i].answer = -1
 		q.parts[i].failure = -1
@@ -134,7 +135,7 @@
 	p := &q.parts[a.part]
 	p.open--
 	q.open--
-	q.careful.ended(a, q.plan.Alone)
+	q.noteCare(a)
 	if r.NotRun() {
 		p.mayHaveRun--
 	}
@@ -304,7 +305,7 @@
 func (q *Query) put(i int, u *catalog.Upstream, cause Cause) {
 	p := &q.parts[i]
 	n := len(q.attempts)
-	q.attempts = append(q.attempts, attempt{part: i, alone: q.isCareful()})
+	q.attempts = append(q.attempts, attempt{part: i, alone: q.care.Careful()})
 	p.tried = append(p.tried, u.ID)
 	p.open++
 	q.open++
@@ -320,7 +321,7 @@
 func (q *Query) hedge(i int) {
 	p := &q.parts[i]
 	p.hedgeAt = time.Time{}
-	if q.isCareful() {
+	if q.care.Careful() {
 		p.hedgeAt = q.now.Add(hedgeAgain)
 		return
 	}
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -98,7 +98,7 @@
 		return p
 	}
 	alone := func(p Plan) Plan {
-		p.Alone = true
+		p.Trial = true
 		return p
 	}
 	for _, c := range []struct {
@@ -233,13 +233,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := plan(rapid.IntRange(1, 12).Draw(t, "parts"), 1)
 		p.Attempts = rapid.IntRange(1, 4).Draw(t, "attempts")
-		p.Alone = rapid.Bool().Draw(t, "alone")
+		p.Trial = rapid.Bool().Draw(t, "alone")
 		q := New(p, &policy{4, 100, 0})
 		open, broken, lostAlone := map[int]bool{}, 0, false
 		var alone []int
 		take := func(sends []Send) {
 			for _, s := range sends {
-				careful := p.Alone || broken >= 3
+				careful := p.Trial || broken >= 3
 				if careful && (len(open) > 0 || lostAlone) {
 					t.Fatalf("sent with %d open after %d had ended", len(open), broken)
 				}
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -87,9 +87,9 @@
 	AnswerBy time.Time
 	// GiveUp is when the caller or the route's timeout ends the request.
 	GiveUp time.Time
-	// Alone says that upstreams have ended under the same request before: one is asked
+	// Trial says that upstreams have ended under the same request before: one is asked
 	// alone, and others once it has survived it.
-	Alone bool
+	Trial bool
 }
 
 // Policy chooses and accounts; the Query asks it while it is stepped.
