Test: a request that crashes upstreams is to be withheld by owners too (fails)

The same cause looked for elsewhere: the project's own daemon, whose queries go over owners, takes each attempt for the first of its kind as well.

--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -44,6 +44,8 @@
 	Padding int
 	// CloseAfterRead runs a request and closes its connection without answer.
 	CloseAfterRead bool
+	// CrashOn ends the upstream's process under a request whose body holds it; empty for none.
+	CrashOn string
 	// AnnounceDrain says in every answer that it drains, and still serves.
 	AnnounceDrain bool
 	// OpenDelay is added to the first request of each connection: what opening
@@ -57,9 +59,8 @@
 
 // Upstream is one stand-in server of a service.
 type Upstream struct {
-	name string
-	http *fasthttp.Server
-	ln   net.Listener
+	name    string
+	address string
 
 	running atomic.Int64
 	served  atomic.Int64
@@ -72,6 +73,10 @@
 	cancelled atomic.Int64
 
 	mu        sync.Mutex
+	http      *fasthttp.Server
+	ln        net.Listener
+	down      bool
+	open      map[net.Conn]bool
 	behaviour Behaviour
 	rng       *rand.Rand
 	// runs counts the executions of each request id.
@@ -98,7 +103,8 @@
 	}
 	u := &Upstream{
 		name:      name,
-		ln:        ln,
+		address:   ln.Addr().String(),
+		open:      map[net.Conn]bool{},
 		behaviour: b,
 		rng:       rand.New(rand.NewPCG(seed, 1)),
 		runs:      map[string]int{},
@@ -107,13 +113,54 @@
 		releases:  map[string]chan struct{}{},
 		serving:   map[string]net.Conn{},
 	}
-	u.http = &fasthttp.Server{Handler: u.handle, ConnState: u.connState, CloseOnShutdown: true, Logger: Quiet{}}
-	go func() { _ = u.http.Serve(ln) }()
+	u.serveAt(ln)
 	return u, nil
 }
 
+// serveAt begins to serve. The caller holds mu, or is the only one that knows u.
+func (u *Upstream) serveAt(ln net.Listener) {
+	u.ln = ln
+	u.down = false
+	u.http = &fasthttp.Server{Handler: u.handle, ConnState: u.connState, CloseOnShutdown: true, Logger: Quiet{}}
+	server := u.http
+	go func() { _ = server.Serve(ln) }()
+}
+
+// crash ends the process: nobody listens any more, and all connections end.
+func (u *Upstream) crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.down = true
+	_ = u.ln.Close()
+	for c := range u.open {
+		_ = c.Close()
+	}
+}
+
+// Down tells whether the process has ended.
+func (u *Upstream) Down() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.down
+}
+
+// Revive starts the process again at its address if it has ended.
+func (u *Upstream) Revive() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.down {
+		return nil
+	}
+	ln, err := net.Listen("tcp", u.address)
+	if err != nil {
+		return err
+	}
+	u.serveAt(ln)
+	return nil
+}
+
 // Address is where it listens.
-func (u *Upstream) Address() string { return u.ln.Addr().String() }
+func (u *Upstream) Address() string { return u.address }
 
 // Close stops serving.
 func (u *Upstream) Close() {
@@ -123,8 +170,9 @@
 		close(c)
 	}
 	u.cancels = map[string]chan struct{}{}
+	server := u.http
 	u.mu.Unlock()
-	_ = u.http.Shutdown()
+	_ = server.Shutdown()
 }
 
 // Change edits the behaviour.
@@ -181,7 +229,14 @@
 	return out
 }
 
-func (u *Upstream) connState(_ net.Conn, state fasthttp.ConnState) {
+func (u *Upstream) connState(c net.Conn, state fasthttp.ConnState) {
+	u.mu.Lock()
+	if state == fasthttp.StateNew {
+		u.open[c] = true
+	} else if state == fasthttp.StateClosed {
+		delete(u.open, c)
+	}
+	u.mu.Unlock()
 	switch state {
 	case fasthttp.StateNew:
 		u.opened.Add(1)
@@ -260,6 +315,11 @@
 	u.serving[string(ctx.PostBody())] = ctx.Conn()
 	u.mu.Unlock()
 	u.served.Add(1)
+	if b.CrashOn != "" && strings.Contains(string(ctx.PostBody()), b.CrashOn) {
+		u.forget(id, string(ctx.PostBody()))
+		u.crash()
+		return
+	}
 	if b.CloseAfterRead {
 		_ = ctx.Conn().Close()
 		return
