Keep requests that crash upstreams from them on the path over owners as well

What callers of the project's own interface saw: the same as on the users' platform, all replicas of all shards ended again and again under one query. Cause: the path over owners took each attempt for the first of its kind; a lost answer was retried at the next replica, up to six times a shard, and by the caller at any VM.

An owner looks whether an upstream that closed its connection under a request has ended and says so in its reply. The query makes sends one at a time once three have, the frontend tells the guard, refuses what is blocked as poison_request and tries what is suspect. Words travel as on the other path. Why it holds: the decision is the same table and the same care, and an owner's word is of a process that ended, not of a connection that did.

Elsewhere: hedges stop in both engines (careful); a VM that starts learns by the list of members or within seconds; test requests go through the same engine; health probes carry no request of a caller.

--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -26,8 +26,10 @@
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/explain"
 	"sycamorekeel.example/sycamorekeel/internal/frontend"
+	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/once"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/poison"
 	"sycamorekeel.example/sycamorekeel/internal/query"
 	"sycamorekeel.example/sycamorekeel/internal/refusal"
 	"sycamorekeel.example/sycamorekeel/internal/share"
@@ -179,7 +181,7 @@
 	b.shards.engine.Start(ctx)
 	b.front = frontend.New(frontend.Options{
 		Log: zap.NewNop(), Registry: registry, Engine: b.shards.engine, Admission: b.world, Pinner: b.world,
-		Explain: explain.NewRing(10), Now: time.Now,
+		Explain: explain.NewRing(10), Now: time.Now, Poison: poison.New(logring.Nop(), poison.NewMetrics(registry)),
 	})
 	operations := frontend.NewOperations(frontend.OperationsOptions{
 		Registry: registry, Frontend: b.front, Forwarder: b.world, VM: vmName, Incarnation: incarnation,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/frontend"
 	"sycamorekeel.example/sycamorekeel/internal/gossip"
 	"sycamorekeel.example/sycamorekeel/internal/health"
+	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/operatorapi"
 	"sycamorekeel.example/sycamorekeel/internal/owner"
@@ -33,6 +34,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/peer"
 	"sycamorekeel.example/sycamorekeel/internal/peerauth"
+	"sycamorekeel.example/sycamorekeel/internal/poison"
 	"sycamorekeel.example/sycamorekeel/internal/query"
 	"sycamorekeel.example/sycamorekeel/internal/router"
 	"sycamorekeel.example/sycamorekeel/internal/share"
@@ -80,7 +82,9 @@
 	caller     *callerapi.Server
 	operator   *operatorapi.Server
 	gossip     *gossip.Driver
-	auth       *peerauth.Authority
+	// poison keeps requests that crash upstreams from them.
+	poison *poison.Guard
+	auth   *peerauth.Authority
 	// ended has the reason for an end that was not asked for.
 	ended  chan error
 	shares *shares
@@ -119,6 +123,8 @@
 		return nil, trace.Wrap(err)
 	}
 	d.auth = auth
+	d.poison = poison.New(logring.Loggers{Changes: d.log, Failures: d.log, Samples: d.log}, poison.NewMetrics(d.registry))
+	d.registry.MustRegister(d.poison)
 	d.gossip = d.newGossip()
 	d.config = newConfigSync(d)
 	d.wirePath()
@@ -175,6 +181,7 @@
 		Admission: d.shares,
 		Pinner:    d.router,
 		Explain:   ring,
+		Poison:    d.poison,
 		Now:       time.Now,
 		Unbounded: d.settings.Routing == pb.Routing_DIRECT,
 	})
@@ -218,6 +225,7 @@
 	group.Go(func() error { return d.owner.Run(run) })
 	group.Go(func() error { return d.server.Serve(run, d.auth.Listen(d.listeners.Peer)) })
 	group.Go(func() error { return d.gossip.Run(run, d.listeners.Gossip) })
+	group.Go(func() error { return d.poison.Run(run, d.gossip) })
 	group.Go(func() error { return d.caller.Serve(d.listeners.Caller) })
 	group.Go(func() error { return d.operator.Serve(d.listeners.Operator) })
 	d.log.Info("daemon: started", zap.String("callers", d.listeners.Caller.Addr().String()))
--- a/internal/direct/check.go
+++ b/internal/direct/check.go
@@ -1,13 +1,12 @@
 package direct
 
 import (
-	"errors"
 	"net"
 	"slices"
-	"syscall"
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
 )
 
 const (
@@ -87,14 +86,15 @@
 	}
 }
 
+func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, timeout)
+}
+
 func (p *Pool) runCheck() {
-	conn, err := net.DialTimeout("tcp", p.upstream.Address, checkTimeout)
-	if err == nil {
+	ended, opened := sockpeek.NobodyListens(dialTCP, p.upstream.Address, checkTimeout)
+	if opened {
 		p.counter.Opened(p.upstream)
-		// It carried nothing.
-		_ = conn.Close()
 	}
-	ended := errors.Is(err, syscall.ECONNREFUSED)
 	now := time.Now()
 	p.mu.Lock()
 	c := &p.checked
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -18,6 +18,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/explain"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/poison"
 	"sycamorekeel.example/sycamorekeel/internal/query"
 	"sycamorekeel.example/sycamorekeel/internal/refusal"
 )
@@ -105,7 +106,9 @@
 	Admission Admission
 	Pinner    Pinner
 	Explain   *explain.Ring
-	Now       func() time.Time
+	// Poison keeps requests that crash upstreams from them.
+	Poison *poison.Guard
+	Now    func() time.Time
 	// Unbounded scatters every admitted query at once: the baseline.
 	Unbounded bool
 }
@@ -204,10 +207,16 @@
 	defer func() {
 		w.front.done(w.kind, w.front.opts.Now().Sub(w.started), answer != nil)
 	}()
+	witness, err := w.witness()
+	if err != nil {
+		return nil, w.fail(err)
+	}
+	defer witness.close()
 	plan, err := w.plan(params)
 	if err != nil {
 		return nil, w.fail(err)
 	}
+	plan.Witness, plan.Trial = witness, witness.trial
 	if err := w.front.startScatter(w.kind); err != nil {
 		return nil, w.fail(err)
 	}
--- a/internal/owner/station.go
+++ b/internal/owner/station.go
@@ -232,6 +232,8 @@
 		QueueUs:   uint32(start.Sub(it.Arrived).Microseconds()),
 		ServiceUs: uint32(end.Sub(start).Microseconds()),
 		Detail:    out.Detail,
+
+		UpstreamEnded: out.Ended,
 	})
 	s.refuseAll(refused)
 	s.emit()
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -7,6 +7,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -50,6 +51,8 @@
 	logs logring.Loggers
 	met  *Metrics
 	news chan struct{}
+	// held says that the table holds something: it is looked at for each request.
+	held atomic.Bool
 
 	mu    sync.Mutex
 	table *quarantine.Table
@@ -68,10 +71,14 @@
 }
 
 // Empty tells whether no request is held: what is asked need not be worked out then.
-func (g *Guard) Empty() bool {
+func (g *Guard) Empty() bool { return !g.held.Load() }
+
+// change makes a change of the table.
+func (g *Guard) change(do func(*quarantine.Table)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Empty()
+	do(g.table)
+	g.held.Store(!g.table.Empty())
 }
 
 // Blocked tells whether a request is sent to no upstream now.
@@ -111,17 +118,15 @@
 // Crashed takes in an upstream that ended under a request.
 func (g *Guard) Crashed(now time.Time, s Subject, c quarantine.Crash) {
 	g.met.crashes.Inc()
-	g.mu.Lock()
-	turn := g.table.Crashed(now, s.Content, c)
-	g.mu.Unlock()
+	var turn quarantine.Turn
+	g.change(func(t *quarantine.Table) { turn = t.Crashed(now, s.Content, c) })
 	g.tell(turn, s.Fields...)
 }
 
 // Survived takes in that an upstream has run a request and lives.
 func (g *Guard) Survived(now time.Time, s Subject) {
-	g.mu.Lock()
-	turn := g.table.Survived(now, s.Content)
-	g.mu.Unlock()
+	var turn quarantine.Turn
+	g.change(func(t *quarantine.Table) { turn = t.Survived(now, s.Content) })
 	g.tell(turn, s.Fields...)
 }
 
@@ -138,9 +143,8 @@
 func (g *Guard) Learn(now time.Time, peer string, entries []quarantine.Entry, dropped int) {
 	g.met.dropped.Add(float64(dropped))
 	for _, e := range entries {
-		g.mu.Lock()
-		turn := g.table.Merge(now, e)
-		g.mu.Unlock()
+		var turn quarantine.Turn
+		g.change(func(t *quarantine.Table) { turn = t.Merge(now, e) })
 		g.tell(turn, zap.String("peer", peer))
 	}
 }
@@ -172,9 +176,7 @@
 
 // Expire forgets what is too old. It is to be called now and then.
 func (g *Guard) Expire(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.table.Expire(now)
+	g.change(func(t *quarantine.Table) { t.Expire(now) })
 }
 
 // tell logs and counts a change of standing, and gives a signal when peers are to hear of it.
--- a/internal/query/again.go
+++ b/internal/query/again.go
@@ -45,6 +45,9 @@
 // viaStandby sends to the same replica through its standby VM, when it is the
 // owner VM that could not serve and not the upstream.
 func (q *Query) viaStandby(now time.Time, id AttemptID, n *next) bool {
+	if q.holds(now, n.cause) {
+		return false
+	}
 	switch n.after {
 	case pb.Result_OWNER_UNREACHABLE, pb.Result_NOT_OWNER, pb.Result_VM_STOPPING:
 	default:
@@ -63,6 +66,9 @@
 // send starts an attempt at the best replica not yet tried.
 func (q *Query) send(now time.Time, shard int, n *next) bool {
 	sh := &q.shards[shard]
+	if q.holds(now, n.cause) {
+		return q.hold(now, shard, n)
+	}
 	replica := q.fleet.Replica(now, Want{
 		Shard:    q.targets[shard],
 		Snapshot: q.snapshot,
@@ -105,6 +111,7 @@
 		standby:  standby,
 		sentAt:   q.since(now),
 		open:     true,
+		alone:    q.care.Careful(),
 	})
 	q.planHedge(now, shard)
 	q.actions = append(q.actions, Action{
@@ -123,7 +130,7 @@
 // now, so that a query with nothing left to try ends at once.
 func (q *Query) later(now time.Time, shard int, n *next, retryAfter time.Duration) bool {
 	sh := &q.shards[shard]
-	if n.refused || sh.anyOpen() || !sh.passing {
+	if n.refused || sh.anyOpen() || !sh.passing || q.holds(now, n.cause) {
 		return false
 	}
 	pause := max(retryAfter, pauseLeast<<(len(sh.attempts)-1))
@@ -197,7 +204,8 @@
 		return
 	}
 	n := &next{cause: Hedge}
-	if q.send(now, shard, n) || !n.refused {
+	n.refused = q.holds(now, n.cause)
+	if !n.refused && (q.send(now, shard, n) || !n.refused) {
 		return
 	}
 	waited := q.since(now) - sh.attempts[0].sentAt
--- a/internal/query/plan.go
+++ b/internal/query/plan.go
@@ -35,8 +35,31 @@
 	// non-idempotent kinds, where "it never left the queue" is worth more than
 	// the time.
 	ConfirmBy time.Time
+	// Trial says that upstreams have ended under the same request before: one is asked
+	// alone, and others once it has survived it.
+	Trial bool
+	// Witness takes in what upstreams show of the request itself; nil for nobody.
+	Witness Witness
 }
 
+// Witness learns what becomes of upstreams under a request. It is called from the worker
+// of the query and must not block.
+type Witness interface {
+	// Ended tells of an upstream that ended while it had the request.
+	Ended(u *contract.Upstream, sentAt, endedAt time.Time)
+	// Survived tells that an upstream has run the request and lives.
+	Survived(now time.Time)
+	// Blocked tells whether the request is to be sent to no upstream any more.
+	Blocked(now time.Time) bool
+}
+
+// nobody learns nothing.
+type nobody struct{}
+
+func (nobody) Ended(*contract.Upstream, time.Time, time.Time) {}
+func (nobody) Survived(time.Time)                             {}
+func (nobody) Blocked(time.Time) bool                         { return false }
+
 // shardsOf is the shards of a map that the plan asks.
 func (p *Plan) shardsOf(m *contract.ShardMap) []*contract.Shard {
 	if p.Kind.Merge != pb.Merge_SINGLE {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -5,6 +5,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/quarantine"
 )
 
 // maxAttempts bounds the sends of one shard's sub-request, refusals included:
@@ -35,6 +36,8 @@
 	softPassed bool
 	restarts   []RestartRecord
 	tally      Tally
+	care       quarantine.Care
+	witness    Witness
 	actions    []Action
 	// memory is what the slices above were cut from.
 	memory *memory
@@ -109,6 +112,8 @@
 	detail  string
 	verdict verdict
 	open    bool
+	// alone says that the query was careful when it was sent.
+	alone bool
 	// wire and vm are where the driver sent it.
 	wire uint64
 	vm   string
@@ -125,7 +130,11 @@
 
 // New makes a query that has sent nothing.
 func New(plan *Plan, fleet Fleet) *Query {
-	return &Query{plan: plan, fleet: fleet}
+	q := &Query{plan: plan, fleet: fleet, care: quarantine.Care{Trial: plan.Trial}, witness: plan.Witness}
+	if q.witness == nil {
+		q.witness = nobody{}
+	}
+	return q
 }
 
 // use gives the query slices to work in; release takes them back when it has
@@ -211,6 +220,7 @@
 	a.detail = r.Detail
 	a.took = q.since(now) - a.sentAt
 	q.note(r.Result)
+	q.noteCare(now, a, r)
 	q.fleet.Observe(now, Observation{Upstream: a.upstream, Snapshot: q.snapshot, Took: a.took, Reply: r})
 	if !q.shards[id.Shard].closed {
 		q.judge(now, id, r)
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -39,6 +39,8 @@
 	CoverageTooLow   Reason = "coverage_too_low"
 	UpstreamFailed   Reason = "upstream_failed"
 	DeadlineExceeded Reason = "deadline_exceeded"
+	PoisonRequest    Reason = "poison_request"
+	SuspectHeld      Reason = "suspect_held"
 )
 
 // All is every reason, for metrics and the pages.
@@ -49,6 +51,7 @@
 	DeadlineTooShort, ForeignOperation, OperationExpired, OperationRunning,
 	OperationAway, AnswerNotKept, OutcomeUnknown,
 	NoSnapshot, CoverageTooLow, UpstreamFailed, DeadlineExceeded,
+	PoisonRequest, SuspectHeld,
 }
 
 // Ran says whether a refused request ran anywhere.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -16,12 +16,16 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
 )
 
 const (
 	dialTimeout    = time.Second
 	idleTimeout    = 30 * time.Second
 	controlTimeout = time.Second
+	// checkTimeout bounds the look whether an upstream that closed a connection still
+	// listens; its owner is near it.
+	checkTimeout = 100 * time.Millisecond
 	// controlConnections are kept for probes and cancellations.
 	controlConnections = 1
 	// maxControlReply is the largest answer taken to either, in bytes.
@@ -62,7 +66,9 @@
 	Draining bool
 	// Cancelled says that the upstream gave the request up while it ran.
 	Cancelled bool
-	Detail    string
+	// Ended says that the upstream's process ended while it had the request.
+	Ended  bool
+	Detail string
 }
 
 // Metrics counts what the clients of all upstreams do.
@@ -180,11 +186,20 @@
 	req.Header.SetBytesV(HeaderDeadline, strconv.AppendInt(buf[:0], call.Deadline.Sub(now).Milliseconds(), 10))
 	req.SetBodyRaw(call.Body)
 	if err := c.do(req, resp, call.Deadline); err != nil {
-		return failure(err)
+		out := failure(err)
+		out.Ended = out.Result == pb.Result_UNKNOWN && !errors.Is(err, fasthttp.ErrTimeout) && c.ended()
+		return out
 	}
 	return outcome(resp, call.Snapshot)
 }
 
+// ended tells whether the upstream's process has ended, after it closed a connection: that
+// alone may have had any other reason.
+func (c *Client) ended() bool {
+	ended, _ := sockpeek.NobodyListens(c.open, c.address, checkTimeout)
+	return ended
+}
+
 // fill fills in the parts of the URI without parsing a text.
 func (c *Client) fill(req *fasthttp.Request, method, path string) {
 	req.Header.SetMethod(method)
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -64,13 +64,15 @@
 		want      pb.Result
 		draining  bool
 		ran       int
+		ended     bool
 	}{
-		"answer":                       {standin.Behaviour{Hits: 1}, pb.Result_OK, false, 1},
-		"answer that announces drain":  {standin.Behaviour{AnnounceDrain: true}, pb.Result_OK, true, 1},
-		"draining":                     {standin.Behaviour{Draining: true}, pb.Result_UPSTREAM_LEAVING, true, 0},
-		"snapshot not there":           {standin.Behaviour{Snapshots: []string{"1/1"}}, pb.Result_NO_SNAPSHOT, false, 0},
-		"reply too large":              {standin.Behaviour{Padding: 2000}, pb.Result_UPSTREAM_ERROR, false, 1},
-		"connection closed after read": {standin.Behaviour{CloseAfterRead: true}, pb.Result_UNKNOWN, false, 1},
+		"answer":                       {standin.Behaviour{Hits: 1}, pb.Result_OK, false, 1, false},
+		"answer that announces drain":  {standin.Behaviour{AnnounceDrain: true}, pb.Result_OK, true, 1, false},
+		"draining":                     {standin.Behaviour{Draining: true}, pb.Result_UPSTREAM_LEAVING, true, 0, false},
+		"snapshot not there":           {standin.Behaviour{Snapshots: []string{"1/1"}}, pb.Result_NO_SNAPSHOT, false, 0, false},
+		"reply too large":              {standin.Behaviour{Padding: 2000}, pb.Result_UPSTREAM_ERROR, false, 1, false},
+		"connection closed after read": {standin.Behaviour{CloseAfterRead: true}, pb.Result_UNKNOWN, false, 1, false},
+		"process ended":                {standin.Behaviour{CrashOn: "r"}, pb.Result_UNKNOWN, false, 1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -78,6 +80,7 @@
 			out := client(t, u.Address(), 4).Do(time.Now(), call("r1", patience))
 			g.Expect(out.Result).To(Equal(c.want), out.Detail)
 			g.Expect(out.Draining).To(Equal(c.draining))
+			g.Expect(out.Ended).To(Equal(c.ended))
 			g.Expect(u.RunsOf("r1")).To(Equal(c.ran))
 		})
 	}
