Do not let a suspect wait for its own first look

Symptom: a suspect that nobody tries waited for more than a second, and peers heard of a trial that was not under way: its first look at how the request stands began a trial, and the attempt then waited for it to end. Came with the driver of its own; the simulation of several VMs steps the table itself and did not show it. TestALoneSuspectIsTriedInItsTurn failed before.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -83,22 +83,28 @@
 
 // Blocked tells whether a request is sent to no upstream now.
 func (g *Guard) Blocked(now time.Time, content fingerprint.Fingerprint) bool {
+	standing, _ := g.standing(now, content)
+	return standing == quarantine.Blocked
+}
+
+func (g *Guard) standing(now time.Time, content fingerprint.Fingerprint) (quarantine.Standing, time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	standing, _ := g.table.Standing(now, content)
-	return standing == quarantine.Blocked
+	return g.table.Standing(now, content)
 }
 
 // Admit tells how an attempt may be run. A suspect waits for its turn to be tried, which
 // draw, from 0 to 1, places among those of other VMs.
 func (g *Guard) Admit(now func() time.Time, draw func() float64, s Subject) quarantine.Admission {
-	a := g.Step(now(), s.Content, &quarantine.Waiting{})
-	if a.Standing != quarantine.Suspect {
-		return a
+	standing, until := g.standing(now(), s.Content)
+	if standing != quarantine.Suspect {
+		return quarantine.Admission{Standing: standing, Until: until}
 	}
 	w := quarantine.Wait(now(), draw())
-	for a = g.Step(now(), s.Content, &w); !a.Again.IsZero(); a = g.Step(now(), s.Content, &w) {
+	a := g.Step(now(), s.Content, &w)
+	for !a.Again.IsZero() {
 		time.Sleep(a.Again.Sub(now()))
+		a = g.Step(now(), s.Content, &w)
 	}
 	if a.Standing == quarantine.Suspect && !a.Held {
 		g.met.trials.Inc()
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -80,6 +80,29 @@
 	}
 }
 
+// Symptom: a suspect that nobody tries waits for more than a second, and peers hear of a trial
+// that is not under way.
+// Sequence: its only attempt looks how the request stands, and then waits for its turn.
+// Cause: the first look began a trial, which the attempt then waited for. Here no time passes:
+// an attempt whose turn is now must not wait for anything.
+func TestALoneSuspectIsTriedInItsTurn(t *testing.T) {
+	g := newGuard()
+	now := time.Now()
+	g.crash(now, 3)
+	admitted := make(chan quarantine.Admission, 1)
+	go func() {
+		admitted <- g.Admit(func() time.Time { return now }, func() float64 { return 0 }, subject)
+	}()
+	select {
+	case a := <-admitted:
+		if a.Standing != quarantine.Suspect || a.Held {
+			t.Errorf("%+v", a)
+		}
+	case <-time.After(patience):
+		t.Error("it waits for itself")
+	}
+}
+
 // An attempt of a suspect waits while another one tries it, and goes on as any other once
 // that was answered.
 func TestSuspectsWaitForATrial(t *testing.T) {
