--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 )
 
@@ -55,7 +56,7 @@
 	if v := e.view.Load(); v != nil {
 		fields = append(fields, zap.Uint64("revision", v.Revision), zap.Duration("view_age", e.opts.ViewAge()))
 	}
-	log.Info("edge: request ended", fields...)
+	log.Info(logring.RequestEnded, fields...)
 }
 
 // sampled picks requests by their id, so that every VM that sees one logs it.
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -10,13 +10,11 @@
 // Choose implements scatter.Policy.
 func (x *run) Choose(part int, tried []string) *catalog.Upstream {
 	e := x.engine
-	// The upstreams in force now and not those of the request's own view: one
-	// that has begun to leave meanwhile takes no new work.
-	candidates := e.view.Load().Services[x.plan.Services[part]]
 	now := e.now()
 	if e.blocked(now, x.req) {
 		return nil
 	}
+	candidates := x.candidates(part)
 	ahead := e.pools.Ahead(now, candidates)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -26,12 +24,18 @@
 // Reachable implements scatter.Policy.
 func (x *run) Reachable(part int) bool {
 	e := x.engine
-	candidates := e.view.Load().Services[x.plan.Services[part]]
+	candidates := x.candidates(part)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.replicas.Reachable(e.now(), candidates)
 }
 
+// candidates is the upstreams of a part. They are those in force now and not those of the
+// request's own view: one that has begun to leave meanwhile takes no new work.
+func (x *run) candidates(part int) []*catalog.Upstream {
+	return x.engine.view.Load().Services[x.plan.Services[part]]
+}
+
 // Spend implements scatter.Policy.
 func (x *run) Spend(part int, kind retrybudget.Kind) bool {
 	e := x.engine
--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -6,6 +6,8 @@
 	"io"
 	"slices"
 	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/logring"
 )
 
 // Outcomes of requests that were answered, but not as their contract promises.
@@ -16,9 +18,6 @@
 	OutcomePartial = "partial"
 )
 
-// endedMessage is the message of the line that tells how a request ended.
-const endedMessage = "edge: request ended"
-
 // Loss is what was lost alike at one VM in one second.
 type Loss struct {
 	// Second is when the requests ended, to the second, by the VM's clock.
@@ -101,7 +100,7 @@
 	counted := map[place]*Loss{}
 	err := scan(logs, func(_ int, raw []byte) {
 		var e ended
-		if json.Unmarshal(raw, &e) != nil || e.Message != endedMessage || e.outcome() == "" {
+		if json.Unmarshal(raw, &e) != nil || e.Message != logring.RequestEnded || e.outcome() == "" {
 			return
 		}
 		p := place{e.Time.Truncate(time.Second), e.outcome(), e.VM}
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -58,7 +58,7 @@
 }
 
 func (f *Follower) heardAhead(now time.Time, peer Peer, revision uint64, at time.Time) {
-	distance := min(f.opts.Place.To(peer.Region, peer.DataCentre), locality.Far)
+	distance := f.opts.Place.Within(peer.Region, peer.DataCentre)
 	if revision == f.state.Revision() {
 		f.heardConfirmed(now, distance, at)
 		return
--- a/internal/locality/locality.go
+++ b/internal/locality/locality.go
@@ -38,9 +38,12 @@
 	if dataCentre == p.DataCentre {
 		return Near
 	}
-	return min(p.To(p.Regions[dataCentre], dataCentre), Far)
+	return p.Within(p.Regions[dataCentre], dataCentre)
 }
 
+// Within is how far a data centre of a region is; one that is not known is taken for Far.
+func (p Place) Within(region, dataCentre string) Distance { return min(p.To(region, dataCentre), Far) }
+
 // To is how far a data centre of a region is; Unknown where both are empty.
 func (p Place) To(region, dataCentre string) Distance {
 	switch {
--- a/internal/logring/classes.go
+++ b/internal/logring/classes.go
@@ -31,6 +31,10 @@
 // a lost member or a slow upstream, would otherwise be among those left out.
 var reserve = [classes]float64{Change: 0, Failure: 0.25, Sample: 0.75}
 
+// RequestEnded is the message of the line that tells how a request ended; tools that read
+// logs look for it.
+const RequestEnded = "edge: request ended"
+
 // Loggers writes lines of each class to one ring.
 type Loggers struct {
 	Changes  *zap.Logger
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -116,7 +116,7 @@
 		if !m.Serves() || !ok(m) {
 			continue
 		}
-		d := min(place.To(m.Region, m.DataCentre), locality.Far)
+		d := place.Within(m.Region, m.DataCentre)
 		if d < least {
 			least, addresses = d, nil
 		}
