Do not make a suspect of what was answered lately

Cause: upstreams that ended under the poison request had attempts of it as well; two of these had no answer, and what had been answered all the time became a suspect. What an upstream has survived within ten seconds is no suspect at this VM now; its chain of crashes is counted all the same and may block it. A caller that has left while its attempt waited is not served any more. Why it holds: what many ask is answered within ten seconds, what crashes its upstreams is not. The check of TestVMsAgree looks ten seconds later, when all VMs can know the same; it is the same check.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -293,6 +293,8 @@
 		return refuse(Poison, a.Until.Sub(e.now()))
 	case a.Held:
 		return refuse(Held, heldRetry)
+	case a.Waited && r.gone():
+		return Answer{Reason: Gone}
 	default:
 		r.trial = a.Standing == quarantine.Suspect
 	}
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -52,8 +52,7 @@
 	e := x.engine
 	switch r := s.reply.Result; {
 	case r.Survived():
-		x.survived.Store(true)
-		if !e.poison.Empty() {
+		if !x.survived.Swap(true) {
 			e.poison.Survived(now, x.req.subject())
 		}
 	case (r == scatter.Broken || r == scatter.Shut) && !x.survived.Load():
--- a/internal/fingerprint/fingerprint.go
+++ b/internal/fingerprint/fingerprint.go
@@ -17,14 +17,22 @@
 // the path and the query, as sent.
 func Of(method, host, target string, body []byte) Fingerprint {
 	h := sha256.New()
+	var text [textBuffer]byte
+	buf := text[:0]
 	for _, field := range []string{method, host, target} {
-		// The length keeps the fields apart. A hash never fails to write.
-		_ = binary.Write(h, binary.BigEndian, uint64(len(field)))
-		_, _ = h.Write([]byte(field))
+		// The length keeps the fields apart.
+		buf = binary.BigEndian.AppendUint64(buf, uint64(len(field)))
+		buf = append(buf, field...)
 	}
+	// A hash never fails to write.
+	_, _ = h.Write(buf)
 	_, _ = h.Write(body)
-	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
+	var sum [sha256.Size]byte
+	return Fingerprint(h.Sum(sum[:0])[:len(Fingerprint{})])
 }
 
+// textBuffer holds method, host and target of a usual request.
+const textBuffer = 256
+
 // String is the fingerprint in logs, in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- a/internal/fingerprint/fingerprint_test.go
+++ b/internal/fingerprint/fingerprint_test.go
@@ -20,3 +20,12 @@
 		}
 	}
 }
+
+// What each request that is answered costs.
+func BenchmarkOf(b *testing.B) {
+	body := make([]byte, 200)
+	b.ReportAllocs()
+	for b.Loop() {
+		Of("GET", "host.example", "/path/of/a/query", body)
+	}
+}
--- a/internal/frontend/witness.go
+++ b/internal/frontend/witness.go
@@ -67,7 +67,7 @@
 
 // Survived implements query.Witness.
 func (w *witness) Survived(now time.Time) {
-	if w.survived.Swap(true) || w.guard.Empty() {
+	if w.survived.Swap(true) {
 		return
 	}
 	w.guard.Survived(now, w.subject())
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -102,10 +102,12 @@
 	}
 	w := quarantine.Wait(now(), draw())
 	a := g.Step(now(), s.Content, &w)
+	waited := !a.Again.IsZero()
 	for !a.Again.IsZero() {
 		time.Sleep(a.Again.Sub(now()))
 		a = g.Step(now(), s.Content, &w)
 	}
+	a.Waited = waited
 	if a.Standing == quarantine.Suspect && !a.Held {
 		g.met.trials.Inc()
 		g.signal()
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -103,6 +103,24 @@
 	}
 }
 
+// Symptom: requests that many callers ask wait for up to two seconds, while upstreams end under
+// another one; a caller that leaves meanwhile leaves work behind.
+// Sequence: a request is answered again and again; upstreams end that have one of its
+// attempts each, and these have no answer. The next attempts wait for their turn to be tried.
+// Cause: what had just been answered became a suspect all the same.
+func TestWhatIsAnsweredAllTheTimeIsNotHeldUp(t *testing.T) {
+	g := newGuard()
+	now := time.Now()
+	g.Survived(now, subject)
+	g.crash(now.Add(time.Second), 3)
+	later := now.Add(2 * time.Second)
+	drawn := false
+	a := g.Admit(func() time.Time { return later }, func() float64 { drawn = true; return 0 }, subject)
+	if a.Standing != quarantine.Free || drawn {
+		t.Errorf("%+v, turn drawn %v", a, drawn)
+	}
+}
+
 // An attempt of a suspect waits while another one tries it, and goes on as any other once
 // that was answered.
 func TestSuspectsWaitForATrial(t *testing.T) {
--- a/internal/quarantine/admit.go
+++ b/internal/quarantine/admit.go
@@ -45,6 +45,8 @@
 	Again time.Time
 	// Held says that a suspect could not be tried in time, as others are trying it.
 	Held bool
+	// Waited says that the attempt has waited for its turn.
+	Waited bool
 	// Until is when a block ends.
 	Until time.Time
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -131,6 +131,8 @@
 	// ring is the order in which records are told again, next the place in it.
 	ring []fingerprint.Fingerprint
 	next int
+	// recent is what was survived lately here.
+	recent recent
 }
 
 // New is a table that knows of no crash.
@@ -145,7 +147,11 @@
 	if r == nil {
 		return Free, time.Time{}
 	}
-	return r.standing(now), r.blockedUntil()
+	standing := r.standing(now)
+	if standing == Suspect && t.recent.has(now, content) {
+		standing = Free
+	}
+	return standing, r.blockedUntil()
 }
 
 func (r *record) standing(now time.Time) Standing {
@@ -218,6 +224,7 @@
 
 // Survived takes in that an upstream has run the request and lives: it is cleared.
 func (t *Table) Survived(now time.Time, content fingerprint.Fingerprint) Turn {
+	t.recent.note(now, content)
 	r := t.records[content]
 	if r == nil || r.cleared() {
 		return Turn{}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -247,6 +247,26 @@
 	}
 }
 
+// What was answered lately is no suspect, though its chain is counted and blocks; after a
+// while it is one as any other.
+func TestWhatWasAnsweredLatelyIsNoSuspect(t *testing.T) {
+	v := newVM(t)
+	v.Survived(at(0), content(1))
+	v.crashed(1, time.Second)
+	v.crashed(2, 1100*ms)
+	v.is(2*time.Second, Free)
+	v.is(recentFor, Suspect)
+	v.crashed(3, 1200*ms)
+	v.crashed(4, 1300*ms)
+	v.is(2*time.Second, Blocked)
+	for i := range 3 * maxRecent {
+		v.Survived(at(3*time.Second), content(i+10))
+	}
+	if len(v.recent.at) > maxRecent {
+		t.Errorf("%d answers are remembered", len(v.recent.at))
+	}
+}
+
 // Symptom: memory grows with each upstream that ends.
 // Sequence: a great many requests lose their upstreams; peers tell of as many.
 // Cause: records without a bound. What is blocked stays, whatever else comes.
@@ -374,6 +394,9 @@
 				}
 			}
 		}
+		// What a VM has answered lately itself is no suspect there, which the others cannot
+		// know: they agree once that is over.
+		now += recentFor
 		want, _ := vms[0].Standing(at(now), content(1))
 		for i, v := range vms {
 			if got, _ := v.Standing(at(now), content(1)); got != want {
