--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -87,6 +87,13 @@
 	return v.Revision <= other.Revision
 }
 
+// TakesWork tells whether an upstream that was chosen may still be given work: one that has
+// begun to leave since may not. One that has started again counts as the same.
+func (v *View) TakesWork(u *Upstream) bool {
+	now := v.Upstreams[u.ID]
+	return now != nil && !now.Leaving
+}
+
 // State is the items known. It is not safe for concurrent use.
 type State struct {
 	decoder  Decoder
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -64,6 +64,9 @@
 	Extra bool
 	// Priority orders calls that wait for a connection; 0 goes first.
 	Priority int
+	// Barred tells, right before the call is written, that the upstream may not be given it
+	// any more; nil never does.
+	Barred func() bool
 	// Done gets the reply, once, from another goroutine; not after Withdraw.
 	Done func(Reply)
 
--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -98,6 +98,10 @@
 		call.finish(Reply{Result: scatter.Expired, Detail: "no time left"})
 		return true
 	}
+	if call.Barred != nil && call.Barred() {
+		call.finish(Reply{Result: scatter.Barred, Detail: "the upstream may not be given the request any more"})
+		return true
+	}
 	if !call.start(c.net) {
 		return true
 	}
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -610,6 +610,38 @@
 	}
 }
 
+// Guards against calls that waited for a connection and go to an upstream that may not be
+// given them any more.
+func TestCallsThatAreBarredMeanwhileAreNotSent(t *testing.T) {
+	release := make(chan struct{})
+	var arrived atomic.Int64
+	s := newServer(t, answering(func(id string) string {
+		arrived.Add(1)
+		<-release
+		return whole(id, "x")
+	}))
+	c := newClient(t, s, 1)
+	_, first := c.begin("first", nil, 0)
+	var barred atomic.Bool
+	second, done := c.prepare("second", nil, 0)
+	second.Barred = barred.Load
+	c.pools.Do(second)
+	barred.Store(true)
+	close(release)
+	if r := c.wait(first); r.Result != scatter.Answered {
+		t.Errorf("the first call: %v", r.Result)
+	}
+	if r := c.wait(done); r.Result != scatter.Barred || !r.Result.NotRun() {
+		t.Errorf("the barred call: %v", r.Result)
+	}
+	if n := arrived.Load(); n != 1 {
+		t.Errorf("%d calls arrived", n)
+	}
+	if r := c.call("third"); r.Result != scatter.Answered {
+		t.Errorf("the connection is of no more use: %v", r.Result)
+	}
+}
+
 func TestCallsWithoutTimeAreNotSent(t *testing.T) {
 	s := newServer(t, answering(func(id string) string { return whole(id, "x") }))
 	cl := newClient(t, s, 1)
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -63,6 +63,20 @@
 	if v.NotRun {
 		a.RetryAfter = retryAfter(v.Reason)
 	}
+	if v.Reason == scatter.NoUpstream {
+		a.Reason = x.whyNoUpstream()
+	}
+}
+
+// whyNoUpstream tells what keeps the upstreams of a request from it.
+func (x *run) whyNoUpstream() Reason {
+	v := x.engine.view.Load()
+	for part, service := range x.plan.Services {
+		if len(v.Services[service]) > 0 && len(x.candidates(part)) == 0 {
+			return NoUpstreamAtHome
+		}
+	}
+	return Reason(scatter.NoUpstream)
 }
 
 func (x *run) merge(a *Answer, v *scatter.Verdict) {
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -26,7 +26,7 @@
 		}
 		log = e.opts.Logs.Samples
 	}
-	fields := make([]zap.Field, 0, 24)
+	fields := make([]zap.Field, 0, 25)
 	fields = append(fields,
 		zap.String("request", r.Message.ID),
 		zap.String("reason", string(a.Reason)),
@@ -50,6 +50,9 @@
 	}
 	if r.Route != nil {
 		fields = append(fields, zap.String("route", r.Route.Name), zap.Duration("objective", r.Route.Objective))
+		if r.Route.Homes.Bound() {
+			fields = append(fields, zap.Strings("homes", r.Route.Homes.Regions()))
+		}
 	} else {
 		fields = append(fields, zap.String("host", r.Host), zap.String("path", r.Path))
 	}
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -5,6 +5,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
 )
 
 // Choose implements scatter.Policy.
@@ -30,12 +31,47 @@
 	return e.replicas.Reachable(e.now(), candidates)
 }
 
-// candidates is the upstreams of a part. They are those in force now and not those of the
-// request's own view: one that has begun to leave meanwhile takes no new work.
+// candidates is the upstreams that may be given a part. They are those in force now and not
+// those of the request's own view: one that has begun to leave meanwhile takes no new work.
 func (x *run) candidates(part int) []*catalog.Upstream {
-	return x.engine.view.Load().Services[x.plan.Services[part]]
+	v := x.engine.view.Load()
+	all := v.Services[x.plan.Services[part]]
+	homes := x.homes(v)
+	if !homes.Bound() {
+		return all
+	}
+	var out []*catalog.Upstream
+	for _, u := range all {
+		if homes.Allow(x.engine.regionOf(u)) {
+			out = append(out, u)
+		}
+	}
+	return out
 }
 
+// mayServe tells whether the request may be given to an upstream by what is in force now.
+func (x *run) mayServe(u *catalog.Upstream) bool {
+	v := x.engine.view.Load()
+	return v.TakesWork(u) && x.homes(v).Allow(x.engine.regionOf(u))
+}
+
+// homes is where the request may be served: in the homes of its route as it was planned,
+// and in those that the route has now.
+func (x *run) homes(v *catalog.View) routing.Homes {
+	own := x.req.Route.Homes
+	if v == x.view || v.Table == nil {
+		return own
+	}
+	now := v.Table.Lookup(x.req.Host, x.req.Path)
+	if now == nil {
+		return own
+	}
+	return own.And(now.Homes)
+}
+
+// regionOf is the region of an upstream, empty when the settings do not name its data centre.
+func (e *Engine) regionOf(u *catalog.Upstream) string { return e.opts.Place.Regions[u.DataCentre] }
+
 // Spend implements scatter.Policy.
 func (x *run) Spend(part int, kind retrybudget.Kind) bool {
 	e := x.engine
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -71,6 +71,8 @@
 	Unready Reason = "unready"
 	// NoRoute: no route takes the request.
 	NoRoute Reason = "no_route"
+	// NoUpstreamAtHome: no upstream that takes work is in a home of the route.
+	NoUpstreamAtHome Reason = "no_upstream_at_home"
 	// Overloaded: too many requests are in flight on this VM.
 	Overloaded Reason = "overloaded"
 	// Congested: the upstreams of the query's shards have no room for more.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -201,7 +201,7 @@
 		e.replicas.Answered(now, x.req.Route.Name, x.usual, u, s.id, s.reply.Took)
 	case scatter.Unreached:
 		e.replicas.Unreachable(now, u, s.id)
-	case scatter.Expired, scatter.Shut, scatter.NoConnection:
+	case scatter.Expired, scatter.Shut, scatter.NoConnection, scatter.Barred:
 		e.replicas.Unsent(u, s.id)
 	default:
 		e.replicas.Failed(now, u, s.id)
@@ -239,6 +239,7 @@
 		AnswerBy: x.plan.AnswerBy,
 		Priority: x.req.Route.Priority,
 		Extra:    s.Cause != scatter.First,
+		Barred:   func() bool { return !x.mayServe(s.Upstream) },
 		Done:     func(r direct.Reply) { x.inbox.put(numbered{s.Attempt, r}) },
 	}
 	e.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -283,6 +283,11 @@
 		version = v.Table.Version()
 	}
 	n.log.Info("config: view in force", zap.Uint64("revision", v.Revision), zap.Uint64("version", version), zap.Int("upstreams", len(v.Upstreams)))
+	if v.Config != nil && (old == nil || old.Config != v.Config) {
+		for _, w := range v.Config.Warnings {
+			n.log.Warn("config: "+w.String(), zap.Uint64("version", version))
+		}
+	}
 	if old == nil {
 		return
 	}
@@ -357,6 +362,9 @@
 	if !n.set.Load().FirstStart && time.Since(n.started) < settleAfter {
 		return nil
 	}
+	if v := n.engine.View(); v != nil && v.Table != nil {
+		c.Homes = v.Table.HostHomes(c.Host)
+	}
 	return placement.Choose(n.members.Load().Members, c, n.placementBounds())
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -10,6 +10,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/rendezvous"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
 )
 
 // StrainedCapacity is announced by a VM that has become slow: it takes callers
@@ -20,6 +21,15 @@
 type Caller struct {
 	Region     string
 	DataCentre string
+	// Host is what the caller asks for.
+	Host string
+	// Homes is the regions beside its own whose VMs may take its requests.
+	Homes routing.Homes
+}
+
+// mayUse tells whether the caller's requests may be sent to a VM.
+func (c *Caller) mayUse(m *membership.Member) bool {
+	return m.Region == c.Region || c.Homes.Allow(m.Region)
 }
 
 // Bounds bound an answer.
@@ -39,13 +49,13 @@
 }
 
 // Choose is the caller addresses of the VMs that callers of one place share,
-// best first: alive and with capacity, of the caller's region if it has any, and
-// there beside most upstreams. Callers of one place get the same answer,
+// best first: alive and with capacity, of the caller's region if it has any, else of the
+// homes of its requests, and there beside most upstreams. Callers of one place get the same answer,
 // so that connections and what is learnt of upstreams are shared well.
 func Choose(members []membership.Member, c Caller, b Bounds) []string {
-	candidates := usable(members, func(m *membership.Member) bool { return m.State == pb.MemberState_ALIVE })
+	candidates := usable(members, func(m *membership.Member) bool { return c.mayUse(m) && m.State == pb.MemberState_ALIVE })
 	if len(candidates) == 0 {
-		candidates = usable(members, func(m *membership.Member) bool { return true })
+		candidates = usable(members, c.mayUse)
 	}
 	place := rendezvous.Mix(xxhash.Sum64String(c.Region))
 	beside := besideUpstreams(candidates, c, b.Upstreams)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -7,6 +7,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
 )
 
 // vm makes a member of region and data centre "r/dc".
@@ -52,6 +53,30 @@
 	}
 }
 
+// Guards against callers that are sent to VMs outside of the homes of their requests.
+func TestCallersAreSentToTheirRegionOrToAHome(t *testing.T) {
+	own, home, other := vm("own", "r/a", 100, alive), vm("home", "h/a", 100, alive), vm("other", "o/a", 900, alive)
+	strained := vm("strained", "r/a", StrainedCapacity, alive)
+	suspected := vm("suspected", "h/a", 100, suspect)
+	for _, c := range []struct {
+		name    string
+		members []membership.Member
+		want    string
+	}{
+		{"own region first", []membership.Member{own, home, other}, "own"},
+		{"else a home", []membership.Member{home, other}, "home"},
+		{"a home before strained ones", []membership.Member{strained, home, other}, "home"},
+		{"strained ones before those outside", []membership.Member{strained, other}, "strained"},
+		{"suspects at home before those outside", []membership.Member{suspected, other}, "suspected"},
+		{"none outside", []membership.Member{other}, ""},
+	} {
+		got := Choose(c.members, Caller{Region: "r", Homes: routing.HomesIn("h")}, bounds)
+		if strings.Join(got, " ") != c.want {
+			t.Errorf("%s: %v, want %s", c.name, got, c.want)
+		}
+	}
+}
+
 // Symptom: the callers of a region change their VMs whenever an upstream crashes.
 // Sequence: two data centres have about as many upstreams; one loses one.
 // Cause: VMs were ordered by the plain numbers.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/finding"
 )
 
 // Config is one version of the routes, the services behind them and the limits
@@ -17,6 +19,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Warnings are faults that do not keep the configuration from being in force.
+	Warnings finding.List
 }
 
 // Route says where the requests of one host and path prefix go.
@@ -44,6 +48,8 @@
 	TopK int
 	// MinCoverage is the least share of the shards that makes an answer, 0 to 1.
 	MinCoverage float64
+	// Homes is where the requests may be served.
+	Homes Homes
 }
 
 // Target is one service of a weighted split.
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -237,6 +237,8 @@
 		return AfterRefusal
 	case Shut, NoConnection:
 		return AfterFull
+	case Barred:
+		return AfterBar
 	default:
 		return AfterFailure
 	}
@@ -266,8 +268,11 @@
 	q.giveUp(i)
 }
 
-// trySend sends a part again when the rules and the budget allow it. A send that
-// never reached an upstream, or was shut out, costs no budget: no upstream read it.
+// free tells whether a further send costs no budget: the one before it reached no
+// upstream, or was shut out, so that no upstream read it.
+func (c Cause) free() bool { return c == AfterUnreach || c == AfterFull || c == AfterBar }
+
+// trySend sends a part again when the rules and the budget allow it.
 func (q *Query) trySend(i int, cause Cause) bool {
 	p := &q.parts[i]
 	if !q.mayRunAgain(p) || p.refused >= maxRefused {
@@ -277,8 +282,7 @@
 	if u == nil {
 		return false
 	}
-	free := cause == AfterUnreach || cause == AfterFull
-	if !free && !q.policy.Spend(i, retrybudget.Retry) {
+	if !cause.free() && !q.policy.Spend(i, retrybudget.Retry) {
 		return false
 	}
 	q.put(i, u, cause)
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -80,7 +80,7 @@
 		var n int
 		var result string
 		fmt.Sscanf(strings.Replace(step, "=", " ", 1), "%d %s", &n, &result)
-		for r := Answered; r <= NoConnection; r++ {
+		for r := Answered; r <= Barred; r++ {
 			if r.String() == result {
 				note(q.Ended(now, n, r))
 			}
@@ -122,6 +122,10 @@
 			"0:0/0:first 1:0/1:after_refusal 2:0/2:after_failure end::notrun=false:[2]"},
 		{"an upstream that cannot be reached costs no budget", plan(1, 1), policy{2, 0, 0}, "0=unreached 1=answered",
 			"0:0/0:first 1:0/1:after_unreached end::notrun=false:[1]"},
+		{"an upstream that may not be given the part any more costs no budget", plan(1, 1), policy{replicas: 2}, "0=barred 1=answered",
+			"0:0/0:first 1:0/1:after_bar end::notrun=false:[1]"},
+		{"none that may be given the part", plan(1, 1), policy{replicas: 1}, "0=barred",
+			"0:0/0:first end:all_refused:notrun=true:[-1]"},
 		{"an upstream that lets nothing in costs neither budget nor attempt", plan(1, 1), policy{3, 0, 0}, "0=shut 1=shut 2=answered",
 			"0:0/0:first 1:0/1:after_full 2:0/2:after_full end::notrun=false:[2]"},
 		{"but is no proof that nothing ran", unsafe(plan(1, 1)), policy{2, 9, 0}, "0=shut",
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -34,23 +34,27 @@
 	// NoConnection never left this VM: it may have no more connections to the
 	// upstream, and none came free.
 	NoConnection
+	// Barred was not sent: meanwhile the upstream may not be given the request any more.
+	Barred
 )
 
 // Survived tells whether the result shows that the upstream has run the request and lives.
 func (r Result) Survived() bool { return r == Answered || r == Failed }
 
 // Reached tells whether the request has arrived at the upstream, or may have.
-func (r Result) Reached() bool { return r != Unreached && r != Expired && r != NoConnection }
+func (r Result) Reached() bool {
+	return r != Unreached && r != Expired && r != NoConnection && r != Barred
+}
 
 // NotRun tells whether the result proves that the upstream has not run the
 // request.
 func (r Result) NotRun() bool {
-	return r == Unreached || r == Refused || r == Expired || r == NoConnection
+	return r == Refused || !r.Reached()
 }
 
 // String is the result's name in logs and metrics.
 func (r Result) String() string {
-	return [...]string{"answered", "unreached", "refused", "failed", "lost", "broken", "expired", "shut", "no_connection"}[r]
+	return [...]string{"answered", "unreached", "refused", "failed", "lost", "broken", "expired", "shut", "no_connection", "barred"}[r]
 }
 
 // Reason says why a request ended without an answer, in logs, metrics and the
@@ -115,7 +119,9 @@
 	AfterFailure Cause = "after_failure"
 	AfterUnreach Cause = "after_unreached"
 	// AfterFull follows a send that was not let in, or found no connection.
-	AfterFull     Cause = "after_full"
+	AfterFull Cause = "after_full"
+	// AfterBar follows a send that might not be made any more.
+	AfterBar      Cause = "after_bar"
 	BecauseIsLate Cause = "hedge"
 )
 
