--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -28,6 +28,9 @@
 	Configuration
 	// Registration items hold an Upstream.
 	Registration
+	// Evacuation items say that the upstreams of a data centre take no work while the item
+	// is there. Their key alone counts, whatever their value holds.
+	Evacuation
 )
 
 // Item is one published item as the store holds it.
@@ -50,6 +53,8 @@
 	Config(Item) (*routing.Config, error)
 	// Upstream decodes a registration.
 	Upstream(Item) (Upstream, error)
+	// Evacuated is the data centre that an evacuation's key names.
+	Evacuated(key string) (dataCentre string)
 }
 
 // Rejected is an item that could not be decoded. Of a configuration the last good version
@@ -73,6 +78,8 @@
 	Table *routing.Table
 	// Config is the configuration in force, nil as above.
 	Config *routing.Config
+	// Evacuated holds the data centres whose upstreams take no work.
+	Evacuated map[string]bool
 	// Services holds the upstreams of each service that take work, by ID.
 	Services map[string][]*Upstream
 	// Upstreams holds them all, the leaving ones included, by ID.
@@ -88,12 +95,14 @@
 }
 
 // TakesWork tells whether an upstream that was chosen may still be given work: one that has
-// begun to leave since may not. One that has started again counts as the same.
+// begun to leave since, or whose data centre is evacuated, may not. One that has started again counts as the same.
 func (v *View) TakesWork(u *Upstream) bool {
 	now := v.Upstreams[u.ID]
-	return now != nil && !now.Leaving
+	return now != nil && v.takesWork(now)
 }
 
+func (v *View) takesWork(u *Upstream) bool { return !u.Leaving && !v.Evacuated[u.DataCentre] }
+
 // State is the items known. It is not safe for concurrent use.
 type State struct {
 	decoder  Decoder
@@ -117,6 +126,8 @@
 	config     *routing.Config
 	table      *routing.Table
 	upstreams  map[string]*Upstream
+	// evacuations are the keys of the evacuations under way.
+	evacuations map[string]bool
 	// doubtful are upstreams whose entries went missing around an outage, with
 	// the time at which they are given up.
 	doubtful map[string]time.Time
@@ -135,13 +146,14 @@
 // New is an empty state.
 func New(now time.Time, d Decoder) *State {
 	return &State{
-		decoder:    d,
-		items:      map[string]Item{},
-		upstreams:  map[string]*Upstream{},
-		doubtful:   map[string]time.Time{},
-		starts:     map[string]*latestStart{},
-		faults:     map[string]string{},
-		lastAnswer: now,
+		decoder:     d,
+		items:       map[string]Item{},
+		upstreams:   map[string]*Upstream{},
+		evacuations: map[string]bool{},
+		doubtful:    map[string]time.Time{},
+		starts:      map[string]*latestStart{},
+		faults:      map[string]string{},
+		lastAnswer:  now,
 	}
 }
 
@@ -253,6 +265,10 @@
 		return false
 	case Registration:
 		return s.putUpstream(it)
+	case Evacuation:
+		held := s.evacuations[it.Key]
+		s.evacuations[it.Key] = true
+		return !held
 	default:
 		return false
 	}
@@ -308,12 +324,16 @@
 		Revision:  s.revision,
 		Table:     s.table,
 		Config:    s.config,
+		Evacuated: map[string]bool{},
 		Services:  map[string][]*Upstream{},
 		Upstreams: make(map[string]*Upstream, len(s.upstreams)),
 	}
+	for key := range s.evacuations {
+		v.Evacuated[s.decoder.Evacuated(key)] = true
+	}
 	for _, u := range s.upstreams {
 		v.Upstreams[u.ID] = u
-		if !u.Leaving {
+		if v.takesWork(u) {
 			v.Services[u.Service] = append(v.Services[u.Service], u)
 		}
 	}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -25,10 +25,14 @@
 		return Configuration
 	case strings.HasPrefix(key, "up/"):
 		return Registration
+	case strings.HasPrefix(key, "evacuate/"):
+		return Evacuation
 	}
 	return Other
 }
 
+func (plain) Evacuated(key string) string { return strings.TrimPrefix(key, "evacuate/") }
+
 func (plain) Config(it Item) (*routing.Config, error) {
 	if string(it.Value) == "bad" {
 		return nil, errors.New("bad")
@@ -36,7 +40,8 @@
 	return &routing.Config{Version: it.Revision}, nil
 }
 
-// Upstream reads a service and words after it: "leaving", or a birth in seconds.
+// Upstream reads a service and words after it: "leaving", "in-" and a data centre, or a birth
+// in seconds.
 func (plain) Upstream(it Item) (Upstream, error) {
 	words := strings.Fields(string(it.Value))
 	if len(words) == 0 || words[0] == "bad" {
@@ -48,6 +53,9 @@
 			u.Born = time.Unix(int64(born), 0)
 		}
 		u.Leaving = u.Leaving || word == "leaving"
+		if dataCentre, ok := strings.CutPrefix(word, "in-"); ok {
+			u.DataCentre = dataCentre
+		}
 	}
 	return u, nil
 }
--- a/internal/catalog/registrations.go
+++ b/internal/catalog/registrations.go
@@ -71,10 +71,16 @@
 // as gone, the whole fleet of upstreams would vanish at the store's return, and
 // every request be refused until they have registered again.
 func (s *State) remove(now time.Time, key string) bool {
-	if s.decoder.Kind(key) == Configuration {
+	kind := s.decoder.Kind(key)
+	if kind == Configuration {
 		return false
 	}
 	delete(s.items, key)
+	if kind == Evacuation {
+		held := s.evacuations[key]
+		delete(s.evacuations, key)
+		return held
+	}
 	delete(s.faults, key)
 	delete(s.starts, key)
 	if s.upstreams[key] == nil {
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -3,6 +3,8 @@
 import (
 	"go.uber.org/zap"
 
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 	"sycamorekeel.example/sycamorekeel/internal/topk"
 )
@@ -71,14 +73,37 @@
 // whyNoUpstream tells what keeps the upstreams of a request from it.
 func (x *run) whyNoUpstream() Reason {
 	v := x.engine.view.Load()
+	homes := x.homes(v)
+	outside := false
 	for part, service := range x.plan.Services {
-		if len(v.Services[service]) > 0 && len(x.candidates(part)) == 0 {
-			return NoUpstreamAtHome
+		if len(x.candidates(part)) > 0 {
+			continue
+		}
+		outside = outside || len(v.Services[service]) > 0
+		if x.engine.evacuated(v, service, homes) {
+			return Evacuated
 		}
 	}
+	if outside {
+		return NoUpstreamAtHome
+	}
 	return Reason(scatter.NoUpstream)
 }
 
+// evacuated tells whether upstreams of a service that are in the homes would take work, were
+// their data centre not evacuated.
+func (e *Engine) evacuated(v *catalog.View, service string, homes routing.Homes) bool {
+	if len(v.Evacuated) == 0 {
+		return false
+	}
+	for _, u := range v.Upstreams {
+		if u.Service == service && !u.Leaving && v.Evacuated[u.DataCentre] && homes.Allow(e.regionOf(u)) {
+			return true
+		}
+	}
+	return false
+}
+
 func (x *run) merge(a *Answer, v *scatter.Verdict) {
 	var parts [][]byte
 	for i, n := range v.Parts {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -73,6 +73,8 @@
 	NoRoute Reason = "no_route"
 	// NoUpstreamAtHome: no upstream that takes work is in a home of the route.
 	NoUpstreamAtHome Reason = "no_upstream_at_home"
+	// Evacuated: all upstreams that could take the request are in evacuated data centres.
+	Evacuated Reason = "evacuated"
 	// Overloaded: too many requests are in flight on this VM.
 	Overloaded Reason = "overloaded"
 	// Congested: the upstreams of the query's shards have no room for more.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -21,6 +21,8 @@
 
 func (plain) Kind(string) catalog.Kind { return catalog.Registration }
 
+func (plain) Evacuated(string) string { return "" }
+
 func (plain) Config(catalog.Item) (*routing.Config, error) { return &routing.Config{}, nil }
 
 func (plain) Upstream(it catalog.Item) (catalog.Upstream, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -288,6 +288,7 @@
 			n.log.Warn("config: "+w.String(), zap.Uint64("version", version))
 		}
 	}
+	n.logEvacuations(old, v)
 	if old == nil {
 		return
 	}
@@ -298,6 +299,29 @@
 	}
 }
 
+// logEvacuations tells of the evacuations that have begun or ended since an older view, nil
+// for none.
+func (n *Node) logEvacuations(old, v *catalog.View) {
+	var before map[string]bool
+	if old != nil {
+		before = old.Evacuated
+	}
+	for dataCentre := range v.Evacuated {
+		if before[dataCentre] {
+			continue
+		}
+		n.log.Info("config: data centre evacuated", zap.String("data_centre", dataCentre), zap.Uint64("revision", v.Revision))
+		if _, known := n.set.Load().Regions[dataCentre]; !known {
+			n.log.Warn("config: the settings name no such data centre", zap.String("data_centre", dataCentre))
+		}
+	}
+	for dataCentre := range before {
+		if !v.Evacuated[dataCentre] {
+			n.log.Info("config: evacuation over", zap.String("data_centre", dataCentre), zap.Uint64("revision", v.Revision))
+		}
+	}
+}
+
 // showCapacity tells peers what this VM can carry for callers.
 func (n *Node) showCapacity() {
 	capacity := uint32(0)
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -27,6 +27,8 @@
 
 func (anyConfig) Kind(string) catalog.Kind { return catalog.Configuration }
 
+func (anyConfig) Evacuated(string) string { return "" }
+
 func (anyConfig) Config(it catalog.Item) (*routing.Config, error) {
 	return &routing.Config{Version: it.Revision}, nil
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -148,11 +148,13 @@
 	return placement.Bounds{Most: most, Least: least, Work: work, Upstreams: *n.upstreams.Load()}
 }
 
-// countUpstreams is how many upstreams each data centre has.
+// countUpstreams is how many upstreams each data centre has, 0 where it is evacuated.
 func countUpstreams(v *catalog.View) map[string]int {
 	out := map[string]int{}
 	for _, u := range v.Upstreams {
-		out[u.DataCentre]++
+		if !v.Evacuated[u.DataCentre] {
+			out[u.DataCentre]++
+		}
 	}
 	return out
 }
--- a/internal/spread/fleet.go
+++ b/internal/spread/fleet.go
@@ -151,6 +151,8 @@
 	return catalog.Registration
 }
 
+func (decoder) Evacuated(string) string { return "" }
+
 func (decoder) Config(it catalog.Item) (*routing.Config, error) {
 	return &routing.Config{Version: it.Revision}, nil
 }
--- a/internal/standalone/deployment.go
+++ b/internal/standalone/deployment.go
@@ -153,6 +153,9 @@
 	}
 }
 
+// Evacuated implements catalog.Decoder: a deployment file evacuates nothing.
+func (Documents) Evacuated(string) string { return "" }
+
 // Config implements catalog.Decoder.
 func (Documents) Config(it catalog.Item) (*routing.Config, error) {
 	d := &pb.EdgeDeployment{}
