--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -50,6 +50,8 @@
 	// Decode judges a whole response: its result, the proof of the answer, and
 	// why it is none.
 	Decode(resp *fasthttp.Response, m *Message) (r scatter.Result, proof, detail string)
+	// DecodeHealth reads an answer of a health path.
+	DecodeHealth(resp *fasthttp.Response) (Health, error)
 }
 
 // Call is one send of a message to one upstream.
--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -122,7 +122,7 @@
 	resp.SkipBody = req.Header.IsHead()
 	err = resp.ReadLimitBody(c.br, maxReplyBytes)
 	if err != nil {
-		call.finish(lost(err))
+		call.finish(c.lost(err))
 		return false
 	}
 	reply := Reply{Response: resp, Took: time.Since(now)}
@@ -187,7 +187,7 @@
 // unanswered is the reply of a call that was written, at least in part, and of
 // whose answer no byte has come after so long.
 func (c *conn) unanswered(err error, after time.Duration) Reply {
-	reply := lost(err)
+	reply := c.lost(err)
 	if !timedOut(err) && !c.pool.isAbandoned() {
 		reply.Result = scatter.Broken
 	}
@@ -200,12 +200,12 @@
 
 // lost is the reply of a call that was written, at least in part, and has no
 // whole answer.
-func lost(err error) Reply {
-	detail := "connection: " + err.Error()
+func (c *conn) lost(err error) Reply {
 	if timedOut(err) {
-		detail = "no answer in time"
+		return Reply{Result: scatter.Lost, Detail: "no answer in time"}
 	}
-	return Reply{Result: scatter.Lost, Detail: detail}
+	c.pool.counter.Ended(c.pool.upstream)
+	return Reply{Result: scatter.Lost, Detail: "connection: " + err.Error()}
 }
 
 // timedOut tells whether an error of a connection says that its time was up.
@@ -218,5 +218,12 @@
 // the upstream has closed, or on which something waits that answers no request,
 // cannot: the request would be lost, or get a foreign answer.
 func (c *conn) usable(now time.Time) bool {
-	return now.Before(c.idleUntil) && sockpeek.Look(c.net) == sockpeek.Quiet
+	if !now.Before(c.idleUntil) {
+		return false
+	}
+	state := sockpeek.Look(c.net)
+	if state == sockpeek.Ended {
+		c.pool.counter.Ended(c.pool.upstream)
+	}
+	return state == sockpeek.Quiet
 }
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -38,6 +38,8 @@
 	return scatter.Answered, "", ""
 }
 
+func (plain) DecodeHealth(*fasthttp.Response) (Health, error) { return Health{}, nil }
+
 // server is an upstream whose connections are each served by a function.
 type server struct {
 	ln     net.Listener
@@ -121,6 +123,8 @@
 
 func (nobody) Opened(*catalog.Upstream) {}
 
+func (nobody) Ended(*catalog.Upstream) {}
+
 func (nobody) Sent(*catalog.Upstream, bool, int) {}
 
 // client is pools with a limit, and a way to make calls.
--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -281,6 +281,7 @@
 // behind it while no other connection is open: they would fail the same way, one
 // dial after the other.
 func (p *Pool) refuse(call *Call, err error) {
+	p.counter.Ended(p.upstream)
 	p.mu.Lock()
 	var others []*Call
 	if p.open == 1 {
--- a/internal/direct/pools.go
+++ b/internal/direct/pools.go
@@ -18,12 +18,16 @@
 	pools map[string]*Pool
 }
 
-// Counter takes in what connections to upstreams cost.
+// Counter takes in what connections to upstreams cost, and how they end.
 type Counter interface {
 	// Opened counts a connection.
 	Opened(u *catalog.Upstream)
 	// Sent counts the bytes of a call, both ways.
 	Sent(u *catalog.Upstream, extra bool, bytes int)
+	// Ended tells that the other end of a connection has ended it, or that none could be
+	// opened: the upstream may have started again. It is told before anything further is
+	// sent.
+	Ended(u *catalog.Upstream)
 }
 
 // NewPools has no connection. limit is how many this VM may have to one
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -66,28 +66,44 @@
 		a.RetryAfter = retryAfter(v.Reason)
 	}
 	if v.Reason == scatter.NoUpstream {
-		a.Reason = x.whyNoUpstream()
+		x.explainNoUpstream(a)
 	}
 }
 
-// whyNoUpstream tells what keeps the upstreams of a request from it.
-func (x *run) whyNoUpstream() Reason {
+// explainNoUpstream tells what keeps the upstreams of a request from it, and when that may
+// have changed.
+func (x *run) explainNoUpstream(a *Answer) {
 	v := x.engine.view.Load()
 	homes := x.homes(v)
-	outside := false
 	for part, service := range x.plan.Services {
 		if len(x.candidates(part)) > 0 {
 			continue
 		}
-		outside = outside || len(v.Services[service]) > 0
-		if x.engine.evacuated(v, service, homes) {
-			return Evacuated
+		atHome := x.engine.atHome(v.Services[service], homes)
+		switch {
+		case len(atHome) > 0:
+			a.Reason = ColdUpstreams
+			a.RetryAfter = x.engine.warmIn(atHome)
+			return
+		case x.engine.evacuated(v, service, homes):
+			a.Reason = Evacuated
+			return
+		case len(v.Services[service]) > 0:
+			a.Reason = NoUpstreamAtHome
+			return
 		}
 	}
-	if outside {
-		return NoUpstreamAtHome
+}
+
+// atHome is the upstreams that are in some homes.
+func (e *Engine) atHome(upstreams []*catalog.Upstream, homes routing.Homes) []*catalog.Upstream {
+	var out []*catalog.Upstream
+	for _, u := range upstreams {
+		if homes.Allow(e.regionOf(u)) {
+			out = append(out, u)
+		}
 	}
-	return Reason(scatter.NoUpstream)
+	return out
 }
 
 // evacuated tells whether upstreams of a service that are in the homes would take work, were
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,8 +2,8 @@
 // query, drives it over direct connections to upstreams, and gives the answer or
 // a refusal that says why.
 //
-// Lock order: Engine.mu is a leaf; no I/O is done and no callback made while it
-// is held.
+// Lock order: Engine.mu and warmth.mu are leaves; no I/O is done and no callback made
+// while one is held.
 package edge
 
 import (
@@ -25,6 +25,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
+	"sycamorekeel.example/sycamorekeel/internal/warmup"
 )
 
 const (
@@ -92,6 +93,7 @@
 	// lag is how late this process is woken, in nanoseconds.
 	lag     atomic.Int64
 	started time.Time
+	warmth  warmth
 	// known is closed once there is a configuration.
 	known     chan struct{}
 	knownOnce sync.Once
@@ -121,8 +123,9 @@
 		scatters:   map[string]*congestion.Limiter{},
 		draws:      map[string]*routing.Draws{},
 	}
+	e.warmth.table = warmup.New()
 	e.shares.Store(&Shares{VMs: 1, Carriers: 1, Carrying: true})
-	e.pools = direct.NewPools(opts.Protocol, upstreamTraffic{opts.Traffic, opts.Place}, e.connectionLimit)
+	e.pools = direct.NewPools(opts.Protocol, upstreamTraffic{opts.Traffic, opts.Place, &e.warmth}, e.connectionLimit)
 	e.do = e.pools.Do
 	e.check = e.pools.Check
 	e.poison = poison.New(opts.Logs, opts.Metrics.poison)
@@ -131,6 +134,7 @@
 
 // SetView puts a view in force for the requests that come after it.
 func (e *Engine) SetView(now time.Time, v *catalog.View) {
+	e.warmth.keep(now, v)
 	e.view.Store(v)
 	if v.Table != nil {
 		e.knownOnce.Do(func() { close(e.known) })
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -26,6 +26,7 @@
 	replies  *prometheus.CounterVec
 	budget   *prometheus.CounterVec
 	stages   stageTimes
+	health   *prometheus.CounterVec
 	poison   *poison.Metrics
 }
 
@@ -78,9 +79,12 @@
 			Name: "sycamorekeel_edge_budget_refusals_total", Help: "Extra sends that the budget did not allow.",
 		}, []string{"kind"}),
 	}
+	m.health = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sycamorekeel_edge_health_checks_total", Help: "Health checks of upstreams that may be cold, by result.",
+	}, []string{"result"})
 	m.stages = newStageTimes(reg)
 	m.poison = poison.NewMetrics(reg)
-	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budget)
+	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budget, m.health)
 	return m
 }
 
@@ -103,6 +107,15 @@
 
 func (m *Metrics) reply(r scatter.Result) { m.replies.WithLabelValues(r.String()).Inc() }
 
+// healthChecked counts a health check that ended with an error or without one.
+func (m *Metrics) healthChecked(err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.health.WithLabelValues(result).Inc()
+}
+
 func (m *Metrics) unspent(k retrybudget.Kind) { m.budget.WithLabelValues(k.String()).Inc() }
 
 var (
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -35,14 +35,15 @@
 // those of the request's own view: one that has begun to leave meanwhile takes no new work.
 func (x *run) candidates(part int) []*catalog.Upstream {
 	v := x.engine.view.Load()
-	all := v.Services[x.plan.Services[part]]
+	service := x.plan.Services[part]
+	all := v.Services[service]
 	homes := x.homes(v)
-	if !homes.Bound() {
+	if _, bound := x.engine.coldBound(v, service); !bound && !homes.Bound() {
 		return all
 	}
 	var out []*catalog.Upstream
 	for _, u := range all {
-		if homes.Allow(x.engine.regionOf(u)) {
+		if homes.Allow(x.engine.regionOf(u)) && x.engine.warm(v, u) {
 			out = append(out, u)
 		}
 	}
@@ -52,7 +53,7 @@
 // mayServe tells whether the request may be given to an upstream by what is in force now.
 func (x *run) mayServe(u *catalog.Upstream) bool {
 	v := x.engine.view.Load()
-	return v.TakesWork(u) && x.homes(v).Allow(x.engine.regionOf(u))
+	return v.TakesWork(u) && x.homes(v).Allow(x.engine.regionOf(u)) && x.engine.warm(v, u)
 }
 
 // homes is where the request may be served: in the homes of its route as it was planned,
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -75,6 +75,8 @@
 	NoUpstreamAtHome Reason = "no_upstream_at_home"
 	// Evacuated: all upstreams that could take the request are in evacuated data centres.
 	Evacuated Reason = "evacuated"
+	// ColdUpstreams: all upstreams that could take the request are cold, and bear too little.
+	ColdUpstreams Reason = "cold_upstreams"
 	// Overloaded: too many requests are in flight on this VM.
 	Overloaded Reason = "overloaded"
 	// Congested: the upstreams of the query's shards have no room for more.
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -1,18 +1,24 @@
 package edge
 
 import (
+	"time"
+
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/locality"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
-// upstreamTraffic counts what is exchanged with upstreams by how far they are. It
-// implements direct.Counter.
+// upstreamTraffic counts what is exchanged with upstreams by how far they are, and notes whose
+// connections end. It implements direct.Counter.
 type upstreamTraffic struct {
-	meter *traffic.Meter
-	place locality.Place
+	meter  *traffic.Meter
+	place  locality.Place
+	warmth *warmth
 }
 
+// Ended implements direct.Counter.
+func (t upstreamTraffic) Ended(u *catalog.Upstream) { t.warmth.doubt(time.Now(), u) }
+
 // Opened implements direct.Counter.
 func (t upstreamTraffic) Opened(u *catalog.Upstream) {
 	t.meter.Opened(t.place.Distance(u.DataCentre))
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -64,6 +64,10 @@
 	// MaxConnections is what one upstream takes from all VMs together; 0 is
 	// unknown.
 	MaxConnections int
+	// HealthPath is where upstreams tell of themselves.
+	HealthPath string
+	// ColdBound says that an upstream bears only a few requests a second while it is cold.
+	ColdBound bool
 }
 
 // Limits bound what a caller may send; a zero field sets no bound.
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -15,6 +15,9 @@
 	ExpectUpstream string
 	// NotRun marks answers to requests that were not run.
 	NotRun string
+	// Upstream is the id of the upstream that answers a call to its health path, Cold how
+	// many milliseconds longer it is cold.
+	Upstream, Cold string
 	// Parts lists the proofs of the parts of a merged answer.
 	Parts string
 	// Missing is the number of shards that a merged answer leaves out.
@@ -29,6 +32,8 @@
 		Proof:          "X-Proof",
 		ExpectUpstream: "X-Expect-Upstream",
 		NotRun:         "X-Not-Run",
+		Upstream:       "X-Upstream",
+		Cold:           "X-Cold-Ms",
 		Parts:          "X-Parts",
 		Missing:        "X-Missing-Parts",
 	}
--- a/internal/wire/upstream.go
+++ b/internal/wire/upstream.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
@@ -48,6 +49,25 @@
 	}
 }
 
+// DecodeHealth implements direct.Protocol. An upstream that does not say how long it is cold
+// is warm; one that says it in no way that can be read is no upstream to trust.
+func (up Upstreams) DecodeHealth(resp *fasthttp.Response) (direct.Health, error) {
+	h := direct.Health{Upstream: string(resp.Header.Peek(up.Names.Upstream))}
+	text := string(resp.Header.Peek(up.Names.Cold))
+	if text == "" {
+		return h, nil
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms >= 0 && ms <= mostColdMS) {
+		return direct.Health{}, trace.BadParameter("%s: must be from 0 to %d, is %q", up.Names.Cold, mostColdMS, text)
+	}
+	h.ColdFor = time.Duration(ms * float64(time.Millisecond))
+	return h, nil
+}
+
+// mostColdMS is longer than an upstream is cold, which is seconds.
+const mostColdMS = 3_600_000
+
 // promisesNotRun tells whether a caller takes the status for a promise that its
 // request has not run.
 func promisesNotRun(status int) bool {
