--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -324,6 +324,29 @@
 	}
 }
 
+// Guards against a second VM that sends a request to another copy of each shard while the
+// first VM's attempt, under which a dozen upstreams have ended, goes on.
+func TestManyCrashesAreToldAtOnce(t *testing.T) {
+	v, peer := newVM(t), newVM(t)
+	for u := range uint32(MaxEnded - 1) {
+		v.crashed(u, 30*ms)
+	}
+	if v.HasNews() {
+		t.Error("told of before it is sure that not just some parts are lost")
+	}
+	v.crashed(MaxEnded, 31*ms)
+	for _, e := range v.News(at(31*ms), 16) {
+		peer.Merge(at(31*ms), e)
+	}
+	peer.is(31*ms, Suspect)
+	v.crashed(MaxEnded+1, 32*ms)
+	v.Survived(at(40*ms), content(1))
+	for _, e := range v.News(at(40*ms), 16) {
+		peer.Merge(at(40*ms), e)
+	}
+	peer.is(40*ms, Free)
+}
+
 // What was told is told again, so that a VM which missed it hears of it; crashes that make no
 // suspect only for a while.
 func TestEntriesAreRepeated(t *testing.T) {
