--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -52,6 +52,10 @@
 	// tellSuspect is how long an attempt under which upstreams ended may go on until peers
 	// are told all the same: several times what an answer takes.
 	tellSuspect = 500 * time.Millisecond
+	// tellCrashes is how many upstreams that ended under one attempt make a suspect that peers
+	// are told of at once: its caller, or others, may ask the same of them before the attempt
+	// ends. A query that has lost only some of its parts is cleared by the others first.
+	tellCrashes = MaxEnded
 	// repeatFor is how long crashes that make no suspect are told to peers again.
 	repeatFor = time.Minute
 	// maxRecords bounds what is remembered, to about 200 KB.
@@ -208,7 +212,7 @@
 		r.blocks++
 	}
 	turn := r.turn(now, content, was)
-	r.news = r.news || r.shared || turn.Was != Blocked && turn.Is == Blocked
+	r.news = r.news || r.shared || turn.Was != Blocked && turn.Is == Blocked || r.crashes() >= tellCrashes
 	return turn
 }
 
