--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -39,10 +39,23 @@
 	Proof string
 	// Response is the upstream's answer: set when Result is Answered or Failed.
 	Response *fasthttp.Response
+	// Load is what the upstream reported of its load, nil when it did not.
+	Load *Load
 	// Took is the time from the start of the write to the end of the answer.
 	Took time.Duration
 }
 
+// Load is what an upstream reports of its load with an answer.
+type Load struct {
+	// Running and Waiting are requests, Slots is how many may run at a time.
+	Running, Waiting, Slots int
+	// Pace is how long work takes on its VM at that moment, 1 as usual.
+	Pace float64
+}
+
+// Room tells whether a further request would not have had to wait.
+func (l *Load) Room() bool { return l.Waiting == 0 && l.Running < l.Slots }
+
 // Protocol is how upstreams are spoken to.
 type Protocol interface {
 	// Encode fills in a request; left is the time that the upstream is given.
@@ -50,6 +63,9 @@
 	// Decode judges a whole response: its result, the proof of the answer, and
 	// why it is none.
 	Decode(resp *fasthttp.Response, m *Message) (r scatter.Result, proof, detail string)
+	// DecodeLoad reads what an answer reports of the upstream's load; nil when it reports
+	// nothing, or nothing that can be read.
+	DecodeLoad(resp *fasthttp.Response) *Load
 	// DecodeHealth reads an answer of a health path.
 	DecodeHealth(resp *fasthttp.Response) (Health, error)
 }
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -38,6 +38,8 @@
 	return scatter.Answered, "", ""
 }
 
+func (plain) DecodeLoad(*fasthttp.Response) *Load { return nil }
+
 func (plain) DecodeHealth(*fasthttp.Response) (Health, error) { return Health{}, nil }
 
 // server is an upstream whose connections are each served by a function.
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -38,7 +38,7 @@
 func (x *run) crowdedParts() int {
 	crowded := map[int]bool{}
 	for i := range x.sends {
-		if s := &x.sends[i]; s.replied && s.reply.Result == scatter.Refused {
+		if s := &x.sends[i]; s.replied && s.crowdedOut() {
 			crowded[s.part] = true
 		}
 	}
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -78,6 +78,8 @@
 	engine *Engine
 	view   *catalog.View
 	ill    map[string]conduct
+	// reported is the load that upstreams report with what they refuse, nil for none.
+	reported *direct.Load
 	// sent counts the first sends to each upstream by bin.
 	sent map[string]map[int]int
 	// asked counts the requests that began in trouble, the others how they went
@@ -215,7 +217,7 @@
 	}
 	s.at(s.now.Add(after), func() {
 		s.step(l, func() {
-			c.Done(direct.Reply{Result: result, Took: after, Response: &fasthttp.Response{}})
+			c.Done(direct.Reply{Result: result, Took: after, Response: &fasthttp.Response{}, Load: s.reported})
 			l.takeReplies()
 		})
 	})
@@ -423,6 +425,48 @@
 	}
 }
 
+// Guards against copies that refuse by a fault of their own and are taken for full: each is
+// tried again within a second or two, by each VM for itself, until the budget of extra sends is
+// gone and queries are refused as congested with half of the copies well.
+func TestCopiesThatRefuseWithFreeSlotsArePassedOver(t *testing.T) {
+	const shard = "s0-a0"
+	shed := some(0.6, ends(scatter.Refused, 2*time.Millisecond))
+	part := func(reported *direct.Load) float64 {
+		s := newSim(0)
+		for seed := range uint64(simSeeds) {
+			one := newSim(seed + 1)
+			one.ill, one.reported = map[string]conduct{shard: shed}, reported
+			one.run()
+			s.add(one)
+		}
+		if back := s.backAfter(shard); back < 0 || back > 3*time.Second {
+			t.Errorf("reported %+v: used again after %v", reported, back)
+		}
+		return s.share(shard, simIll+time.Second, simWell) / s.share(shard, 2*time.Second, simIll)
+	}
+	free, full, silent := part(&direct.Load{Running: 1, Slots: 4}), part(&direct.Load{Running: 4, Waiting: 20, Slots: 4}), part(nil)
+	t.Logf("first sends of the usual: free slots %.3f, full %.3f, nothing reported %.3f", free, full, silent)
+	if free > full/2 || free > 0.1 {
+		t.Errorf("with free slots it has %.3f of its usual first sends, full %.3f", free, full)
+	}
+	if full != silent {
+		t.Errorf("one that reports nothing is not taken to be full: %.3f and %.3f", silent, full)
+	}
+}
+
+// Guards against queries that are refused as congested for copies that refuse with free slots.
+func TestRefusalsWithFreeSlotsDoNotCrowd(t *testing.T) {
+	x := &run{sends: []send{
+		{part: 0, replied: true, reply: direct.Reply{Result: scatter.Refused, Load: &direct.Load{Running: 1, Slots: 4}}},
+		{part: 1, replied: true, reply: direct.Reply{Result: scatter.Refused, Load: &direct.Load{Running: 4, Slots: 4}}},
+		{part: 2, replied: true, reply: direct.Reply{Result: scatter.Refused}},
+		{part: 3, replied: true, reply: direct.Reply{Result: scatter.Failed}},
+	}}
+	if n := x.crowdedParts(); n != 2 {
+		t.Errorf("%d parts count as crowded", n)
+	}
+}
+
 // every is all upstreams of the services whose names a prefix begins, or of one
 // data centre.
 func every(of func(id string) bool, how conduct) map[string]conduct {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -52,6 +52,12 @@
 // open tells whether the send's answer is waited for.
 func (s *send) open() bool { return !s.replied && !s.withdrawn }
 
+// crowdedOut tells whether the upstream refused the send for want of room. One that reports
+// free slots refuses for a fault of its own; one that reports nothing is taken to be full.
+func (s *send) crowdedOut() bool {
+	return s.reply.Result == scatter.Refused && (s.reply.Load == nil || !s.reply.Load.Room())
+}
+
 // inbox collects the replies of a run. It never blocks those who put.
 type inbox struct {
 	mu     sync.Mutex
@@ -183,6 +189,9 @@
 // upstream may have ended under it.
 func (x *run) logFailed(s *send) {
 	fields := x.fields(s, zap.Stringer("result", s.reply.Result), zap.String("detail", s.reply.Detail))
+	if l := s.reply.Load; l != nil {
+		fields = append(fields, zap.Int("running", l.Running), zap.Int("waiting", l.Waiting), zap.Int("slots", l.Slots), zap.Float64("pace", l.Pace))
+	}
 	if s.reply.Result == scatter.Broken {
 		fields = append(fields, zap.Stringer("content", x.req.content()))
 	}
@@ -203,6 +212,12 @@
 		e.replicas.Unreachable(now, u, s.id)
 	case scatter.Expired, scatter.Shut, scatter.NoConnection, scatter.Barred:
 		e.replicas.Unsent(u, s.id)
+	case scatter.Refused:
+		if s.crowdedOut() {
+			e.replicas.Refused(now, u, s.id)
+		} else {
+			e.replicas.Failed(now, u, s.id)
+		}
 	default:
 		e.replicas.Failed(now, u, s.id)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,10 +24,15 @@
 	// priorWeight is the weight of the assumption that an upstream is like the
 	// others; it lets a slow one be tried again.
 	priorWeight = 0.5
-	// failHalfLife is the age at which a failure counts half.
-	failHalfLife = 2 * time.Second
-	// failShare is the weight of one more result in the share of failures.
-	failShare = 0.25
+	// faultHalfLife is the age at which a failure that is the upstream's own counts half.
+	faultHalfLife = 4 * time.Second
+	// faultShare is the weight of one more result in the share of such failures.
+	faultShare = 0.5
+	// refusalHalfLife is the age at which a refusal for want of room counts half: a slot gets
+	// free sooner than a fault passes.
+	refusalHalfLife = 2 * time.Second
+	// refusalShare is the weight of one more result in the share of such refusals.
+	refusalShare = 0.25
 	// downFirst and downMost bound how long an upstream that cannot be reached
 	// is passed over; the time doubles with each try.
 	downFirst = 250 * time.Millisecond
@@ -87,12 +92,16 @@
 	registered *catalog.Upstream
 	slow       float64
 	weight     float64
-	failures   float64
-	seen       time.Time
-	failedAt   time.Time
-	downUntil  time.Time
-	downFor    time.Duration
-	coldUntil  time.Time
+	// failures is the share of recent results that were the upstream's own failures, refusals
+	// the share of those that it refused for want of room.
+	failures  float64
+	refusals  float64
+	seen      time.Time
+	failedAt  time.Time
+	refusedAt time.Time
+	downUntil time.Time
+	downFor   time.Duration
+	coldUntil time.Time
 	// lateUntil is when the last late answer came: what was sent before it and
 	// comes after it was held up by the same pause.
 	lateUntil time.Time
@@ -229,7 +238,15 @@
 }
 
 func (u *upstream) failing(now time.Time) float64 {
-	return u.failures * fading(now.Sub(u.failedAt), failHalfLife)
+	return 1 - (1-u.faulty(now))*(1-u.refusing(now))
+}
+
+func (u *upstream) faulty(now time.Time) float64 {
+	return u.failures * fading(now.Sub(u.failedAt), faultHalfLife)
+}
+
+func (u *upstream) refusing(now time.Time) float64 {
+	return u.refusals * fading(now.Sub(u.refusedAt), refusalHalfLife)
 }
 
 // paused tells whether the oldest open request has waited far beyond its usual
@@ -265,8 +282,8 @@
 	ratio := float64(took) / float64(t.median(now, k, d))
 	u.observe(now, now.Add(-took), ratio)
 	u.turnWindow(now, now.Add(-took), ratio, open)
-	u.failures = u.failing(now) * (1 - failShare)
-	u.failedAt = now
+	u.failures, u.failedAt = u.faulty(now)*(1-faultShare), now
+	u.refusals, u.refusedAt = u.refusing(now)*(1-refusalShare), now
 	u.downUntil = time.Time{}
 	u.downFor = 0
 }
@@ -288,12 +305,18 @@
 	}
 }
 
-// Failed notes a send that brought no answer.
+// Failed notes a send that brought no answer by a fault of the upstream.
 func (t *Table) Failed(now time.Time, c *catalog.Upstream, attempt uint64) {
 	u := t.upstream(c)
 	u.close(attempt)
-	u.failures = u.failing(now)*(1-failShare) + failShare
-	u.failedAt = now
+	u.failures, u.failedAt = u.faulty(now)*(1-faultShare)+faultShare, now
+}
+
+// Refused notes a send that the upstream refused, as far as is known for want of room.
+func (t *Table) Refused(now time.Time, c *catalog.Upstream, attempt uint64) {
+	u := t.upstream(c)
+	u.close(attempt)
+	u.refusals, u.refusedAt = u.refusing(now)*(1-refusalShare)+refusalShare, now
 }
 
 // Unreachable notes an upstream to which no connection could be made.
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -36,9 +36,9 @@
 	slowFrom  = 2.0
 	slowUntil = 1.5
 	// failingFrom and failingUntil are shares of failures: one failure weighs
-	// failShare, so that it takes two that are close together.
-	failingFrom  = 0.4
-	failingUntil = 0.2
+	// faultShare, so that it takes two that are close together.
+	failingFrom  = 0.6
+	failingUntil = 0.3
 	// pausedFrom is how long the oldest open request must have waited: pauses of
 	// a garbage collector are over before, and too frequent for a line each.
 	pausedFrom = 400 * time.Millisecond
--- a/internal/wire/names.go
+++ b/internal/wire/names.go
@@ -18,6 +18,9 @@
 	// Upstream is the id of the upstream that answers a call to its health path, Cold how
 	// many milliseconds longer it is cold.
 	Upstream, Cold string
+	// Load is the upstream's running requests, waiting requests, slots and, where it says it,
+	// how long work takes in hundredths of the usual, with commas between.
+	Load string
 	// Parts lists the proofs of the parts of a merged answer.
 	Parts string
 	// Missing is the number of shards that a merged answer leaves out.
@@ -34,6 +37,7 @@
 		NotRun:         "X-Not-Run",
 		Upstream:       "X-Upstream",
 		Cold:           "X-Cold-Ms",
+		Load:           "X-Load",
 		Parts:          "X-Parts",
 		Missing:        "X-Missing-Parts",
 	}
--- a/internal/wire/upstream.go
+++ b/internal/wire/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -49,6 +50,48 @@
 	}
 }
 
+const (
+	// usualPace is the reported figure of work that takes as long as usual.
+	usualPace = 100
+	// mostLoad and mostPace are more than any upstream reports truly.
+	mostLoad = 1 << 16
+	mostPace = 100 * usualPace
+	// loadCounts is how many counts a report begins with; the pace may follow.
+	loadCounts = 3
+)
+
+// DecodeLoad implements direct.Protocol. A report with a figure that cannot be is no report.
+func (up Upstreams) DecodeLoad(resp *fasthttp.Response) *direct.Load {
+	text := string(resp.Header.Peek(up.Names.Load))
+	if text == "" {
+		return nil
+	}
+	fields := strings.Split(text, ",")
+	if len(fields) != loadCounts && len(fields) != loadCounts+1 {
+		return nil
+	}
+	var counts [loadCounts]int
+	for i := range counts {
+		n, err := strconv.Atoi(strings.TrimSpace(fields[i]))
+		if err != nil || n < 0 || n > mostLoad {
+			return nil
+		}
+		counts[i] = n
+	}
+	l := &direct.Load{Running: counts[0], Waiting: counts[1], Slots: counts[2], Pace: 1}
+	if len(fields) > loadCounts {
+		pace, err := strconv.ParseFloat(strings.TrimSpace(fields[loadCounts]), 64)
+		if err != nil || !(pace > 0 && pace <= mostPace) {
+			return nil
+		}
+		l.Pace = pace / usualPace
+	}
+	if l.Slots == 0 {
+		return nil
+	}
+	return l
+}
+
 // DecodeHealth implements direct.Protocol. An upstream that does not say how long it is cold
 // is warm; one that says it in no way that can be read is no upstream to trust.
 func (up Upstreams) DecodeHealth(resp *fasthttp.Response) (direct.Health, error) {
--- /dev/null
+++ b/internal/wire/upstream_test.go
@@ -0,0 +1,52 @@
+package wire
+
+import (
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamorekeel.example/sycamorekeel/internal/direct"
+)
+
+// Guards against reports that lie or cannot be read and are taken for an upstream's load.
+func TestDecodeLoad(t *testing.T) {
+	for text, want := range map[string]*direct.Load{
+		"":                nil,
+		"3,0,8":           {Running: 3, Slots: 8, Pace: 1},
+		"4, 2, 4, 250":    {Running: 4, Waiting: 2, Slots: 4, Pace: 2.5},
+		"3,0":             nil,
+		"3,0,8,100,7":     nil,
+		"-1,0,8":          nil,
+		"3,0,0":           nil,
+		"3,x,8":           nil,
+		"3,0,8,":          nil,
+		"3,0,8,0":         nil,
+		"3,0,8,-5":        nil,
+		"3,0,8,NaN":       nil,
+		"3,0,8,1e9":       nil,
+		"99999999999,0,8": nil,
+	} {
+		var resp fasthttp.Response
+		resp.Header.Set("X-Load", text)
+		got := Upstreams{Names: Own()}.DecodeLoad(&resp)
+		if (got == nil) != (want == nil) || got != nil && *got != *want {
+			t.Errorf("%q: %+v, want %+v", text, got, want)
+		}
+	}
+}
+
+// Guards against a cold upstream that is taken for a warm one as its answer cannot be read.
+func TestDecodeHealth(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "0": 0, "1500": 1500 * time.Millisecond, "x": -1, "-1": -1, "1e12": -1, "NaN": -1} {
+		var resp fasthttp.Response
+		resp.Header.Set("X-Upstream", "u")
+		if text != "" {
+			resp.Header.Set("X-Cold-Ms", text)
+		}
+		h, err := Upstreams{Names: Own()}.DecodeHealth(&resp)
+		if (err != nil) != (want < 0) || err == nil && (h.ColdFor != want || h.Upstream != "u") {
+			t.Errorf("%q: %+v, %v", text, h, err)
+		}
+	}
+}
