--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -224,10 +224,10 @@
 func (e *Engine) Tick(now time.Time) {
 	e.pools.Expire(now)
 	e.mu.Lock()
-	turns := e.replicas.Turns(now)
+	turns := e.replicas.StateChanges(now)
 	e.mu.Unlock()
 	for _, t := range turns {
-		e.logTurn(t)
+		e.logStateChange(t)
 	}
 }
 
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// logTurn writes a line when an upstream counts as something else than before.
-func (e *Engine) logTurn(t replica.Turn) {
+// logStateChange writes a line when an upstream counts as something else than before.
+func (e *Engine) logStateChange(t replica.StateChange) {
 	fields := []zap.Field{
 		zap.String("upstream", t.Upstream),
 		zap.String("service", e.serviceOf(t.Upstream)),
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -181,7 +181,7 @@
 	turn, turned, window := x.note(now, s)
 	e.pools.SetWindow(s.call.Upstream, window)
 	if turned {
-		e.logTurn(turn)
+		e.logStateChange(turn)
 	}
 }
 
@@ -200,7 +200,7 @@
 
 // note gives a reply to what is kept of its upstream, and tells whether that
 // counts as something else now, and how many sends to it may be open.
-func (x *run) note(now time.Time, s *send) (turn replica.Turn, turned bool, window int) {
+func (x *run) note(now time.Time, s *send) (turn replica.StateChange, turned bool, window int) {
 	e := x.engine
 	u := s.call.Upstream
 	e.mu.Lock()
@@ -221,7 +221,7 @@
 	default:
 		e.replicas.Failed(now, u, s.id)
 	}
-	turn, turned = e.replicas.Turned(now, u.ID)
+	turn, turned = e.replicas.StateChanged(now, u.ID)
 	return turn, turned, e.replicas.Window(u)
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -176,9 +176,9 @@
 	d.step(func(now time.Time) membership.Actions { return d.node.Announce(now, wide) })
 }
 
-// Tell gives entries of the quarantine to so many members, or to membership.All.
-func (d *Driver) Tell(entries []*pb.QuarantineEntry, most int) {
-	d.step(func(now time.Time) membership.Actions { return d.node.Tell(now, entries, most) })
+// Broadcast gives entries of the quarantine to so many members, or to membership.All.
+func (d *Driver) Broadcast(entries []*pb.QuarantineEntry, most int) {
+	d.step(func(now time.Time) membership.Actions { return d.node.Broadcast(now, entries, most) })
 }
 
 // Updates is what this VM holds of the fleet.
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -254,8 +254,8 @@
 	return n.end()
 }
 
-// Tell gives members that take work entries of the quarantine: so many of them, or all.
-func (n *Node) Tell(now time.Time, entries []*pb.QuarantineEntry, most int) Actions {
+// Broadcast gives members that take work entries of the quarantine: so many of them, or all.
+func (n *Node) Broadcast(now time.Time, entries []*pb.QuarantineEntry, most int) Actions {
 	n.begin(now)
 	for _, r := range n.pick(most, func(r *record) bool { return r.serves() }) {
 		n.send(r.PeerAddress, &pb.Datagram{Quarantine: entries}, r)
--- a/internal/poison/teller.go
+++ b/internal/poison/broadcast.go
@@ -19,14 +19,14 @@
 	repeatPeers = 2
 )
 
-// Teller sends entries to so many members, or to membership.All.
-type Teller interface {
-	Tell(entries []*pb.QuarantineEntry, most int)
+// Broadcaster sends entries to so many members, or to membership.All.
+type Broadcaster interface {
+	Broadcast(entries []*pb.QuarantineEntry, most int)
 }
 
 // Run tells peers what is known until ctx ends: all of them at once what is new, as the
 // caller may come to any VM next, and some of them each second what they may have missed.
-func (g *Guard) Run(ctx context.Context, to Teller) error {
+func (g *Guard) Run(ctx context.Context, to Broadcaster) error {
 	t := time.NewTicker(repeatEvery)
 	defer t.Stop()
 	for {
@@ -39,20 +39,20 @@
 			g.Expire(now)
 			g.signal()
 			if entries := g.Repeat(now); len(entries) > 0 {
-				to.Tell(quarantine.Encode(entries), repeatPeers)
+				to.Broadcast(quarantine.Encode(entries), repeatPeers)
 			}
 		}
 	}
 }
 
-func (g *Guard) tellNews(ctx context.Context, to Teller) {
+func (g *Guard) tellNews(ctx context.Context, to Broadcaster) {
 	for more := true; more && ctx.Err() == nil; {
 		var entries []quarantine.Entry
 		entries, more = g.News(time.Now())
 		if len(entries) == 0 {
 			return
 		}
-		to.Tell(quarantine.Encode(entries), membership.All)
+		to.Broadcast(quarantine.Encode(entries), membership.All)
 		time.Sleep(tellGap)
 	}
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -126,14 +126,14 @@
 // Crashed takes in an upstream that ended under a request.
 func (g *Guard) Crashed(now time.Time, s Subject, c quarantine.Crash) {
 	g.met.crashes.Inc()
-	var turn quarantine.Turn
+	var turn quarantine.Transition
 	g.change(func(t *quarantine.Table) { turn = t.Crashed(now, s.Content, c) })
 	g.tell(turn, s.Fields...)
 }
 
 // Survived takes in that an upstream has run a request and lives.
 func (g *Guard) Survived(now time.Time, s Subject) {
-	var turn quarantine.Turn
+	var turn quarantine.Transition
 	g.change(func(t *quarantine.Table) { turn = t.Survived(now, s.Content) })
 	g.tell(turn, s.Fields...)
 }
@@ -151,7 +151,7 @@
 func (g *Guard) Learn(now time.Time, peer string, entries []quarantine.Entry, dropped int) {
 	g.met.dropped.Add(float64(dropped))
 	for _, e := range entries {
-		var turn quarantine.Turn
+		var turn quarantine.Transition
 		g.change(func(t *quarantine.Table) { turn = t.Merge(now, e) })
 		g.signal()
 		g.count(turn)
@@ -194,7 +194,7 @@
 }
 
 // tell logs and counts a change of standing, and gives a signal when peers are to hear of it.
-func (g *Guard) tell(t quarantine.Turn, more ...zap.Field) {
+func (g *Guard) tell(t quarantine.Transition, more ...zap.Field) {
 	g.signal()
 	g.count(t)
 	if t.Was != t.Is {
@@ -202,13 +202,13 @@
 	}
 }
 
-func (g *Guard) count(t quarantine.Turn) {
+func (g *Guard) count(t quarantine.Transition) {
 	if t.Was != t.Is {
 		g.met.turns.WithLabelValues(t.Is.String()).Inc()
 	}
 }
 
-func (g *Guard) log(t quarantine.Turn, more ...zap.Field) {
+func (g *Guard) log(t quarantine.Transition, more ...zap.Field) {
 	g.logs.Changes.Warn("poison: request is "+t.Is.String(), append([]zap.Field{
 		zap.Stringer("content", t.Content),
 		zap.Stringer("was", t.Was),
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -37,7 +37,7 @@
 
 type teller chan told
 
-func (t teller) Tell(entries []*pb.QuarantineEntry, most int) { t <- told{entries, most} }
+func (t teller) Broadcast(entries []*pb.QuarantineEntry, most int) { t <- told{entries, most} }
 
 func (t teller) next(test *testing.T) told {
 	test.Helper()
--- a/internal/quarantine/care.go
+++ b/internal/quarantine/isolation.go
@@ -4,17 +4,17 @@
 // until the attempt is given up: each was sent a request that may crash it.
 const maxRefusedAlone = 2
 
-// Care is what one attempt notes of the upstreams that end under it, so as not to end all
+// Isolation is what one attempt notes of the upstreams that end under it, so as not to end all
 // that it can reach.
 //
 // A request that crashes each upstream that runs it would else be sent to a second copy of
 // each shard as soon as the first has ended: a query of ten shards ends twenty upstreams
-// before its caller has its failure. A careful attempt has one send open at a time, until an
+// before its caller has its failure. An isolated attempt has one send open at a time, until an
 // upstream has survived it; when one more has ended it is given up. For a query at no fault,
-// whose upstreams ended for another reason, the first answer of any part ends the care.
-type Care struct {
+// whose upstreams ended for another reason, the first answer of any part ends the isolation.
+type Isolation struct {
 	// Trial says that upstreams have ended under the same request before: the attempt is
-	// careful from its start.
+	// isolated from its start.
 	Trial bool
 
 	crashed  int
@@ -25,34 +25,34 @@
 	refused int
 }
 
-// Careful tells whether sends are made one at a time.
-func (c *Care) Careful() bool {
-	return !c.survived && (c.Trial || c.crashed >= suspectCrashes)
+// Active tells whether sends are made one at a time.
+func (i *Isolation) Active() bool {
+	return !i.survived && (i.Trial || i.crashed >= suspectCrashes)
 }
 
-// Given tells whether no more sends are to be made.
-func (c *Care) Given() bool {
-	return !c.survived && (c.lost || c.refused >= maxRefusedAlone)
+// Exhausted tells whether no more sends are to be made.
+func (i *Isolation) Exhausted() bool {
+	return !i.survived && (i.lost || i.refused >= maxRefusedAlone)
 }
 
 // Survived notes that an upstream has run the request and lives.
-func (c *Care) Survived() { c.survived = true }
+func (i *Isolation) Survived() { i.survived = true }
 
 // Crashed notes an upstream that ended, or seems to have; alone says that the attempt was
-// careful when it sent.
-func (c *Care) Crashed(alone bool) {
-	c.crashed++
-	c.lost = c.lost || alone
+// isolated when it sent.
+func (i *Isolation) Crashed(alone bool) {
+	i.crashed++
+	i.lost = i.lost || alone
 }
 
 // Refused notes an upstream that would not run the request.
-func (c *Care) Refused(alone bool) {
-	if alone && c.Trial {
-		c.refused++
+func (i *Isolation) Refused(alone bool) {
+	if alone && i.Trial {
+		i.refused++
 	}
 }
 
 // Unanswered notes any other end of a send that had reached an upstream.
-func (c *Care) Unanswered(alone bool) {
-	c.lost = c.lost || alone && c.Trial
+func (i *Isolation) Unanswered(alone bool) {
+	i.lost = i.lost || alone && i.Trial
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -104,8 +104,8 @@
 	Trial bool
 }
 
-// Turn is a change of a request's standing.
-type Turn struct {
+// Transition is a change of a request's standing.
+type Transition struct {
 	Content        fingerprint.Fingerprint
 	Was, Is        Standing
 	Crashes        int
@@ -187,7 +187,7 @@
 
 // Crashed takes in an upstream that ended under a request of which no upstream has survived
 // the run.
-func (t *Table) Crashed(now time.Time, content fingerprint.Fingerprint, c Crash) Turn {
+func (t *Table) Crashed(now time.Time, content fingerprint.Fingerprint, c Crash) Transition {
 	r := t.hold(now, content)
 	was := r.standing(now)
 	if r.cleared() {
@@ -227,26 +227,26 @@
 }
 
 // Survived takes in that an upstream has run the request and lives: it is cleared.
-func (t *Table) Survived(now time.Time, content fingerprint.Fingerprint) Turn {
+func (t *Table) Survived(now time.Time, content fingerprint.Fingerprint) Transition {
 	t.recent.note(now, content)
 	r := t.records[content]
 	if r == nil || r.cleared() {
-		return Turn{}
+		return Transition{}
 	}
 	was := r.standing(now)
 	if !r.shared {
 		delete(t.records, content)
-		return Turn{Content: content, Was: was}
+		return Transition{Content: content, Was: was}
 	}
 	*r = record{epoch: r.epoch + 1, lastCrash: now, shared: true, news: true}
 	return r.turn(now, content, was)
 }
 
 // Merge takes in what a peer tells.
-func (t *Table) Merge(now time.Time, e Entry) Turn {
+func (t *Table) Merge(now time.Time, e Entry) Transition {
 	r := t.records[e.Content]
 	if r == nil && e.Epoch%2 == 0 {
-		return Turn{}
+		return Transition{}
 	}
 	r = t.hold(now, e.Content)
 	was := r.standing(now)
@@ -293,8 +293,8 @@
 func (r *record) crashes() int { return max(len(r.ended), int(r.rounds)) }
 
 // turn is the change since the request had another standing.
-func (r *record) turn(now time.Time, content fingerprint.Fingerprint, was Standing) Turn {
-	return Turn{Content: content, Was: was, Is: r.standing(now), Crashes: r.crashes(), Rounds: r.rounds, Blocks: r.blocks}
+func (r *record) turn(now time.Time, content fingerprint.Fingerprint, was Standing) Transition {
+	return Transition{Content: content, Was: was, Is: r.standing(now), Crashes: r.crashes(), Rounds: r.rounds, Blocks: r.blocks}
 }
 
 // hold is the record of a request, made when there is none.
--- a/internal/query/again.go
+++ b/internal/query/again.go
@@ -111,7 +111,7 @@
 		standby:  standby,
 		sentAt:   q.since(now),
 		open:     true,
-		alone:    q.care.Careful(),
+		alone:    q.isolation.Active(),
 	})
 	q.planHedge(now, shard)
 	q.actions = append(q.actions, Action{
--- a/internal/query/care.go
+++ b/internal/query/isolation.go
@@ -10,26 +10,26 @@
 // fraction of what an answer takes.
 const holdPause = 5 * time.Millisecond
 
-// noteCare takes in what the end of an attempt says of the request itself.
-func (q *Query) noteCare(now time.Time, a *attempt, r *pb.SubReply) {
+// noteIsolation takes in what the end of an attempt says of the request itself.
+func (q *Query) noteIsolation(now time.Time, a *attempt, r *pb.SubReply) {
 	switch {
 	case r.Result == pb.Result_OK || r.Result == pb.Result_UPSTREAM_ERROR:
-		q.care.Survived()
+		q.isolation.Survived()
 		q.witness.Survived(now)
 	case r.UpstreamEnded:
-		q.care.Crashed(a.alone)
+		q.isolation.Crashed(a.alone)
 		q.witness.Ended(a.upstream, q.started.Add(a.sentAt), now)
 	case r.Result == pb.Result_SHED || r.Result == pb.Result_UPSTREAM_LEAVING || r.Result == pb.Result_NO_SNAPSHOT:
-		q.care.Refused(a.alone)
+		q.isolation.Refused(a.alone)
 	case !provesNotRun(r.Result):
-		q.care.Unanswered(a.alone)
+		q.isolation.Unanswered(a.alone)
 	}
 }
 
 // holds tells whether a further sub-request has to wait, or is not to be sent at all. The
 // first ones of a query that is free go out without a look: whoever started it has looked.
 func (q *Query) holds(now time.Time, cause Cause) bool {
-	if !q.care.Careful() {
+	if !q.isolation.Active() {
 		return cause != First && q.witness.Blocked(now)
 	}
 	return q.stopped(now) || q.anyOpen()
@@ -37,7 +37,7 @@
 
 // stopped tells whether no upstream is to have the request any more.
 func (q *Query) stopped(now time.Time) bool {
-	return q.care.Given() || q.witness.Blocked(now)
+	return q.isolation.Exhausted() || q.witness.Blocked(now)
 }
 
 // hold lets a shard wait until it may be looked at again; false when nothing would come of
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -36,7 +36,7 @@
 	softPassed bool
 	restarts   []RestartRecord
 	tally      Tally
-	care       quarantine.Care
+	isolation  quarantine.Isolation
 	witness    Witness
 	actions    []Action
 	// memory is what the slices above were cut from.
@@ -112,7 +112,7 @@
 	detail  string
 	verdict verdict
 	open    bool
-	// alone says that the query was careful when it was sent.
+	// alone says that the query was isolated when it was sent.
 	alone bool
 	// wire and vm are where the driver sent it.
 	wire uint64
@@ -130,7 +130,7 @@
 
 // New makes a query that has sent nothing.
 func New(plan *Plan, fleet Fleet) *Query {
-	q := &Query{plan: plan, fleet: fleet, care: quarantine.Care{Trial: plan.Trial}, witness: plan.Witness}
+	q := &Query{plan: plan, fleet: fleet, isolation: quarantine.Isolation{Trial: plan.Trial}, witness: plan.Witness}
 	if q.witness == nil {
 		q.witness = nobody{}
 	}
@@ -220,7 +220,7 @@
 	a.detail = r.Detail
 	a.took = q.since(now) - a.sentAt
 	q.note(r.Result)
-	q.noteCare(now, a, r)
+	q.noteIsolation(now, a, r)
 	q.fleet.Observe(now, Observation{Upstream: a.upstream, Snapshot: q.snapshot, Took: a.took, Reply: r})
 	if !q.shards[id.Shard].closed {
 		q.judge(now, id, r)
--- a/internal/replica/state.go
+++ b/internal/replica/state.go
@@ -44,8 +44,8 @@
 	pausedFrom = 400 * time.Millisecond
 )
 
-// Turn is a change of an upstream's state and the grounds for it.
-type Turn struct {
+// StateChange is a change of an upstream's state and the grounds for it.
+type StateChange struct {
 	Upstream string
 	Was, Is  State
 	// Slowness is the answer time against the usual one.
@@ -56,27 +56,27 @@
 	Open int
 }
 
-// Turns gives the upstreams whose state has changed since it was last asked.
-func (t *Table) Turns(now time.Time) []Turn {
-	var out []Turn
+// StateChanges gives the upstreams whose state has changed since it was last asked.
+func (t *Table) StateChanges(now time.Time) []StateChange {
+	var out []StateChange
 	for id := range t.upstreams {
-		if turn, ok := t.Turned(now, id); ok {
+		if turn, ok := t.StateChanged(now, id); ok {
 			out = append(out, turn)
 		}
 	}
 	return out
 }
 
-// Turned gives the change of one upstream's state since it was last asked; false
+// StateChanged gives the change of one upstream's state since it was last asked; false
 // without one, and for an upstream that is not known.
-func (t *Table) Turned(now time.Time, id string) (Turn, bool) {
+func (t *Table) StateChanged(now time.Time, id string) (StateChange, bool) {
 	u := t.upstreams[id]
 	if u == nil {
-		return Turn{}, false
+		return StateChange{}, false
 	}
 	was, is := u.state, u.judge(now)
 	u.state = is
-	return Turn{
+	return StateChange{
 		Upstream: id,
 		Was:      was,
 		Is:       is,
--- a/internal/replica/state_test.go
+++ b/internal/replica/state_test.go
@@ -32,9 +32,9 @@
 	} {
 		r := newRig()
 		r.warm()
-		r.table.Turns(r.now)
+		r.table.StateChanges(r.now)
 		c.show(r)
-		turn, changed := r.table.Turned(r.now, "a")
+		turn, changed := r.table.StateChanged(r.now, "a")
 		if turn.Is != c.want || changed != (c.want != Usable) {
 			t.Errorf("%s: %v (changed %v, slowness %.1f, failures %.2f), want %v", c.name, turn.Is, changed, turn.Slowness, turn.Failures, c.want)
 		}
@@ -43,7 +43,7 @@
 		}
 		r.table.Unsent(r.ups[0], 1e6)
 		r.now = r.now.Add(10 * time.Second)
-		if turns := r.table.Turns(r.now); changed && (len(turns) != 1 || turns[0].Is != Usable || turns[0].Was != c.want) {
+		if turns := r.table.StateChanges(r.now); changed && (len(turns) != 1 || turns[0].Is != Usable || turns[0].Was != c.want) {
 			t.Errorf("%s: ten seconds later: %+v", c.name, turns)
 		}
 	}
@@ -58,11 +58,11 @@
 		want State
 	}{{2.2, Slow}, {1.8, Slow}, {1.4, Usable}, {1.8, Usable}, {2.1, Slow}} {
 		u.slow = c.slow
-		if turn, _ := table.Turned(start, "a"); turn.Is != c.want {
+		if turn, _ := table.StateChanged(start, "a"); turn.Is != c.want {
 			t.Errorf("slowness %v: %v, want %v", c.slow, turn.Is, c.want)
 		}
 	}
-	if _, known := table.Turned(start, "other"); known {
+	if _, known := table.StateChanged(start, "other"); known {
 		t.Error("an unknown upstream has a state")
 	}
 }
--- a/internal/scatter/care.go
+++ b/internal/scatter/isolation.go
@@ -1,21 +1,21 @@
 package scatter
 
-// noteCare takes in what the end of a send says of the request itself.
-func (q *Query) noteCare(a *attempt) {
+// noteIsolation takes in what the end of a send says of the request itself.
+func (q *Query) noteIsolation(a *attempt) {
 	switch {
 	case a.result.Survived():
-		q.care.Survived()
+		q.isolation.Survived()
 	case a.result == Broken:
-		q.care.Crashed(a.alone)
+		q.isolation.Crashed(a.alone)
 	case a.result == Refused:
-		q.care.Refused(a.alone)
+		q.isolation.Refused(a.alone)
 	case a.result.Reached():
-		q.care.Unanswered(a.alone)
+		q.isolation.Unanswered(a.alone)
 	}
 }
 
 // holds tells whether a further send has to wait.
-func (q *Query) holds() bool { return q.care.Careful() && (q.open > 0 || q.care.Given()) }
+func (q *Query) holds() bool { return q.isolation.Active() && (q.open > 0 || q.isolation.Exhausted()) }
 
 // release makes the sends that were held back, as far as they may be made now.
 func (q *Query) release() {
@@ -28,7 +28,7 @@
 		case p.heldFor == "":
 		case p.ended():
 			p.heldFor = ""
-		case q.care.Given():
+		case q.isolation.Exhausted():
 			p.heldFor = ""
 			q.giveUp(i)
 		case !q.holds():
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -38,7 +38,7 @@
 	part   int
 	ended  bool
 	result Result
-	// alone says that it was sent while the query was careful.
+	// alone says that it was sent while the query was isolated.
 	alone bool
 }
 
@@ -67,14 +67,14 @@
 
 // Query is the course of one request. It is not safe for concurrent use.
 type Query struct {
-	plan     Plan
-	policy   Policy
-	parts    []part
-	attempts []attempt
-	answered int
-	failed   int
-	open     int
-	care     quarantine.Care
+	plan      Plan
+	policy    Policy
+	parts     []part
+	attempts  []attempt
+	answered  int
+	failed    int
+	open      int
+	isolation quarantine.Isolation
 	// floorAt is when enough parts had come, zero before.
 	floorAt time.Time
 	now     time.Time
@@ -84,7 +84,7 @@
 
 // New is a query that has sent nothing.
 func New(plan Plan, policy Policy) *Query {
-	q := &Query{plan: plan, policy: policy, parts: make([]part, len(plan.Services)), care: quarantine.Care{Trial: plan.Trial}}
+	q := &Query{plan: plan, policy: policy, parts: make([]part, len(plan.Services)), isolation: quarantine.Isolation{Trial: plan.Trial}}
 	for i := range q.parts {
 		q.parts[i].answer = -1
 		q.parts[i].failure = -1
@@ -135,7 +135,7 @@
 	p := &q.parts[a.part]
 	p.open--
 	q.open--
-	q.noteCare(a)
+	q.noteIsolation(a)
 	if r.NotRun() {
 		p.mayHaveRun--
 	}
@@ -309,7 +309,7 @@
 func (q *Query) put(i int, u *catalog.Upstream, cause Cause) {
 	p := &q.parts[i]
 	n := len(q.attempts)
-	q.attempts = append(q.attempts, attempt{part: i, alone: q.care.Careful()})
+	q.attempts = append(q.attempts, attempt{part: i, alone: q.isolation.Active()})
 	p.tried = append(p.tried, u.ID)
 	p.open++
 	q.open++
@@ -325,7 +325,7 @@
 func (q *Query) hedge(i int) {
 	p := &q.parts[i]
 	p.hedgeAt = time.Time{}
-	if q.care.Careful() {
+	if q.isolation.Active() {
 		p.hedgeAt = q.now.Add(hedgeAgain)
 		return
 	}
