--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -32,9 +32,7 @@
 
 // crowdedParts is how many parts an upstream refused for want of room. A wait for a
 // connection does not count: after a restart one VM may be ready before the others,
-// with few connections to upstreams that idle. With waits of half the objective
-// counted, 0.07% more of the requests of days with trouble were served by nobody, and
-// with waits as long as the objective 0.06%.
+// with few connections to upstreams that idle.
 func (x *run) crowdedParts() int {
 	crowded := map[int]bool{}
 	for i := range x.sends {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -47,8 +47,7 @@
 	// startHold is how old a process may be to let requests wait for its first
 	// configuration: it has one 0.05 to 0.3 s after its start, unless the store and
 	// all peers are away. Callers try twice, and after the loss of all processes the
-	// first try was spent on VMs that were down: the share that nobody serves on days
-	// with trouble fell from 0.49% to 0.39% with it.
+	// first try was spent on VMs that were down.
 	startHold = 400 * time.Millisecond
 	// shareRise is how many times its part of the bounds a VM must be given for the part
 	// to be a new one: the number of VMs that callers are sent to changes by one now and
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -281,10 +281,7 @@
 
 // withdrawPart ends the other sends of a part that has its answer. Left to run,
 // they hold slots of upstreams that are slow as it is, and their answers cross
-// between regions for nothing. Closing them rather than letting them finish for
-// the sake of their connections took a twentieth off the late queries of days on
-// which a seventh of the upstreams was eight times slower; a twenty-fifth more
-// connections were opened.
+// between regions for nothing. Each such connection is lost and opened anew.
 func (x *run) withdrawPart(part int) {
 	for i := range x.sends {
 		if s := &x.sends[i]; s.part == part && s.open() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,8 +46,7 @@
 	gossipUpdateRate = 6000
 	// directoryTTL is how long callers keep an answer of the directory at most.
 	// Each question may go to a lost VM and cost its caller a second, while an
-	// address that fails is passed over by itself: with 5 s in place of 3 s the
-	// worth of days with lost VMs rose by 0.002 to 0.006.
+	// address that fails is passed over by itself.
 	directoryTTL = 4500 * time.Millisecond
 	// leastTTL is the shortest, where the grace of a stop is short or none.
 	leastTTL = time.Second
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -56,9 +56,7 @@
 	// slow as well.
 	spareMedians = 2.0
 	// patience is how many times usual, a quarter of the objective, a hedge waits
-	// at most for the sake of less load. With 1.4 in place of 1, a third fewer
-	// parts of 36-shard queries are hedged on a calm day (6.4% for 9.4%), and more
-	// answers are in time when upstreams fail, as the budget lasts longer.
+	// at most, so that the budget lasts for when upstreams fail.
 	patience = 1.4
 	// refresh is how long quantiles are kept before they are worked out anew.
 	refresh = 200 * time.Millisecond
--- a/internal/replica/window.go
+++ b/internal/replica/window.go
@@ -14,8 +14,7 @@
 // usual: a late one halves what was open, once for all that were open together; one
 // in time lets one more go. Without it an upstream that has become slow, or is left
 // alone with the load of its copies, gets a queue of seconds, and each request is
-// late that waits in it. The share that nobody serves on days of 67 VMs with ill
-// copies fell from 0.26% to 0.21% with it.
+// late that waits in it.
 func (u *upstream) turnWindow(now, sentAt time.Time, ratio float64, open int) {
 	switch {
 	case ratio > lateFactor && sentAt.After(u.cutAt):
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -15,8 +15,7 @@
 
 // burstShare is the part of the allowance that a bucket holds; the rest flows in.
 // With all of it held, extra sends of troubles that last are those that requests
-// earn alone: on a calm day of 70 VMs with some slow upstreams twice as many answers
-// left parts out (178 of 1,995 for 103).
+// earn alone.
 const burstShare = 0.5
 
 // leastBurst is the least that a bucket holds: with less nothing could ever be
