--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -13,6 +13,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
+	"sycamorekeel.example/sycamorekeel/internal/scatter"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
@@ -89,6 +90,23 @@
 	})
 }
 
+// Guards against callers that are told to come back while upstreams still register: after an
+// outage of the store their entries are back within two seconds, and callers try twice.
+func TestCallersReturnWhenUpstreamsHaveRegistered(t *testing.T) {
+	const away = 2 * time.Second
+	const callers = 200
+	served := 0
+	for i := range callers {
+		came := time.Duration(i) * away / callers
+		if came+retryAfter(scatter.NoUpstream) >= away {
+			served++
+		}
+	}
+	if served < callers/2 {
+		t.Errorf("%d of %d callers come back in time", served, callers)
+	}
+}
+
 // Symptom: at three times the usual load a sixth of the queries is answered in
 // time, although the upstreams answer half of it.
 // Sequence: each query waits for connections; most lose a shard when their time
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -99,18 +99,18 @@
 
 // Waits that refusals recommend.
 const (
-	// unreadyRetry is about what a process that starts takes to learn the
-	// configuration from a peer or the store.
-	unreadyRetry = 300 * time.Millisecond
+	// unreadyRetry is for processes that have not learnt the configuration within startHold:
+	// the store and all peers are away, or start as well.
+	unreadyRetry = 800 * time.Millisecond
 	// overloadRetry lets about a dozen requests of the usual kind finish.
 	overloadRetry = 300 * time.Millisecond
 	// congestedRetry lets about the queries under way finish.
 	congestedRetry = 250 * time.Millisecond
 	// refusedRetry lets a full upstream free a slot.
 	refusedRetry = 100 * time.Millisecond
-	// noUpstreamRetry is about what a replacement of an upstream takes to
-	// register.
-	noUpstreamRetry = 500 * time.Millisecond
+	// noUpstreamRetry is half of what upstreams whose entries have lapsed take to register
+	// again: half of the callers that come meanwhile return when they have.
+	noUpstreamRetry = time.Second
 )
 
 // Answer is how a request ended.
