--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -9,8 +9,10 @@
 why=${1:?a reason for the journal is needed}
 : "${BENCH:?}" "${SITES:?}"
 
-# Site files, and how many days of each are hunted: 8 from 60 VMs on, else 40.
+# Site files, and how many days of each are hunted: 8 from 60 VMs on, else 40; the shifted
+# deployment, whose rules are new, 40.
 sites=(
+	shifted/frh-leasefind-now-grown:40
 	large/frh-leasefind-large:8
 	large/wikiforos-large:8
 	grown/frh-leasefind-grown:8
