--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -95,7 +95,8 @@
 }
 
 // TakesWork tells whether an upstream that was chosen may still be given work: one that has
-// begun to leave since, or whose data centre is evacuated, may not. One that has started again counts as the same.
+// begun to leave since, or whose data centre is evacuated, may not. One that has started
+// again counts as the same.
 func (v *View) TakesWork(u *Upstream) bool {
 	now := v.Upstreams[u.ID]
 	return now != nil && v.takesWork(now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,6 +125,7 @@
 	sharers  sharers
 	traffic  *traffic.Meter
 	callers  callerCount
+	warnings *warnings
 }
 
 // New wires a node; Run starts it.
@@ -139,6 +140,7 @@
 		adapter:  opts.Adapter,
 		traffic:  opts.Traffic,
 		started:  now,
+		warnings: newWarnings(opts.Logs.Changes, opts.Registry),
 	}
 	n.set.Store(set)
 	n.members.Store(&membership.View{})
@@ -284,7 +286,7 @@
 	n.log.Info("config: view in force", zap.Uint64("revision", v.Revision), zap.Uint64("version", version), zap.Int("upstreams", len(v.Upstreams)))
 	if v.Config != nil && (old == nil || old.Config != v.Config) {
 		for _, w := range v.Config.Warnings {
-			n.log.Warn("config: "+w.String(), zap.Uint64("version", version))
+			n.warnings.warn(w.String(), zap.Uint64("version", version))
 		}
 	}
 	n.logEvacuations(old, v)
@@ -311,7 +313,7 @@
 		}
 		n.log.Info("config: data centre evacuated", zap.String("data_centre", dataCentre), zap.Uint64("revision", v.Revision))
 		if _, known := n.set.Load().Regions[dataCentre]; !known {
-			n.log.Warn("config: the settings name no such data centre", zap.String("data_centre", dataCentre))
+			n.warnings.warn("evacuated data centre "+dataCentre+" is none of the settings", zap.Uint64("revision", v.Revision))
 		}
 	}
 	for dataCentre := range before {
