--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -82,6 +82,10 @@
 	c.bw = bufio.NewWriterSize(counted, bufferBytes)
 	c.idleUntil = time.Now().Add(idleDefault)
 	defer nc.Close()
+	if err := c.greet(); err != nil {
+		call.finish(Reply{Result: scatter.Barred, Detail: "health: " + err.Error()})
+		return
+	}
 	for call != nil {
 		if !c.serve(call) {
 			return
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -40,7 +40,9 @@
 
 func (plain) DecodeLoad(*fasthttp.Response) *Load { return nil }
 
-func (plain) DecodeHealth(*fasthttp.Response) (Health, error) { return Health{}, nil }
+func (plain) DecodeHealth(resp *fasthttp.Response) (Health, error) {
+	return Health{Upstream: string(resp.Header.Peek("Id"))}, nil
+}
 
 // server is an upstream whose connections are each served by a function.
 type server struct {
@@ -125,6 +127,20 @@
 
 func (nobody) Opened(*catalog.Upstream) {}
 
+// asking counts nothing and has connections ask for health first.
+type asking struct {
+	nobody
+	answered *atomic.Int64
+}
+
+func (asking) HealthPath(*catalog.Upstream) string { return "/health" }
+
+func (a asking) Healthy(*catalog.Upstream, time.Time, Health) { a.answered.Add(1) }
+
+func (nobody) HealthPath(*catalog.Upstream) string { return "" }
+
+func (nobody) Healthy(*catalog.Upstream, time.Time, Health) {}
+
 func (nobody) Ended(*catalog.Upstream) {}
 
 func (nobody) Sent(*catalog.Upstream, bool, int) {}
@@ -648,6 +664,45 @@
 	}
 }
 
+// Guards against calls to a process that has started again unnoticed: no connection was open
+// that could end, and the first one leads to the new process, which is cold.
+func TestNewConnectionsAskForHealthFirst(t *testing.T) {
+	for _, c := range []struct {
+		name, id string
+		want     scatter.Result
+	}{{"the upstream's own answer", "u", scatter.Answered}, {"another's answer", "other", scatter.Barred}} {
+		var healths, calls, answered atomic.Int64
+		s := newServer(t, func(_ int, nc net.Conn) {
+			br := bufio.NewReader(nc)
+			var req fasthttp.Request
+			for req.Read(br) == nil {
+				id := string(req.Header.Peek("Id"))
+				if string(req.URI().Path()) == "/health" {
+					healths.Add(1)
+					id = c.id
+				} else {
+					calls.Add(1)
+				}
+				if _, err := nc.Write([]byte(whole(id, "x"))); err != nil {
+					return
+				}
+			}
+		})
+		cl := newClient(t, s, 1)
+		cl.pools = NewPools(plain{}, asking{answered: &answered}, func(string) int { return 1 })
+		t.Cleanup(cl.pools.Close)
+		if r := cl.call("first"); r.Result != c.want {
+			t.Errorf("%s: %v %s", c.name, r.Result, r.Detail)
+		}
+		if c.want == scatter.Answered {
+			cl.call("second")
+		}
+		if healths.Load() != 1 || calls.Load() != 2*answered.Load() {
+			t.Errorf("%s: %d questions, %d calls, %d answers taken in", c.name, healths.Load(), calls.Load(), answered.Load())
+		}
+	}
+}
+
 func TestCallsWithoutTimeAreNotSent(t *testing.T) {
 	s := newServer(t, answering(func(id string) string { return whole(id, "x") }))
 	cl := newClient(t, s, 1)
--- a/internal/direct/health.go
+++ b/internal/direct/health.go
@@ -22,10 +22,8 @@
 	ColdFor time.Duration
 }
 
-// Health asks an upstream's health path over a connection of its own. An answer of another
-// upstream, which has the address by now, is an error.
+// Health asks an upstream's health path over a connection of its own.
 func (p *Pools) Health(u *catalog.Upstream, path string) (Health, error) {
-	end := time.Now().Add(healthTimeout)
 	nc, err := net.DialTimeout("tcp", u.Address, healthTimeout)
 	if err != nil {
 		return Health{}, trace.Wrap(err)
@@ -33,23 +31,48 @@
 	// It carries one call.
 	defer nc.Close()
 	p.counter.Opened(u)
-	if err := nc.SetDeadline(end); err != nil {
+	return askHealth(nc, bufio.NewReader(nc), p.protocol, u, path)
+}
+
+// askHealth asks for an upstream's health over a connection. An answer of another upstream,
+// which has the address by now, is an error, and so is one after which the connection ends.
+func askHealth(nc net.Conn, br *bufio.Reader, protocol Protocol, u *catalog.Upstream, path string) (Health, error) {
+	if err := nc.SetDeadline(time.Now().Add(healthTimeout)); err != nil {
 		return Health{}, trace.Wrap(err)
 	}
 	var req fasthttp.Request
 	var resp fasthttp.Response
 	req.SetRequestURI(path)
 	req.Header.SetHost(u.Address)
-	req.SetConnectionClose()
 	if _, err := req.WriteTo(nc); err != nil {
 		return Health{}, trace.Wrap(err)
 	}
-	if err := resp.ReadLimitBody(bufio.NewReader(nc), bufferBytes); err != nil {
+	if err := resp.ReadLimitBody(br, bufferBytes); err != nil {
 		return Health{}, trace.Wrap(err)
 	}
-	h, err := p.protocol.DecodeHealth(&resp)
+	if resp.ConnectionClose() {
+		return Health{}, trace.ConnectionProblem(nil, "the upstream ends the connection")
+	}
+	h, err := protocol.DecodeHealth(&resp)
 	if err == nil && h.Upstream != u.ID {
 		err = trace.NotFound("the address is %s's by now", h.Upstream)
 	}
 	return h, trace.Wrap(err)
 }
+
+// greet asks the upstream for its health before the first call, where that is to be known of
+// each connection: only so is it certain which process it leads to.
+func (c *conn) greet() error {
+	u := c.pool.upstream
+	path := c.pool.counter.HealthPath(u)
+	if path == "" {
+		return nil
+	}
+	begun := time.Now()
+	h, err := askHealth(c.net, c.br, c.pool.protocol, u, path)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.pool.counter.Healthy(u, begun, h)
+	return nil
+}
--- a/internal/direct/pools.go
+++ b/internal/direct/pools.go
@@ -28,6 +28,11 @@
 	// opened: the upstream may have started again. It is told before anything further is
 	// sent.
 	Ended(u *catalog.Upstream)
+	// HealthPath is what each new connection is to ask before its first call; empty for
+	// nothing.
+	HealthPath(u *catalog.Upstream) string
+	// Healthy takes in the answer to a question that was begun at a time.
+	Healthy(u *catalog.Upstream, begun time.Time, h Health)
 }
 
 // NewPools has no connection. limit is how many this VM may have to one
--- a/internal/edge/warm.go
+++ b/internal/edge/warm.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/direct"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/warmup"
 )
@@ -79,6 +80,11 @@
 			zap.String("upstream", u.ID), zap.String("service", u.Service), zap.Error(err))
 		return
 	}
+	e.healthy(u, begun, h)
+}
+
+// healthy takes in what an upstream says of itself to a question that was begun at a time.
+func (e *Engine) healthy(u *catalog.Upstream, begun time.Time, h direct.Health) {
 	if h.ColdFor > 0 {
 		e.opts.Logs.Changes.Info("upstream: cold, it gets nothing until it is warm",
 			zap.String("upstream", u.ID), zap.String("service", u.Service), zap.Duration("cold_for", h.ColdFor))
