--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -39,7 +39,8 @@
 	Proof string
 	// Response is the upstream's answer: set when Result is Answered or Failed.
 	Response *fasthttp.Response
-	// Load is what the upstream reported of its load, nil when it did not.
+	// Load is what the upstream reported of its load with anything but an answer, nil when it
+	// did not.
 	Load *Load
 	// Took is the time from the start of the write to the end of the answer.
 	Took time.Duration
--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -131,7 +131,9 @@
 	}
 	reply := Reply{Response: resp, Took: time.Since(now)}
 	reply.Result, reply.Proof, reply.Detail = c.pool.protocol.Decode(resp, call.Message)
-	reply.Load = c.pool.protocol.DecodeLoad(resp)
+	if reply.Result != scatter.Answered {
+		reply.Load = c.pool.protocol.DecodeLoad(resp)
+	}
 	c.pool.answered(reply.Took)
 	usable := c.reusable(resp, written) && reply.Result != scatter.Lost
 	call.finish(reply)
