--- a/internal/wire/ingress_test.go
+++ b/internal/wire/ingress_test.go
@@ -24,9 +24,9 @@
 // patience bounds what a test waits for; no test passes by it running out.
 const patience = 10 * time.Second
 
-// serve is a server of callers with a bound of 100 bytes on heads and 10 on
-// bodies, and the counters of its engine.
-func serve(t *testing.T) (net.Listener, *prometheus.Registry) {
+// serve is a server of callers with a bound of 100 bytes on heads, 10 on bodies and one on
+// the time that a request takes to arrive, and the counters of its engine.
+func serve(t *testing.T, arrival time.Duration) (net.Listener, *prometheus.Registry) {
 	t.Helper()
 	registry := prometheus.NewRegistry()
 	engine := edge.New(time.Now(), edge.Options{
@@ -41,7 +41,7 @@
 	in := NewIngress(engine, Own(), func() bool { return false })
 	server := &fasthttp.Server{
 		Handler: in.Handle, ErrorHandler: in.Fault,
-		ReadBufferSize: 500, MaxRequestBodySize: 100, ReadTimeout: 50 * time.Millisecond, Logger: log.New(io.Discard, "", 0),
+		ReadBufferSize: 500, MaxRequestBodySize: 100, ReadTimeout: arrival, Logger: log.New(io.Discard, "", 0),
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -79,7 +79,11 @@
 		{"half a head", head, 408, edge.TooSlow},
 		{"no route", head + "\r\n", 404, edge.NoRoute},
 	} {
-		ln, registry := serve(t)
+		arrival := patience
+		if c.reason == edge.TooSlow {
+			arrival = 50 * time.Millisecond
+		}
+		ln, registry := serve(t, arrival)
 		conn, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
