--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -198,19 +198,32 @@
 // untilNoneOpen waits until the upstream's last connection counts as ended: a reply is
 // handed over just before, by the connection's own goroutine.
 func (c *client) untilNoneOpen() {
+	c.t.Helper()
+	c.until("the connection does not end", func(p *Pool) bool { return p.open == 0 })
+}
+
+// untilIdle waits until no connection is in use: a reply is handed over just before its
+// connection counts as idle.
+func (c *client) untilIdle() {
+	c.t.Helper()
+	c.until("the connection stays in use", func(p *Pool) bool { return p.busy() == 0 })
+}
+
+// until waits for a state of the upstream's pool, which is asked for with its lock held.
+func (c *client) until(otherwise string, reached func(*Pool) bool) {
 	c.t.Helper()
 	c.pools.mu.Lock()
 	pool := c.pools.pools[c.up.ID]
 	c.pools.mu.Unlock()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		pool.mu.Lock()
-		open := pool.open
+		done := reached(pool)
 		pool.mu.Unlock()
-		if open == 0 {
+		if done {
 			return
 		}
 	}
-	c.t.Fatal("the connection does not end")
+	c.t.Fatal(otherwise)
 }
 
 // Each row is a way in which upstreams break answers. What belongs to no request
@@ -494,6 +507,7 @@
 	}))
 	c := newClient(t, s, 1)
 	c.call("before")
+	c.untilIdle()
 	pool := c.pools.all()[0]
 	pool.mu.Lock()
 	pool.movedAt = time.Now().Add(-time.Hour)
