--- a/cmd/sycamorekeel/experiment.go
+++ b/cmd/sycamorekeel/experiment.go
@@ -1,15 +1,18 @@
 package main
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"sycamorekeel.example/sycamorekeel/internal/balance"
 	"sycamorekeel.example/sycamorekeel/internal/spread"
 )
 
 type experimentCommand struct {
-	Spread spreadCommand `cmd:"" help:"Play a storm of changes of the configuration over fleets in virtual time: when each VM has them, and what it costs."`
+	Balance balanceCommand `cmd:"" help:"Play ways of deciding about queries over modelled upstreams in virtual time: answers in time, late, refused and failed, and extra sends."`
+	Spread  spreadCommand  `cmd:"" help:"Play a storm of changes of the configuration over fleets in virtual time: when each VM has them, and what it costs."`
 }
 
 type spreadCommand struct {
@@ -76,3 +79,101 @@
 	}
 	return nil
 }
+
+type balanceCommand struct {
+	Patterns  []string `name:"pattern" default:"quiet,refusing,slow,losing,down,cold" help:"What befalls the upstreams; all for every pattern: ${balance_patterns}."`
+	Ways      []string `name:"way" default:"standing" help:"Ways of deciding; all for every way: ${balance_ways}."`
+	Seeds     []uint64 `default:"1,2,3" help:"Seeds; one repeats its run."`
+	VMs       int      `name:"vms" default:"12" help:"VMs that carry callers."`
+	Shards    int      `default:"8" help:"Shards that each query asks."`
+	Copies    int      `default:"3" help:"Copies of a shard."`
+	Slots     int      `default:"2" help:"Requests that a copy runs at a time."`
+	Busy      float64  `default:"0.08" help:"Part of the slots that the usual load keeps busy."`
+	Ratio     float64  `default:"0.2" help:"Extra sends for each request."`
+	Allowance float64  `default:"170" help:"Extra sends beside the ratio in ten seconds, over all VMs."`
+	Plot      string   `type:"path" help:"Write a plot to this file, .svg, .png or .pdf."`
+}
+
+// Run prints a line for each pattern, way and seed.
+func (c *balanceCommand) Run(out *output) error {
+	e, err := c.experiment()
+	if err != nil {
+		return err
+	}
+	results, err := e.Run()
+	if err != nil {
+		return err
+	}
+	var failed error
+	if err := out.print(results, func() { failed = balance.Write(out.to, results) }); err != nil {
+		return err
+	}
+	if failed != nil {
+		return trace.Wrap(failed)
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	return balance.Plot(c.Plot, results)
+}
+
+// everything stands for all patterns or all ways.
+const everything = "all"
+
+// experiment reads the options; an error names the one that is out of range.
+func (c *balanceCommand) experiment() (*balance.Experiment, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	e := &balance.Experiment{Ways: c.Ways, Seeds: c.Seeds, Options: balance.DefaultOptions()}
+	o := &e.Options
+	o.VMs, o.Shards, o.Copies, o.Slots, o.Busy = c.VMs, c.Shards, c.Copies, c.Slots, c.Busy
+	o.Budget.Ratio, o.Budget.Allowance = c.Ratio, c.Allowance
+	if slices.Contains(c.Ways, everything) {
+		e.Ways = balance.WayNames()
+	}
+	for _, way := range e.Ways {
+		if _, err := balance.ParseWays(way); err != nil {
+			return nil, trace.Wrap(err, "--way")
+		}
+	}
+	if slices.Contains(c.Patterns, everything) {
+		e.Patterns = balance.Patterns
+		return e, nil
+	}
+	for _, name := range c.Patterns {
+		p, err := balance.FindPattern(name)
+		if err != nil {
+			return nil, trace.Wrap(err, "--pattern")
+		}
+		e.Patterns = append(e.Patterns, p)
+	}
+	return e, nil
+}
+
+// check tells every number that is out of range.
+func (c *balanceCommand) check() error {
+	for _, n := range []struct {
+		option string
+		value  int
+		most   int
+	}{
+		{"--vms", c.VMs, 600},
+		{"--shards", c.Shards, 400},
+		{"--copies", c.Copies, 16},
+		{"--slots", c.Slots, 256},
+	} {
+		if n.value < 1 || n.value > n.most {
+			return trace.BadParameter("%s: must be from 1 to %d, is %d", n.option, n.most, n.value)
+		}
+	}
+	switch {
+	case !(c.Busy > 0 && c.Busy <= 1):
+		return trace.BadParameter("--busy: must be over 0 and at most 1, is %v", c.Busy)
+	case !(c.Ratio >= 0 && c.Ratio <= 1):
+		return trace.BadParameter("--ratio: must be from 0 to 1, is %v", c.Ratio)
+	case !(c.Allowance >= 0 && c.Allowance <= 1e6):
+		return trace.BadParameter("--allowance: must be from 0 to 1000000, is %v", c.Allowance)
+	}
+	return nil
+}
--- a/cmd/sycamorekeel/main.go
+++ b/cmd/sycamorekeel/main.go
@@ -4,9 +4,12 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/alecthomas/kong"
 	"github.com/gravitational/trace"
+
+	"sycamorekeel.example/sycamorekeel/internal/balance"
 )
 
 // commands is the whole command line, one field a command.
@@ -31,6 +34,10 @@
 	ctx := kong.Parse(&c,
 		kong.Name("sycamorekeel"),
 		kong.Description("Query tier between callers and many shards. Start with 'sycamorekeel demo', then 'sycamorekeel check' on your own contracts."),
+		kong.Vars{
+			"balance_patterns": strings.Join(balance.PatternNames(), ", "),
+			"balance_ways":     strings.Join(balance.WayNames(), ", "),
+		},
 		kong.UsageOnError(),
 	)
 	if err := ctx.Run(&output{json: c.Output == "json", to: os.Stdout}); err != nil {
--- /dev/null
+++ b/internal/balance/vm.go
@@ -0,0 +1,252 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/congestion"
+	"sycamorekeel.example/sycamorekeel/internal/direct"
+	"sycamorekeel.example/sycamorekeel/internal/locality"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/replica"
+	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
+	"sycamorekeel.example/sycamorekeel/internal/scatter"
+)
+
+const (
+	// connections is how many a VM may have to one upstream, and maxWaiting how many sends may
+	// wait for one, as in package direct.
+	connections = 6
+	maxWaiting  = 64
+)
+
+// vm is one VM: what it has seen of the upstreams, and its part of the bounds.
+type vm struct {
+	model    *model
+	rand     *rand.Rand
+	place    locality.Place
+	replicas *replica.Table
+	budgets  map[string]*retrybudget.Budget
+	limiter  *congestion.Limiter
+	pools    map[string]*pool
+	sends    uint64
+}
+
+// pool is the connections of a VM to one upstream, and the sends that wait for one.
+type pool struct {
+	// window bounds the connections in use further, 0 for not.
+	window  int
+	busy    int
+	waiting []*send
+}
+
+func (p *pool) hasRoom() bool {
+	return p.busy < connections && (p.window == 0 || p.busy < p.window)
+}
+
+// ahead is how many answers come before a further send gets a connection.
+func (p *pool) ahead() float64 {
+	if p.hasRoom() {
+		return 0
+	}
+	return float64(len(p.waiting)+1) / float64(max(1, p.busy))
+}
+
+// send is one send of a query.
+type send struct {
+	id     uint64
+	query  *query
+	part   int
+	server *server
+	cause  scatter.Cause
+	sentAt time.Time
+	// waited is how long it has waited for a connection, once it has one.
+	waited  time.Duration
+	started bool
+	over    bool
+	job     *job
+	full    bool
+	replied bool
+	// closed says that it has had to wait for the upstream's window.
+	closed bool
+}
+
+// waitedFor is how long it has waited for a connection.
+func (s *send) waitedFor(now time.Time) time.Duration {
+	if s.started {
+		return s.waited
+	}
+	return now.Sub(s.sentAt)
+}
+
+func newVM(m *model, i int) *vm {
+	place := locality.Place{DataCentre: dataCentre(i), Region: region(dataCentre(i)), Regions: regionOf}
+	r := rand.New(rand.NewPCG(m.opts.Seed, uint64(i)+100))
+	v := &vm{model: m, rand: r, place: place, budgets: map[string]*retrybudget.Budget{}, pools: map[string]*pool{}}
+	v.replicas = replica.New(place, r)
+	v.replicas.Keep(m.clock.Now(), m.registered)
+	v.limiter = congestion.New(congestion.DefaultPolicy())
+	for _, service := range m.services {
+		v.budgets[service] = retrybudget.New(m.opts.Budget, 1/float64(m.opts.VMs), m.clock.Now())
+	}
+	for id := range m.servers {
+		v.pools[id] = &pool{}
+	}
+	return v
+}
+
+// urgency is the class of a kind's priority.
+func urgency(priority int) pb.Priority {
+	if priority == 0 {
+		return pb.Priority_HIGH
+	}
+	return pb.Priority_NORMAL
+}
+
+// admits begins a query unless too many are under way.
+func (v *vm) admits(k *Kind) bool {
+	return v.model.opts.Ways.Limit == NoLimit || v.limiter.Start(urgency(k.Priority))
+}
+
+// ended takes a query off those under way.
+func (v *vm) ended(q *query) {
+	crowded := q.crowdedParts()
+	late := v.model.clock.Now().Sub(q.began) > q.kind.Objective
+	switch v.model.opts.Ways.Limit {
+	case NoLimit:
+		return
+	case ByClosedWindows:
+		crowded = q.heldUpParts()
+	case ByLateAnswers:
+		crowded = 0
+		if late {
+			crowded = len(v.model.services) / 2
+		}
+	}
+	v.limiter.Done(v.model.clock.Now(), q.began, len(v.model.services), crowded)
+}
+
+// do gives a send to a connection, or lets it wait for one.
+func (v *vm) do(s *send) {
+	p := v.pools[s.server.ID]
+	if p.hasRoom() {
+		v.start(s, p)
+		return
+	}
+	s.closed = p.window > 0 && p.window < connections
+	if len(p.waiting) >= maxWaiting {
+		s.over = true
+		v.model.clock.After(0, func() { s.query.reply(s, scatter.NoConnection, nil, 0) })
+		return
+	}
+	i, _ := slices.BinarySearchFunc(p.waiting, s, func(a, b *send) int {
+		if a.query.kind.Priority <= b.query.kind.Priority {
+			return -1
+		}
+		return 1
+	})
+	p.waiting = slices.Insert(p.waiting, i, s)
+}
+
+func (v *vm) start(s *send, p *pool) {
+	m := v.model
+	p.busy++
+	s.waited = m.clock.Now().Sub(s.sentAt)
+	s.started = true
+	begun := m.clock.Now()
+	hop := v.hop(s.server.DataCentre)
+	s.job = &job{work: s.query.kind.Work}
+	s.job.ended = func(r scatter.Result, load *direct.Load) {
+		m.clock.After(hop, func() {
+			if s.over {
+				return
+			}
+			v.release(s, p)
+			s.query.reply(s, r, load, m.clock.Now().Sub(begun))
+		})
+	}
+	m.clock.After(hop, func() {
+		if !s.job.withdrawn {
+			s.server.arrive(s.job)
+		}
+	})
+}
+
+// release frees the connection of a send for the next one that waits.
+func (v *vm) release(s *send, p *pool) {
+	s.over = true
+	p.busy--
+	v.next(p)
+}
+
+func (v *vm) next(p *pool) {
+	for len(p.waiting) > 0 && p.hasRoom() {
+		s := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		v.start(s, p)
+	}
+}
+
+// withdraw ends the interest in a send.
+func (v *vm) withdraw(s *send) {
+	p := v.pools[s.server.ID]
+	if !s.started {
+		s.over = true
+		p.waiting = slices.DeleteFunc(p.waiting, func(w *send) bool { return w == s })
+		return
+	}
+	v.model.clock.After(v.hop(s.server.DataCentre), func() { s.server.withdraw(s.job) })
+	v.release(s, p)
+}
+
+// setWindow bounds the connections to an upstream that are in use.
+func (v *vm) setWindow(u *catalog.Upstream) {
+	p := v.pools[u.ID]
+	p.window = v.replicas.Window(u)
+	v.next(p)
+}
+
+// hop is the time of a message to a data centre.
+func (v *vm) hop(to string) time.Duration { return hops[v.place.Distance(to)] }
+
+// note takes in how a send ended.
+func (v *vm) note(s *send, r scatter.Result, took time.Duration) {
+	now := v.model.clock.Now()
+	u := s.server.Upstream
+	switch r {
+	case scatter.Answered:
+		v.replicas.Answered(now, s.query.kind.Name, s.query.usual(), u, s.id, took)
+	case scatter.Unreached:
+		v.replicas.Unreachable(now, u, s.id)
+	case scatter.NoConnection:
+		v.replicas.Unsent(u, s.id)
+	case scatter.Refused:
+		if s.full {
+			v.replicas.Refused(now, u, s.id)
+		} else {
+			v.failed(u, s.id)
+		}
+	default:
+		v.failed(u, s.id)
+	}
+	v.setWindow(u)
+}
+
+// failed notes a fault of an upstream, and tells it where that is shared.
+func (v *vm) failed(u *catalog.Upstream, id uint64) {
+	m := v.model
+	v.replicas.Failed(m.clock.Now(), u, id)
+	if m.opts.Ways.Verdicts != Shared {
+		return
+	}
+	for _, peer := range m.vms {
+		if peer != v && peer.place.DataCentre == v.place.DataCentre {
+			m.clock.After(hops[locality.Near], func() { peer.replicas.Failed(m.clock.Now(), u, noSend) })
+		}
+	}
+}
+
+// noSend is the number of no send.
+const noSend = 0
--- a/internal/edge/load_test.go
+++ b/internal/edge/load_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -20,6 +19,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
+	"sycamorekeel.example/sycamorekeel/internal/virtualtime"
 )
 
 // The load of these tests: one VM in data centre a, a query of some shards with a
@@ -42,28 +42,6 @@
 	simBin = 250 * time.Millisecond
 )
 
-// event is something that happens at a time of a simulation.
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
-}
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // conduct is how an upstream treats a request that comes so long after its trouble
 // began: the result, and after what time; never says that none comes.
 type conduct func(s *sim, u *catalog.Upstream, since time.Duration) (r scatter.Result, after time.Duration, never bool)
@@ -71,9 +49,8 @@
 // sim drives an engine with a clock of its own, and upstreams that are functions.
 type sim struct {
 	start  time.Time
-	now    time.Time
-	seq    int
-	todo   events
+	clock  *virtualtime.Clock
+	asks   int
 	rand   *rand.Rand
 	engine *Engine
 	view   *catalog.View
@@ -90,7 +67,7 @@
 }
 
 func newSim(seed uint64) *sim {
-	s := &sim{start: start, now: start, rand: rand.New(rand.NewPCG(seed, 1)), ill: map[string]conduct{}, sent: map[string]map[int]int{}}
+	s := &sim{start: start, clock: virtualtime.New(start), rand: rand.New(rand.NewPCG(seed, 1)), ill: map[string]conduct{}, sent: map[string]map[int]int{}}
 	s.engine = New(s.start, Options{
 		Traffic:     &traffic.Meter{},
 		Logs:        logring.Nop(),
@@ -101,7 +78,7 @@
 		Random:      rand.New(rand.NewPCG(seed, 2)),
 		ViewAge:     func() time.Duration { return 0 },
 	})
-	s.engine.now = func() time.Time { return s.now }
+	s.engine.now = s.clock.Now
 	s.engine.do = s.call
 	s.configure()
 	return s
@@ -122,7 +99,7 @@
 	plain := routing.Route{Name: "plain", Host: "h", Prefix: "/p/", Idempotent: true, Objective: simObjective, Attempts: 2, Targets: []routing.Target{{Service: "p", Weight: 1}}}
 	c.Routes = []routing.Route{query, plain}
 	s.view.Table = routing.Compile(c)
-	s.engine.SetView(s.now, s.view)
+	s.engine.SetView(s.clock.Now(), s.view)
 }
 
 func (s *sim) service(c *routing.Config, name string, copies int) {
@@ -140,42 +117,29 @@
 	s.view.Services[service] = append(s.view.Services[service], u)
 }
 
-func (s *sim) at(at time.Time, do func()) {
-	s.seq++
-	heap.Push(&s.todo, event{at, s.seq, do})
-}
-
 // run plays until simEnd.
 func (s *sim) run() {
 	for _, path := range []string{"/q/", "/p/"} {
-		s.at(s.start, func() { s.arrive(path) })
+		s.clock.At(s.start, func() { s.arrive(path) })
 	}
 	for d := time.Second; d < simEnd; d += time.Second {
-		s.at(s.start.Add(d), func() { s.engine.Tick(s.now) })
-	}
-	s.drain()
-}
-
-// drain lets everything happen that is planned.
-func (s *sim) drain() {
-	for len(s.todo) > 0 {
-		e := heap.Pop(&s.todo).(event)
-		s.now = e.at
-		e.do()
+		s.clock.At(s.start.Add(d), func() { s.engine.Tick(s.clock.Now()) })
 	}
+	s.clock.Run()
 }
 
 // arrive begins a request and plans the next of its kind.
 func (s *sim) arrive(path string) {
-	if s.now.Sub(s.start) >= simEnd {
+	if s.clock.Now().Sub(s.start) >= simEnd {
 		return
 	}
 	gap := time.Duration((0.5 + s.rand.Float64()) * float64(time.Second) / simRate)
-	s.at(s.now.Add(gap), func() { s.arrive(path) })
-	r := &Request{Host: "h", Path: path, Received: s.now, Deadline: simDeadline, Message: &direct.Message{ID: fmt.Sprint(s.seq), Header: &fasthttp.RequestHeader{}}}
+	s.clock.At(s.clock.Now().Add(gap), func() { s.arrive(path) })
+	s.asks++
+	r := &Request{Host: "h", Path: path, Received: s.clock.Now(), Deadline: simDeadline, Message: &direct.Message{ID: fmt.Sprint(s.asks), Header: &fasthttp.RequestHeader{}}}
 	r.Route = s.view.Table.Lookup("h", path)
 	l := &load{run: s.engine.newRun(s.view, r)}
-	s.step(l, func() { l.dispatch(l.query.Start(s.now)) })
+	s.step(l, func() { l.dispatch(l.query.Start(s.clock.Now())) })
 }
 
 // load is one request of the simulation.
@@ -198,8 +162,8 @@
 		s.count(l, &a)
 		return
 	}
-	s.at(l.query.Next(), func() {
-		s.step(l, func() { l.dispatch(l.query.Tick(s.now)) })
+	s.clock.At(l.query.Next(), func() {
+		s.step(l, func() { l.dispatch(l.query.Tick(s.clock.Now())) })
 	})
 }
 
@@ -207,7 +171,7 @@
 // conduct says.
 func (s *sim) call(c *direct.Call) {
 	l := s.current
-	since := s.now.Sub(s.start)
+	since := s.clock.Now().Sub(s.start)
 	if l.sends[len(l.sends)-1].cause == scatter.First {
 		s.noteFirst(c.Upstream.ID, since)
 	}
@@ -215,7 +179,7 @@
 	if never {
 		return
 	}
-	s.at(s.now.Add(after), func() {
+	s.clock.At(s.clock.Now().Add(after), func() {
 		s.step(l, func() {
 			c.Done(direct.Reply{Result: result, Took: after, Response: &fasthttp.Response{}, Load: s.reported})
 			l.takeReplies()
@@ -231,7 +195,7 @@
 }
 
 func (s *sim) conduct(u *catalog.Upstream) (scatter.Result, time.Duration, bool) {
-	since := s.now.Sub(s.start)
+	since := s.clock.Now().Sub(s.start)
 	ill := s.ill[u.ID]
 	if ill == nil || since < simIll || since >= simWell {
 		return scatter.Answered, s.usual(u), false
@@ -261,7 +225,7 @@
 	switch {
 	case a.Reason != "":
 		s.failed++
-	case s.now.Sub(l.req.Received) > simObjective:
+	case s.clock.Now().Sub(l.req.Received) > simObjective:
 		s.late++
 	case a.Missing > 0:
 		s.partial++
@@ -520,9 +484,9 @@
 func TestNewCopiesTakeTheirPart(t *testing.T) {
 	const cold = 2 * time.Second
 	s := newSim(1)
-	s.at(s.start.Add(simIll), func() {
+	s.clock.At(s.start.Add(simIll), func() {
 		s.view = s.grown("p", 4, cold)
-		s.engine.SetView(s.now, s.view)
+		s.engine.SetView(s.clock.Now(), s.view)
 		for i := range 4 {
 			s.ill[fmt.Sprintf("p-a%d", 2+i)] = func(s *sim, u *catalog.Upstream, since time.Duration) (scatter.Result, time.Duration, bool) {
 				if since < cold {
--- a/internal/edge/poison_test.go
+++ b/internal/edge/poison_test.go
@@ -92,12 +92,12 @@
 }
 
 func (c *crashes) newVM(seed uint64) *crashVM {
-	v := &crashVM{sim: newSim(seed), fleet: c, since: c.now, calls: map[*direct.Message]*attempted{}}
+	v := &crashVM{sim: newSim(seed), fleet: c, since: c.clock.Now(), calls: map[*direct.Message]*attempted{}}
 	e := v.engine
-	e.now = func() time.Time { return c.now }
+	e.now = c.clock.Now
 	e.do = v.call
 	e.check = func(u *catalog.Upstream, told func(bool)) {
-		c.at(c.now.Add(crashCheck), func() {
+		c.clock.At(c.clock.Now().Add(crashCheck), func() {
 			told(c.isDown(u.ID) && !c.blind)
 			v.tell()
 		})
@@ -105,14 +105,14 @@
 	return v
 }
 
-func (c *crashes) isDown(id string) bool { return c.now.Before(c.down[id]) }
+func (c *crashes) isDown(id string) bool { return c.clock.Now().Before(c.down[id]) }
 
 // end ends an upstream and everything that runs there.
 func (c *crashes) end(id string) {
 	if c.isDown(id) {
 		return
 	}
-	c.down[id] = c.now.Add(crashDown)
+	c.down[id] = c.clock.Now().Add(crashDown)
 	running := c.running[id]
 	delete(c.running, id)
 	for _, n := range slices.Sorted(maps.Keys(running)) {
@@ -128,22 +128,22 @@
 	c := v.fleet
 	h := &fasthttp.RequestHeader{}
 	h.SetRequestURI(path)
-	r := &Request{Host: "h", Path: path, Received: c.now, Deadline: simDeadline, Message: &direct.Message{ID: fmt.Sprint(path, "#", attempt, "@", c.seq), Header: h}}
+	r := &Request{Host: "h", Path: path, Received: c.clock.Now(), Deadline: simDeadline, Message: &direct.Message{ID: fmt.Sprint(path, "#", attempt, "@", c.asks), Header: h}}
 	r.Route = v.view.Table.Lookup("h", path)
-	w := quarantine.Wait(c.now, c.rand.Float64())
+	w := quarantine.Wait(c.clock.Now(), c.rand.Float64())
 	v.admit(r, &w, done)
 }
 
 // admit does what Engine.serve does for a request, in virtual time.
 func (v *crashVM) admit(r *Request, w *quarantine.Waiting, done func(a Answer)) {
 	c := v.fleet
-	a := v.engine.poison.Step(c.now, r.content(), w)
+	a := v.engine.poison.Step(c.clock.Now(), r.content(), w)
 	switch {
 	case !a.Again.IsZero():
-		c.at(a.Again, func() { v.admit(r, w, done) })
+		c.clock.At(a.Again, func() { v.admit(r, w, done) })
 		return
 	case a.Standing == quarantine.Blocked:
-		done(refuse(Poison, a.Until.Sub(c.now)))
+		done(refuse(Poison, a.Until.Sub(c.clock.Now())))
 		return
 	case a.Held:
 		done(refuse(Held, heldRetry))
@@ -153,7 +153,7 @@
 	v.tell()
 	l := &attempted{&load{run: v.engine.newRun(v.view, r)}, done}
 	v.calls[r.Message] = l
-	v.step(l, func() { l.dispatch(l.query.Start(c.now)) })
+	v.step(l, func() { l.dispatch(l.query.Start(c.clock.Now())) })
 }
 
 // step moves an attempt on and plans its next wake.
@@ -173,8 +173,8 @@
 		l.done(l.answer(verdict))
 		return
 	}
-	c.at(l.query.Next(), func() {
-		v.step(l, func() { l.dispatch(l.query.Tick(c.now)) })
+	c.clock.At(l.query.Next(), func() {
+		v.step(l, func() { l.dispatch(l.query.Tick(c.clock.Now())) })
 	})
 }
 
@@ -184,34 +184,34 @@
 	c := v.fleet
 	l := v.calls[call.Message]
 	u := call.Upstream
-	sent := c.now
+	sent := c.clock.Now()
 	reply := func(r scatter.Result) {
 		v.step(l, func() {
-			call.Done(direct.Reply{Result: r, Took: c.now.Sub(sent), Response: &fasthttp.Response{}})
+			call.Done(direct.Reply{Result: r, Took: c.clock.Now().Sub(sent), Response: &fasthttp.Response{}})
 			l.takeReplies()
 		})
 	}
 	if c.isDown(u.ID) {
-		c.at(c.now.Add(time.Millisecond), func() { reply(scatter.Unreached) })
+		c.clock.At(c.clock.Now().Add(time.Millisecond), func() { reply(scatter.Unreached) })
 		return
 	}
-	c.seq++
-	n := c.seq
+	c.asks++
+	n := c.asks
 	if c.running[u.ID] == nil {
 		c.running[u.ID] = map[int]func(){}
 	}
-	c.running[u.ID][n] = func() { c.at(c.now, func() { reply(scatter.Broken) }) }
+	c.running[u.ID][n] = func() { c.clock.At(c.clock.Now(), func() { reply(scatter.Broken) }) }
 	if l.req.Path == poisonPath {
 		v.countPoison()
-		c.at(c.now.Add(crashWork), func() {
+		c.clock.At(c.clock.Now().Add(crashWork), func() {
 			if _, runs := c.running[u.ID][n]; runs && !l.counted {
-				c.ended = append(c.ended, c.now)
+				c.ended = append(c.ended, c.clock.Now())
 				c.end(u.ID)
 			}
 		})
 		return
 	}
-	c.at(c.now.Add(c.usual(u)), func() {
+	c.clock.At(c.clock.Now().Add(c.usual(u)), func() {
 		if _, runs := c.running[u.ID][n]; runs {
 			delete(c.running[u.ID], n)
 			reply(scatter.Answered)
@@ -225,7 +225,7 @@
 	if len(c.ended) < 3 || v.dark {
 		return
 	}
-	if c.now.Sub(c.ended[2]) > crashContact && c.now.Sub(v.since) > crashContact {
+	if c.clock.Now().Sub(c.ended[2]) > crashContact && c.clock.Now().Sub(v.since) > crashContact {
 		c.later++
 	}
 }
@@ -233,7 +233,7 @@
 // tell carries what is new from a VM to the others, as package node does.
 func (v *crashVM) tell() {
 	c := v.fleet
-	entries, _ := v.engine.poison.News(c.now)
+	entries, _ := v.engine.poison.News(c.clock.Now())
 	v.send(entries, c.vms)
 }
 
@@ -246,9 +246,9 @@
 		if peer == v || c.rand.Float64() < c.lost {
 			continue
 		}
-		c.at(c.now.Add(crashWord), func() {
+		c.clock.At(c.clock.Now().Add(crashWord), func() {
 			if !peer.dark {
-				peer.engine.poison.Learn(c.now, "peer", entries, 0)
+				peer.engine.poison.Learn(c.clock.Now(), "peer", entries, 0)
 			}
 		})
 	}
@@ -257,26 +257,26 @@
 // play runs until simEnd; once a second VMs repeat what they know to two others.
 func (c *crashes) play() {
 	for d := time.Second; d < simEnd; d += time.Second {
-		c.at(c.start.Add(d), func() {
+		c.clock.At(c.start.Add(d), func() {
 			for _, v := range c.vms {
-				v.engine.Tick(c.now)
-				v.engine.poison.Expire(c.now)
+				v.engine.Tick(c.clock.Now())
+				v.engine.poison.Expire(c.clock.Now())
 				v.tell()
 				peers := []*crashVM{c.vms[c.rand.IntN(len(c.vms))], c.vms[c.rand.IntN(len(c.vms))]}
-				v.send(v.engine.poison.Repeat(c.now), peers)
+				v.send(v.engine.poison.Repeat(c.clock.Now()), peers)
 			}
 		})
 	}
-	c.drain()
+	c.clock.Run()
 }
 
 // poison brings the request at fault to VMs drawn at random, and once more to another VM
 // when it has failed, as callers do.
 func (c *crashes) poison(at time.Duration, path string) {
-	c.at(c.start.Add(at), func() {
+	c.clock.At(c.start.Add(at), func() {
 		c.anyVM().ask(path, 1, func(a Answer) {
 			if a.Reason != "" {
-				c.at(c.now.Add(min(a.RetryAfter, 300*time.Millisecond)), func() { c.anyVM().ask(path, 2, func(Answer) {}) })
+				c.clock.At(c.clock.Now().Add(min(a.RetryAfter, 300*time.Millisecond)), func() { c.anyVM().ask(path, 2, func(Answer) {}) })
 			}
 		})
 	})
@@ -289,14 +289,14 @@
 func (c *crashes) callers(rate int, from, to time.Duration) {
 	for at, i := from, 0; at < to; at, i = at+time.Second/time.Duration(rate), i+1 {
 		path := fmt.Sprintf("/%c/%d", "qp"[i%2], i)
-		c.at(c.start.Add(at), func() {
+		c.clock.At(c.start.Add(at), func() {
 			c.innocent++
 			c.anyVM().ask(path, 1, func(a Answer) {
 				c.count(a)
 				if a.Reason == "" {
 					return
 				}
-				c.at(c.now.Add(min(a.RetryAfter, 300*time.Millisecond)+time.Millisecond), func() {
+				c.clock.At(c.clock.Now().Add(min(a.RetryAfter, 300*time.Millisecond)+time.Millisecond), func() {
 					c.anyVM().ask(path, 2, func(a Answer) {
 						c.count(a)
 						if a.Reason != "" {
@@ -341,12 +341,12 @@
 				c.poison(at, row.path)
 			}
 			// A VM that is cut off for a while, and one that starts.
-			c.at(c.start.Add(6*s), func() { c.vms[1].dark = true })
-			c.at(c.start.Add(10*s), func() { c.vms[1].dark, c.vms[1].since = false, c.now })
-			c.at(c.start.Add(9*s), func() {
+			c.clock.At(c.start.Add(6*s), func() { c.vms[1].dark = true })
+			c.clock.At(c.start.Add(10*s), func() { c.vms[1].dark, c.vms[1].since = false, c.clock.Now() })
+			c.clock.At(c.start.Add(9*s), func() {
 				late := c.newVM(seed + 77)
-				for _, e := range c.vms[0].engine.poison.All(c.now, 100) {
-					late.engine.poison.Learn(c.now, "seed", []quarantine.Entry{e}, 0)
+				for _, e := range c.vms[0].engine.poison.All(c.clock.Now(), 100) {
+					late.engine.poison.Learn(c.clock.Now(), "seed", []quarantine.Entry{e}, 0)
 				}
 				c.vms = append(c.vms, late)
 			})
@@ -400,18 +400,18 @@
 		{"half at once", func(c *crashes) { c.endSome(0.5) }},
 		{"all within a second", func(c *crashes) {
 			for _, id := range c.upstreams() {
-				c.at(c.now.Add(time.Duration(c.faults.Int64N(int64(time.Second)))), func() { c.end(id) })
+				c.clock.At(c.clock.Now().Add(time.Duration(c.faults.Int64N(int64(time.Second)))), func() { c.end(id) })
 			}
 		}},
 		{"all within 20 ms", func(c *crashes) {
 			for _, id := range c.upstreams() {
-				c.at(c.now.Add(time.Duration(c.faults.Int64N(int64(20*time.Millisecond)))), func() { c.end(id) })
+				c.clock.At(c.clock.Now().Add(time.Duration(c.faults.Int64N(int64(20*time.Millisecond)))), func() { c.end(id) })
 			}
 		}},
 		{"one after the other", func(c *crashes) {
 			i := 0
 			for _, id := range c.upstreams() {
-				c.at(c.now.Add(time.Duration(i)*150*time.Millisecond), func() { c.end(id) })
+				c.clock.At(c.clock.Now().Add(time.Duration(i)*150*time.Millisecond), func() { c.end(id) })
 				i++
 			}
 		}},
@@ -423,7 +423,7 @@
 				c.blind = blind
 				c.callers(blameRate, 0, simEnd)
 				for _, at := range []time.Duration{4 * s, 12 * s, 20 * s} {
-					c.at(c.start.Add(at), func() { row.ends(c) })
+					c.clock.At(c.start.Add(at), func() { row.ends(c) })
 				}
 				c.play()
 				return c
