--- /dev/null
+++ b/internal/balance/overload_test.go
@@ -0,0 +1,41 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+)
+
+// leastGoodput is the part of the answers in time at capacity that is left beyond it.
+const leastGoodput = 0.85
+
+// Answers the pattern of a load that rises at once to 2, 4 and 8 times what the upstreams'
+// slots take. Guards against VMs that begin without a bound on the queries under way: each
+// takes in thousands before the first refusal tells, and nearly all of them are late.
+func TestASuddenLoadBeyondCapacityLeavesTheGoodput(t *testing.T) {
+	goodput := func(pattern string) float64 {
+		during, after := played(t, pattern, Standing)
+		t.Logf("%s: %+v, after %+v", pattern, during, after)
+		if mean(after) < 0.95 {
+			t.Errorf("%s: worth %.3f from three seconds after its end on", pattern, mean(after))
+		}
+		return float64(during.InTime())
+	}
+	capacity := goodput("capacity")
+	for _, pattern := range []string{"twice", "four-times", "eight-times"} {
+		if part := goodput(pattern) / capacity; part < leastGoodput {
+			t.Errorf("%s: %.2f of the answers in time at capacity", pattern, part)
+		}
+	}
+}
+
+// Guards against a limit that refuses the urgent as soon as the others.
+func TestBeyondCapacityTheUrgentAreRefusedLast(t *testing.T) {
+	opts := DefaultOptions()
+	opts.Pattern = Patterns[slices.IndexFunc(Patterns, func(p Pattern) bool { return p.Name == "four-times" })]
+	opts.Seed = 1
+	r := Play(opts)
+	urgent, other := r.During["check"], r.During["sweep"]
+	if urgent.share(urgent.Refused) >= other.share(other.Refused) {
+		t.Errorf("refused of the urgent %+v, of the others %+v", urgent, other)
+	}
+}
