--- /dev/null
+++ b/internal/membership/directory_test.go
@@ -0,0 +1,160 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/placement"
+)
+
+const (
+	// directoryVMs are spread over directoryCentres in half as many regions.
+	directoryVMs     = 60
+	directoryCentres = 6
+	// contact is how long a VM must have been in touch with the others for its answers to
+	// count; goneAfter is how long after its end no answer may name a VM, contact and three
+	// seconds.
+	contact   = 6 * time.Second
+	goneAfter = contact + 3*time.Second
+)
+
+// directoryTiming is the timing of package node.
+var directoryTiming = membership.Timing{
+	Period: 400 * time.Millisecond, DirectTimeout: 150 * time.Millisecond, SuspicionFactor: 2, UpdateRate: 6000,
+}
+
+// directory is a fleet whose VMs tell callers which of them to use.
+type directory struct {
+	*network
+	gone map[string]time.Time
+	// inTouch is since when each VM has been in touch with the others.
+	inTouch map[string]time.Time
+}
+
+func newDirectory(seed uint64) *directory {
+	d := &directory{network: newNetwork(seed), gone: map[string]time.Time{}, inTouch: map[string]time.Time{}}
+	d.loss = 0.05
+	for i := range directoryVMs {
+		d.start(i)
+	}
+	return d
+}
+
+// start starts a process of VM i.
+func (d *directory) start(i int) {
+	h := d.addWith(membership.Options{
+		Self: &pb.MemberUpdate{
+			Vm: hostName(i), Incarnation: uint64(d.now.UnixMicro()) + uint64(i), Capacity: 100,
+			Region: fmt.Sprint("region-", i%directoryCentres/2), DataCentre: fmt.Sprint("dc-", i%directoryCentres),
+			CallerAddress: callerAddress(i), PeerAddress: address(i),
+		},
+		Seeds: []string{address(0), address(1), address(2)}, Sole: true, KeepNear: true, Seed: d.rand.Uint64(), Timing: directoryTiming,
+	})
+	d.inTouch[h.name] = d.now
+	delete(d.gone, callerAddress(i))
+}
+
+func callerAddress(i int) string { return fmt.Sprintf("10.1.0.%d:7000", i) }
+
+// kill ends the process of VM i.
+func (d *directory) kill(i int) {
+	for _, h := range d.hosts {
+		if h.name == hostName(i) {
+			h.down = true
+		}
+	}
+	d.gone[callerAddress(i)] = d.now
+}
+
+// watch runs on and looks at all answers of VMs in touch meanwhile. It gives the first that
+// names a VM which was gone for too long.
+func (d *directory) watch(length time.Duration) string {
+	for end := d.now.Add(length); d.now.Before(end); {
+		d.run(tick)
+		for _, h := range d.hosts {
+			if h.down || d.now.Sub(d.inTouch[h.name]) < contact {
+				continue
+			}
+			if wrong := d.wrongAnswer(h); wrong != "" {
+				return wrong
+			}
+		}
+	}
+	return ""
+}
+
+func (d *directory) wrongAnswer(h *host) string {
+	for region := range directoryCentres / 2 {
+		caller := placement.Caller{Region: fmt.Sprint("region-", region), DataCentre: fmt.Sprint("dc-", 2*region)}
+		for _, a := range placement.Choose(h.node.View().Members, caller, placement.Bounds{Most: 8, Least: 3, Work: 10_000}) {
+			if since, gone := d.gone[a]; gone && d.now.Sub(since) > goneAfter {
+				return fmt.Sprintf("%s names %s to %s, gone for %v", h.name, a, caller.Region, d.now.Sub(since))
+			}
+		}
+	}
+	return ""
+}
+
+// Guards against callers who are told of VMs that have been gone for seconds: by VMs that
+// were partitioned meanwhile and have the members of before, that have just started, or that
+// were added after the loss.
+func TestTheDirectoryNamesNoVMThatIsGone(t *testing.T) {
+	for seed := range uint64(5) {
+		d := newDirectory(seed)
+		d.watch(15 * time.Second)
+		cut := map[string]bool{}
+		for i := 20; i < 32; i++ {
+			cut[hostName(i)] = true
+		}
+		d.cut = func(from, to string) bool { return cut[from] != cut[to] }
+		d.watch(time.Second)
+		// A data centre and some others are lost while the partition lasts.
+		for i := range directoryVMs {
+			if i%directoryCentres == 5 || i%13 == 7 {
+				d.kill(i)
+			}
+		}
+		for name := range cut {
+			// Not in touch until the partition ends.
+			d.inTouch[name] = d.now.Add(4 * time.Second)
+		}
+		if wrong := d.watch(4 * time.Second); wrong != "" {
+			t.Errorf("seed %d, in the partition: %s", seed, wrong)
+		}
+		d.cut = func(string, string) bool { return false }
+		for _, i := range []int{4, 5, 11, 21} {
+			d.restart(i)
+		}
+		for i := directoryVMs; i < directoryVMs+4; i++ {
+			d.start(i)
+		}
+		if wrong := d.watch(20 * time.Second); wrong != "" {
+			t.Errorf("seed %d, after it: %s", seed, wrong)
+		}
+		if n := d.named(0); n < 3 {
+			t.Errorf("seed %d: %d VMs are named at last", seed, n)
+		}
+	}
+}
+
+// restart ends the process of VM i, if it is up, and starts another.
+func (d *directory) restart(i int) {
+	d.kill(i)
+	d.hosts = slices.DeleteFunc(d.hosts, func(h *host) bool { return h.name == hostName(i) })
+	d.start(i)
+}
+
+// named is how many VMs callers of a region are told of by the first VM that is up.
+func (d *directory) named(region int) int {
+	for _, h := range d.hosts {
+		if !h.down {
+			caller := placement.Caller{Region: fmt.Sprint("region-", region)}
+			return len(placement.Choose(h.node.View().Members, caller, placement.Bounds{Most: 8, Least: 3, Work: 10_000}))
+		}
+	}
+	return 0
+}
