--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -9,7 +9,6 @@
 package congestion
 
 import (
-	"math"
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/pb"
@@ -27,11 +26,27 @@
 	Cut float64
 	// Least is the lowest limit.
 	Least float64
+	// First is the limit before any congestion was seen. While none is, each query that
+	// ends with most of the limit in use raises it by one: it doubles in the time of a query.
+	First float64
 }
 
 // DefaultPolicy is the policy that the bench was run with.
 func DefaultPolicy() Policy {
-	return Policy{Share: 0.25, LeastShards: 4, Cut: 0.5, Least: 2}
+	return Policy{Share: 0.25, LeastShards: 4, Cut: 0.5, Least: 2, First: 64}
+}
+
+// queriesPerSlot is how many queries under way keep a slot busy: their parts are on the way
+// to an upstream and back most of the time.
+const queriesPerSlot = 4
+
+// WithSlots is the policy for queries of whose shards the one with the fewest slots has so
+// many, over all its upstreams; 0 when that is not known.
+func (p Policy) WithSlots(slots int) Policy {
+	if slots > 0 {
+		p.First = max(p.Least, queriesPerSlot*float64(slots))
+	}
+	return p
 }
 
 // Limiter is the limit of one service. It is not safe for concurrent use.
@@ -42,9 +57,9 @@
 	cutAt   time.Time
 }
 
-// New makes a limiter that has seen no congestion and so has no limit.
+// New makes a limiter that has seen no congestion.
 func New(p Policy) *Limiter {
-	return &Limiter{policy: p, limit: math.Inf(1)}
+	return &Limiter{policy: p, limit: p.First}
 }
 
 // reserve is the part of the limit that a priority leaves to those above it.
@@ -78,8 +93,18 @@
 	case float64(noRoom) >= l.policy.Share*float64(shards):
 		l.cut(now, started, running, float64(noRoom)/float64(shards))
 	case float64(running) >= l.limit*(1-reserve(pb.Priority_LOW)):
-		l.limit += 1 / l.limit
+		l.raise()
+	}
+}
+
+// raise lets a little more in: one query for each that ends before the first congestion, one
+// for each round of them after it.
+func (l *Limiter) raise() {
+	if l.cutAt.IsZero() {
+		l.limit++
+		return
 	}
+	l.limit += 1 / l.limit
 }
 
 // cut lowers the limit once for all queries that ran side by side: those that
@@ -95,5 +120,5 @@
 // Abandon ends a query that told nothing.
 func (l *Limiter) Abandon() { l.running-- }
 
-// Limit is how many may run; infinite before the first congestion.
+// Limit is how many may run.
 func (l *Limiter) Limit() float64 { return l.limit }
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
@@ -20,10 +21,10 @@
 // startScatter begins a query unless as many are under way as the upstreams of
 // its shards take: beyond that most queries would lose some shard, and the work
 // for their others would be wasted. The less urgent are refused first, with nil.
-func (e *Engine) startScatter(route *routing.Route) *congestion.Limiter {
+func (e *Engine) startScatter(v *catalog.View, route *routing.Route) *congestion.Limiter {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l := e.scatter(route)
+	l := e.scatter(v, route)
 	if !l.Start(urgency(route.Priority)) {
 		return nil
 	}
@@ -42,15 +43,31 @@
 }
 
 // scatter is the limiter of a route's shards. The caller holds mu.
-func (e *Engine) scatter(route *routing.Route) *congestion.Limiter {
+func (e *Engine) scatter(v *catalog.View, route *routing.Route) *congestion.Limiter {
 	l := e.scatters[route.Shards[0]]
 	if l == nil {
-		l = congestion.New(congestion.DefaultPolicy())
+		l = congestion.New(congestion.DefaultPolicy().WithSlots(leastSlots(v, route.Shards)))
 		e.scatters[route.Shards[0]] = l
 	}
 	return l
 }
 
+// leastSlots is the slots of the shard that has the fewest, of those that have an upstream; 0
+// when none has.
+func leastSlots(v *catalog.View, shards []string) int {
+	least := 0
+	for _, shard := range shards {
+		slots := 0
+		for _, u := range v.Services[shard] {
+			slots += max(1, u.Slots)
+		}
+		if slots > 0 && (least == 0 || slots < least) {
+			least = slots
+		}
+	}
+	return least
+}
+
 // urgency is the class of a route's priority; 0 is the most urgent.
 func urgency(priority int) pb.Priority {
 	switch {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -304,7 +304,7 @@
 	if !r.Route.FanOut() {
 		return e.run(v, r)
 	}
-	l := e.startScatter(r.Route)
+	l := e.startScatter(v, r.Route)
 	if l == nil {
 		return refuse(Congested, congestedRetry)
 	}
