--- a/internal/direct/check.go
+++ b/internal/direct/check.go
@@ -93,7 +93,7 @@
 func (p *Pool) runCheck() {
 	ended, opened := sockpeek.NobodyListens(dialTCP, p.upstream.Address, checkTimeout)
 	if opened {
-		p.counter.Opened(p.upstream)
+		p.observer.Opened(p.upstream)
 	}
 	now := time.Now()
 	p.mu.Lock()
--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -76,13 +76,13 @@
 	}
 	c.net = nc
 	c.dialed = time.Since(began)
-	c.pool.counter.Opened(c.pool.upstream)
+	c.pool.observer.Opened(c.pool.upstream)
 	counted := traffic.CountConn(nc, func(n int) { c.bytes.Add(int64(n)) })
 	c.br = bufio.NewReaderSize(counted, bufferBytes)
 	c.bw = bufio.NewWriterSize(counted, bufferBytes)
 	c.idleUntil = time.Now().Add(idleDefault)
 	defer nc.Close()
-	if err := c.greet(); err != nil {
+	if err := c.greet(counted); err != nil {
 		call.finish(Reply{Result: scatter.Barred, Detail: "health: " + err.Error()})
 		return
 	}
@@ -109,7 +109,7 @@
 	if !call.start(c.net) {
 		return true
 	}
-	defer func() { c.pool.counter.Sent(c.pool.upstream, call.Extra, int(c.bytes.Swap(0))) }()
+	defer func() { c.pool.observer.Sent(c.pool.upstream, call.Extra, int(c.bytes.Swap(0))) }()
 	var req fasthttp.Request
 	c.pool.protocol.Encode(&req, call.Message, call.Upstream, left)
 	written, err := c.write(&req, len(call.Message.Body))
@@ -211,7 +211,7 @@
 	if timedOut(err) {
 		return Reply{Result: scatter.Lost, Detail: "no answer in time"}
 	}
-	c.pool.counter.Ended(c.pool.upstream)
+	c.pool.observer.Ended(c.pool.upstream)
 	return Reply{Result: scatter.Lost, Detail: "connection: " + err.Error()}
 }
 
@@ -230,7 +230,7 @@
 	}
 	state := sockpeek.Look(c.net)
 	if state == sockpeek.Ended {
-		c.pool.counter.Ended(c.pool.upstream)
+		c.pool.observer.Ended(c.pool.upstream)
 	}
 	return state == sockpeek.Quiet
 }
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -135,11 +135,17 @@
 
 func (asking) HealthPath(*catalog.Upstream) string { return "/health" }
 
-func (a asking) Healthy(*catalog.Upstream, time.Time, Health) { a.answered.Add(1) }
+func (a asking) HealthAnswered(_ *catalog.Upstream, _ time.Time, _ Health, err error) {
+	if err == nil {
+		a.answered.Add(1)
+	}
+}
 
 func (nobody) HealthPath(*catalog.Upstream) string { return "" }
 
-func (nobody) Healthy(*catalog.Upstream, time.Time, Health) {}
+func (nobody) HealthAnswered(*catalog.Upstream, time.Time, Health, error) {}
+
+func (nobody) HealthBytes(*catalog.Upstream, int) {}
 
 func (nobody) Ended(*catalog.Upstream) {}
 
--- a/internal/direct/health.go
+++ b/internal/direct/health.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
 // healthTimeout bounds a call to a health path: ten round trips between regions.
@@ -22,16 +23,24 @@
 	ColdFor time.Duration
 }
 
-// Health asks an upstream's health path over a connection of its own.
-func (p *Pools) Health(u *catalog.Upstream, path string) (Health, error) {
+// CheckHealth asks an upstream's health path over a connection of its own, and tells the
+// observer how that ended.
+func (p *Pools) CheckHealth(u *catalog.Upstream, path string) {
+	begun := time.Now()
+	h, err := p.dialHealth(u, path)
+	p.observer.HealthAnswered(u, begun, h, err)
+}
+
+func (p *Pools) dialHealth(u *catalog.Upstream, path string) (Health, error) {
 	nc, err := net.DialTimeout("tcp", u.Address, healthTimeout)
 	if err != nil {
 		return Health{}, trace.Wrap(err)
 	}
 	// It carries one call.
 	defer nc.Close()
-	p.counter.Opened(u)
-	return askHealth(nc, bufio.NewReader(nc), p.protocol, u, path)
+	p.observer.Opened(u)
+	counted := traffic.CountConn(nc, func(n int) { p.observer.HealthBytes(u, n) })
+	return askHealth(counted, bufio.NewReader(counted), p.protocol, u, path)
 }
 
 // askHealth asks for an upstream's health over a connection. An answer of another upstream,
@@ -62,17 +71,15 @@
 
 // greet asks the upstream for its health before the first call, where that is to be known of
 // each connection: only so is it certain which process it leads to.
-func (c *conn) greet() error {
-	u := c.pool.upstream
-	path := c.pool.counter.HealthPath(u)
+func (c *conn) greet(nc net.Conn) error {
+	u, observer := c.pool.upstream, c.pool.observer
+	path := observer.HealthPath(u)
 	if path == "" {
 		return nil
 	}
 	begun := time.Now()
-	h, err := askHealth(c.net, c.br, c.pool.protocol, u, path)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	c.pool.counter.Healthy(u, begun, h)
-	return nil
+	h, err := askHealth(nc, c.br, c.pool.protocol, u, path)
+	observer.HealthBytes(u, int(c.bytes.Swap(0)))
+	observer.HealthAnswered(u, begun, h, err)
+	return trace.Wrap(err)
 }
--- a/internal/direct/pool.go
+++ b/internal/direct/pool.go
@@ -40,7 +40,7 @@
 type Pool struct {
 	upstream *catalog.Upstream
 	protocol Protocol
-	counter  Counter
+	observer Observer
 
 	mu    sync.Mutex
 	limit int
@@ -65,8 +65,8 @@
 	checked   check
 }
 
-func newPool(u *catalog.Upstream, protocol Protocol, counter Counter, limit int) *Pool {
-	return &Pool{upstream: u, protocol: protocol, counter: counter, limit: limit, sockets: map[net.Conn]bool{}}
+func newPool(u *catalog.Upstream, protocol Protocol, observer Observer, limit int) *Pool {
+	return &Pool{upstream: u, protocol: protocol, observer: observer, limit: limit, sockets: map[net.Conn]bool{}}
 }
 
 // do gives the call to an idle connection, opens one, or lets it wait.
@@ -281,7 +281,7 @@
 // behind it while no other connection is open: they would fail the same way, one
 // dial after the other.
 func (p *Pool) refuse(call *Call, err error) {
-	p.counter.Ended(p.upstream)
+	p.observer.Ended(p.upstream)
 	p.mu.Lock()
 	var others []*Call
 	if p.open == 1 {
--- a/internal/direct/pools.go
+++ b/internal/direct/pools.go
@@ -11,15 +11,15 @@
 // Pools is the connections to all upstreams.
 type Pools struct {
 	protocol Protocol
-	counter  Counter
+	observer Observer
 
 	mu    sync.Mutex
 	limit func(service string) int
 	pools map[string]*Pool
 }
 
-// Counter takes in what connections to upstreams cost, and how they end.
-type Counter interface {
+// Observer takes in what connections to upstreams cost and show.
+type Observer interface {
 	// Opened counts a connection.
 	Opened(u *catalog.Upstream)
 	// Sent counts the bytes of a call, both ways.
@@ -31,14 +31,16 @@
 	// HealthPath is what each new connection is to ask before its first call; empty for
 	// nothing.
 	HealthPath(u *catalog.Upstream) string
-	// Healthy takes in the answer to a question that was begun at a time.
-	Healthy(u *catalog.Upstream, begun time.Time, h Health)
+	// HealthAnswered takes in how a health check ended that was begun at a time.
+	HealthAnswered(u *catalog.Upstream, begun time.Time, h Health, err error)
+	// HealthBytes counts the bytes of a health check, both ways.
+	HealthBytes(u *catalog.Upstream, bytes int)
 }
 
 // NewPools has no connection. limit is how many this VM may have to one
 // upstream of a service.
-func NewPools(protocol Protocol, counter Counter, limit func(service string) int) *Pools {
-	return &Pools{protocol: protocol, counter: counter, limit: limit, pools: map[string]*Pool{}}
+func NewPools(protocol Protocol, observer Observer, limit func(service string) int) *Pools {
+	return &Pools{protocol: protocol, observer: observer, limit: limit, pools: map[string]*Pool{}}
 }
 
 // Do carries a call; its Done gets the reply.
@@ -48,7 +50,7 @@
 	pool := p.pools[u.ID]
 	var former *Pool
 	if pool == nil || u.StartedAfter(pool.upstream) {
-		former, pool = pool, newPool(u, p.protocol, p.counter, p.limit(u.Service))
+		former, pool = pool, newPool(u, p.protocol, p.observer, p.limit(u.Service))
 		p.pools[u.ID] = pool
 	}
 	p.mu.Unlock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -124,7 +124,7 @@
 	}
 	e.warmth.table = warmup.New()
 	e.shares.Store(&Shares{VMs: 1, Carriers: 1, Carrying: true})
-	e.pools = direct.NewPools(opts.Protocol, upstreamTraffic{opts.Traffic, opts.Place, e}, e.connectionLimit)
+	e.pools = direct.NewPools(opts.Protocol, upstreamObserver{opts.Traffic, opts.Place, e}, e.connectionLimit)
 	e.do = e.pools.Do
 	e.check = e.pools.Check
 	e.poison = poison.New(opts.Logs, opts.Metrics.poison)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -80,7 +80,7 @@
 		}, []string{"kind"}),
 	}
 	m.health = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "sycamorekeel_edge_health_checks_total", Help: "Health checks of upstreams that may be cold, by result.",
+		Name: "sycamorekeel_edge_health_checks_total", Help: "Health checks of upstreams that may be cold, on new connections and on their own, by result.",
 	}, []string{"result"})
 	m.stages = newStageTimes(reg)
 	m.poison = poison.NewMetrics(reg)
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -9,20 +9,20 @@
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
-// upstreamTraffic counts what is exchanged with upstreams by how far they are, and notes what
-// connections show of new starts. It implements direct.Counter.
-type upstreamTraffic struct {
+// upstreamObserver counts what is exchanged with upstreams by how far they are, and notes what
+// connections show of new starts. It implements direct.Observer.
+type upstreamObserver struct {
 	meter  *traffic.Meter
 	place  locality.Place
 	engine *Engine
 }
 
-// Ended implements direct.Counter.
-func (t upstreamTraffic) Ended(u *catalog.Upstream) { t.engine.warmth.doubt(time.Now(), u) }
+// Ended implements direct.Observer.
+func (t upstreamObserver) Ended(u *catalog.Upstream) { t.engine.warmth.doubt(time.Now(), u) }
 
-// HealthPath implements direct.Counter: connections to upstreams that bear little while they
+// HealthPath implements direct.Observer: connections to upstreams that bear little while they
 // are cold ask first.
-func (t upstreamTraffic) HealthPath(u *catalog.Upstream) string {
+func (t upstreamObserver) HealthPath(u *catalog.Upstream) string {
 	v := t.engine.View()
 	if v == nil {
 		return ""
@@ -34,18 +34,23 @@
 	return s.HealthPath
 }
 
-// Healthy implements direct.Counter.
-func (t upstreamTraffic) Healthy(u *catalog.Upstream, begun time.Time, h direct.Health) {
-	t.engine.healthy(u, begun, h)
+// HealthAnswered implements direct.Observer.
+func (t upstreamObserver) HealthAnswered(u *catalog.Upstream, begun time.Time, h direct.Health, err error) {
+	t.engine.healthAnswered(u, begun, h, err)
 }
 
-// Opened implements direct.Counter.
-func (t upstreamTraffic) Opened(u *catalog.Upstream) {
+// HealthBytes implements direct.Observer.
+func (t upstreamObserver) HealthBytes(u *catalog.Upstream, bytes int) {
+	t.meter.Add(traffic.Health, t.place.Distance(u.DataCentre), bytes)
+}
+
+// Opened implements direct.Observer.
+func (t upstreamObserver) Opened(u *catalog.Upstream) {
 	t.meter.Opened(t.place.Distance(u.DataCentre))
 }
 
-// Sent implements direct.Counter.
-func (t upstreamTraffic) Sent(u *catalog.Upstream, extra bool, bytes int) {
+// Sent implements direct.Observer.
+func (t upstreamObserver) Sent(u *catalog.Upstream, extra bool, bytes int) {
 	purpose := traffic.Part
 	if extra {
 		purpose = traffic.Extra
--- a/internal/edge/warm.go
+++ b/internal/edge/warm.go
@@ -56,7 +56,7 @@
 	now := e.now()
 	state, check := e.warmth.state(now, u, e.opts.ViewAge() < confirmedWithin)
 	if check {
-		go e.checkHealth(now, u, s.HealthPath)
+		go e.pools.CheckHealth(u, s.HealthPath)
 	}
 	return state == warmup.Warm
 }
@@ -71,20 +71,14 @@
 	return s, ok && s.ColdBound
 }
 
-// checkHealth asks an upstream for its health.
-func (e *Engine) checkHealth(begun time.Time, u *catalog.Upstream, path string) {
-	h, err := e.pools.Health(u, path)
+// healthAnswered takes in how a health check ended that was begun at a time.
+func (e *Engine) healthAnswered(u *catalog.Upstream, begun time.Time, h direct.Health, err error) {
 	e.opts.Metrics.healthChecked(err)
 	if err != nil {
 		e.opts.Logs.Failures.Info("upstream: health check failed, it gets nothing before the next",
 			zap.String("upstream", u.ID), zap.String("service", u.Service), zap.Error(err))
 		return
 	}
-	e.healthy(u, begun, h)
-}
-
-// healthy takes in what an upstream says of itself to a question that was begun at a time.
-func (e *Engine) healthy(u *catalog.Upstream, begun time.Time, h direct.Health) {
 	if h.ColdFor > 0 {
 		e.opts.Logs.Changes.Info("upstream: cold, it gets nothing until it is warm",
 			zap.String("upstream", u.ID), zap.String("service", u.Service), zap.Duration("cold_for", h.ColdFor))
--- a/internal/edge/warm_test.go
+++ b/internal/edge/warm_test.go
@@ -121,4 +121,7 @@
 	if n := c.checks(t); n != 1 {
 		t.Errorf("%v health checks are counted", n)
 	}
+	if n := c.meter.Counts().Bytes[traffic.Health][locality.Near]; n < 50 {
+		t.Errorf("%d bytes are counted", n)
+	}
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -25,6 +25,8 @@
 	Part Purpose = iota
 	// Extra is retries and hedges, with their answers.
 	Extra
+	// Health is health checks of upstreams, with their answers.
+	Health
 	// Gossip is datagrams between VMs.
 	Gossip
 	// Members is lists of members, for processes that start.
@@ -40,7 +42,7 @@
 
 // String is the purpose's name in logs and metrics.
 func (p Purpose) String() string {
-	return [...]string{"part", "extra", "gossip", "members", "page", "directory", "store"}[p]
+	return [...]string{"part", "extra", "health", "gossip", "members", "page", "directory", "store"}[p]
 }
 
 // slots is the distances counted: the known ones and Unknown.
