--- a/internal/edge/warm_test.go
+++ b/internal/edge/warm_test.go
@@ -125,3 +125,25 @@
 		t.Errorf("%d bytes are counted", n)
 	}
 }
+
+// Guards against checks that go to an upstream's root where its service names no health path,
+// which it runs like any request, and against a service that is refused for good after one
+// connection has ended: the store's entries tell of a new start some seconds later.
+func TestAServiceWithoutAHealthPathIsJudgedByItsEntries(t *testing.T) {
+	c := newColdService(t, "")
+	now := time.Now()
+	c.engine.now = func() time.Time { return now }
+	c.engine.warmth.doubt(now, c.up)
+	if a := c.ask(); a.Reason != ColdUpstreams {
+		t.Errorf("just after a sign of a new start: %q", a.Reason)
+	}
+	now = now.Add(2 * confirmedWithin)
+	if a := c.ask(); a.Reason != "" {
+		t.Errorf("seconds after it: %q", a.Reason)
+	}
+	for len(c.asked) > 0 {
+		if path := <-c.asked; path != "/work" {
+			t.Errorf("asked for %q", path)
+		}
+	}
+}
