--- a/internal/edge/warm.go
+++ b/internal/edge/warm.go
@@ -46,6 +46,13 @@
 	return s, s == warmup.Doubtful && w.table.Check(now, u)
 }
 
+// stateByEntry is state for an upstream whose service names no health path.
+func (w *warmth) stateByEntry(now time.Time, u *catalog.Upstream, confirmed bool) warmup.State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.table.StateByEntry(now, u, confirmed)
+}
+
 // warm tells whether an upstream may be given requests as far as cold starts go. One that is
 // doubtful is asked for its health, and may not until it has answered.
 func (e *Engine) warm(v *catalog.View, u *catalog.Upstream) bool {
@@ -54,7 +61,11 @@
 		return true
 	}
 	now := e.now()
-	state, check := e.warmth.state(now, u, e.opts.ViewAge() < confirmedWithin)
+	confirmed := e.opts.ViewAge() < confirmedWithin
+	if s.HealthPath == "" {
+		return e.warmth.stateByEntry(now, u, confirmed) == warmup.Warm
+	}
+	state, check := e.warmth.state(now, u, confirmed)
 	if check {
 		go e.pools.CheckHealth(u, s.HealthPath)
 	}
--- a/internal/edge/warm_test.go
+++ b/internal/edge/warm_test.go
@@ -87,7 +87,7 @@
 }
 
 func (c *coldService) ask() Answer {
-	return c.engine.Serve(&Request{Host: "h", Path: "/x", Received: time.Now(), Deadline: 5 * time.Second, Message: &direct.Message{ID: "id", Header: &fasthttp.RequestHeader{}}})
+	return c.engine.Serve(&Request{Host: "h", Path: "/x", Received: c.engine.now(), Deadline: 5 * time.Second, Message: &direct.Message{ID: "id", Header: &fasthttp.RequestHeader{}}})
 }
 
 // checks is how many health checks the metrics count, of any result.
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -21,6 +21,8 @@
 const (
 	// checkedFor is how long a health answer stands while the entries are not confirmed.
 	checkedFor = time.Second
+	// entryDelay is how long an upstream's entry may take to tell of a new start.
+	entryDelay = 3 * time.Second
 	// checkPause is the least time between two checks of an upstream.
 	checkPause = 100 * time.Millisecond
 )
@@ -116,6 +118,22 @@
 	}
 }
 
+// StateByEntry is State for an upstream that tells nothing of its health: its entry alone
+// ends a doubt.
+func (t *Table) StateByEntry(now time.Time, u *catalog.Upstream, confirmed bool) State {
+	held := t.upstreams[u.ID]
+	switch {
+	case held == nil || !confirmed:
+		return Doubtful
+	case now.Before(held.coldUntil):
+		return Cold
+	case !held.doubtedAt.IsZero() && now.Sub(held.doubtedAt) < entryDelay:
+		return Doubtful
+	default:
+		return Warm
+	}
+}
+
 // Check tells whether the health of a doubtful upstream is to be asked for now, and takes
 // note of it.
 func (t *Table) Check(now time.Time, u *catalog.Upstream) bool {
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -9,6 +9,43 @@
 
 var start = time.Unix(1000, 0)
 
+// Guards against a doubt without end, or none, about upstreams that tell nothing of their
+// health.
+func TestStatesByEntry(t *testing.T) {
+	u := view(1, 0, false).Upstreams["u"]
+	for _, c := range []struct {
+		name        string
+		steps       func(*Table)
+		ms          int
+		unconfirmed bool
+		want        State
+	}{
+		{"by its entry", func(tb *Table) { tb.Keep(at(0), view(1, 0, false)) }, 0, false, Warm},
+		{"not registered", func(*Table) {}, 0, false, Doubtful},
+		{"entries not confirmed", func(tb *Table) { tb.Keep(at(0), view(1, 0, false)) }, 0, true, Doubtful},
+		{"cold by its entry", func(tb *Table) { tb.Keep(at(0), view(1, time.Second, false)) }, 999, false, Cold},
+		{"its connection ended", func(tb *Table) {
+			tb.Keep(at(0), view(1, 0, false))
+			tb.Doubt(at(100), u)
+		}, 3099, false, Doubtful},
+		{"no entry told of a new start", func(tb *Table) {
+			tb.Keep(at(0), view(1, 0, false))
+			tb.Doubt(at(100), u)
+		}, 3100, false, Warm},
+		{"an entry told of a new start", func(tb *Table) {
+			tb.Keep(at(0), view(1, 0, false))
+			tb.Doubt(at(100), u)
+			tb.Keep(at(2000), view(2, 5*time.Second, false))
+		}, 6999, false, Cold},
+	} {
+		tb := New()
+		c.steps(tb)
+		if got := tb.StateByEntry(at(c.ms), u, !c.unconfirmed); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 // view is a view with one upstream, born at a second and cold for so long.
