--- a/cmd/sycamorekeel/experiment.go
+++ b/cmd/sycamorekeel/experiment.go
@@ -23,6 +23,7 @@
 	Length      time.Duration `default:"14s" help:"How long the changes go on."`
 	Bound       time.Duration `default:"5s" help:"Time within which every VM must have a change."`
 	LoseReaders bool          `help:"End the VMs that read the store after a third of the time."`
+	Evacuate    bool          `help:"Begin and end evacuations of data centres meanwhile."`
 	Plain       bool          `help:"Pages travel whole, as between VMs of releases that differ."`
 	Plot        string        `type:"path" help:"Write a plot to this file, .svg, .png or .pdf."`
 }
@@ -34,7 +35,7 @@
 	}
 	e := spread.Experiment{
 		Sizes: c.VMs, Seeds: c.Seeds, Bound: c.Bound, Document: c.Document,
-		Gap: c.Gap, Length: c.Length, LoseReaders: c.LoseReaders, Plain: c.Plain,
+		Gap: c.Gap, Length: c.Length, LoseReaders: c.LoseReaders, Plain: c.Plain, Evacuate: c.Evacuate,
 	}
 	results := e.Run()
 	var failed error
--- a/internal/spread/experiment.go
+++ b/internal/spread/experiment.go
@@ -27,6 +27,8 @@
 	// LoseReaders ends the VMs that read the store after a third of the time.
 	LoseReaders bool
 	Plain       bool
+	// Evacuate begins and ends evacuations of a data centre all the while.
+	Evacuate bool
 }
 
 // Result is what one run showed.
@@ -37,6 +39,9 @@
 	Median time.Duration `json:"median_ns"`
 	P99    time.Duration `json:"p99_ns"`
 	Latest time.Duration `json:"latest_ns"`
+	// Evacuated is the longest time from the begin of an evacuation until no VM sends there
+	// any more, 0 without one.
+	Evacuated time.Duration `json:"evacuated_ns,omitempty"`
 	// Overdue says which VM first passed the bound, empty for none.
 	Overdue string  `json:"overdue,omitempty"`
 	Traffic Traffic `json:"traffic"`
@@ -58,6 +63,7 @@
 func (e *Experiment) run(vms int, seed uint64) Result {
 	fl := New(Options{VMs: vms, Seed: seed, Bound: e.Bound, Document: e.Document, Links: MixedLinks, Plain: e.Plain})
 	fl.Run(settle)
+	fl.evacuating = e.Evacuate
 	fl.Storm(e.Gap, e.Length/3)
 	if e.LoseReaders {
 		fl.Kill(fl.Readers()...)
@@ -73,10 +79,13 @@
 func (fl *Fleet) Result() Result {
 	delays := slices.Clone(fl.delays)
 	slices.Sort(delays)
-	r := Result{VMs: fl.opts.VMs, Seed: fl.opts.Seed, Latest: fl.late, Traffic: fl.traffic, Delays: delays}
+	r := Result{VMs: fl.opts.VMs, Seed: fl.opts.Seed, Latest: fl.late, Evacuated: fl.evacuation.latest, Traffic: fl.traffic, Delays: delays}
 	if n := len(delays); n > 0 {
 		r.Median, r.P99 = delays[n/2], delays[n*99/100]
 	}
+	if e := &fl.evacuation; e.latest > fl.opts.Bound && fl.overdue == nil {
+		r.Overdue = fmt.Sprintf("an evacuation was in force everywhere after %v", e.latest)
+	}
 	if fl.overdue != nil {
 		r.Overdue = fl.overdue.Error()
 	}
@@ -86,12 +95,12 @@
 // Write prints results for people.
 func Write(to io.Writer, results []Result) error {
 	tw := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "VMs\tseed\tmedian s\tp99 s\tlatest s\tpages MB: inside\tdata centres\tregions\tdatagrams MB\tstore MB\tcalls\tpulls\tgiven up\t")
+	fmt.Fprintln(tw, "VMs\tseed\tmedian s\tp99 s\tlatest s\tevacuated s\tpages MB: inside\tdata centres\tregions\tdatagrams MB\tstore MB\tcalls\tpulls\tgiven up\t")
 	for _, r := range results {
 		t := r.Traffic
 		datagrams := t.Inside.Datagrams + t.DataCentres.Datagrams + t.Regions.Datagrams
-		fmt.Fprintf(tw, "%d\t%d\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t\n",
-			r.VMs, r.Seed, r.Median.Seconds(), r.P99.Seconds(), r.Latest.Seconds(),
+		fmt.Fprintf(tw, "%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t\n",
+			r.VMs, r.Seed, r.Median.Seconds(), r.P99.Seconds(), r.Latest.Seconds(), r.Evacuated.Seconds(),
 			t.Inside.Pages/1e6, t.DataCentres.Pages/1e6, t.Regions.Pages/1e6, datagrams/1e6, t.StoreBytes/1e6, t.StoreCalls, t.Pulls, t.PullsGivenUp)
 	}
 	for _, r := range results {
--- a/internal/spread/fleet.go
+++ b/internal/spread/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
@@ -36,6 +37,10 @@
 	seeds = 3
 	// documentKey is the item that changes write.
 	documentKey = "config"
+	// evacuationTurn is how long an evacuation lasts in a storm, and the time to the next.
+	evacuationTurn = 3 * time.Second
+	// evacuationPrefix begins the items of evacuated data centres.
+	evacuationPrefix = "evacuate/"
 )
 
 // aloneAfter is how long a process that starts waits for its seeds, as in package node.
@@ -83,6 +88,11 @@
 	// which VM first passed the bound.
 	late    time.Duration
 	overdue error
+	// evacuation is the one that was asked for last.
+	evacuation evacuation
+	// evacuating says that storms have evacuations, turnAt when the next begins or ends.
+	evacuating bool
+	turnAt     time.Time
 }
 
 // vm is one VM of the fleet.
@@ -141,17 +151,33 @@
 	return v
 }
 
-// decoder takes the document for the configuration and all else for upstreams.
+// evacuation is a data centre whose upstreams are to get nothing.
+type evacuation struct {
+	dataCentre string
+	active     bool
+	begunAt    time.Time
+	// missing is whether a VM still sent there when it was last looked at; latest is the
+	// longest time until all VMs that live had stopped, over all evacuations.
+	missing bool
+	latest  time.Duration
+}
+
+// decoder takes the document for the configuration, evacuations for what they are, and all
+// else for upstreams.
 type decoder struct{}
 
 func (decoder) Kind(key string) catalog.Kind {
-	if key == documentKey {
+	switch {
+	case key == documentKey:
 		return catalog.Configuration
+	case strings.HasPrefix(key, evacuationPrefix):
+		return catalog.Evacuation
+	default:
+		return catalog.Registration
 	}
-	return catalog.Registration
 }
 
-func (decoder) Evacuated(string) string { return "" }
+func (decoder) Evacuated(key string) string { return strings.TrimPrefix(key, evacuationPrefix) }
 
 func (decoder) Config(it catalog.Item) (*routing.Config, error) {
 	return &routing.Config{Version: it.Revision}, nil
@@ -223,14 +249,58 @@
 // Change writes the next version of the document.
 func (fl *Fleet) Change() { fl.store.write(fl.now, fl.opts.Document) }
 
+// Evacuate begins the evacuation of a data centre.
+func (fl *Fleet) Evacuate(dataCentre string) {
+	fl.store.evacuate(fl.now, dataCentre, true)
+	e := &fl.evacuation
+	e.dataCentre, e.begunAt, e.active, e.missing = dataCentre, fl.now, true, true
+}
+
+// EndEvacuation ends the evacuation that was asked for last.
+func (fl *Fleet) EndEvacuation() {
+	fl.store.evacuate(fl.now, fl.evacuation.dataCentre, false)
+	fl.evacuation.active, fl.evacuation.missing = false, false
+}
+
+// checkEvacuation notes for how long VMs have gone on sending to an evacuated data centre.
+func (fl *Fleet) checkEvacuation() {
+	e := &fl.evacuation
+	if !e.missing {
+		return
+	}
+	e.missing = false
+	for _, v := range fl.vms {
+		if !v.dead && !v.f.State().View().Evacuated[e.dataCentre] {
+			e.missing = true
+		}
+	}
+	if e.missing {
+		e.latest = max(e.latest, fl.now.Sub(e.begunAt)+step)
+	}
+}
+
 // Storm lets changes come one after the other.
 func (fl *Fleet) Storm(gap, length time.Duration) {
 	for end := fl.now.Add(length); fl.now.Before(end); {
 		fl.Change()
+		fl.nextEvacuation()
 		fl.Run(gap)
 	}
 }
 
+// nextEvacuation begins and ends evacuations in turn where the storm has them.
+func (fl *Fleet) nextEvacuation() {
+	if !fl.evacuating || fl.now.Before(fl.turnAt) {
+		return
+	}
+	fl.turnAt = fl.now.Add(evacuationTurn)
+	if fl.evacuation.active {
+		fl.EndEvacuation()
+		return
+	}
+	fl.Evacuate(fl.vms[fl.rand.IntN(len(fl.vms))].peer.DataCentre)
+}
+
 // Run lets time pass.
 func (fl *Fleet) Run(d time.Duration) {
 	for end := fl.now.Add(d); fl.now.Before(end); fl.now = fl.now.Add(step) {
@@ -241,6 +311,7 @@
 			}
 		}
 		fl.check()
+		fl.checkEvacuation()
 	}
 }
 
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
@@ -29,13 +31,15 @@
 	revision uint64
 	since    map[uint64]time.Time
 	written  []catalog.Item
+	// evacuated holds the evacuations that have begun and not ended.
+	evacuated map[string]catalog.Item
 	// refuses says that every call is refused at once.
 	refuses bool
 }
 
 func newStore() store {
 	first := catalog.Item{Key: documentKey, Value: []byte("x"), Revision: 1}
-	return store{link: link{up: storeLink, down: storeLink}, revision: 1, since: map[uint64]time.Time{}, written: []catalog.Item{first}}
+	return store{link: link{up: storeLink, down: storeLink}, revision: 1, since: map[uint64]time.Time{}, evacuated: map[string]catalog.Item{}, written: []catalog.Item{first}}
 }
 
 // write replaces the document by its next version, of some bytes.
@@ -48,6 +52,34 @@
 	s.written = append(s.written, catalog.Item{Key: documentKey, Value: text, Revision: s.revision})
 }
 
+// evacuate begins or ends the evacuation of a data centre.
+func (s *store) evacuate(now time.Time, dataCentre string, begins bool) {
+	s.revision++
+	s.since[s.revision] = now
+	it := catalog.Item{Key: evacuationPrefix + dataCentre, Revision: s.revision, Deleted: !begins}
+	if begins {
+		it.Value = []byte("{}")
+		s.evacuated[it.Key] = it
+	} else {
+		delete(s.evacuated, it.Key)
+	}
+	s.written = append(s.written, it)
+}
+
+// newest is the items that are there: the document and the evacuations.
+func (s *store) newest() []catalog.Item {
+	var out []catalog.Item
+	for _, key := range slices.Sorted(maps.Keys(s.evacuated)) {
+		out = append(out, s.evacuated[key])
+	}
+	for i := len(s.written) - 1; i >= 0; i-- {
+		if s.written[i].Key == documentKey {
+			return append(out, s.written[i])
+		}
+	}
+	return out
+}
+
 func (s *store) above(revision uint64) []catalog.Item {
 	for i, it := range s.written {
 		if it.Revision > revision {
@@ -75,7 +107,7 @@
 		fl.later(v, listPatience, fail)
 		return
 	}
-	revision, items := fl.store.revision, fl.store.written[len(fl.store.written)-1:]
+	revision, items := fl.store.revision, fl.store.newest()
 	fl.fromStore(v, items, listPatience, func() []follow.Action { return give(fl.now, revision, items) }, fail)
 }
 
--- a/internal/spread/storm_test.go
+++ b/internal/spread/storm_test.go
@@ -138,3 +138,21 @@
 		inTime(t, fl)
 	}
 }
+
+// Guards against an evacuation that waits behind the configuration: it is a few bytes in a
+// storm of changes of a large document, over slow links, and while the VMs are lost that read
+// the store; all VMs are to have it within the bound of a change.
+func TestAnEvacuationIsNotHeldUpByAStorm(t *testing.T) {
+	for _, vms := range []int{9, 70, 300} {
+		e := Experiment{
+			Sizes: []int{vms}, Seeds: []uint64{1, 2}, Bound: stormBound, Document: 1_000_000,
+			Gap: stormGap, Length: stormTime, LoseReaders: true, Evacuate: true,
+		}
+		for _, r := range e.Run() {
+			t.Logf("%d VMs, seed %d: no VM sends there after %v", r.VMs, r.Seed, r.Evacuated)
+			if r.Overdue != "" || r.Evacuated == 0 || r.Evacuated > stormBound {
+				t.Errorf("%d VMs, seed %d: after %v: %s", r.VMs, r.Seed, r.Evacuated, r.Overdue)
+			}
+		}
+	}
+}
