--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -143,6 +144,38 @@
 	}
 }
 
+// Answers the pattern of a load beyond what the upstreams take that lasts: their queues keep
+// each answer late while few parts are refused. Guards against a limit that settles where
+// nearly every answer is late; and against one that is cut for queries which are late for
+// something else, or found a full upstream and are in time.
+func TestLateQueriesThatFoundAFullUpstreamLowerTheLimit(t *testing.T) {
+	const aim = 100 * time.Millisecond
+	route := &routing.Route{Shards: slices.Repeat([]string{"a"}, 36), Objective: aim}
+	for _, c := range []struct {
+		name    string
+		took    time.Duration
+		crowded int
+		lowered bool
+	}{
+		{"late and refused once for want of room", 2 * aim, 1, true},
+		{"late for something else", 2 * aim, 0, false},
+		{"refused once and in time", aim / 2, 1, false},
+	} {
+		now := start
+		e := &Engine{now: func() time.Time { return now }, scatters: map[string]*congestion.Limiter{}}
+		l := e.startScatter(&catalog.View{}, route)
+		for range 19 {
+			e.startScatter(&catalog.View{}, route)
+		}
+		before := l.Limit()
+		now = now.Add(c.took)
+		e.endScatter(l, &Request{Received: start, Route: route}, &Answer{Crowded: c.crowded})
+		if lowered := l.Limit() < before; lowered != c.lowered {
+			t.Errorf("%s: the limit went from %v to %v", c.name, before, l.Limit())
+		}
+	}
+}
+
 // What a caller that left had under way tells nothing and leaves its place.
 func TestQueriesOfCallersThatLeftTellNothing(t *testing.T) {
 	e := &Engine{now: time.Now, scatters: map[string]*congestion.Limiter{}}
