--- a/internal/balance/vm.go
+++ b/internal/balance/vm.go
@@ -112,20 +112,22 @@
 
 // ended takes a query off those under way.
 func (v *vm) ended(q *query) {
-	crowded := q.crowdedParts()
-	late := v.model.clock.Now().Sub(q.began) > q.kind.Objective
+	now := v.model.clock.Now()
+	o := congestion.Outcome{Shards: len(v.model.services), NoRoom: q.crowdedParts(), Late: now.Sub(q.began) > q.kind.Objective}
 	switch v.model.opts.Ways.Limit {
 	case NoLimit:
 		return
+	case ByManyFullParts:
+		o.Late = false
 	case ByClosedWindows:
-		crowded = q.heldUpParts()
+		o.NoRoom = q.heldUpParts()
 	case ByLateAnswers:
-		crowded = 0
-		if late {
-			crowded = len(v.model.services) / 2
+		o.NoRoom = 0
+		if o.Late {
+			o.NoRoom = o.Shards / 2
 		}
 	}
-	v.limiter.Done(v.model.clock.Now(), q.began, len(v.model.services), crowded)
+	v.limiter.Done(now, q.began, o)
 }
 
 // do gives a send to a connection, or lets it wait for one.
--- a/internal/balance/ways.go
+++ b/internal/balance/ways.go
@@ -54,8 +54,11 @@
 
 // Limits.
 const (
-	// ByFullParts cuts the limit by the parts that found no room.
+	// ByFullParts cuts the limit by the parts that found no room, of late queries by a single
+	// one.
 	ByFullParts Limit = ""
+	// ByManyFullParts cuts it by a quarter of the parts, whether the query is late or not.
+	ByManyFullParts Limit = "many_full_parts"
 	// NoLimit bounds nothing.
 	NoLimit Limit = "none"
 	// ByLateAnswers cuts the limit by answers that came after their objective.
@@ -108,7 +111,7 @@
 }{
 	{"choice", []string{string(TwoChoices), string(AnyCopy)}, func(w *Ways, s string) { w.Choice = Choice(s) }},
 	{"refusals", []string{string(AllFull), string(AllFaults)}, func(w *Ways, s string) { w.Refusals = Refusals(s) }},
-	{"limit", []string{string(NoLimit), string(ByLateAnswers), string(ByClosedWindows)}, func(w *Ways, s string) { w.Limit = Limit(s) }},
+	{"limit", []string{string(NoLimit), string(ByLateAnswers), string(ByManyFullParts), string(ByClosedWindows)}, func(w *Ways, s string) { w.Limit = Limit(s) }},
 	{"ending", []string{string(AtFloor), string(AtDeadline)}, func(w *Ways, s string) { w.Ending = Ending(s) }},
 	{"hedging", []string{string(Never)}, func(w *Ways, s string) { w.Hedging = Hedging(s) }},
 	{"verdicts", []string{string(Shared)}, func(w *Ways, s string) { w.Verdicts = Verdicts(s) }},
--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -17,7 +17,9 @@
 // Policy is how the limit moves.
 type Policy struct {
 	// Share of a query's shards that found no room, from which on the query
-	// counts as congested: a lost shard or a straggler alone stays below it.
+	// counts as congested: a lost shard or a straggler alone stays below it. A query
+	// that ends late counts with this share once one shard found no room: upstreams
+	// queue before they refuse, and their queues alone make every answer late.
 	Share float64
 	// LeastShards of a query for it to tell anything.
 	LeastShards int
@@ -83,15 +85,35 @@
 	return true
 }
 
-// Done ends a query that was started at started; noRoom of its shards were
-// refused for want of room at least once.
-func (l *Limiter) Done(now, started time.Time, shards, noRoom int) {
+// Outcome is what a query showed.
+type Outcome struct {
+	Shards int
+	// NoRoom is how many of the shards were refused for want of room at least once.
+	NoRoom int
+	// Late says that the query ended after its objective.
+	Late bool
+}
+
+// crowded is the share of the shards that counts as having found no room.
+func (o *Outcome) crowded(p *Policy) float64 {
+	share := float64(o.NoRoom) / float64(o.Shards)
+	if o.Late && o.NoRoom > 0 {
+		return max(share, p.Share)
+	}
+	return share
+}
+
+// Done ends a query that was started at started.
+func (l *Limiter) Done(now, started time.Time, o Outcome) {
 	running := l.running
 	l.running--
+	if o.Shards < l.policy.LeastShards {
+		return
+	}
+	crowded := o.crowded(&l.policy)
 	switch {
-	case shards < l.policy.LeastShards:
-	case float64(noRoom) >= l.policy.Share*float64(shards):
-		l.cut(now, started, running, float64(noRoom)/float64(shards))
+	case crowded >= l.policy.Share:
+		l.cut(now, started, running, crowded)
 	case float64(running) >= l.limit*(1-reserve(pb.Priority_LOW)):
 		l.raise()
 	}
--- a/internal/congestion/congestion_test.go
+++ b/internal/congestion/congestion_test.go
@@ -32,7 +32,7 @@
 func TestCongestionBoundsTheQueriesThatRun(t *testing.T) {
 	g := NewWithT(t)
 	l := started(20)
-	l.Done(epoch.Add(time.Second), epoch, shards, congested)
+	l.Done(epoch.Add(time.Second), epoch, Outcome{Shards: shards, NoRoom: congested})
 	g.Expect(l.Limit()).To(BeNumerically("~", 15))
 	g.Expect(l.Start(pb.Priority_HIGH)).To(BeFalse())
 }
@@ -44,7 +44,7 @@
 	g := NewWithT(t)
 	l := started(20)
 	for i := range 20 {
-		l.Done(epoch.Add(time.Second+time.Duration(i)), epoch, shards, congested)
+		l.Done(epoch.Add(time.Second+time.Duration(i)), epoch, Outcome{Shards: shards, NoRoom: congested})
 	}
 	g.Expect(l.Limit()).To(BeNumerically("~", 15))
 }
@@ -55,8 +55,8 @@
 func TestOneLostShardIsNoCongestion(t *testing.T) {
 	g := NewWithT(t)
 	l := started(20)
-	l.Done(epoch.Add(time.Second), epoch, shards, 1)
-	l.Done(epoch.Add(time.Second), epoch, 1, 1)
+	l.Done(epoch.Add(time.Second), epoch, Outcome{Shards: shards, NoRoom: 1})
+	l.Done(epoch.Add(time.Second), epoch, Outcome{Shards: 1, NoRoom: 1})
 	g.Expect(l.Limit()).To(Equal(DefaultPolicy().First))
 }
 
@@ -86,7 +86,7 @@
 	fill()
 	for _, want := range []int{48, 96, 192} {
 		for range running {
-			l.Done(epoch.Add(time.Second), epoch, shards, 0)
+			l.Done(epoch.Add(time.Second), epoch, Outcome{Shards: shards})
 			running--
 			fill()
 		}
@@ -97,11 +97,11 @@
 func TestTheLimitGrowsWhileItIsUsed(t *testing.T) {
 	g := NewWithT(t)
 	l := started(10)
-	l.Done(epoch.Add(time.Second), epoch, shards, congested)
+	l.Done(epoch.Add(time.Second), epoch, Outcome{Shards: shards, NoRoom: congested})
 	low := l.Limit()
 	for range 100 {
 		l.Start(pb.Priority_HIGH)
-		l.Done(epoch.Add(2*time.Second), epoch.Add(2*time.Second), shards, 0)
+		l.Done(epoch.Add(2*time.Second), epoch.Add(2*time.Second), Outcome{Shards: shards})
 	}
 	g.Expect(l.Limit()).To(BeNumerically(">", low+2))
 }
@@ -109,7 +109,7 @@
 func TestLowPrioritiesFindNoRoomFirst(t *testing.T) {
 	g := NewWithT(t)
 	l := started(20)
-	l.Done(epoch.Add(time.Second), epoch, shards, congested)
+	l.Done(epoch.Add(time.Second), epoch, Outcome{Shards: shards, NoRoom: congested})
 	for range 7 {
 		l.Abandon()
 	}
@@ -136,7 +136,7 @@
 				}
 				running--
 				now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
-				l.Done(now, now.Add(-time.Second), shards, rapid.IntRange(0, shards).Draw(t, "no room"))
+				l.Done(now, now.Add(-time.Second), Outcome{Shards: shards, NoRoom: rapid.IntRange(0, shards).Draw(t, "no room"), Late: rapid.Bool().Draw(t, "late")})
 			},
 			"": func(t *rapid.T) {
 				if l.Limit() < DefaultPolicy().Least || l.running != running {
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -39,7 +39,10 @@
 		l.Abandon()
 		return
 	}
-	l.Done(e.now(), r.Received, len(r.Route.Shards), a.Crowded)
+	now := e.now()
+	l.Done(now, r.Received, congestion.Outcome{
+		Shards: len(r.Route.Shards), NoRoom: a.Crowded, Late: now.Sub(r.Received) > objective(r.Route),
+	})
 }
 
 // scatter is the limiter of a route's shards. The caller holds mu.
--- a/internal/frontend/scatter.go
+++ b/internal/frontend/scatter.go
@@ -44,7 +44,7 @@
 		l.Abandon()
 		return
 	}
-	l.Done(now, started, len(o.Shards), noRoom(o))
+	l.Done(now, started, congestion.Outcome{Shards: len(o.Shards), NoRoom: noRoom(o)})
 }
 
 // noRoom is how many shards were refused for want of room at least once.
