--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -83,9 +83,9 @@
 	Extra bool
 	// Priority orders calls that wait for a connection; 0 goes first.
 	Priority int
-	// Barred tells, right before the call is written, that the upstream may not be given it
-	// any more; nil never does.
-	Barred func() bool
+	// Barred tells, right before the call is written, why the upstream may not be given it any
+	// more, in a few words for logs; empty when it may. Nil never bars.
+	Barred func() string
 	// Done gets the reply, once, from another goroutine; not after Withdraw.
 	Done func(Reply)
 
@@ -166,6 +166,14 @@
 	}
 }
 
+// barred is why the upstream may not be given the call any more, empty when it may.
+func (c *Call) barred() string {
+	if c.Barred == nil {
+		return ""
+	}
+	return c.Barred()
+}
+
 func (c *Call) isWithdrawn() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/direct/conn.go
+++ b/internal/direct/conn.go
@@ -102,8 +102,8 @@
 		call.finish(Reply{Result: scatter.Expired, Detail: "no time left"})
 		return true
 	}
-	if call.Barred != nil && call.Barred() {
-		call.finish(Reply{Result: scatter.Barred, Detail: "the upstream may not be given the request any more"})
+	if why := call.barred(); why != "" {
+		call.finish(Reply{Result: scatter.Barred, Detail: why})
 		return true
 	}
 	if !call.start(c.net) {
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -666,14 +666,19 @@
 	_, first := c.begin("first", nil, 0)
 	var barred atomic.Bool
 	second, done := c.prepare("second", nil, 0)
-	second.Barred = barred.Load
+	second.Barred = func() string {
+		if barred.Load() {
+			return "why"
+		}
+		return ""
+	}
 	c.pools.Do(second)
 	barred.Store(true)
 	close(release)
 	if r := c.wait(first); r.Result != scatter.Answered {
 		t.Errorf("the first call: %v", r.Result)
 	}
-	if r := c.wait(done); r.Result != scatter.Barred || !r.Result.NotRun() {
+	if r := c.wait(done); r.Result != scatter.Barred || !r.Result.NotRun() || r.Detail != "why" {
 		t.Errorf("the barred call: %v", r.Result)
 	}
 	if n := arrived.Load(); n != 1 {
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -93,17 +93,6 @@
 	}
 }
 
-// atHome is the upstreams that are in some homes.
-func (e *Engine) atHome(upstreams []*catalog.Upstream, homes routing.Homes) []*catalog.Upstream {
-	var out []*catalog.Upstream
-	for _, u := range upstreams {
-		if homes.Allow(e.regionOf(u)) {
-			out = append(out, u)
-		}
-	}
-	return out
-}
-
 // evacuated tells whether upstreams of a service that are in the homes would take work, were
 // their data centre not evacuated.
 func (e *Engine) evacuated(v *catalog.View, service string, homes routing.Homes) bool {
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
@@ -36,26 +37,50 @@
 func (x *run) candidates(part int) []*catalog.Upstream {
 	v := x.engine.view.Load()
 	service := x.plan.Services[part]
-	all := v.Services[service]
-	homes := x.homes(v)
-	if _, bound := x.engine.coldBound(v, service); !bound && !homes.Bound() {
-		return all
+	out := x.engine.atHome(v.Services[service], x.homes(v))
+	if _, bound := x.engine.coldBound(v, service); !bound {
+		return out
+	}
+	return slices.DeleteFunc(slices.Clone(out), func(u *catalog.Upstream) bool { return !x.engine.warm(v, u) })
+}
+
+// Why an upstream may not be given a request that was planned for it.
+const (
+	barredLeaving = "takes no new work, or its data centre is evacuated"
+	barredHomes   = "outside the homes of the route"
+	barredCold    = "cold, or not known to be warm"
+)
+
+// barred is why the request may not be given to an upstream by what is in force now, empty
+// when it may.
+func (x *run) barred(u *catalog.Upstream) string {
+	v := x.engine.view.Load()
+	switch {
+	case !v.TakesWork(u):
+		return barredLeaving
+	case !x.homes(v).Allow(x.engine.regionOf(u)):
+		return barredHomes
+	case !x.engine.warm(v, u):
+		return barredCold
+	default:
+		return ""
+	}
+}
+
+// atHome is the upstreams that are in some homes.
+func (e *Engine) atHome(upstreams []*catalog.Upstream, homes routing.Homes) []*catalog.Upstream {
+	if !homes.Bound() {
+		return upstreams
 	}
 	var out []*catalog.Upstream
-	for _, u := range all {
-		if homes.Allow(x.engine.regionOf(u)) && x.engine.warm(v, u) {
+	for _, u := range upstreams {
+		if homes.Allow(e.regionOf(u)) {
 			out = append(out, u)
 		}
 	}
 	return out
 }
 
-// mayServe tells whether the request may be given to an upstream by what is in force now.
-func (x *run) mayServe(u *catalog.Upstream) bool {
-	v := x.engine.view.Load()
-	return v.TakesWork(u) && x.homes(v).Allow(x.engine.regionOf(u)) && x.engine.warm(v, u)
-}
-
 // homes is where the request may be served: in the homes of its route as it was planned,
 // and in those that the route has now.
 func (x *run) homes(v *catalog.View) routing.Homes {
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -254,7 +254,7 @@
 		AnswerBy: x.plan.AnswerBy,
 		Priority: x.req.Route.Priority,
 		Extra:    s.Cause != scatter.First,
-		Barred:   func() bool { return !x.mayServe(s.Upstream) },
+		Barred:   func() string { return x.barred(s.Upstream) },
 		Done:     func(r direct.Reply) { x.inbox.put(numbered{s.Attempt, r}) },
 	}
 	e.mu.Lock()
