--- a/internal/balance/model.go
+++ b/internal/balance/model.go
@@ -16,9 +16,7 @@
 	dataCentres = 6
 	// retries is how often a caller comes back after a query that was refused or failed.
 	retries = 1
-	// congestedRetry, refusedRetry and noUpstreamRetry are what refusals recommend, as in
-	// package edge.
-	congestedRetry  = 250 * time.Millisecond
+	// refusedRetry and noUpstreamRetry are what refusals recommend, as in package edge.
 	refusedRetry    = 100 * time.Millisecond
 	noUpstreamRetry = time.Second
 	// lateWorth is what a late answer is worth of one in time.
@@ -166,7 +164,7 @@
 
 func (c *caller) ask(v *vm) {
 	if !v.admits(c.kind) {
-		c.rejected(outcome{refused: true}, congestedRetry)
+		c.rejected(outcome{refused: true}, v.limiter.RetryAfter(c.model.clock.Now()))
 		return
 	}
 	v.ask(c.kind, c.began.Add(c.kind.Deadline), func(q *query, verdict *scatter.Verdict) {
--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -14,6 +14,15 @@
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
+const (
+	// spellGap is how long nothing is refused between two spells of congestion.
+	spellGap = time.Second
+	// leastRetry lets about the queries under way finish; mostRetry is most of the time for
+	// which callers of short queries wait.
+	leastRetry = 250 * time.Millisecond
+	mostRetry  = 2 * time.Second
+)
+
 // Policy is how the limit moves.
 type Policy struct {
 	// Share of a query's shards that found no room, from which on the query
@@ -57,6 +66,8 @@
 	limit   float64
 	running int
 	cutAt   time.Time
+	// refusedAt is when a query was last refused, refusingSince when the first of a spell was.
+	refusedAt, refusingSince time.Time
 }
 
 // New makes a limiter that has seen no congestion.
@@ -85,6 +96,16 @@
 	return true
 }
 
+// RetryAfter takes note of a refusal and is when its caller may come back: as long as queries
+// have been refused already, within bounds. Sooner most would be refused again.
+func (l *Limiter) RetryAfter(now time.Time) time.Duration {
+	if now.Sub(l.refusedAt) > spellGap {
+		l.refusingSince = now
+	}
+	l.refusedAt = now
+	return min(max(leastRetry, now.Sub(l.refusingSince)), mostRetry)
+}
+
 // Outcome is what a query showed.
 type Outcome struct {
 	Shards int
--- a/internal/congestion/congestion_test.go
+++ b/internal/congestion/congestion_test.go
@@ -106,6 +106,20 @@
 	g.Expect(l.Limit()).To(BeNumerically(">", low+2))
 }
 
+// Answers the pattern of a burst beyond capacity that lasts for seconds. Guards against
+// callers who are told to come back within it again and again, and against a long wait at the
+// first refusal or after a spell that is over.
+func TestTheWaitIsAsLongAsTheCongestionHasLasted(t *testing.T) {
+	g := NewWithT(t)
+	l := New(DefaultPolicy())
+	wait := func(at time.Duration) time.Duration { return l.RetryAfter(epoch.Add(at)) }
+	g.Expect(wait(0)).To(Equal(250 * time.Millisecond))
+	g.Expect(wait(900 * time.Millisecond)).To(Equal(900 * time.Millisecond))
+	g.Expect(wait(1800 * time.Millisecond)).To(Equal(1800 * time.Millisecond))
+	g.Expect(wait(2700 * time.Millisecond)).To(Equal(2 * time.Second))
+	g.Expect(wait(3800 * time.Millisecond)).To(Equal(250 * time.Millisecond))
+}
+
 func TestLowPrioritiesFindNoRoomFirst(t *testing.T) {
 	g := NewWithT(t)
 	l := started(20)
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -31,6 +31,13 @@
 	return l
 }
 
+// congestedRetry is when a query that was refused for congestion may come back.
+func (e *Engine) congestedRetry(v *catalog.View, route *routing.Route) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.scatter(v, route).RetryAfter(e.now())
+}
+
 // endScatter ends a query at the limiter that it was begun at.
 func (e *Engine) endScatter(l *congestion.Limiter, r *Request, a *Answer) {
 	e.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -306,7 +306,7 @@
 	}
 	l := e.startScatter(v, r.Route)
 	if l == nil {
-		return refuse(Congested, congestedRetry)
+		return refuse(Congested, e.congestedRetry(v, r.Route))
 	}
 	a := e.run(v, r)
 	e.endScatter(l, r, &a)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -104,8 +104,6 @@
 	unreadyRetry = 800 * time.Millisecond
 	// overloadRetry lets about a dozen requests of the usual kind finish.
 	overloadRetry = 300 * time.Millisecond
-	// congestedRetry lets about the queries under way finish.
-	congestedRetry = 250 * time.Millisecond
 	// refusedRetry lets a full upstream free a slot.
 	refusedRetry = 100 * time.Millisecond
 	// noUpstreamRetry is half of what upstreams whose entries have lapsed take to register
