--- a/internal/balance/query.go
+++ b/internal/balance/query.go
@@ -104,7 +104,7 @@
 	v := q.vm
 	now := v.model.clock.Now()
 	v.sends++
-	out := &send{id: v.sends, query: q, part: s.Part, server: v.model.servers[s.Upstream.ID], cause: s.Cause, sentAt: now}
+	out := &send{id: v.sends, query: q, part: s.Part, server: v.model.servers[s.Upstream.ID], sentAt: now}
 	q.sends = append(q.sends, out)
 	v.replicas.Sent(now, q.kind.Name, q.usual(), s.Upstream, out.id, out.waitedFor)
 	v.model.countSend(s.Cause)
@@ -116,7 +116,6 @@
 	if q.over {
 		return
 	}
-	s.replied = true
 	s.full = r == scatter.Refused && q.takenForFull(load)
 	q.vm.note(s, r, took)
 	n := slices.Index(q.sends, s)
--- a/internal/balance/vm.go
+++ b/internal/balance/vm.go
@@ -60,15 +60,14 @@
 	query  *query
 	part   int
 	server *server
-	cause  scatter.Cause
 	sentAt time.Time
-	// waited is how long it has waited for a connection, once it has one.
-	waited  time.Duration
+	// started says that it has a connection, waited how long it has waited for one.
 	started bool
-	over    bool
-	job     *job
-	full    bool
-	replied bool
+	waited  time.Duration
+	// job is the request at the upstream, once started.
+	job *job
+	// over says that it has ended or was withdrawn, full that the upstream had no room.
+	over, full bool
 	// closed says that it has had to wait for the upstream's window.
 	closed bool
 }
--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -47,15 +47,20 @@
 	return Policy{Share: 0.25, LeastShards: 4, Cut: 0.5, Least: 2, First: 64}
 }
 
-// queriesPerSlot is how many queries under way keep a slot busy: their parts are on the way
-// to an upstream and back most of the time.
-const queriesPerSlot = 4
+const (
+	// queriesPerSlot is how many queries under way keep a slot busy: their parts are on the
+	// way to an upstream and back most of the time.
+	queriesPerSlot = 4
+	// leastFirst is the lowest limit before any congestion was seen: slots may be counted
+	// while most upstreams are not registered yet.
+	leastFirst = 16
+)
 
 // WithSlots is the policy for queries of whose shards the one with the fewest slots has so
 // many, over all its upstreams; 0 when that is not known.
 func (p Policy) WithSlots(slots int) Policy {
 	if slots > 0 {
-		p.First = max(p.Least, queriesPerSlot*float64(slots))
+		p.First = max(leastFirst, queriesPerSlot*float64(slots))
 	}
 	return p
 }
--- a/internal/congestion/congestion_test.go
+++ b/internal/congestion/congestion_test.go
@@ -69,6 +69,7 @@
 		began++
 	}
 	g.Expect(began).To(Equal(24))
+	g.Expect(New(DefaultPolicy().WithSlots(1)).Limit()).To(Equal(16.0))
 	g.Expect(New(DefaultPolicy().WithSlots(0)).Limit()).To(Equal(DefaultPolicy().First))
 }
 
--- a/internal/spread/fleet.go
+++ b/internal/spread/fleet.go
@@ -154,8 +154,9 @@
 // evacuation is a data centre whose upstreams are to get nothing.
 type evacuation struct {
 	dataCentre string
-	active     bool
-	begunAt    time.Time
+	// active says that it has not ended.
+	active  bool
+	begunAt time.Time
 	// missing is whether a VM still sent there when it was last looked at; latest is the
 	// longest time until all VMs that live had stopped, over all evacuations.
 	missing bool
