Tell the store's era, and answers below the known revision

Cause: nothing told which history a revision is of. A listing told its own revision and not the known one, a watch neither; claims of peers that were not followed were counted nowhere. The hypotheses of the incident (revisions given out twice; nobody confirms; a version fetched and not taken) could not be told apart but by a VM that happened to list.

Change: the header Store-Era is read at the boundary into a catalog.Position; a line and a counter for each answer below the known revision, a line when the era rises, gauges of the era and of disbelieved claims. What is decided with the answers is unchanged.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -134,6 +134,8 @@
 	disproved uint64
 	// contradictions is how often the store has said since that it is not there yet.
 	contradictions int
+	// disbelieved is how many claims of peers were not followed.
+	disbelieved uint64
 	// vms is how many VMs live, this one included.
 	vms int
 
@@ -172,6 +174,10 @@
 	return f.lead.revision
 }
 
+// Disbelieved is how many claims of peers were not followed, as the store had said that it
+// has no such revision.
+func (f *Follower) Disbelieved() uint64 { return f.disbelieved }
+
 // Reader tells whether this VM is to read the store.
 func (f *Follower) Reader(now time.Time) bool {
 	return f.Elected(now) || now.Before(f.actingUntil)
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -51,9 +51,14 @@
 	if age == Unconfirmed {
 		at = time.Time{}
 	}
-	if revision >= f.state.Revision() && revision > 0 && f.believable(revision) {
-		f.heardAhead(now, peer, revision, at)
+	if revision < f.state.Revision() || revision == 0 {
+		return f.out
+	}
+	if !f.believable(revision) {
+		f.disbelieved++
+		return f.out
 	}
+	f.heardAhead(now, peer, revision, at)
 	return f.out
 }
 
@@ -82,6 +87,7 @@
 		f.pull = nil
 	}
 	if !f.believable(page.Revision) {
+		f.disbelieved++
 		f.lead = lead{}
 		return f.out
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -19,6 +19,8 @@
 	pullSeconds prometheus.Histogram
 	rejected    prometheus.Counter
 	disproved   prometheus.Counter
+	// below is answers of the store whose revision is below the known one.
+	below *prometheus.CounterVec
 }
 
 // pullBuckets are seconds: from a round trip in a data centre to the time at which
@@ -46,6 +48,9 @@
 		disproved: f.NewCounter(prometheus.CounterOpts{
 			Name: "sycamorekeel_catalog_disproved_total", Help: "Revisions that peers gave and the store does not have.",
 		}),
+		below: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamorekeel_catalog_below_known_total", Help: "Answers of the store whose revision is below the known one, by call.",
+		}, []string{"call"}),
 		pullSeconds: f.NewHistogram(prometheus.HistogramOpts{
 			Name: "sycamorekeel_catalog_pull_seconds", Help: "Time of a pull from a peer, failed ones included.", Buckets: pullBuckets,
 		}),
@@ -82,6 +87,12 @@
 		}
 		return 0
 	})
+	gauge("sycamorekeel_catalog_store_era", "Era that the store told this VM last, 0 for none.", func() float64 {
+		return float64(n.reader.storeEra())
+	})
+	f.NewCounterFunc(prometheus.CounterOpts{
+		Name: "sycamorekeel_catalog_disbelieved_claims_total", Help: "Claims of peers that were not followed, as the store had said otherwise.",
+	}, func() float64 { return float64(n.reader.disbelieved()) })
 	gauge("sycamorekeel_catalog_confirmed_age_seconds", "Time since the store last confirmed the view, here or at a peer.", func() float64 {
 		return n.reader.confirmedAge(time.Now()).Seconds()
 	})
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -22,12 +22,12 @@
 
 // Store is what is read of the platform's store.
 type Store interface {
-	// List is every item, and a revision up to which the items hold all changes; stale
+	// List is every item, and a position up to which the items hold all changes; stale
 	// says that it may be seconds old.
-	List(stale bool) (revision uint64, items []catalog.Item, err error)
+	List(stale bool) (at catalog.Position, items []catalog.Item, err error)
 	// Watch waits for changes above a revision; ErrCompacted says that they are
 	// no longer known.
-	Watch(after uint64, wait time.Duration) (revision uint64, changes []catalog.Item, err error)
+	Watch(after uint64, wait time.Duration) (at catalog.Position, changes []catalog.Item, err error)
 }
 
 const (
@@ -61,6 +61,8 @@
 	mu       sync.Mutex
 	follower *follow.Follower
 	failing  bool
+	// era is the one that the store told last.
+	era uint64
 	// reads says whether this VM was a reader when it was last looked at.
 	reads bool
 	// unreadable says that the last page could not be unpacked: the next is asked for
@@ -158,31 +160,35 @@
 }
 
 func (r *reader) list(l follow.List) {
-	revision, items, err := r.store.List(l.Stale)
+	at, items, err := r.store.List(l.Stale)
 	r.noteRead("list", err)
 	if err == nil {
-		r.log.Info("store: listed", zap.Uint64("revision", revision), zap.Int("items", len(items)), zap.Bool("stale", l.Stale))
+		r.log.Info("store: listed", zap.Stringer("position", at), zap.Int("items", len(items)), zap.Bool("stale", l.Stale))
+		r.noteAnswer("list", at)
 	}
 	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
 		switch {
 		case err != nil:
 			return f.ReadFailed(now, false)
 		case l.Stale:
-			return f.ListedStale(now, revision, items)
+			return f.ListedStale(now, at.Revision, items)
 		default:
-			return f.Listed(now, revision, items)
+			return f.Listed(now, at.Revision, items)
 		}
 	})
 }
 
 func (r *reader) watch(w follow.Watch) {
-	revision, changes, err := r.store.Watch(w.After, w.Wait)
+	at, changes, err := r.store.Watch(w.After, w.Wait)
 	r.noteRead("watch", err)
+	if err == nil {
+		r.noteAnswer("watch", at)
+	}
 	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
 		if err != nil {
 			return f.ReadFailed(now, errors.Is(err, ErrCompacted))
 		}
-		return f.Watched(now, w.After, revision, changes)
+		return f.Watched(now, w.After, at.Revision, changes)
 	})
 }
 
@@ -203,6 +209,38 @@
 	}
 }
 
+// noteAnswer tells of an answer that shows that the store has gone back.
+func (r *reader) noteAnswer(call string, at catalog.Position) {
+	r.mu.Lock()
+	known := r.follower.State().Revision()
+	was := r.era
+	r.era = max(r.era, at.Era)
+	r.mu.Unlock()
+	if at.Era > was && was > 0 {
+		r.log.Warn("store: came back from an older copy", zap.String("call", call),
+			zap.Stringer("position", at), zap.Uint64("was", was), zap.Uint64("known", known))
+	}
+	if at.Revision < known {
+		r.met.below.WithLabelValues(call).Inc()
+		r.log.Warn("store: answered below the known revision", zap.String("call", call),
+			zap.Stringer("position", at), zap.Uint64("known", known))
+	}
+}
+
+// storeEra is the era that the store told last, 0 for none.
+func (r *reader) storeEra() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era
+}
+
+// disbelieved is how many claims of peers were not followed.
+func (r *reader) disbelieved() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.follower.Disbelieved()
+}
+
 // pull asks a peer for what it knows.
 func (r *reader) pull(p follow.Pull) {
 	began := time.Now()
--- a/internal/standalone/deployment.go
+++ b/internal/standalone/deployment.go
@@ -86,28 +86,28 @@
 func NewFile(path string) *File { return &File{path: path} }
 
 // List implements node.Store.
-func (f *File) List(bool) (uint64, []catalog.Item, error) {
+func (f *File) List(bool) (catalog.Position, []catalog.Item, error) {
 	d, err := f.read()
 	if err != nil {
-		return 0, nil, err
+		return catalog.Position{}, nil, err
 	}
 	items, err := split(d)
-	return d.Version, items, trace.Wrap(err)
+	return catalog.Position{Revision: d.Version}, items, trace.Wrap(err)
 }
 
 // Watch implements node.Store: a file has no history, so a later version is to be
 // listed.
-func (f *File) Watch(after uint64, wait time.Duration) (uint64, []catalog.Item, error) {
+func (f *File) Watch(after uint64, wait time.Duration) (catalog.Position, []catalog.Item, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(filePoll) {
 		d, err := f.read()
 		if err != nil {
-			return 0, nil, err
+			return catalog.Position{}, nil, err
 		}
 		if d.Version > after {
-			return 0, nil, node.ErrCompacted
+			return catalog.Position{}, nil, node.ErrCompacted
 		}
 		if !time.Now().Before(end) {
-			return after, nil, nil
+			return catalog.Position{Revision: after}, nil, nil
 		}
 	}
 }
