--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,15 +1,15 @@
 // Package catalog holds what one VM knows of the published configuration and of
-// the upstreams, as of one revision of the store. It is pure: what was read from
-// the store or from a peer goes in with the time, and a View comes out.
+// the upstreams, as of one position in the store's history. It is pure: what was read
+// from the store or from a peer goes in with the time, and a View comes out.
 //
-// The state at a revision is the same on every VM, so a VM that is behind may
+// The state at a position is the same on every VM, so a VM that is behind may
 // take a peer's state whole. Nothing ever goes back: an item is replaced only by
-// a later revision of itself, and a state only by one of a later revision, unless it was
-// never the store's and is discarded.
+// a later position of itself, and a state only by one of a later position, unless it was
+// never the store's and is discarded. Revisions alone order nothing: a store that comes
+// back from an older copy gives them out again, in a later era.
 package catalog
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -37,13 +37,18 @@
 type Item struct {
 	Key string
 	// Value is the published text.
-	Value    []byte
+	Value []byte
+	// Era and Revision are the position of the item's last change.
+	Era      uint64
 	Revision uint64
 	Created  uint64
 	// Deleted items have no value.
 	Deleted bool
 }
 
+// At is the position of the item's last change.
+func (it Item) At() Position { return Position{Era: it.Era, Revision: it.Revision} }
+
 // Decoder turns items into what they describe. It is a pure function of the
 // item, so that all VMs agree on what is in force.
 type Decoder interface {
@@ -70,9 +75,10 @@
 // View is what is in force. It is immutable.
 type View struct {
 	// Epoch counts how often what was known had to be discarded; views of a later epoch
-	// replace those of earlier ones, whatever their revision.
+	// replace those of earlier ones, whatever their position.
 	Epoch uint64
-	// Revision is the store's revision that the view shows.
+	// Era and Revision are the position in the store's history that the view shows.
+	Era      uint64
 	Revision uint64
 	// Table is nil until a configuration is known.
 	Table *routing.Table
@@ -91,9 +97,11 @@
 	if v.Epoch != other.Epoch {
 		return v.Epoch < other.Epoch
 	}
-	return v.Revision <= other.Revision
+	return !other.position().Before(v.position())
 }
 
+func (v *View) position() Position { return Position{Era: v.Era, Revision: v.Revision} }
+
 // TakesWork tells whether an upstream that was chosen may still be given work: one that has
 // begun to leave since, or whose data centre is evacuated, may not. One that has started
 // again counts as the same.
@@ -108,9 +116,9 @@
 type State struct {
 	decoder  Decoder
 	epoch    uint64
-	revision uint64
+	position Position
 	items    map[string]Item
-	// deletions holds the latest deletions, lowest revision first; all above
+	// deletions holds the latest deletions of the era, lowest revision first; all above
 	// deletionsFloor are in it.
 	deletions      []Item
 	deletionsFloor uint64
@@ -158,8 +166,11 @@
 	}
 }
 
-// Revision is the store's revision up to which everything is known.
-func (s *State) Revision() uint64 { return s.revision }
+// Position is the position in the store's history up to which everything is known.
+func (s *State) Position() Position { return s.position }
+
+// Revision is the revision of the position.
+func (s *State) Revision() uint64 { return s.position.Revision }
 
 // Bytes is the size of all values known.
 func (s *State) Bytes() int {
@@ -193,16 +204,19 @@
 	}
 }
 
-// Replace takes in a whole listing: items that are known at or below its revision
-// and not in it are gone, and are told to peers as deletions at that revision. It is
+// Replace takes in a whole listing: items that are known at or below its position
+// and not in it are gone, and are told to peers as deletions at that position. It is
 // for listings of the store and for the states of peers. A listing older than what is
 // known changes nothing.
-func (s *State) Replace(now time.Time, revision uint64, items []Item) bool {
-	if revision < s.revision {
+func (s *State) Replace(now time.Time, at Position, items []Item) bool {
+	if at.Before(s.position) {
 		return false
 	}
+	if at.Era != s.position.Era {
+		s.forgetDeletions()
+	}
 	// A peer's page may hold two versions of an item: the earlier one first.
-	items = slices.SortedFunc(slices.Values(items), byRevision)
+	items = slices.SortedFunc(slices.Values(items), byPosition)
 	listed := make(map[string]bool, len(items))
 	changed := false
 	for _, it := range items {
@@ -210,25 +224,25 @@
 		changed = s.put(it) || changed
 	}
 	changed = s.settleConfig() || changed
-	s.noteGap(revision)
+	s.noteGap(at.Revision)
 	for key, it := range s.items {
-		if !listed[key] && it.Revision <= revision {
+		if !listed[key] && !at.Before(it.At()) {
 			changed = s.remove(now, key) || changed
-			s.keepDeletion(Item{Key: key, Revision: revision, Deleted: true})
+			s.keepDeletion(Item{Key: key, Era: at.Era, Revision: at.Revision, Deleted: true})
 		}
 	}
-	s.revision = revision
+	s.position = at
 	return changed
 }
 
-// Apply takes in the changes above a revision. It refuses them (false) when they
-// leave a gap: what is known ends below after.
-func (s *State) Apply(now time.Time, after, revision uint64, changes []Item) (changed, joined bool) {
-	if after > s.revision {
+// Apply takes in the changes from one position to another. It refuses them (false) when
+// they leave a gap, what is known ending before, or are of another era than what is known.
+func (s *State) Apply(now time.Time, after, upTo Position, changes []Item) (changed, joined bool) {
+	if upTo.Era != s.position.Era || s.position.Before(after) {
 		return false, false
 	}
 	for _, it := range changes {
-		if it.Revision <= s.revision {
+		if !s.position.Before(it.At()) {
 			// Known already: one that is not held has been undone since, and taken in
 			// from an answer that comes late it would never be undone again.
 			continue
@@ -237,13 +251,15 @@
 			changed = s.put(it) || changed
 			continue
 		}
-		if held, ok := s.items[it.Key]; ok && held.Revision < it.Revision {
+		if held, ok := s.items[it.Key]; ok && held.At().Before(it.At()) {
 			changed = s.remove(now, it.Key) || changed
 		}
 		s.keepDeletion(it)
 	}
 	changed = s.settleConfig() || changed
-	s.revision = max(s.revision, revision)
+	if s.position.Before(upTo) {
+		s.position = upTo
+	}
 	return changed, true
 }
 
@@ -256,7 +272,7 @@
 
 // put takes in one item; false when it changed nothing that is in force.
 func (s *State) put(it Item) bool {
-	if held, ok := s.items[it.Key]; ok && held.Revision >= it.Revision {
+	if held, ok := s.items[it.Key]; ok && !held.At().Before(it.At()) {
 		return false
 	}
 	s.items[it.Key] = it
@@ -280,7 +296,7 @@
 // a reader gets some versions at once: decoding those that are over already would take a
 // weak VM most of its time, and nobody would hold them to be sent changes against.
 func (s *State) settleConfig() bool {
-	slices.SortFunc(s.candidates, func(a, b Item) int { return cmp.Compare(b.Revision, a.Revision) })
+	slices.SortFunc(s.candidates, func(a, b Item) int { return byPosition(b, a) })
 	changed := slices.ContainsFunc(s.candidates, s.putConfig)
 	s.candidates = nil
 	return changed
@@ -289,7 +305,7 @@
 // putConfig puts one version in force; false when it is older than that in force or is
 // rejected.
 func (s *State) putConfig(it Item) bool {
-	if it.Revision <= s.configItem.Revision {
+	if !s.configItem.At().Before(it.At()) {
 		return false
 	}
 	c, err := s.decoder.Config(it)
@@ -322,7 +338,8 @@
 func (s *State) View() *View {
 	v := &View{
 		Epoch:     s.epoch,
-		Revision:  s.revision,
+		Era:       s.position.Era,
+		Revision:  s.position.Revision,
 		Table:     s.table,
 		Config:    s.config,
 		Evacuated: map[string]bool{},
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -64,6 +64,9 @@
 	return Item{Key: key, Value: []byte(value), Revision: revision}
 }
 
+// at is a position in the only era of a store that tells none.
+func at(revision uint64) Position { return Position{Revision: revision} }
+
 func gone(key string, revision uint64) Item {
 	return Item{Key: key, Revision: revision, Deleted: true}
 }
@@ -79,7 +82,7 @@
 func filled() *State {
 	s := New(start, plain{})
 	s.Answered(start)
-	s.Replace(start, 10, []Item{put("config", "h", 3), put("up/a", "s", 4), put("up/b", "s", 5)})
+	s.Replace(start, at(10), []Item{put("config", "h", 3), put("up/a", "s", 4), put("up/b", "s", 5)})
 	return s
 }
 
@@ -99,7 +102,7 @@
 		{"a gap", 12, []Item{put("up/c", "s", 13)}, false, "a,b"},
 	} {
 		s := filled()
-		_, joined := s.Apply(start, c.after, 13, c.changes)
+		_, joined := s.Apply(start, at(c.after), at(13), c.changes)
 		if got := ids(s, "s"); got != c.want || joined != c.joined {
 			t.Errorf("%s: %s (joined %v), want %s (%v)", c.name, got, joined, c.want, c.joined)
 		}
@@ -108,11 +111,11 @@
 
 func TestReplace(t *testing.T) {
 	s := filled()
-	s.Replace(start, 20, []Item{put("config", "h", 3), put("up/b", "s", 5), put("up/c", "s", 21)})
+	s.Replace(start, at(20), []Item{put("config", "h", 3), put("up/b", "s", 5), put("up/c", "s", 21)})
 	if got := ids(s, "s"); got != "b,c" {
 		t.Errorf("after the listing: %s", got)
 	}
-	if s.Replace(start, 19, nil); ids(s, "s") != "b,c" {
+	if s.Replace(start, at(19), nil); ids(s, "s") != "b,c" {
 		t.Error("an older listing took upstreams out")
 	}
 }
@@ -123,10 +126,10 @@
 // Cause: the last one that came was taken for the newest.
 func TestTheConfigurationNeverGoesBack(t *testing.T) {
 	s := filled()
-	s.Apply(start, 10, 12, []Item{put("config", "h", 12)})
-	s.Apply(start, 10, 11, []Item{put("config", "h", 11)})
-	s.Apply(start, 12, 13, []Item{gone("config", 13)})
-	s.Apply(start, 13, 14, []Item{put("config", "bad", 14)})
+	s.Apply(start, at(10), at(12), []Item{put("config", "h", 12)})
+	s.Apply(start, at(10), at(11), []Item{put("config", "h", 11)})
+	s.Apply(start, at(12), at(13), []Item{gone("config", 13)})
+	s.Apply(start, at(13), at(14), []Item{put("config", "bad", 14)})
 	if v := s.View().Table.Version(); v != 12 {
 		t.Errorf("version %d in force, want 12", v)
 	}
@@ -144,12 +147,12 @@
 	away := start.Add(4 * time.Second)
 	s.Failed(away)
 	back := away.Add(time.Second)
-	s.Apply(back, 10, 12, []Item{gone("up/a", 11), gone("up/b", 12)})
+	s.Apply(back, at(10), at(12), []Item{gone("up/a", 11), gone("up/b", 12)})
 	s.Answered(back)
 	if got := ids(s, "s"); got != "a,b" {
 		t.Fatalf("at the return: %q", got)
 	}
-	s.Apply(back.Add(time.Second), 12, 13, []Item{put("up/b", "s", 13)})
+	s.Apply(back.Add(time.Second), at(12), at(13), []Item{put("up/b", "s", 13)})
 	s.Tick(back.Add(2 * time.Second))
 	if got := ids(s, "s"); got != "a,b" {
 		t.Errorf("two seconds after: %q", got)
@@ -158,7 +161,7 @@
 	if got := ids(s, "s"); got != "b" {
 		t.Errorf("after the grace: %q, want only the one that came back", got)
 	}
-	s.Apply(back.Add(3*time.Second), 13, 14, []Item{gone("up/b", 14)})
+	s.Apply(back.Add(3*time.Second), at(13), at(14), []Item{gone("up/b", 14)})
 	if got := ids(s, "s"); got != "" {
 		t.Errorf("a deletion in calm times: %q", got)
 	}
@@ -167,7 +170,7 @@
 func TestOneLostAnswerIsNoOutage(t *testing.T) {
 	s := filled()
 	s.Failed(start.Add(time.Second))
-	s.Apply(start.Add(time.Second), 10, 11, []Item{gone("up/a", 11)})
+	s.Apply(start.Add(time.Second), at(10), at(11), []Item{gone("up/a", 11)})
 	if got := ids(s, "s"); got != "b" {
 		t.Errorf("%q", got)
 	}
@@ -177,23 +180,23 @@
 // and ends with the same state; one that is further behind is told so.
 func TestSince(t *testing.T) {
 	s := filled()
-	s.Apply(start, 10, 12, []Item{gone("up/a", 11), put("up/c", "s", 12)})
+	s.Apply(start, at(10), at(12), []Item{gone("up/a", 11), put("up/c", "s", 12)})
 	peer := filled()
-	changes, ok := s.Since(peer.Revision())
+	changes, ok := s.Since(peer.Position())
 	if !ok {
 		t.Fatal("the changes above the peer's revision are not known")
 	}
-	peer.Apply(start, peer.Revision(), s.Revision(), changes)
+	peer.Apply(start, peer.Position(), s.Position(), changes)
 	if ids(peer, "s") != ids(s, "s") || peer.Revision() != 12 {
 		t.Errorf("the peer has %q at %d", ids(peer, "s"), peer.Revision())
 	}
-	if _, ok := s.Since(9); ok {
+	if _, ok := s.Since(at(9)); ok {
 		t.Error("changes before the first listing are not known")
 	}
 	for r := uint64(13); r < 13+2*keptDeletions; r++ {
-		s.Apply(start, r-1, r, []Item{gone(fmt.Sprintf("up/%d", r), r)})
+		s.Apply(start, at(r-1), at(r), []Item{gone(fmt.Sprintf("up/%d", r), r)})
 	}
-	if _, ok := s.Since(12); ok {
+	if _, ok := s.Since(at(12)); ok {
 		t.Error("more deletions are kept than the bound")
 	}
 }
@@ -203,9 +206,9 @@
 func TestSinceHasOnlyTheNewestVersion(t *testing.T) {
 	s := filled()
 	for r := uint64(11); r <= 100; r++ {
-		s.Apply(start, r-1, r, []Item{put("config", fmt.Sprint(r), r)})
+		s.Apply(start, at(r-1), at(r), []Item{put("config", fmt.Sprint(r), r)})
 	}
-	changes, ok := s.Since(10)
+	changes, ok := s.Since(at(10))
 	if !ok || len(changes) != 1 || changes[0].Revision != 100 {
 		t.Errorf("%v %v", changes, ok)
 	}
@@ -217,12 +220,11 @@
 // Cause: the newest version alone was passed on, and the last good one was not.
 func TestThePagesHoldTheConfigurationInForce(t *testing.T) {
 	s := filled()
-	s.Apply(start, 10, 12, []Item{put("config", "good", 11), put("config", "bad", 12)})
+	s.Apply(start, at(10), at(12), []Item{put("config", "good", 11), put("config", "bad", 12)})
 	behind, fresh := filled(), New(start, plain{})
-	changes, _ := s.Since(10)
-	behind.Apply(start, 10, 12, changes)
-	revision, items := s.Items()
-	fresh.Replace(start, revision, items)
+	changes, _ := s.Since(at(10))
+	behind.Apply(start, at(10), at(12), changes)
+	fresh.Replace(start, s.Position(), s.Items())
 	for name, peer := range map[string]*State{"behind": behind, "fresh": fresh} {
 		if c := peer.View().Config; c == nil || c.Version != 11 || peer.Revision() != 12 {
 			t.Errorf("%s: %+v at %d", name, c, peer.Revision())
@@ -244,13 +246,13 @@
 	} {
 		d := &counting{}
 		s := New(start, d)
-		s.Replace(start, 10, []Item{put("config", "h", 3)})
+		s.Replace(start, at(10), []Item{put("config", "h", 3)})
 		d.configs = 0
 		var changes []Item
 		for i, v := range c.values {
 			changes = append(changes, put("config", v, uint64(11+i)))
 		}
-		changed, _ := s.Apply(start, 10, 13, changes)
+		changed, _ := s.Apply(start, at(10), at(13), changes)
 		if got := s.View().Config.Version; got != c.want || d.configs != c.decoded || changed != (c.want > 3) {
 			t.Errorf("%s: version %d, %d decoded, changed %v", name, got, d.configs, changed)
 		}
@@ -282,18 +284,17 @@
 			if rapid.Bool().Draw(t, "deleted") {
 				change = gone(key, revision)
 			}
-			store.Apply(start, revision-1, revision, []Item{change})
+			store.Apply(start, at(revision-1), at(revision), []Item{change})
 			switch rapid.SampledFrom([]string{"nothing", "listing", "changes"}).Draw(t, "read") {
 			case "listing":
-				r, items := store.Items()
-				s.Replace(start, r, items)
+				s.Replace(start, store.Position(), store.Items())
 			case "changes":
 				r := s.Revision()
-				missed, ok := store.Since(r)
+				missed, ok := store.Since(at(r))
 				if !ok {
 					t.Fatal("a model of a store that forgets")
 				}
-				s.Apply(start, r, revision, missed)
+				s.Apply(start, at(r), at(revision), missed)
 			}
 			if rapid.Bool().Draw(t, "keep") {
 				peers = append(peers, copyOf(s), copyOf(store))
@@ -303,14 +304,14 @@
 			if peer.Revision() > s.Revision() {
 				continue
 			}
-			page := s.PageSince(peer.Revision())
+			page := s.PageSince(peer.Position())
 			if page.Whole {
-				peer.Replace(start, page.Revision, page.Items)
+				peer.Replace(start, page.At, page.Items)
 			} else {
-				peer.Apply(start, page.After, page.Revision, page.Items)
+				peer.Apply(start, page.After, page.At, page.Items)
 			}
 			if !sameItems(peer, s) || ids(peer, "s") != ids(s, "s") {
-				t.Fatalf("the peer from %d has %v, its giver %v", page.After, peer.items, s.items)
+				t.Fatalf("the peer from %v has %v, its giver %v", page.After, peer.items, s.items)
 			}
 		}
 	})
@@ -319,15 +320,12 @@
 // copyOf is a VM that holds what another does.
 func copyOf(s *State) *State {
 	out := New(start, plain{})
-	revision, items := s.Items()
-	out.Replace(start, revision, items)
+	out.Replace(start, s.Position(), s.Items())
 	return out
 }
 
 func sameItems(a, b *State) bool {
-	_, x := a.Items()
-	_, y := b.Items()
-	return slices.EqualFunc(x, y, func(i, j Item) bool { return i.Key == j.Key && i.Revision == j.Revision })
+	return slices.EqualFunc(a.Items(), b.Items(), func(i, j Item) bool { return i.Key == j.Key && i.Revision == j.Revision })
 }
 
 // Symptom: requests go to the address of an upstream that has gone, without end.
@@ -338,8 +336,8 @@
 // complete: an older change that is not held has been undone since.
 func TestALateAnswerRevivesNothing(t *testing.T) {
 	s := filled()
-	s.Apply(start, 10, 13, []Item{put("up/c", "s", 11), gone("up/c", 12)})
-	if changed, joined := s.Apply(start, 10, 11, []Item{put("up/c", "s", 11)}); changed || !joined {
+	s.Apply(start, at(10), at(13), []Item{put("up/c", "s", 11), gone("up/c", 12)})
+	if changed, joined := s.Apply(start, at(10), at(11), []Item{put("up/c", "s", 11)}); changed || !joined {
 		t.Errorf("changed %v, joined %v", changed, joined)
 	}
 	if got := ids(s, "s"); got != "a,b" || s.Revision() != 13 {
@@ -356,13 +354,13 @@
 // the deletion.
 func TestAPageJoinsOnlyWhereItWasAskedFor(t *testing.T) {
 	s, peer := filled(), filled()
-	peer.Replace(start, 12, []Item{put("config", "h", 3), put("up/a", "s", 4), put("up/b", "s", 5)})
-	page := peer.PageSince(s.Revision())
-	s.Replace(start, 11, []Item{put("config", "h", 3), put("up/a", "s", 4), put("up/b", "s", 5), put("up/c", "s", 11)})
+	peer.Replace(start, at(12), []Item{put("config", "h", 3), put("up/a", "s", 4), put("up/b", "s", 5)})
+	page := peer.PageSince(s.Position())
+	s.Replace(start, at(11), []Item{put("config", "h", 3), put("up/a", "s", 4), put("up/b", "s", 5), put("up/c", "s", 11)})
 	if changed, joined := s.Take(start, page); changed || joined || s.Revision() != 11 {
 		t.Errorf("changed %v, joined %v, revision %d", changed, joined, s.Revision())
 	}
-	if _, joined := s.Take(start, peer.PageSince(s.Revision())); !joined || ids(s, "s") != "a,b" || s.Revision() != 12 {
+	if _, joined := s.Take(start, peer.PageSince(s.Position())); !joined || ids(s, "s") != "a,b" || s.Revision() != 12 {
 		t.Errorf("the next page: joined %v, %q at %d", joined, ids(s, "s"), s.Revision())
 	}
 }
--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -9,11 +9,11 @@
 // its way between VMs, outlives its key, or ends because the store is away.
 func TestAnEvacuatedDataCentreTakesNoWork(t *testing.T) {
 	s := New(start, plain{})
-	s.Replace(start, 10, []Item{put("config", "h", 3), put("up/a", "s in-x", 4), put("up/b", "s in-y", 5)})
-	if changed, _ := s.Apply(start, 10, 11, []Item{put("evacuate/x", "{", 11)}); !changed {
+	s.Replace(start, at(10), []Item{put("config", "h", 3), put("up/a", "s in-x", 4), put("up/b", "s in-y", 5)})
+	if changed, _ := s.Apply(start, at(10), at(11), []Item{put("evacuate/x", "{", 11)}); !changed {
 		t.Error("an evacuation is no change")
 	}
-	if changed, _ := s.Apply(start, 11, 12, []Item{put("evacuate/x", "written anew", 12)}); changed {
+	if changed, _ := s.Apply(start, at(11), at(12), []Item{put("evacuate/x", "written anew", 12)}); changed {
 		t.Error("the same evacuation written anew is a change")
 	}
 	v := s.View()
@@ -21,8 +21,8 @@
 		t.Errorf("takes work: %q, evacuated %v", got, v.Evacuated)
 	}
 	started := New(start, plain{})
-	page := s.PageSince(0)
-	started.Replace(start, page.Revision, page.Items)
+	page := s.PageSince(at(0))
+	started.Replace(start, page.At, page.Items)
 	if got := ids(started, "s"); got != "b" {
 		t.Errorf("a VM that has just started, by a peer's page: %q", got)
 	}
@@ -33,11 +33,11 @@
 	if got := ids(s, "s"); got != "b" {
 		t.Errorf("with the store away: %q", got)
 	}
-	if changed, _ := s.Apply(start, 12, 13, []Item{gone("evacuate/x", 13)}); !changed || ids(s, "s") != "a,b" {
+	if changed, _ := s.Apply(start, at(12), at(13), []Item{gone("evacuate/x", 13)}); !changed || ids(s, "s") != "a,b" {
 		t.Errorf("after its key is gone: changed %v, %q", changed, ids(s, "s"))
 	}
-	page = s.PageSince(started.Revision())
-	started.Apply(start, page.After, page.Revision, page.Items)
+	page = s.PageSince(started.Position())
+	started.Apply(start, page.After, page.At, page.Items)
 	if got := ids(started, "s"); got != "a,b" {
 		t.Errorf("after its key is gone, by a peer's page: %q", got)
 	}
@@ -46,11 +46,11 @@
 // Guards against an evacuation that holds on after a listing without its key.
 func TestAListingWithoutAnEvacuationEndsIt(t *testing.T) {
 	s := New(start, plain{})
-	s.Replace(start, 10, []Item{put("up/a", "s in-x", 4), put("evacuate/x", "", 9)})
+	s.Replace(start, at(10), []Item{put("up/a", "s in-x", 4), put("evacuate/x", "", 9)})
 	if got := ids(s, "s"); got != "" {
 		t.Fatalf("takes work: %q", got)
 	}
-	if changed := s.Replace(start, 11, []Item{put("up/a", "s in-x", 4)}); !changed || ids(s, "s") != "a" {
+	if changed := s.Replace(start, at(11), []Item{put("up/a", "s in-x", 4)}); !changed || ids(s, "s") != "a" {
 		t.Errorf("changed %v, %q", changed, ids(s, "s"))
 	}
 }
--- a/internal/catalog/foreign_test.go
+++ b/internal/catalog/foreign_test.go
@@ -17,18 +17,18 @@
 func TestAnEntryThatCannotBeReadNamesNoUpstream(t *testing.T) {
 	for name, take := range map[string]func(*State) bool{
 		"change": func(s *State) bool {
-			changed, _ := s.Apply(start, 10, 11, []Item{put("up/a", "bad", 11)})
+			changed, _ := s.Apply(start, at(10), at(11), []Item{put("up/a", "bad", 11)})
 			return changed
 		},
 		"listing": func(s *State) bool {
-			return s.Replace(start, 11, []Item{put("config", "h", 3), put("up/a", "bad", 11), put("up/b", "s", 5)})
+			return s.Replace(start, at(11), []Item{put("config", "h", 3), put("up/a", "bad", 11), put("up/b", "s", 5)})
 		},
 	} {
 		s := filled()
 		if changed := take(s); !changed || ids(s, "s") != "b" {
 			t.Errorf("%s: changed %v, upstreams %q", name, changed, ids(s, "s"))
 		}
-		if changed, _ := s.Apply(start, 11, 12, []Item{put("up/a", "s", 12)}); !changed || ids(s, "s") != "a,b" {
+		if changed, _ := s.Apply(start, at(11), at(12), []Item{put("up/a", "s", 12)}); !changed || ids(s, "s") != "a,b" {
 			t.Errorf("%s: after its own entry is back: %q", name, ids(s, "s"))
 		}
 	}
@@ -41,7 +41,7 @@
 	s := filled()
 	told := 0
 	for r := uint64(11); r < 31; r++ {
-		s.Apply(start, r-1, r, []Item{put("up/a", "bad", r)})
+		s.Apply(start, at(r-1), at(r), []Item{put("up/a", "bad", r)})
 		for _, x := range s.TakeRejected() {
 			if !x.Repeated {
 				told++
@@ -51,7 +51,7 @@
 	if told != 1 {
 		t.Errorf("told of %d times", told)
 	}
-	s.Apply(start, 30, 32, []Item{put("up/a", "s", 31), put("up/a", "bad", 32)})
+	s.Apply(start, at(30), at(32), []Item{put("up/a", "s", 31), put("up/a", "bad", 32)})
 	if x := s.TakeRejected(); len(x) != 1 || x[0].Repeated {
 		t.Errorf("after a good entry between: %+v", x)
 	}
@@ -63,8 +63,8 @@
 // Cause: the later write won. An entry of an earlier start changes nothing.
 func TestAnEntryOfAnEarlierStartChangesNothing(t *testing.T) {
 	s := filled()
-	s.Apply(start, 10, 11, []Item{put("up/a", "s 200", 11)})
-	if changed, _ := s.Apply(start, 11, 12, []Item{put("up/a", "s leaving 100", 12)}); changed {
+	s.Apply(start, at(10), at(11), []Item{put("up/a", "s 200", 11)})
+	if changed, _ := s.Apply(start, at(11), at(12), []Item{put("up/a", "s leaving 100", 12)}); changed {
 		t.Error("counts as a change")
 	}
 	u := s.View().Upstreams["a"]
@@ -72,8 +72,8 @@
 		t.Errorf("%+v", u)
 	}
 	behind := filled()
-	changes, _ := s.Since(10)
-	behind.Apply(start, 10, s.Revision(), changes)
+	changes, _ := s.Since(at(10))
+	behind.Apply(start, at(10), s.Position(), changes)
 	if got := behind.View().Upstreams["a"]; got == nil || *got != *u {
 		t.Errorf("a VM that missed both holds %+v", got)
 	}
@@ -81,8 +81,8 @@
 
 func TestALaterStartIsAChange(t *testing.T) {
 	s := filled()
-	s.Apply(start, 10, 11, []Item{put("up/a", "s 100", 11)})
-	if changed, _ := s.Apply(start, 11, 12, []Item{put("up/a", "s 200", 12)}); !changed {
+	s.Apply(start, at(10), at(11), []Item{put("up/a", "s 100", 11)})
+	if changed, _ := s.Apply(start, at(11), at(12), []Item{put("up/a", "s 200", 12)}); !changed {
 		t.Error("a later start under the same id is no change")
 	}
 }
@@ -96,18 +96,18 @@
 		for r := uint64(11); r < uint64(rapid.IntRange(12, 60).Draw(t, "end")); r++ {
 			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id")
 			value := rapid.SampledFrom(values).Draw(t, "value")
-			store.Apply(start, r-1, r, []Item{put("up/"+id, value, r)})
+			store.Apply(start, at(r-1), at(r), []Item{put("up/"+id, value, r)})
 			if rapid.Bool().Draw(t, "pull") {
-				page := store.PageSince(pulled.Revision())
-				pulled.Apply(start, page.After, page.Revision, page.Items)
+				page := store.PageSince(pulled.Position())
+				pulled.Apply(start, page.After, page.At, page.Items)
 			}
 		}
-		page := store.PageSince(pulled.Revision())
-		pulled.Apply(start, page.After, page.Revision, page.Items)
+		page := store.PageSince(pulled.Position())
+		pulled.Apply(start, page.After, page.At, page.Items)
 		listed := New(start, plain{})
-		revision, items := store.Items()
+		items := store.Items()
 		shuffle(items, rapid.Uint64().Draw(t, "order"))
-		listed.Replace(start, revision, items)
+		listed.Replace(start, store.Position(), items)
 		for name, s := range map[string]*State{"pulled": pulled, "listed": listed} {
 			if got, want := describe(s), describe(store); got != want {
 				t.Fatalf("%s holds %s, the others %s", name, got, want)
@@ -120,7 +120,7 @@
 func TestForeignEntriesTouchNoOther(t *testing.T) {
 	s := filled()
 	for r := uint64(11); r < 20; r++ {
-		s.Apply(start, r-1, r, []Item{put("up/x", "bad", r), put("up/a", "", r)})
+		s.Apply(start, at(r-1), at(r), []Item{put("up/x", "bad", r), put("up/a", "", r)})
 		if got := ids(s, "s"); got != "b" {
 			t.Fatalf("%q", got)
 		}
@@ -131,7 +131,7 @@
 // writer's.
 func TestAnEntryThatNoLongerTellsItsBirth(t *testing.T) {
 	s := filled()
-	s.Apply(start, 10, 12, []Item{put("up/a", "s 200", 11), put("up/a", "s", 12)})
+	s.Apply(start, at(10), at(12), []Item{put("up/a", "s 200", 11), put("up/a", "s", 12)})
 	if got := ids(s, "s"); got != "b" {
 		t.Errorf("%q", got)
 	}
--- a/internal/catalog/pages.go
+++ b/internal/catalog/pages.go
@@ -21,17 +21,21 @@
 // noteGap notes that a listing leads to a revision. An item that was written and deleted
 // since the revision known before is in no listing: a peer that holds it could not be told.
 func (s *State) noteGap(to uint64) {
-	if s.revision == 0 {
+	if s.deletionsFloor == 0 {
 		s.deletionsFloor = to
 		return
 	}
-	s.gaps = append(s.gaps, gap{s.revision, to})
+	s.gaps = append(s.gaps, gap{s.position.Revision, to})
 	if over := len(s.gaps) - keptGaps; over > 0 {
 		s.deletionsFloor = max(s.deletionsFloor, s.gaps[over-1].to)
 		s.gaps = slices.Clone(s.gaps[over:])
 	}
 }
 
+// forgetDeletions forgets the deletions of an era that is over: no peer of the next one can
+// be told by them what is gone.
+func (s *State) forgetDeletions() { s.deletions, s.deletionsFloor, s.gaps = nil, 0, nil }
+
 // completeAbove tells whether all deletions above a revision are known.
 func (s *State) completeAbove(revision uint64) bool {
 	inside := func(g gap) bool { return g.from < revision && revision < g.to }
@@ -47,71 +51,71 @@
 	}
 }
 
-// Since is the changes above a revision, for a peer, lowest revision first; false when
-// not all deletions above it are known.
+// Since is the changes after a position, for a peer, the first one first; false when not
+// all deletions after it are known, as for a position of another era.
 //
 // Only the newest version of an item is in it. With every version since, a peer that
 // falls behind while a large document changes gets a page that grows with its lag, over
 // a link that was too slow for the last one: its pulls are given up one after the other
 // and it never catches up. Of 70 VMs over links of 20 to 200 Mbit/s, with a document of
 // 150 kB that changes eight times a second, none kept up for 5 s.
-func (s *State) Since(after uint64) (changes []Item, ok bool) {
-	if !s.completeAbove(after) {
+func (s *State) Since(after Position) (changes []Item, ok bool) {
+	if after.Era != s.position.Era || !s.completeAbove(after.Revision) {
 		return nil, false
 	}
 	for _, it := range s.known() {
-		if it.Revision > after {
+		if after.Before(it.At()) {
 			changes = append(changes, it)
 		}
 	}
 	for _, it := range s.deletions {
-		if it.Revision > after && s.items[it.Key].Revision < it.Revision {
+		if after.Before(it.At()) && s.items[it.Key].At().Before(it.At()) {
 			changes = append(changes, it)
 		}
 	}
-	slices.SortFunc(changes, byRevision)
+	slices.SortFunc(changes, byPosition)
 	return changes, true
 }
 
-func byRevision(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) }
+func byPosition(a, b Item) int { return a.At().Compare(b.At()) }
 
 // Page is what one VM gives another of what it knows.
 type Page struct {
-	// Revision is the store's revision that the page brings the receiver to.
-	Revision uint64
-	// After is the revision that the items join on to; a whole page joins on to any.
-	After uint64
+	// At is the position in the store's history that the page brings the receiver to.
+	At Position
+	// After is the position that the items join on to; a whole page joins on to any.
+	After Position
 	// Whole says that the items are all that are known, and not changes.
 	Whole bool
 	Items []Item
 }
 
-// PageSince is the page for a peer that knows everything up to a revision: the
-// changes above it, or all items when these are not known any more.
-func (s *State) PageSince(after uint64) Page {
-	page := Page{Revision: s.revision, After: after}
-	if after > 0 {
+// PageSince is the page for a peer that knows everything up to a position: the
+// changes after it, or all items when these are not known any more.
+func (s *State) PageSince(after Position) Page {
+	page := Page{At: s.position, After: after}
+	if after.Revision > 0 {
 		if changes, ok := s.Since(after); ok {
 			page.Items = changes
 			return page
 		}
 	}
 	page.Whole = true
-	_, page.Items = s.Items()
+	page.Items = s.Items()
 	return page
 }
 
 // Take takes in a peer's page. It refuses (false) one that was asked for at another
-// revision than is known now: the newest versions alone tell nothing of what came and went
+// position than is known now: the newest versions alone tell nothing of what came and went
 // since, so that a VM that has moved on meanwhile would keep what has gone.
 func (s *State) Take(now time.Time, p Page) (changed, joined bool) {
 	switch {
 	case p.Whole:
-		return s.Replace(now, p.Revision, p.Items), p.Revision >= s.revision
-	case p.After != s.revision:
+		return s.Replace(now, p.At, p.Items), !p.At.Before(s.position)
+	case p.After != s.position:
 		return false, false
 	default:
-		return s.Apply(now, p.After, p.Revision, p.Items)
+		return s.Apply(now, p.After, p.At, p.Items)
 	}
 }
 
@@ -123,7 +127,7 @@
 		items = append(items, it)
 	}
 	add := func(it Item) {
-		if s.items[it.Key].Revision != it.Revision {
+		if s.items[it.Key].At() != it.At() {
 			items = append(items, it)
 		}
 	}
@@ -139,11 +143,11 @@
 	return items
 }
 
-// Items is everything known, for a peer, by key and revision.
-func (s *State) Items() (revision uint64, items []Item) {
-	items = s.known()
+// Items is everything known, for a peer, by key and position.
+func (s *State) Items() []Item {
+	items := s.known()
 	slices.SortFunc(items, func(a, b Item) int {
-		return cmp.Or(strings.Compare(a.Key, b.Key), cmp.Compare(a.Revision, b.Revision))
+		return cmp.Or(strings.Compare(a.Key, b.Key), byPosition(a, b))
 	})
-	return s.revision, items
+	return items
 }
--- a/internal/catalog/position.go
+++ b/internal/catalog/position.go
@@ -23,5 +23,18 @@
 // Before tells whether the position is an earlier one than another.
 func (p Position) Before(q Position) bool { return p.Compare(q) < 0 }
 
+// Above is how many revisions the position is above another one, at least 1 where it is of
+// a later era, and 0 where it is not the later one.
+func (p Position) Above(q Position) uint64 {
+	switch {
+	case !q.Before(p):
+		return 0
+	case p.Era != q.Era:
+		return 1
+	default:
+		return p.Revision - q.Revision
+	}
+}
+
 // String is the era and the revision.
 func (p Position) String() string { return fmt.Sprintf("%d/%d", p.Era, p.Revision) }
--- a/internal/follow/confirm_test.go
+++ b/internal/follow/confirm_test.go
@@ -24,14 +24,14 @@
 	f.SetPeers([]Peer{giver})
 	f.rank = 1
 	revision := f.State().Revision()
-	f.Watched(now, revision, revision, nil)
+	f.Watched(now, at(revision), at(revision), nil)
 	asked := Pull{}
 	for end := now.Add(4 * bound); now.Before(end); now = now.Add(round) {
 		ended := asked
 		revision++
-		actions := f.Heard(now, giver, revision, hop)
+		actions := f.Heard(now, giver, at(revision), hop)
 		if ended.ID > 0 {
-			page := catalog.Page{Revision: revision - 1, After: ended.After, Items: []catalog.Item{put("u1", revision-1)}}
+			page := catalog.Page{At: at(revision - 1), After: ended.After, Items: []catalog.Item{put("u1", revision-1)}}
 			actions = f.Pulled(now, ended.ID, page)
 		}
 		for _, a := range actions {
@@ -51,15 +51,15 @@
 // Cause: a claim without a confirmation was taken for an old confirmation.
 func TestAClaimWithoutAConfirmationConfirmsNothing(t *testing.T) {
 	f := newFollower(start, "a", "r", false)
-	f.ListedStale(start, 10, []catalog.Item{put("u1", 5)})
-	if got := names(f.Heard(start.Add(time.Second), Peer{VM: "b", Region: "s", Address: "b"}, 10, Unconfirmed)); got != "" {
+	f.ListedStale(start, at(10), []catalog.Item{put("u1", 5)})
+	if got := names(f.Heard(start.Add(time.Second), Peer{VM: "b", Region: "s", Address: "b"}, at(10), Unconfirmed)); got != "" {
 		t.Errorf("heard: %q", got)
 	}
 	if !f.Confirmed().IsZero() {
 		t.Errorf("confirmed at %v", f.Confirmed())
 	}
-	f.Heard(start.Add(time.Second), Peer{VM: "b", Region: "r", Address: "b"}, 12, Unconfirmed)
-	if f.Lead() != 12 {
-		t.Errorf("the lead is %d: what a peer has may be asked for", f.Lead())
+	f.Heard(start.Add(time.Second), Peer{VM: "b", Region: "r", Address: "b"}, at(12), Unconfirmed)
+	if f.Lead() != at(12) {
+		t.Errorf("the lead is %v: what a peer has may be asked for", f.Lead())
 	}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,7 +5,7 @@
 //
 // Reads of the store are limited and priced for all VMs together, so few VMs of
 // each region read and the others follow them. Each datagram between VMs carries
-// the sender's revision and the time since the store confirmed it. A VM that is
+// the sender's position and the time since the store confirmed it. A VM that is
 // behind asks the peer that is ahead; a VM that has heard of no confirmation for
 // too long reads for itself.
 package follow
@@ -63,26 +63,26 @@
 	Stale bool
 }
 
-// Watch waits at the store for changes above a revision. It ends with Watched or
+// Watch waits at the store for changes after a position. It ends with Watched or
 // ReadFailed.
 type Watch struct {
-	After uint64
+	After catalog.Position
 	Wait  time.Duration
 }
 
-// Pull asks a peer for what it knows above a revision. It ends with Pulled or
+// Pull asks a peer for what it knows after a position. It ends with Pulled or
 // PullFailed.
 type Pull struct {
 	ID      uint64
 	Address string
-	After   uint64
+	After   catalog.Position
 	// Stall gives the pull up when nothing has come of it for so long, Timeout however
 	// much has.
 	Stall   time.Duration
 	Timeout time.Duration
 }
 
-// Announce tells peers of the revision and of its confirmation.
+// Announce tells peers of the position and of its confirmation.
 type Announce struct {
 	// Wide says that this VM had it from the store: some peers of every region
 	// are to be told, who tell the others.
@@ -92,9 +92,9 @@
 // Changed says that the catalog's view has changed.
 type Changed struct{}
 
-// Disproved says that the store holds no such revision: what was known came from a peer
-// that made it up, and is discarded.
-type Disproved struct{ Revision uint64 }
+// Disproved says that the store never came to such a position: what was known came from a
+// peer that made it up, and is discarded.
+type Disproved struct{ At catalog.Position }
 
 func (List) action()      {}
 func (Watch) action()     {}
@@ -128,10 +128,10 @@
 	confirmed   time.Time
 	// staleAt is when a stale listing told what is known, zero when none did.
 	staleAt time.Time
-	// reachedAt is when the revision known now was reached; disproved is a revision that
-	// the store did not have at a time when a peer claimed it, 0 for none.
+	// reachedAt is when the position known now was reached; disproved is a position that
+	// the store did not have at a time when a peer claimed it, zero for none.
 	reachedAt time.Time
-	disproved uint64
+	disproved catalog.Position
 	// contradictions is how often the store has said since that it is not there yet.
 	contradictions int
 	// disbelieved is how many claims of peers were not followed.
@@ -166,16 +166,19 @@
 // Confirmed is when the store last confirmed what is known, here or at a peer.
 func (f *Follower) Confirmed() time.Time { return f.confirmed }
 
-// Lead is the furthest revision that a peer claims, 0 when none is ahead.
-func (f *Follower) Lead() uint64 {
-	if f.lead.revision <= f.state.Revision() {
-		return 0
+// Lead is the furthest position that a peer claims, zero when none is ahead.
+func (f *Follower) Lead() catalog.Position {
+	if !f.behindLead() {
+		return catalog.Position{}
 	}
-	return f.lead.revision
+	return f.lead.at
 }
 
+// behindLead tells whether a peer is ahead.
+func (f *Follower) behindLead() bool { return f.state.Position().Before(f.lead.at) }
+
 // Disbelieved is how many claims of peers were not followed, as the store had said that it
-// has no such revision.
+// has no such position.
 func (f *Follower) Disbelieved() uint64 { return f.disbelieved }
 
 // Reader tells whether this VM is to read the store.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -40,6 +40,9 @@
 	return catalog.Item{Key: key, Value: []byte("x"), Revision: revision}
 }
 
+// at is a position in the only era of a store that tells none.
+func at(revision uint64) catalog.Position { return catalog.Position{Revision: revision} }
+
 // names gives the actions in short.
 func names(actions []Action) string {
 	var out []string
@@ -48,9 +51,9 @@
 		case List:
 			out = append(out, "list")
 		case Watch:
-			out = append(out, fmt.Sprintf("watch>%d", a.After))
+			out = append(out, fmt.Sprintf("watch>%d", a.After.Revision))
 		case Pull:
-			out = append(out, fmt.Sprintf("pull>%d:%s", a.After, a.Address))
+			out = append(out, fmt.Sprintf("pull>%d:%s", a.After.Revision, a.Address))
 		case Announce:
 			out = append(out, "announce")
 		case Changed:
@@ -70,7 +73,7 @@
 	now := start.Add(hearFirst)
 	f.Tick(start.Add(hearFirst / 2))
 	f.Tick(now)
-	f.Listed(now, 10, []catalog.Item{put("u1", 5)})
+	f.Listed(now, at(10), []catalog.Item{put("u1", 5)})
 	return f, now
 }
 
@@ -91,19 +94,19 @@
 			}, "watch>10"},
 		{"changes come",
 			func(f *Follower, now time.Time) []Action {
-				return append(f.Watched(now, 10, 12, []catalog.Item{put("u2", 12)}), f.Tick(now.Add(soon))...)
+				return append(f.Watched(now, at(10), at(12), []catalog.Item{put("u2", 12)}), f.Tick(now.Add(soon))...)
 			}, "announce changed watch>12"},
 		{"no change within the wait",
 			func(f *Follower, now time.Time) []Action {
-				return append(f.Watched(now, 10, 10, nil), f.Tick(now.Add(soon))...)
+				return append(f.Watched(now, at(10), at(10), nil), f.Tick(now.Add(soon))...)
 			}, "announce watch>10"},
 		{"a revision that no change explains: list",
 			func(f *Follower, now time.Time) []Action {
-				return append(f.Watched(now, 10, 13, []catalog.Item{put("u2", 12)}), f.Tick(now.Add(soon))...)
+				return append(f.Watched(now, at(10), at(13), []catalog.Item{put("u2", 12)}), f.Tick(now.Add(soon))...)
 			}, "changed list"},
 		{"an older answer changes nothing",
 			func(f *Follower, now time.Time) []Action {
-				return append(f.Listed(now, 9, nil), f.Tick(now.Add(soon))...)
+				return append(f.Listed(now, at(9), nil), f.Tick(now.Add(soon))...)
 			}, "list"},
 		{"the process stood still: list",
 			func(f *Follower, now time.Time) []Action {
@@ -129,7 +132,8 @@
 		for _, a := range f.Tick(now) {
 			if w, ok := a.(Watch); ok {
 				calls++
-				f.Watched(now, w.After, w.After+1, []catalog.Item{put("u", w.After+1)})
+				next := w.After.Revision + 1
+				f.Watched(now, w.After, at(next), []catalog.Item{put("u", next)})
 			}
 		}
 	}
@@ -143,16 +147,16 @@
 	f.SetPeers([]Peer{{VM: "b", Region: "r"}, {VM: "c", Region: "s"}})
 	f.rank = 1
 	far, near := Peer{VM: "c", Region: "s", Address: "far"}, Peer{VM: "b", Region: "r", Address: "near"}
-	if got := names(f.Heard(start, far, 20, 0)); got != "" {
+	if got := names(f.Heard(start, far, at(20), 0)); got != "" {
 		t.Errorf("%q at once from another region", got)
 	}
-	if got := names(f.Heard(start, near, 20, 0)); got != "pull>0:near" {
+	if got := names(f.Heard(start, near, at(20), 0)); got != "pull>0:near" {
 		t.Errorf("%q, want the peer of the own region", got)
 	}
-	if got := names(f.Pulled(start, 1, catalog.Page{Revision: 20, Whole: true, Items: []catalog.Item{put("u1", 5)}})); got != "announce changed" {
+	if got := names(f.Pulled(start, 1, catalog.Page{At: at(20), Whole: true, Items: []catalog.Item{put("u1", 5)}})); got != "announce changed" {
 		t.Errorf("after the pull: %q", got)
 	}
-	if got := names(f.Heard(start, far, 21, 0)); got != "" {
+	if got := names(f.Heard(start, far, at(21), 0)); got != "" {
 		t.Errorf("%q at once from another region", got)
 	}
 	if got := names(f.Tick(start.Add(farPatience))); got != "pull>20:far" {
@@ -161,7 +165,7 @@
 	if got := names(f.PullFailed(start.Add(farPatience+pullStall), 2)); got != "" {
 		t.Errorf("%q when the peer does not answer: another one's word is waited for", got)
 	}
-	if got := names(f.Heard(start.Add(time.Second), near, 21, 0)); got != "pull>20:near" {
+	if got := names(f.Heard(start.Add(time.Second), near, at(21), 0)); got != "pull>20:near" {
 		t.Errorf("%q, want the next peer", got)
 	}
 }
@@ -191,13 +195,13 @@
 func TestAPeerThatHasNotGotWhatItClaimsIsNotAskedWithoutEnd(t *testing.T) {
 	f, now := reader()
 	peer := Peer{VM: "b", Region: "r", Address: "b"}
-	actions := f.Heard(now, peer, 99, 0)
+	actions := f.Heard(now, peer, at(99), 0)
 	for range 3 {
 		asked := false
 		for _, a := range actions {
 			if p, ok := a.(Pull); ok {
 				asked = true
-				actions = f.Pulled(now, p.ID, catalog.Page{Revision: 10, After: 10})
+				actions = f.Pulled(now, p.ID, catalog.Page{At: at(10), After: at(10)})
 			}
 		}
 		if !asked {
--- a/internal/follow/forged_test.go
+++ b/internal/follow/forged_test.go
@@ -15,10 +15,10 @@
 	f, now := reader()
 	f.SetPeers([]Peer{{VM: "b", Region: "r"}})
 	now = now.Add(time.Second)
-	f.Heard(now, Peer{VM: "b", Region: "r", Address: "b"}, forged, time.Millisecond)
+	f.Heard(now, Peer{VM: "b", Region: "r", Address: "b"}, at(forged), time.Millisecond)
 	now = now.Add(time.Second)
 	f.Tick(now)
-	f.Pulled(now, f.lastPull, catalog.Page{Revision: forged, Whole: true, Items: []catalog.Item{put("nowhere", forged)}})
+	f.Pulled(now, f.lastPull, catalog.Page{At: at(forged), Whole: true, Items: []catalog.Item{put("nowhere", forged)}})
 	if f.State().Revision() != forged {
 		t.Fatalf("at revision %d", f.State().Revision())
 	}
@@ -33,10 +33,10 @@
 	f, now := believer(t)
 	f.began = now.Add(time.Second)
 	now = now.Add(1100 * time.Millisecond)
-	if got := names(f.Listed(now, 12, []catalog.Item{put("u1", 11)})); got != "" {
+	if got := names(f.Listed(now, at(12), []catalog.Item{put("u1", 11)})); got != "" {
 		t.Errorf("listed once: %q", got)
 	}
-	if got := names(f.Listed(now, 12, []catalog.Item{put("u1", 11)})); got != "disproved announce changed" {
+	if got := names(f.Listed(now, at(12), []catalog.Item{put("u1", 11)})); got != "disproved announce changed" {
 		t.Errorf("listed: %q", got)
 	}
 	if v := f.State().View(); v.Revision != 12 || v.Upstreams["nowhere"] != nil || v.Upstreams["u1"] == nil {
@@ -44,12 +44,12 @@
 	}
 	now = now.Add(time.Second)
 	peer := Peer{VM: "b", Region: "r", Address: "b"}
-	if got := names(f.Heard(now, peer, forged, time.Millisecond)); got != "" {
+	if got := names(f.Heard(now, peer, at(forged), time.Millisecond)); got != "" {
 		t.Errorf("the claim is believed again: %q", got)
 	}
-	f.Heard(now, peer, 13, time.Millisecond)
-	if f.Lead() != 13 {
-		t.Errorf("the lead is %d: a true claim is to be followed", f.Lead())
+	f.Heard(now, peer, at(13), time.Millisecond)
+	if f.Lead() != at(13) {
+		t.Errorf("the lead is %v: a true claim is to be followed", f.Lead())
 	}
 }
 
@@ -57,7 +57,7 @@
 func TestAWatchShowsAForgedRevision(t *testing.T) {
 	f, now := believer(t)
 	f.reading = true
-	if got := names(f.Watched(now, forged, 12, nil)); got != "" {
+	if got := names(f.Watched(now, at(forged), at(12), nil)); got != "" {
 		t.Errorf("watched: %q", got)
 	}
 	if got := names(f.Tick(now.Add(time.Second))); got != "list" {
@@ -73,10 +73,10 @@
 	f.began = now
 	now = now.Add(time.Second)
 	f.SetPeers([]Peer{{VM: "b", Region: "r"}})
-	f.Heard(now, Peer{VM: "b", Region: "r", Address: "b"}, 20, time.Millisecond)
+	f.Heard(now, Peer{VM: "b", Region: "r", Address: "b"}, at(20), time.Millisecond)
 	f.Tick(now.Add(pullPatience))
-	f.Pulled(now, f.lastPull, catalog.Page{Revision: 20, Whole: true, Items: []catalog.Item{put("u2", 20)}})
-	if got := names(f.Listed(now.Add(time.Second), 12, nil)); got != "" {
+	f.Pulled(now, f.lastPull, catalog.Page{At: at(20), Whole: true, Items: []catalog.Item{put("u2", 20)}})
+	if got := names(f.Listed(now.Add(time.Second), at(12), nil)); got != "" {
 		t.Errorf("listed: %q", got)
 	}
 	if f.State().Revision() != 20 {
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -28,10 +28,10 @@
 	pullStall = 600 * time.Millisecond
 )
 
-// lead is the furthest revision that a peer claims.
+// lead is the furthest position that a peer claims.
 type lead struct {
-	address  string
-	revision uint64
+	address string
+	at      catalog.Position
 	// distance is how far the peer is.
 	distance locality.Distance
 	// since is when this VM first heard that it is behind.
@@ -43,39 +43,39 @@
 // Unconfirmed is the age of a confirmation that a peer does not tell of.
 const Unconfirmed time.Duration = -1
 
-// Heard takes in what a peer announces: its revision and how long ago the store last
+// Heard takes in what a peer announces: its position and how long ago the store last
 // confirmed it.
-func (f *Follower) Heard(now time.Time, peer Peer, revision uint64, age time.Duration) []Action {
+func (f *Follower) Heard(now time.Time, peer Peer, at catalog.Position, age time.Duration) []Action {
 	f.out = nil
-	at := now.Add(-age)
+	confirmed := now.Add(-age)
 	if age == Unconfirmed {
-		at = time.Time{}
+		confirmed = time.Time{}
 	}
-	if revision < f.state.Revision() || revision == 0 {
+	if at.Before(f.state.Position()) || at.Revision == 0 {
 		return f.out
 	}
-	if !f.believable(revision) {
+	if !f.believable(at) {
 		f.disbelieved++
 		return f.out
 	}
-	f.heardAhead(now, peer, revision, at)
+	f.heardAhead(now, peer, at, confirmed)
 	return f.out
 }
 
-func (f *Follower) heardAhead(now time.Time, peer Peer, revision uint64, at time.Time) {
+func (f *Follower) heardAhead(now time.Time, peer Peer, at catalog.Position, confirmed time.Time) {
 	distance := f.opts.Place.Within(peer.Region, peer.DataCentre)
-	if revision == f.state.Revision() {
-		f.heardConfirmed(now, distance, at)
+	if at == f.state.Position() {
+		f.heardConfirmed(now, distance, confirmed)
 		return
 	}
-	if f.lead.revision <= f.state.Revision() {
+	if !f.behindLead() {
 		f.lead = lead{since: now, distance: locality.Far}
 	}
-	if revision >= f.lead.revision && distance <= f.lead.distance || distance < f.lead.distance {
-		f.lead.revision = revision
+	if !at.Before(f.lead.at) && distance <= f.lead.distance || distance < f.lead.distance {
+		f.lead.at = at
 		f.lead.address = peer.Address
 		f.lead.distance = distance
-		f.lead.confirmed = at
+		f.lead.confirmed = confirmed
 	}
 	f.advancePull(now)
 }
@@ -86,20 +86,21 @@
 	if f.pull != nil && f.pull.ID == id {
 		f.pull = nil
 	}
-	if !f.believable(page.Revision) {
+	if !f.believable(page.At) {
 		f.disbelieved++
 		f.lead = lead{}
 		return f.out
 	}
-	before := f.state.Revision()
+	before := f.state.Position()
 	changed, joined := f.state.Take(now, page)
-	if f.state.Revision() > before {
+	moved := before.Before(f.state.Position())
+	if moved {
 		f.relist = false
 		f.reachedAt, f.contradictions = now, 0
 		f.emit(Announce{})
 	}
 	f.confirmedByPeer(now)
-	if joined && f.state.Revision() == before && f.lead.revision > before {
+	if joined && !moved && f.behindLead() {
 		// The peer has not got what it claims. Asked again at once, it would be
 		// asked without end.
 		f.lead = lead{}
@@ -143,7 +144,7 @@
 // them read the store: 57 of 70 at once were seen.
 func (f *Follower) confirmedByPeer(now time.Time) {
 	for _, claim := range []lead{f.asked, f.lead} {
-		if f.state.Revision() >= claim.revision {
+		if !f.state.Position().Before(claim.at) {
 			f.confirmedBy(now, claim.confirmed)
 		}
 	}
@@ -167,14 +168,14 @@
 		f.pull = nil
 		f.lead = lead{}
 	}
-	if f.lead.revision <= f.state.Revision() {
+	if !f.behindLead() {
 		return
 	}
 	if now.Sub(f.lead.since) < f.patience() {
 		return
 	}
 	f.lastPull++
-	f.pull = &Pull{ID: f.lastPull, Address: f.lead.address, After: f.state.Revision(), Stall: pullStall, Timeout: f.pullTimeout()}
+	f.pull = &Pull{ID: f.lastPull, Address: f.lead.address, After: f.state.Position(), Stall: pullStall, Timeout: f.pullTimeout()}
 	f.pullSince = now
 	f.asked = f.lead
 	f.emit(*f.pull)
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -41,7 +41,7 @@
 	// hearFirst is how long a process that starts alone listens for a peer, which
 	// costs the store no call; a peer answers within a round trip.
 	hearFirst = 350 * time.Millisecond
-	// enoughContradictions is how many answers of the store show that a revision does not
+	// enoughContradictions is how many answers of the store show that a position does not
 	// exist: one might come from a part of the store that lags.
 	enoughContradictions = 2
 	// settleElected is how old a VM must be to know the others well enough to be
@@ -55,10 +55,10 @@
 )
 
 // Listed takes in a whole listing of the store.
-func (f *Follower) Listed(now time.Time, revision uint64, items []catalog.Item) []Action {
+func (f *Follower) Listed(now time.Time, at catalog.Position, items []catalog.Item) []Action {
 	f.out = nil
 	f.answered(now)
-	if revision < f.state.Revision() {
+	if at.Before(f.state.Position()) {
 		if !f.contradicted() {
 			// An answer from before what is known: to be read again.
 			f.relist = true
@@ -69,9 +69,9 @@
 	}
 	f.contradictions = 0
 	f.relist = false
-	f.listNext = f.listNext && revision-f.state.Revision() >= stormRevisions
-	changed := f.state.Replace(now, revision, items)
-	f.reached(now, revision)
+	f.listNext = f.listNext && at.Above(f.state.Position()) >= stormRevisions
+	changed := f.state.Replace(now, at, items)
+	f.reached(now)
 	f.confirm(now, changed)
 	f.advanceRead(now)
 	return f.out
@@ -79,16 +79,16 @@
 
 // ListedStale takes in a listing that may be seconds old. It confirms nothing: what peers
 // know above it is asked of them, and readers confirm.
-func (f *Follower) ListedStale(now time.Time, revision uint64, items []catalog.Item) []Action {
+func (f *Follower) ListedStale(now time.Time, at catalog.Position, items []catalog.Item) []Action {
 	f.out = nil
 	f.answered(now)
 	f.staleAt = now
-	if revision <= f.state.Revision() {
+	if !f.state.Position().Before(at) {
 		return f.out
 	}
 	f.relist = false
-	changed := f.state.Replace(now, revision, items)
-	f.reached(now, revision)
+	changed := f.state.Replace(now, at, items)
+	f.reached(now)
 	f.emit(Announce{})
 	if changed {
 		f.emit(Changed{})
@@ -100,18 +100,20 @@
 
 // Watched takes in the answer of a watch. Its revision must be explained by its
 // changes: a store that has lost a change in between says nothing of it, and
-// what it tells later would join on to a gap.
-func (f *Follower) Watched(now time.Time, after, revision uint64, changes []catalog.Item) []Action {
+// what it tells later would join on to a gap. So would changes of another era, whose
+// revisions before the watch's are not those that are known.
+func (f *Follower) Watched(now time.Time, after, at catalog.Position, changes []catalog.Item) []Action {
 	f.out = nil
 	f.answered(now)
 	replaced := replacedBytes(changes)
 	f.listNext = replaced > 0 && replaced > f.state.Bytes()
-	before := f.state.Revision()
-	changed, joined := f.state.Apply(now, after, max(after, lastRevision(changes)), changes)
-	if f.state.Revision() > before {
-		f.reached(now, f.state.Revision())
+	before := f.state.Position()
+	upTo := catalog.Position{Era: at.Era, Revision: max(after.Revision, lastRevision(changes))}
+	changed, joined := f.state.Apply(now, after, upTo, changes)
+	if before.Before(f.state.Position()) {
+		f.reached(now)
 	}
-	if !joined || revision > f.state.Revision() || revision < after {
+	if !joined || f.state.Position().Before(at) || at.Before(after) {
 		f.relist = true
 	}
 	if joined && !f.relist {
@@ -123,17 +125,17 @@
 	return f.out
 }
 
-// reached notes that a revision is known now. One that the store itself has told may stand
-// where a peer's claim was disproved before.
-func (f *Follower) reached(now time.Time, revision uint64) {
+// reached notes that another position is known now. One that the store itself has told may
+// stand where a peer's claim was disproved before.
+func (f *Follower) reached(now time.Time) {
 	f.reachedAt = now
 	f.contradictions = 0
-	if revision >= f.disproved {
-		f.disproved = 0
+	if !f.state.Position().Before(f.disproved) {
+		f.disproved = catalog.Position{}
 	}
 }
 
-// contradicted tells whether the store has now said twice that there is no such revision as
+// contradicted tells whether the store has now said twice that there is no such position as
 // is known here, each time to a question that was asked after it was reached.
 func (f *Follower) contradicted() bool {
 	if f.began.Before(f.reachedAt) {
@@ -144,20 +146,22 @@
 }
 
 // disprove discards what is known: answers that the store gave to later questions are of
-// an earlier revision. The store never goes back, so what is known was made up by a peer.
+// an earlier position. The store goes back only into a later era, so what is known was made
+// up by a peer.
 // Kept, it would stand for good: all that the store tells would look old, and one notices
 // a VM that lists the store without end, or a fleet in which no change comes into force.
 func (f *Follower) disprove(now time.Time) {
-	f.disproved = f.state.Revision()
+	f.disproved = f.state.Position()
 	f.emit(Disproved{f.disproved})
 	f.state.Discard(now)
 	f.lead = lead{}
 	f.pull = nil
 }
 
-// believable tells whether a peer may have a revision.
-func (f *Follower) believable(revision uint64) bool {
-	return f.disproved == 0 || revision < f.disproved
+// believable tells whether a peer may have come to a position. What the store did not have
+// in one era says nothing of the others.
+func (f *Follower) believable(at catalog.Position) bool {
+	return at.Era != f.disproved.Era || f.disproved.Revision == 0 || at.Before(f.disproved)
 }
 
 // replacedBytes is the size of the versions among some changes that later ones replace.
@@ -236,7 +240,7 @@
 		f.emit(List{Stale: f.staleWillDo(now)})
 		return
 	}
-	f.emit(Watch{After: f.state.Revision(), Wait: f.share(waitShare)})
+	f.emit(Watch{After: f.state.Position(), Wait: f.share(waitShare)})
 }
 
 // staleWillDo tells whether a listing may be seconds old. It may for a process that knows
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -49,8 +49,9 @@
 
 // Announcement is what a datagram says of its sender's configuration.
 type Announcement struct {
-	From     *pb.MemberUpdate
-	Revision uint64
+	From *pb.MemberUpdate
+	// Era and Revision are the sender's position in the store's history.
+	Era, Revision uint64
 	// Age is the time since the store confirmed the revision; 0 when the sender
 	// does not say.
 	Age time.Duration
@@ -154,14 +155,15 @@
 func (d *Driver) SetRevision(revision uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.node.SetRevision(revision)
+	d.node.SetRevision(0, revision)
 }
 
-// SetConfirmed tells when the store last confirmed the revision.
-func (d *Driver) SetConfirmed(revision uint64, at time.Time) {
+// SetConfirmed tells which revision to announce, of which era of the store, and when the
+// store last confirmed it.
+func (d *Driver) SetConfirmed(era, revision uint64, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.node.SetRevision(revision)
+	d.node.SetRevision(era, revision)
 	d.node.SetConfirmed(at)
 }
 
@@ -272,7 +274,7 @@
 	}
 	d.met.received.Inc()
 	if f := d.opts.Callbacks.Heard; f != nil {
-		f(Announcement{m.Sender, m.ConfigRevision, time.Duration(m.ConfirmedAgeMs) * time.Millisecond})
+		f(Announcement{m.Sender, m.StoreEra, m.ConfigRevision, time.Duration(m.ConfirmedAgeMs) * time.Millisecond})
 	}
 	if f := d.opts.Callbacks.Quarantine; f != nil && len(m.Quarantine) > 0 {
 		f(m.Sender.Vm, m.Quarantine)
--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -123,7 +123,8 @@
 	table  table
 	hot    queue
 
-	revision   uint64
+	// era and revision are the configuration that this node announces.
+	era, revision uint64
 	confirmed  time.Time
 	version    uint64
 	view       *View
@@ -212,8 +213,9 @@
 // since.
 func (n *Node) InDoubt() bool { return n.doubt != nil }
 
-// SetRevision tells the node which configuration revision to announce.
-func (n *Node) SetRevision(revision uint64) { n.revision = revision }
+// SetRevision tells the node which configuration revision to announce, and of which era of
+// the store it is, 0 for none.
+func (n *Node) SetRevision(era, revision uint64) { n.era, n.revision = era, revision }
 
 // SetConfirmed tells when the store last confirmed what this node knows, here or
 // at a peer; its age is announced.
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -122,6 +122,7 @@
 		return
 	}
 	d.Sender = n.self.update()
+	d.StoreEra = n.era
 	d.ConfigRevision = n.revision
 	d.ConfirmedAgeMs = n.confirmedAge()
 	p := packer{datagram: d, room: MaxDatagram - SignatureBytes - sequenceBytes - proto.Size(d)}
--- a/internal/node/join.go
+++ b/internal/node/join.go
@@ -159,7 +159,7 @@
 	r.poison.Heard(address, page.Quarantine)
 	for _, m := range page.Members {
 		if m.PeerAddress == address && page.Revision > 0 {
-			r.heard(m, page.Revision, follow.Unconfirmed)
+			r.heard(m, catalog.Position{Era: page.Era, Revision: page.Revision}, follow.Unconfirmed)
 		}
 	}
 	return page.Revision
@@ -200,18 +200,25 @@
 	}
 	args := ctx.QueryArgs()
 	if !args.Has(argPacked) {
-		return proto.Marshal(&pb.CatalogPage{Revision: r.revision(), Members: r.members(), Quarantine: r.crashing()})
+		return proto.Marshal(r.memberPage(r.members()))
 	}
 	ctx.Response.Header.SetContentEncoding(packedEncoding)
 	self := r.self()
 	if !args.Has(argWhole) && string(args.Peek(argRegion)) != self.Region {
-		return pagepack.Pack(&pb.CatalogPage{Revision: r.revision(), Members: []*pb.MemberUpdate{self}, Quarantine: r.crashing()}, catalog.Document{})
+		return pagepack.Pack(r.memberPage([]*pb.MemberUpdate{self}), catalog.Document{})
 	}
 	return r.memberList.get(time.Now(), func() ([]byte, error) {
-		return pagepack.Pack(&pb.CatalogPage{Revision: r.revision(), Members: r.members(), Quarantine: r.crashing()}, catalog.Document{})
+		return pagepack.Pack(r.memberPage(r.members()), catalog.Document{})
 	})
 }
 
+// memberPage is what a VM that starts is told: members of the fleet, how far this VM is, and
+// what it holds of requests that crash upstreams.
+func (r *reader) memberPage(members []*pb.MemberUpdate) *pb.CatalogPage {
+	at := r.position()
+	return &pb.CatalogPage{Era: at.Era, Revision: at.Revision, Members: members, Quarantine: r.crashing()}
+}
+
 // crashing is what a VM that starts is told of requests that crash upstreams.
 func (r *reader) crashing() []*pb.QuarantineEntry {
 	return quarantine.Encode(r.poison.All(time.Now(), crashingMost))
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -19,7 +19,7 @@
 	pullSeconds prometheus.Histogram
 	rejected    prometheus.Counter
 	disproved   prometheus.Counter
-	// below is answers of the store whose revision is below the known one.
+	// below is answers of the store from before the known position.
 	below *prometheus.CounterVec
 }
 
@@ -49,7 +49,7 @@
 			Name: "sycamorekeel_catalog_disproved_total", Help: "Revisions that peers gave and the store does not have.",
 		}),
 		below: f.NewCounterVec(prometheus.CounterOpts{
-			Name: "sycamorekeel_catalog_below_known_total", Help: "Answers of the store whose revision is below the known one, by call.",
+			Name: "sycamorekeel_catalog_below_known_total", Help: "Answers of the store from before the known position, by call.",
 		}, []string{"call"}),
 		pullSeconds: f.NewHistogram(prometheus.HistogramOpts{
 			Name: "sycamorekeel_catalog_pull_seconds", Help: "Time of a pull from a peer, failed ones included.", Buckets: pullBuckets,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -258,8 +258,8 @@
 
 // announce gives the gossip what is known and since when it is confirmed; tell
 // sends it to peers at once.
-func (n *Node) announce(revision uint64, confirmed time.Time, tell *follow.Announce) {
-	n.gossip.SetConfirmed(revision, confirmed)
+func (n *Node) announce(at catalog.Position, confirmed time.Time, tell *follow.Announce) {
+	n.gossip.SetConfirmed(at.Era, at.Revision, confirmed)
 	if tell != nil {
 		n.gossip.Announce(tell.Wide)
 	}
@@ -283,7 +283,7 @@
 	if v.Table != nil {
 		version = v.Table.Version()
 	}
-	n.log.Info("config: view in force", zap.Uint64("revision", v.Revision), zap.Uint64("version", version), zap.Int("upstreams", len(v.Upstreams)))
+	n.log.Info("config: view in force", zap.Uint64("era", v.Era), zap.Uint64("revision", v.Revision), zap.Uint64("version", version), zap.Int("upstreams", len(v.Upstreams)))
 	if v.Config != nil && (old == nil || old.Config != v.Config) {
 		for _, w := range v.Config.Warnings {
 			n.warnings.warn(w.String(), zap.Uint64("version", version))
--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -24,8 +24,10 @@
 	pullPath = "/catalog"
 	// membersPath is where a VM gives its peers what it holds of the fleet.
 	membersPath = "/members"
-	// argAfter is the revision up to which the asker knows everything.
+	// argAfter is the revision up to which the asker knows everything, argEra its era; one
+	// of an older release does not send the era.
 	argAfter = "after"
+	argEra   = "era"
 	// argPacked says that the asker can unpack pages; one of an older release does not
 	// send it and gets them plain.
 	argPacked = "packed"
@@ -37,13 +39,14 @@
 	maxPacked = 32
 )
 
-// fetchCatalog asks a peer for what it knows above a revision.
+// fetchCatalog asks a peer for what it knows after a position.
 func (r *reader) fetchCatalog(p follow.Pull) (*pb.CatalogPage, error) {
 	base := r.base()
 	req := question(p.Address, pullPath)
 	defer fasthttp.ReleaseRequest(req)
 	args := req.URI().QueryArgs()
-	args.Set(argAfter, strconv.FormatUint(p.After, 10))
+	args.Set(argAfter, strconv.FormatUint(p.After.Revision, 10))
+	args.Set(argEra, strconv.FormatUint(p.After.Era, 10))
 	args.Set(argPacked, "1")
 	if len(base.Text) > 0 {
 		args.Set(argBase, strconv.FormatUint(base.Sum, 16))
@@ -108,9 +111,13 @@
 }
 
 func pageOf(m *pb.CatalogPage) catalog.Page {
-	page := catalog.Page{Revision: m.Revision, After: m.After, Whole: m.Whole}
+	page := catalog.Page{
+		At:    catalog.Position{Era: m.Era, Revision: m.Revision},
+		After: catalog.Position{Era: m.Era, Revision: m.After},
+		Whole: m.Whole,
+	}
 	for _, it := range m.Items {
-		page.Items = append(page.Items, catalog.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted})
+		page.Items = append(page.Items, catalog.Item{Key: it.Key, Value: it.Value, Era: it.Era, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted})
 	}
 	return page
 }
@@ -118,17 +125,17 @@
 // serve answers a peer's question.
 func (r *reader) serve(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
-	after, err := args.GetUint(argAfter)
+	after, err := positionOf(args)
 	var body []byte
 	switch path := string(ctx.Path()); {
 	case path == pullPath && err != nil:
-		ctx.Error("after must be a whole number", fasthttp.StatusBadRequest)
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	case path == pullPath && args.Has(argPacked):
-		body, err = r.packedPage(uint64(after), baseOf(args))
+		body, err = r.packedPage(after, baseOf(args))
 		ctx.Response.Header.SetContentEncoding(packedEncoding)
 	case path == pullPath:
-		page, _ := r.page(uint64(after), 0)
+		page, _ := r.page(after, 0)
 		body, err = proto.Marshal(page)
 	case path == membersPath:
 		body, err = r.listFor(ctx)
@@ -144,6 +151,22 @@
 	ctx.SetBody(body)
 }
 
+// positionOf is the position up to which the asker knows everything.
+func positionOf(args *fasthttp.Args) (catalog.Position, error) {
+	revision, err := strconv.ParseUint(string(args.Peek(argAfter)), 10, 64)
+	if err != nil {
+		return catalog.Position{}, trace.BadParameter("%s must be a whole number", argAfter)
+	}
+	if !args.Has(argEra) {
+		return catalog.Position{Revision: revision}, nil
+	}
+	era, err := strconv.ParseUint(string(args.Peek(argEra)), 10, 64)
+	if err != nil {
+		return catalog.Position{}, trace.BadParameter("%s must be a whole number", argEra)
+	}
+	return catalog.Position{Era: era, Revision: revision}, nil
+}
+
 // baseOf is the hash of the document that the asker holds, 0 when it names none: its page
 // is then packed without.
 func baseOf(args *fasthttp.Args) uint64 {
@@ -154,16 +177,16 @@
 	return sum
 }
 
-// page is what is known above a revision, and the document with a hash if it is kept.
-func (r *reader) page(after, base uint64) (*pb.CatalogPage, catalog.Document) {
+// page is what is known after a position, and the document with a hash if it is kept.
+func (r *reader) page(after catalog.Position, base uint64) (*pb.CatalogPage, catalog.Document) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	state := r.follower.State()
 	known := state.PageSince(after)
-	page := &pb.CatalogPage{Revision: known.Revision, After: known.After, Whole: known.Whole}
+	page := &pb.CatalogPage{Era: known.At.Era, Revision: known.At.Revision, After: known.After.Revision, Whole: known.Whole}
 	for _, it := range known.Items {
 		page.Items = append(page.Items, &pb.CatalogItem{
-			Key: it.Key, Value: it.Value, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted,
+			Key: it.Key, Value: it.Value, Era: it.Era, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted,
 		})
 	}
 	return page, state.Document(base)
@@ -180,12 +203,13 @@
 }
 
 // packedKey is what a page depends on beside the revision.
-type packedKey struct{ after, base uint64 }
-
-func (k packedKey) String() string {
-	return strconv.FormatUint(k.after, 16) + " " + strconv.FormatUint(k.base, 16)
+type packedKey struct {
+	after catalog.Position
+	base  uint64
 }
 
+func (k packedKey) String() string { return k.after.String() + " " + strconv.FormatUint(k.base, 16) }
+
 func (p *packedPages) find(revision uint64, key packedKey) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -210,9 +234,9 @@
 
 // packedPage is the page for a peer, packed against the document that it holds where
 // this VM has it too.
-func (r *reader) packedPage(after, base uint64) ([]byte, error) {
+func (r *reader) packedPage(after catalog.Position, base uint64) ([]byte, error) {
 	key := packedKey{after, base}
-	if body := r.packed.find(r.revision(), key); body != nil {
+	if body := r.packed.find(r.position().Revision, key); body != nil {
 		return body, nil
 	}
 	body, err, _ := r.packed.making.Do(key.String(), func() (any, error) {
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -44,7 +44,7 @@
 	}
 	for i, text := range texts {
 		revision := uint64(i + 1)
-		r.follower.State().Replace(now, revision, []catalog.Item{{Key: "c", Value: []byte(text), Revision: revision}})
+		r.follower.State().Replace(now, catalog.Position{Revision: revision}, []catalog.Item{{Key: "c", Value: []byte(text), Revision: revision}})
 	}
 	return r
 }
@@ -74,7 +74,7 @@
 }
 
 func pullOf(address string, after uint64) follow.Pull {
-	return follow.Pull{ID: 1, Address: address, After: after, Stall: 10 * time.Second, Timeout: 10 * time.Second}
+	return follow.Pull{ID: 1, Address: address, After: catalog.Position{Revision: after}, Stall: 10 * time.Second, Timeout: 10 * time.Second}
 }
 
 // A VM that holds a version which its peer has had is sent what changed; one that holds
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -26,7 +26,7 @@
 	// says that it may be seconds old.
 	List(stale bool) (at catalog.Position, items []catalog.Item, err error)
 	// Watch waits for changes above a revision; ErrCompacted says that they are
-	// no longer known.
+	// no longer known, or that the store has not come to the revision.
 	Watch(after uint64, wait time.Duration) (at catalog.Position, changes []catalog.Item, err error)
 }
 
@@ -45,7 +45,7 @@
 	log      *zap.Logger
 	met      *storeMetrics
 	store    Store
-	announce func(revision uint64, confirmed time.Time, tell *follow.Announce)
+	announce func(at catalog.Position, confirmed time.Time, tell *follow.Announce)
 	changed  func(*catalog.View)
 	// exchanged counts bytes exchanged with the peer that has an address.
 	exchanged func(p traffic.Purpose, address string, bytes int)
@@ -104,12 +104,12 @@
 		}
 	}
 	rejected := r.follower.State().TakeRejected()
-	revision := r.follower.State().Revision()
+	at := r.follower.State().Position()
 	confirmed := r.follower.Confirmed()
 	r.mu.Unlock()
 	if turned {
 		r.log.Info("store: reader", zap.Bool("reads", reads), zap.Bool("elected", elected),
-			zap.Uint64("revision", revision), zap.Uint64("lead", lead), zap.Duration("view_age", sinceOrZero(now, confirmed)))
+			zap.Stringer("position", at), zap.Stringer("lead", lead), zap.Duration("view_age", sinceOrZero(now, confirmed)))
 	}
 	for _, x := range rejected {
 		r.met.rejected.Inc()
@@ -121,7 +121,7 @@
 	if view != nil {
 		r.changed(view)
 	}
-	r.do(actions, revision, confirmed)
+	r.do(actions, at, confirmed)
 }
 
 // sinceOrZero is the time since another, 0 if that never came.
@@ -139,7 +139,7 @@
 	return r.reads
 }
 
-func (r *reader) do(actions []follow.Action, revision uint64, confirmed time.Time) {
+func (r *reader) do(actions []follow.Action, at catalog.Position, confirmed time.Time) {
 	var tell *follow.Announce
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -153,10 +153,10 @@
 			tell = &a
 		case follow.Disproved:
 			r.met.disproved.Inc()
-			r.log.Error("store: a revision that a peer gave does not exist: discarded", zap.Uint64("revision", a.Revision))
+			r.log.Error("store: a position that a peer gave does not exist: discarded", zap.Stringer("position", a.At))
 		}
 	}
-	r.announce(revision, confirmed, tell)
+	r.announce(at, confirmed, tell)
 }
 
 func (r *reader) list(l follow.List) {
@@ -171,15 +171,15 @@
 		case err != nil:
 			return f.ReadFailed(now, false)
 		case l.Stale:
-			return f.ListedStale(now, at.Revision, items)
+			return f.ListedStale(now, at, items)
 		default:
-			return f.Listed(now, at.Revision, items)
+			return f.Listed(now, at, items)
 		}
 	})
 }
 
 func (r *reader) watch(w follow.Watch) {
-	at, changes, err := r.store.Watch(w.After, w.Wait)
+	at, changes, err := r.store.Watch(w.After.Revision, w.Wait)
 	r.noteRead("watch", err)
 	if err == nil {
 		r.noteAnswer("watch", at)
@@ -188,7 +188,7 @@
 		if err != nil {
 			return f.ReadFailed(now, errors.Is(err, ErrCompacted))
 		}
-		return f.Watched(now, w.After, at.Revision, changes)
+		return f.Watched(now, w.After, at, changes)
 	})
 }
 
@@ -199,31 +199,31 @@
 	failed := err != nil
 	turned := failed != r.failing
 	r.failing = failed
-	revision := r.follower.State().Revision()
+	known := r.follower.State().Position()
 	r.mu.Unlock()
 	switch {
 	case turned && failed:
-		r.log.Warn("store: call failed", zap.String("call", call), zap.Uint64("revision", revision), zap.Error(err))
+		r.log.Warn("store: call failed", zap.String("call", call), zap.Stringer("known", known), zap.Error(err))
 	case turned:
-		r.log.Info("store: answers again", zap.String("call", call), zap.Uint64("revision", revision))
+		r.log.Info("store: answers again", zap.String("call", call), zap.Stringer("known", known))
 	}
 }
 
 // noteAnswer tells of an answer that shows that the store has gone back.
 func (r *reader) noteAnswer(call string, at catalog.Position) {
 	r.mu.Lock()
-	known := r.follower.State().Revision()
+	known := r.follower.State().Position()
 	was := r.era
 	r.era = max(r.era, at.Era)
 	r.mu.Unlock()
 	if at.Era > was && was > 0 {
 		r.log.Warn("store: came back from an older copy", zap.String("call", call),
-			zap.Stringer("position", at), zap.Uint64("was", was), zap.Uint64("known", known))
+			zap.Stringer("position", at), zap.Uint64("was", was), zap.Stringer("known", known))
 	}
-	if at.Revision < known {
+	if at.Before(known) {
 		r.met.below.WithLabelValues(call).Inc()
-		r.log.Warn("store: answered below the known revision", zap.String("call", call),
-			zap.Stringer("position", at), zap.Uint64("known", known))
+		r.log.Warn("store: answered below the known position", zap.String("call", call),
+			zap.Stringer("position", at), zap.Stringer("known", known))
 	}
 }
 
@@ -269,8 +269,8 @@
 	lead := r.follower.Lead()
 	confirmed := r.follower.Confirmed()
 	r.mu.Unlock()
-	r.log.Info("peer: pull "+pullOutcome(err), zap.String("peer", p.Address), zap.Uint64("after", p.After),
-		zap.Uint64("lead", lead), zap.Int("items", len(page.GetItems())), zap.Duration("took", took),
+	r.log.Info("peer: pull "+pullOutcome(err), zap.String("peer", p.Address), zap.Stringer("after", p.After),
+		zap.Stringer("lead", lead), zap.Int("items", len(page.GetItems())), zap.Duration("took", took),
 		zap.Duration("view_age", sinceOrZero(time.Now(), confirmed)), zap.Error(err))
 }
 
@@ -281,10 +281,10 @@
 	return "slow"
 }
 
-func (r *reader) revision() uint64 {
+func (r *reader) position() catalog.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.follower.State().Revision()
+	return r.follower.State().Position()
 }
 
 // confirmedAge is the time since the store last confirmed what is known; a long
@@ -299,11 +299,7 @@
 func (r *reader) behind() float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lead := r.follower.Lead()
-	if lead == 0 {
-		return 0
-	}
-	return float64(lead - r.follower.State().Revision())
+	return float64(r.follower.Lead().Above(r.follower.State().Position()))
 }
 
 // setBound changes the time within which a change must be in force.
@@ -320,14 +316,14 @@
 	if age == 0 {
 		age = follow.Unconfirmed
 	}
-	r.heard(a.From, a.Revision, age)
+	r.heard(a.From, catalog.Position{Era: a.Era, Revision: a.Revision}, age)
 }
 
-// heard passes a peer's revision on.
-func (r *reader) heard(peer *pb.MemberUpdate, revision uint64, age time.Duration) {
+// heard passes a peer's position on.
+func (r *reader) heard(peer *pb.MemberUpdate, at catalog.Position, age time.Duration) {
 	from := follow.Peer{VM: peer.Vm, Region: peer.Region, DataCentre: peer.DataCentre, Address: peer.PeerAddress}
 	r.step(func(f *follow.Follower, now time.Time) []follow.Action {
-		return f.Heard(now, from, revision, age)
+		return f.Heard(now, from, at, age)
 	})
 }
 
--- a/internal/spread/fleet.go
+++ b/internal/spread/fleet.go
@@ -107,8 +107,8 @@
 	// gossip is when this VM next tells a peer.
 	gossip time.Time
 	link   link
-	// counted is the revision up to which its delays are noted.
-	counted uint64
+	// counted is the position up to which its delays are noted.
+	counted catalog.Position
 }
 
 // answer is something that comes to a VM at a time.
@@ -242,8 +242,9 @@
 
 // Forge lets one VM hold a revision that the store does not have.
 func (fl *Fleet) Forge(vm int, revision uint64) {
-	made := catalog.Item{Key: documentKey, Value: []byte("forged"), Revision: revision}
-	fl.vms[vm].f.State().Replace(fl.now, revision, []catalog.Item{made})
+	at := catalog.Position{Era: fl.store.at.Era, Revision: revision}
+	made := catalog.Item{Key: documentKey, Value: []byte("forged"), Era: at.Era, Revision: at.Revision}
+	fl.vms[vm].f.State().Replace(fl.now, at, []catalog.Item{made})
 }
 
 // Refuse lets the store refuse every call at once, or serve again.
@@ -355,24 +356,28 @@
 func (fl *Fleet) check() {
 	for _, v := range fl.vms {
 		if v.dead || fl.now.Sub(startTime) < fl.opts.Bound {
-			v.counted = v.f.State().Revision()
+			v.counted = v.f.State().Position()
 			continue
 		}
 		fl.countDelays(v)
-		at, ok := fl.store.since[v.f.State().Revision()+1]
+		at, ok := fl.store.next(v.f.State().Position())
 		if !ok {
 			continue
 		}
 		fl.late = max(fl.late, fl.now.Sub(at))
 		if fl.now.Sub(at) > fl.opts.Bound && fl.overdue == nil {
-			fl.overdue = fmt.Errorf("%s has revision %d at %v; the next came %v ago", v.peer.VM, v.f.State().Revision(), fl.now.Sub(startTime), fl.now.Sub(at))
+			fl.overdue = fmt.Errorf("%s is at %v after %v; the next change came %v ago", v.peer.VM, v.f.State().Position(), fl.now.Sub(startTime), fl.now.Sub(at))
 		}
 	}
 }
 
 func (fl *Fleet) countDelays(v *vm) {
-	for v.counted < v.f.State().Revision() {
-		v.counted++
+	known := v.f.State().Position()
+	if v.counted.Era != known.Era {
+		v.counted = known
+	}
+	for v.counted.Before(known) {
+		v.counted.Revision++
 		if at, ok := fl.store.since[v.counted]; ok {
 			fl.delays = append(fl.delays, fl.now.Sub(at))
 		}
@@ -442,11 +447,11 @@
 	if fl.rand.Float64() < lostShare {
 		return
 	}
-	revision, age := v.f.State().Revision(), fl.now.Sub(v.f.Confirmed())
+	at, age := v.f.State().Position(), fl.now.Sub(v.f.Confirmed())
 	if v.f.Confirmed().IsZero() {
 		age = follow.Unconfirmed
 	}
-	fl.later(to, hop, func() []follow.Action { return to.f.Heard(fl.now, v.peer, revision, age) })
+	fl.later(to, hop, func() []follow.Action { return to.f.Heard(fl.now, v.peer, at, age) })
 }
 
 // later gives an answer after a while, unless the VM is dead by then.
--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -134,8 +134,8 @@
 		fl.Change()
 		fl.Run(largeBound)
 		for _, v := range fl.vms {
-			if got := v.f.State().Revision(); got != fl.store.revision {
-				t.Fatalf("seed %d: %s is at revision %d, the store at %d", seed, v.peer.VM, got, fl.store.revision)
+			if got := v.f.State().Position(); got != fl.store.at {
+				t.Fatalf("seed %d: %s is at %v, the store at %v", seed, v.peer.VM, got, fl.store.at)
 			}
 		}
 	}
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -28,10 +28,11 @@
 // store is the platform's store.
 type store struct {
 	link link
-	// revision and since are the last revision and when each came; written holds all
-	// versions, lowest revision first.
-	revision uint64
-	since    map[uint64]time.Time
+	// at and since are the last position and when each came; written holds all versions of
+	// the era, lowest revision first. restored is the position that the era began with.
+	at       catalog.Position
+	restored catalog.Position
+	since    map[catalog.Position]time.Time
 	written  []catalog.Item
 	// evacuated holds the evacuations that have begun and not ended.
 	evacuated map[string]catalog.Item
@@ -42,25 +43,40 @@
 }
 
 func newStore() store {
-	first := catalog.Item{Key: documentKey, Value: []byte("x"), Revision: 1}
-	return store{link: link{up: storeLink, down: storeLink}, revision: 1, since: map[uint64]time.Time{}, evacuated: map[string]catalog.Item{}, written: []catalog.Item{first}}
+	at := catalog.Position{Era: 1, Revision: 1}
+	first := catalog.Item{Key: documentKey, Value: []byte("x"), Era: at.Era, Revision: at.Revision}
+	return store{link: link{up: storeLink, down: storeLink}, at: at, restored: at, since: map[catalog.Position]time.Time{}, evacuated: map[string]catalog.Item{}, written: []catalog.Item{first}}
+}
+
+// rise goes on to the next revision.
+func (s *store) rise(now time.Time) {
+	s.at.Revision++
+	s.since[s.at] = now
+}
+
+// next is when the first change came that a position lacks; false when it lacks none.
+func (s *store) next(known catalog.Position) (time.Time, bool) {
+	if known.Era < s.at.Era {
+		known = s.restored
+	}
+	known.Revision++
+	at, ok := s.since[known]
+	return at, ok
 }
 
 // write replaces the document by its next version, of some bytes.
 func (s *store) write(now time.Time, bytes int) {
-	s.revision++
-	s.since[s.revision] = now
+	s.rise(now)
 	text := make([]byte, max(bytes, versionBytes))
 	s.version++
 	binary.LittleEndian.PutUint64(text, s.version)
-	s.written = append(s.written, catalog.Item{Key: documentKey, Value: text, Revision: s.revision})
+	s.written = append(s.written, catalog.Item{Key: documentKey, Value: text, Era: s.at.Era, Revision: s.at.Revision})
 }
 
 // evacuate begins or ends the evacuation of a data centre.
 func (s *store) evacuate(now time.Time, dataCentre string, begins bool) {
-	s.revision++
-	s.since[s.revision] = now
-	it := catalog.Item{Key: evacuationPrefix + dataCentre, Revision: s.revision, Deleted: !begins}
+	s.rise(now)
+	it := catalog.Item{Key: evacuationPrefix + dataCentre, Era: s.at.Era, Revision: s.at.Revision, Deleted: !begins}
 	if begins {
 		it.Value = []byte("{}")
 		s.evacuated[it.Key] = it
@@ -100,15 +116,21 @@
 	return c
 }
 
-// restore lets the store come back from a copy.
+// restore lets the store come back from a copy, in the next era.
 func (s *store) restore(c store) {
 	c = c.copy()
-	s.revision, s.since, s.evacuated, s.written = c.revision, c.since, c.evacuated, c.written
+	s.at = catalog.Position{Era: s.at.Era + 1, Revision: c.at.Revision}
+	s.restored = s.at
+	s.since, s.evacuated, s.written = c.since, c.evacuated, c.written
+	for i := range s.written {
+		s.written[i].Era = s.at.Era
+	}
+	for key, it := range s.evacuated {
+		it.Era = s.at.Era
+		s.evacuated[key] = it
+	}
 }
 
-// has tells whether a revision is the store's.
-func (s *store) has(revision uint64) bool { return revision <= s.revision }
-
 // list answers with the newest version.
 func (fl *Fleet) list(v *vm, stale bool) {
 	give := v.f.Listed
@@ -127,8 +149,8 @@
 		fl.later(v, listPatience, fail)
 		return
 	}
-	revision, items := fl.store.revision, fl.store.newest()
-	fl.fromStore(v, items, listPatience, func() []follow.Action { return give(fl.now, revision, items) }, fail)
+	at, items := fl.store.at, fl.store.newest()
+	fl.fromStore(v, items, listPatience, func() []follow.Action { return give(fl.now, at, items) }, fail)
 }
 
 // watch answers when the store has moved on or the wait is over.
@@ -138,19 +160,19 @@
 		switch {
 		case fl.store.refuses:
 			return fail()
-		case v.cut && fl.now.Before(until.Add(watchSlack)), !v.cut && fl.store.revision == w.After && fl.now.Before(until):
+		case v.cut && fl.now.Before(until.Add(watchSlack)), !v.cut && fl.store.at.Revision == w.After.Revision && fl.now.Before(until):
 			fl.watch(v, w, until)
 			return nil
 		case v.cut:
 			return fail()
-		case !fl.store.has(w.After):
+		case fl.store.at.Revision < w.After.Revision:
 			return v.f.ReadFailed(fl.now, true)
-		case fl.store.revision <= w.After:
-			return v.f.Watched(fl.now, w.After, fl.store.revision, nil)
+		case fl.store.at.Revision == w.After.Revision:
+			return v.f.Watched(fl.now, w.After, fl.store.at, nil)
 		}
-		revision, changes := fl.store.revision, fl.store.above(w.After)
+		at, changes := fl.store.at, fl.store.above(w.After.Revision)
 		patience := until.Add(watchSlack).Sub(fl.now)
-		fl.fromStore(v, changes, patience, func() []follow.Action { return v.f.Watched(fl.now, w.After, revision, changes) }, fail)
+		fl.fromStore(v, changes, patience, func() []follow.Action { return v.f.Watched(fl.now, w.After, at, changes) }, fail)
 		return nil
 	})
 }
