--- a/internal/membership/node.go
+++ b/internal/membership/node.go
@@ -125,14 +125,14 @@
 
 	// era and revision are the configuration that this node announces.
 	era, revision uint64
-	confirmed  time.Time
-	version    uint64
-	view       *View
-	lastTick   time.Time
-	heardAt    time.Time
-	nextProbe  time.Time
-	nextSpread time.Time
-	nextLost   int
+	confirmed     time.Time
+	version       uint64
+	view          *View
+	lastTick      time.Time
+	heardAt       time.Time
+	nextProbe     time.Time
+	nextSpread    time.Time
+	nextLost      int
 	// nextFar is in how many periods a member of another data centre is probed.
 	nextFar int
 	// keeping says that this node keeps to its data centre; watched is until when the
