Keep packed pages by position, not by revision

What callers saw, or would: a route of an acknowledged version is answered by an older one on a VM whose peer gives it the former history's page.

Packed pages were kept by the revision alone: a VM at revision 2 of the next era gave the page that it had packed at revision 2 of the former one, and kept none of a revision below it.

After: it passes; a page is given only for the position that it was packed at.

--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -192,17 +192,17 @@
 	return page, state.Document(base)
 }
 
-// packedPages keeps pages of the present revision packed. In a large fleet many VMs ask
+// packedPages keeps pages of the present position packed. In a large fleet many VMs ask
 // for the same at the same moment, and packing one takes a weak VM some ten milliseconds.
 type packedPages struct {
 	making singleflight.Group
 
-	mu       sync.Mutex
-	revision uint64
-	bodies   map[packedKey][]byte
+	mu     sync.Mutex
+	at     catalog.Position
+	bodies map[packedKey][]byte
 }
 
-// packedKey is what a page depends on beside the revision.
+// packedKey is what a page depends on beside the position.
 type packedKey struct {
 	after catalog.Position
 	base  uint64
@@ -210,23 +210,23 @@
 
 func (k packedKey) String() string { return k.after.String() + " " + strconv.FormatUint(k.base, 16) }
 
-func (p *packedPages) find(revision uint64, key packedKey) []byte {
+func (p *packedPages) find(at catalog.Position, key packedKey) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.revision != revision {
+	if p.at != at {
 		return nil
 	}
 	return p.bodies[key]
 }
 
-func (p *packedPages) keep(revision uint64, key packedKey, body []byte) {
+func (p *packedPages) keep(at catalog.Position, key packedKey, body []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if revision < p.revision {
+	if at.Before(p.at) {
 		return
 	}
-	if revision > p.revision || len(p.bodies) >= maxPacked {
-		p.revision = revision
+	if p.at.Before(at) || len(p.bodies) >= maxPacked {
+		p.at = at
 		p.bodies = map[packedKey][]byte{}
 	}
 	p.bodies[key] = body
@@ -236,14 +236,14 @@
 // this VM has it too.
 func (r *reader) packedPage(after catalog.Position, base uint64) ([]byte, error) {
 	key := packedKey{after, base}
-	if body := r.packed.find(r.position().Revision, key); body != nil {
+	if body := r.packed.find(r.position(), key); body != nil {
 		return body, nil
 	}
 	body, err, _ := r.packed.making.Do(key.String(), func() (any, error) {
 		page, document := r.page(after, base)
 		body, err := pagepack.Pack(page, document)
 		if err == nil {
-			r.packed.keep(page.Revision, key, body)
+			r.packed.keep(catalog.Position{Era: page.Era, Revision: page.Revision}, key, body)
 		}
 		return body, err
 	})
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -156,6 +156,31 @@
 	}
 }
 
+// Guards against a page of the store's former history, kept packed, that is given to a peer
+// under the same revision of the next era.
+func TestAPackedPageOfAnEraThatIsOverIsNotGiven(t *testing.T) {
+	giver := readerAt(text(1), text(2))
+	address := listen(t, giver.serve)
+	ask := func(after catalog.Position) string {
+		page, err := readerAt().fetchCatalog(follow.Pull{ID: 1, Address: address, After: after, Stall: 10 * time.Second, Timeout: 10 * time.Second})
+		if err != nil || len(page.Items) != 1 {
+			t.Fatalf("%v: %v", after, err)
+		}
+		return string(page.Items[0].Value)
+	}
+	if got := ask(catalog.Position{}); got != text(2) {
+		t.Fatal("not the newest version")
+	}
+	for i, version := range []int{3, 4} {
+		revision := uint64(i + 1)
+		giver.follower.State().Replace(time.Now(), catalog.Position{Era: 1, Revision: revision},
+			[]catalog.Item{{Key: "c", Value: []byte(text(version)), Era: 1, Revision: revision}})
+		if got := ask(catalog.Position{}); got != text(version) {
+			t.Errorf("at revision %d of the next era: %.12q, want version %d", revision, got, version)
+		}
+	}
+}
+
 // Each row is a question that is told to be wrong, and what it is answered.
 func TestQuestionsThatAreWrong(t *testing.T) {
 	address := listen(t, readerAt(text(1)).serve)
