Keep the newer configuration while a later era has an older one

What callers saw, or would: a route that was served answers 404, or goes to its former service, from the store's return until the operator has written the configuration again.

Cause: the store comes back from a copy with an older version, and a VM took the later position for the later version (before positions: it discarded all it knew, with the same end).

Evidence: the test failed before, version 20 in force after 23, on the VM that listed and on one that starts from its page. After: 23 stays, is given to peers, and 27 replaces it. The version that is not taken has a line with both versions.

Versions of the configuration only rise, as the platform says; within an era the store's order decides as before. A stand-in of node's tests counts its versions across eras, too.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -10,6 +10,8 @@
 package catalog
 
 import (
+	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -62,8 +64,9 @@
 	Evacuated(key string) (dataCentre string)
 }
 
-// Rejected is an item that could not be decoded. Of a configuration the last good version
-// stays in force; the entry of an upstream names none.
+// Rejected is an item that could not be decoded, or a version of the configuration that is
+// older than the one in force. Of a configuration the last good version stays in force; the
+// entry of an upstream names none.
 type Rejected struct {
 	Key      string
 	Revision uint64
@@ -292,18 +295,26 @@
 }
 
 // settleConfig puts the newest of the versions that came together in force, and an older
-// one only where the newer are rejected. Of a document that changes several times a second
+// one only where the newer are rejected, of each era in turn. Of a document that changes several times a second
 // a reader gets some versions at once: decoding those that are over already would take a
 // weak VM most of its time, and nobody would hold them to be sent changes against.
 func (s *State) settleConfig() bool {
-	slices.SortFunc(s.candidates, func(a, b Item) int { return byPosition(b, a) })
-	changed := slices.ContainsFunc(s.candidates, s.putConfig)
+	slices.SortFunc(s.candidates, func(a, b Item) int {
+		return cmp.Or(cmp.Compare(a.Era, b.Era), byPosition(b, a))
+	})
+	taken := map[uint64]bool{}
+	for _, it := range s.candidates {
+		if !taken[it.Era] && s.putConfig(it) {
+			taken[it.Era] = true
+		}
+	}
 	s.candidates = nil
-	return changed
+	return len(taken) > 0
 }
 
 // putConfig puts one version in force; false when it is older than that in force or is
-// rejected.
+// rejected. Until the operator has written again what the store lost, a later era begins
+// with an older version: in force, it would take back what callers have been given.
 func (s *State) putConfig(it Item) bool {
 	if !s.configItem.At().Before(it.At()) {
 		return false
@@ -313,6 +324,10 @@
 		s.reject(it, err)
 		return false
 	}
+	if s.config != nil && it.Era != s.configItem.Era && c.Version < s.config.Version {
+		s.reject(it, fmt.Errorf("version %d, of a later era, is older than version %d, which stays in force", c.Version, s.config.Version))
+		return false
+	}
 	delete(s.faults, it.Key)
 	s.configItem = it
 	s.documents.keep(it.Value)
--- /dev/null
+++ b/internal/catalog/era_test.go
@@ -0,0 +1,60 @@
+package catalog
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+
+	"sycamorekeel.example/sycamorekeel/internal/routing"
+)
+
+// versioned decodes a configuration as its version, behind a "v".
+type versioned struct{ plain }
+
+func (versioned) Config(it Item) (*routing.Config, error) {
+	version, err := strconv.ParseUint(strings.TrimPrefix(string(it.Value), "v"), 10, 64)
+	return &routing.Config{Version: version}, err
+}
+
+// in is items as the store tells them in an era.
+func in(era uint64, items ...Item) []Item {
+	for i := range items {
+		items[i].Era = era
+	}
+	return items
+}
+
+// ofEra is a position in an era.
+func ofEra(era, revision uint64) Position { return Position{Era: era, Revision: revision} }
+
+// beforeTheCopy is a state of a store's first era.
+func beforeTheCopy() *State {
+	s := New(start, versioned{})
+	s.Answered(start)
+	s.Replace(start, ofEra(1, 10), in(1, put("config", "v23", 8), put("up/a", "s", 4), put("up/b", "s", 5)))
+	return s
+}
+
+// fresh is a VM that starts with what a peer has.
+func fresh(peer *State) *State {
+	s := New(start, versioned{})
+	s.Take(start, peer.PageSince(Position{}))
+	return s
+}
+
+// Guards against a route that is served and then no longer, as the store came back from a
+// copy with an older version of the configuration.
+func TestAnOlderVersionOfALaterEraDoesNotComeIntoForce(t *testing.T) {
+	s := beforeTheCopy()
+	s.Replace(start, ofEra(2, 7), in(2, put("config", "v20", 6), put("up/a", "s", 4), put("up/b", "s", 5)))
+	for name, vm := range map[string]*State{"listed": s, "from a peer": fresh(s)} {
+		if got := vm.View().Config.Version; got != 23 {
+			t.Errorf("%s: version %d after 23", name, got)
+		}
+		vm.Apply(start, ofEra(2, 7), ofEra(2, 8), in(2, put("config", "v23", 8)))
+		vm.Apply(start, ofEra(2, 8), ofEra(2, 9), in(2, put("config", "v27", 9)))
+		if got := vm.View().Config.Version; got != 27 {
+			t.Errorf("%s: version %d where the store has 27", name, got)
+		}
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -43,7 +43,7 @@
 			Name: "sycamorekeel_catalog_pulled_items_total", Help: "Items of the pages that peers gave, each version of one counted.",
 		}),
 		rejected: f.NewCounter(prometheus.CounterOpts{
-			Name: "sycamorekeel_catalog_rejected_items_total", Help: "Versions of items that could not be read.",
+			Name: "sycamorekeel_catalog_rejected_items_total", Help: "Versions of items that were not taken.",
 		}),
 		disproved: f.NewCounter(prometheus.CounterOpts{
 			Name: "sycamorekeel_catalog_disproved_total", Help: "Revisions that peers gave and the store does not have.",
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -22,7 +22,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
-// anyConfig decodes each item as a configuration.
+// anyConfig decodes each item as a configuration, whose version rises from era to era.
 type anyConfig struct{}
 
 func (anyConfig) Kind(string) catalog.Kind { return catalog.Configuration }
@@ -30,7 +30,7 @@
 func (anyConfig) Evacuated(string) string { return "" }
 
 func (anyConfig) Config(it catalog.Item) (*routing.Config, error) {
-	return &routing.Config{Version: it.Revision}, nil
+	return &routing.Config{Version: it.Era<<32 + it.Revision}, nil
 }
 
 func (anyConfig) Upstream(catalog.Item) (catalog.Upstream, error) { return catalog.Upstream{}, nil }
