Keep upstreams that a later era lacks until they can have registered again

What callers saw, or would: requests refused, or parts missing, for about two seconds after the store's return, although the upstreams live.

Cause: upstreams that registered after the copy are in no listing of the new era. They were kept only after an outage of 1.5 s, as entries lapse; a store that is away for a moment and comes back from a copy lost them at once.

Evidence: the test failed before, a and b left of a, b, c, d at once. After: all four for the grace of an outage's return (2.2 s), then those that have registered again.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -148,8 +148,9 @@
 	starts map[string]*latestStart
 
 	lastAnswer time.Time
-	returned   time.Time
-	outage     bool
+	// returned is when the last outage ended or the store came back from a copy.
+	returned time.Time
+	outage   bool
 	rejected   []Rejected
 	// faults is what is wrong with the newest version of a key, in words.
 	faults map[string]string
@@ -216,7 +217,7 @@
 		return false
 	}
 	if at.Era != s.position.Era {
-		s.forgetDeletions()
+		s.beginEra(now)
 	}
 	// A peer's page may hold two versions of an item: the earlier one first.
 	items = slices.SortedFunc(slices.Values(items), byPosition)
@@ -238,6 +239,15 @@
 	return changed
 }
 
+// beginEra takes in that the store came back from an older copy. What it lost is written
+// again, as after an outage, whether it was away for long or not.
+func (s *State) beginEra(now time.Time) {
+	s.forgetDeletions()
+	if s.position.Revision > 0 {
+		s.returned = now
+	}
+}
+
 // Apply takes in the changes from one position to another. It refuses them (false) when
 // they leave a gap, what is known ending before, or are of another era than what is known.
 func (s *State) Apply(now time.Time, after, upTo Position, changes []Item) (changed, joined bool) {
--- a/internal/catalog/era_test.go
+++ b/internal/catalog/era_test.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 )
@@ -58,3 +59,22 @@
 		}
 	}
 }
+
+// Guards against upstreams that live and are given up, as the store came back from a copy in
+// which they have not registered yet.
+func TestUpstreamsThatACopyLacksAreKeptForAWhile(t *testing.T) {
+	s := beforeTheCopy()
+	s.Apply(start, ofEra(1, 10), ofEra(1, 12), in(1, put("up/c", "s", 11), put("up/d", "s", 12)))
+	s.Replace(start, ofEra(2, 10), in(2, put("config", "v23", 8), put("up/a", "s", 4), put("up/b", "s", 5)))
+	if got := ids(s, "s"); got != "a,b,c,d" {
+		t.Errorf("at once: %s", got)
+	}
+	s.Apply(start, ofEra(2, 10), ofEra(2, 11), in(2, put("up/d", "s", 11)))
+	s.Tick(start.Add(returnGrace - time.Millisecond))
+	if got := ids(s, "s"); got != "a,b,c,d" {
+		t.Errorf("within the grace: %s", got)
+	}
+	if !s.Tick(start.Add(returnGrace)) || ids(s, "s") != "a,b,d" {
+		t.Errorf("after the grace: %s", ids(s, "s"))
+	}
+}
