Hold an evacuation that a later era lacks until it can have been written again

What callers saw, or would: work goes to the upstreams of a data centre that the operator has evacuated, from the store's return until the evacuation is written again.

Cause: an evacuation ended as soon as its key was in no listing. A copy of the store from before its beginning lacks it, and the operator has not taken it back.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -140,8 +140,8 @@
 	upstreams  map[string]*Upstream
 	// evacuations are the keys of the evacuations under way.
 	evacuations map[string]bool
-	// doubtful are upstreams whose entries went missing around an outage, with
-	// the time at which they are given up.
+	// doubtful are upstreams whose entries went missing around an outage, and evacuations
+	// that a copy lacks, with the time at which they are given up.
 	doubtful map[string]time.Time
 
 	// starts holds the latest start that an upstream's entry has shown, by key.
@@ -216,7 +216,8 @@
 	if at.Before(s.position) {
 		return false
 	}
-	if at.Era != s.position.Era {
+	copied := at.Era != s.position.Era
+	if copied {
 		s.beginEra(now)
 	}
 	// A peer's page may hold two versions of an item: the earlier one first.
@@ -231,7 +232,7 @@
 	s.noteGap(at.Revision)
 	for key, it := range s.items {
 		if !listed[key] && !at.Before(it.At()) {
-			changed = s.remove(now, key) || changed
+			changed = s.remove(now, key, copied) || changed
 			s.keepDeletion(Item{Key: key, Era: at.Era, Revision: at.Revision, Deleted: true})
 		}
 	}
@@ -265,7 +266,7 @@
 			continue
 		}
 		if held, ok := s.items[it.Key]; ok && held.At().Before(it.At()) {
-			changed = s.remove(now, it.Key) || changed
+			changed = s.remove(now, it.Key, false) || changed
 		}
 		s.keepDeletion(it)
 	}
@@ -296,6 +297,7 @@
 	case Registration:
 		return s.putUpstream(it)
 	case Evacuation:
+		delete(s.doubtful, it.Key)
 		held := s.evacuations[it.Key]
 		s.evacuations[it.Key] = true
 		return !held
--- a/internal/catalog/era_test.go
+++ b/internal/catalog/era_test.go
@@ -78,3 +78,32 @@
 		t.Errorf("after the grace: %s", ids(s, "s"))
 	}
 }
+
+// Guards against work for an evacuated data centre, as the store came back from a copy in
+// which its evacuation has not begun.
+func TestAnEvacuationThatACopyLacksHoldsForAWhile(t *testing.T) {
+	copied := in(2, put("config", "v23", 8), put("up/a", "s in-x", 4), put("up/b", "s in-y", 5))
+	evacuated := func() *State {
+		s := beforeTheCopy()
+		s.Apply(start, ofEra(1, 10), ofEra(1, 13), in(1, put("up/a", "s in-x", 11), put("up/b", "s in-y", 12), put("evacuate/x", "{}", 13)))
+		s.Replace(start, ofEra(2, 10), copied)
+		return s
+	}
+	s := evacuated()
+	if got := ids(s, "s"); got != "b" {
+		t.Errorf("at once: %s", got)
+	}
+	if !s.Tick(start.Add(returnGrace)) || ids(s, "s") != "a,b" {
+		t.Errorf("not written again: %s", ids(s, "s"))
+	}
+	s = evacuated()
+	s.Apply(start, ofEra(2, 10), ofEra(2, 11), in(2, put("evacuate/x", "{}", 11)))
+	s.Tick(start.Add(returnGrace))
+	if got := ids(s, "s"); got != "b" {
+		t.Errorf("written again: %s", got)
+	}
+	s.Apply(start, ofEra(2, 11), ofEra(2, 12), in(2, gone("evacuate/x", 12)))
+	if got := ids(s, "s"); got != "a,b" {
+		t.Errorf("taken back: %s", got)
+	}
+}
--- a/internal/catalog/registrations.go
+++ b/internal/catalog/registrations.go
@@ -64,22 +64,24 @@
 	return held
 }
 
-// remove takes an item out. A configuration is never taken back: an absent one
-// would leave nothing to serve by.
+// remove takes an item out; copied says that the store came back from a copy that lacks
+// it. A configuration is never taken back: an absent one would leave nothing to serve by.
 //
 // While the store is away, upstreams that live cannot renew their entries. Taken
 // as gone, the whole fleet of upstreams would vanish at the store's return, and
 // every request be refused until they have registered again.
-func (s *State) remove(now time.Time, key string) bool {
+func (s *State) remove(now time.Time, key string, copied bool) bool {
 	kind := s.decoder.Kind(key)
 	if kind == Configuration {
 		return false
 	}
 	delete(s.items, key)
+	if kind == Evacuation && copied {
+		s.doubtful[key] = now.Add(returnGrace)
+		return false
+	}
 	if kind == Evacuation {
-		held := s.evacuations[key]
-		delete(s.evacuations, key)
-		return held
+		return s.endEvacuation(key)
 	}
 	delete(s.faults, key)
 	delete(s.starts, key)
@@ -93,7 +95,15 @@
 	return s.drop(key)
 }
 
-// Tick gives up doubtful upstreams whose time is over; true when any was.
+// endEvacuation lets the upstreams of a data centre take work again.
+func (s *State) endEvacuation(key string) bool {
+	held := s.evacuations[key]
+	delete(s.evacuations, key)
+	delete(s.doubtful, key)
+	return held
+}
+
+// Tick gives up doubtful upstreams and evacuations whose time is over; true when any was.
 func (s *State) Tick(now time.Time) bool {
 	if s.outage {
 		return false
@@ -103,6 +113,10 @@
 		if now.Before(until) || now.Sub(s.returned) < returnGrace {
 			continue
 		}
+		if s.evacuations[key] {
+			changed = s.endEvacuation(key) || changed
+			continue
+		}
 		changed = s.drop(key) || changed
 	}
 	return changed
