Let an upstream that leaves go on leaving in a later era

What callers saw, or would: requests go to an upstream that has told of its leaving, and fail when it ends; the rule on leaving upstreams is broken once its drain time is over.

Cause: the copy that the store came back from has the entry of before, which says ready, at a later position.

Evidence: the test failed before, a takes work again, on the VM that listed and on one that starts from its page. After: a is leaving until it has written so again or starts anew, on both: the entry of before stays in force and travels beside the copy's.

A start that leaves never stops leaving, as the platform says: an id is of one start, or the entry says when the start was.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -151,7 +151,7 @@
 	// returned is when the last outage ended or the store came back from a copy.
 	returned time.Time
 	outage   bool
-	rejected   []Rejected
+	rejected []Rejected
 	// faults is what is wrong with the newest version of a key, in words.
 	faults map[string]string
 }
--- a/internal/catalog/era_test.go
+++ b/internal/catalog/era_test.go
@@ -107,3 +107,24 @@
 		t.Errorf("taken back: %s", got)
 	}
 }
+
+// Guards against work for an upstream that is leaving, as the store came back from a copy in
+// which it is not yet.
+func TestAnUpstreamThatLeavesGoesOnLeavingInALaterEra(t *testing.T) {
+	s := beforeTheCopy()
+	s.Apply(start, ofEra(1, 10), ofEra(1, 11), in(1, put("up/a", "s leaving", 11)))
+	s.Replace(start, ofEra(2, 10), in(2, put("config", "v23", 8), put("up/a", "s", 4), put("up/b", "s", 5)))
+	for name, vm := range map[string]*State{"listed": s, "from a peer": fresh(s)} {
+		if u := vm.View().Upstreams["a"]; u == nil || !u.Leaving {
+			t.Errorf("%s: %+v", name, u)
+		}
+	}
+	s.Apply(start, ofEra(2, 10), ofEra(2, 11), in(2, put("up/a", "s leaving", 11)))
+	if got := ids(s, "s"); got != "b" {
+		t.Errorf("after it has told so again: %s", got)
+	}
+	s.Apply(start, ofEra(2, 11), ofEra(2, 12), in(2, put("up/a", "s 100", 12)))
+	if got := ids(s, "s"); got != "a,b" {
+		t.Errorf("after a later start: %s", got)
+	}
+}
--- a/internal/catalog/registrations.go
+++ b/internal/catalog/registrations.go
@@ -22,16 +22,24 @@
 
 // latestStart is the latest start that an upstream's entry has shown.
 type latestStart struct {
-	item Item
-	born time.Time
+	item    Item
+	born    time.Time
+	leaving bool
 	// void is a later entry that could not be read, nil without one: the upstream is then
 	// not in use.
 	void *Item
 }
 
+// leftBefore tells whether the same start of an upstream was leaving already in an era before
+// an entry's.
+func (l *latestStart) leftBefore(it Item, u *Upstream) bool {
+	return l.leaving && !u.Leaving && l.item.Era < it.Era && !u.Born.After(l.born)
+}
+
 // putUpstream takes in an entry. One that cannot be read is some other writer's and names
 // no upstream: the address it had may be another service's by now. One of an earlier start
-// was under way while the upstream started again, and changes nothing.
+// was under way while the upstream started again, and changes nothing. Neither does one of a
+// later era by which an upstream that leaves would not: the store's copy is from before.
 func (s *State) putUpstream(it Item) bool {
 	u, err := s.decoder.Upstream(it)
 	latest := s.starts[it.Key]
@@ -46,12 +54,12 @@
 		return s.drop(it.Key)
 	}
 	delete(s.faults, it.Key)
-	if latest != nil && latest.born.After(u.Born) {
+	if latest != nil && (latest.born.After(u.Born) || latest.leftBefore(it, &u)) {
 		return false
 	}
 	delete(s.doubtful, it.Key)
 	old := s.upstreams[it.Key]
-	s.starts[it.Key] = &latestStart{item: it, born: u.Born}
+	s.starts[it.Key] = &latestStart{item: it, born: u.Born, leaving: u.Leaving}
 	s.upstreams[it.Key] = &u
 	return old == nil || *old != u
 }
