Do not believe a copy's entry of an upstream that is gone

What callers saw, or would: requests go to an upstream that has left the store, some seconds after its leaving, and fail when it ends.

Cause: the copy that the store came back from still has the entry, at a later position, until it lapses after three heartbeats. It looks like an upstream that has just registered.

Evidence: both tests failed before (a and b take work at once; an entry that lapses in the new era is kept for the grace of an outage besides). After: such an entry names an upstream once it is written again, or has not lapsed after 5 s.

A VM that starts within these seconds has not seen the upstream leave and uses it; it is not told by its peers, as their pages hold what the store has.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -144,6 +144,12 @@
 	// that a copy lacks, with the time at which they are given up.
 	doubtful map[string]time.Time
 
+	// departed are upstreams that were gone when an era began, while its first listing is
+	// taken in, with the time until which a copy's entry of one names no upstream; revived
+	// are those that the listing holds.
+	departed map[string]time.Time
+	revived  map[string]revival
+
 	// starts holds the latest start that an upstream's entry has shown, by key.
 	starts map[string]*latestStart
 
@@ -164,6 +170,7 @@
 		upstreams:   map[string]*Upstream{},
 		evacuations: map[string]bool{},
 		doubtful:    map[string]time.Time{},
+		revived:     map[string]revival{},
 		starts:      map[string]*latestStart{},
 		faults:      map[string]string{},
 		lastAnswer:  now,
@@ -237,12 +244,19 @@
 		}
 	}
 	s.position = at
+	s.departed = nil
 	return changed
 }
 
 // beginEra takes in that the store came back from an older copy. What it lost is written
 // again, as after an outage, whether it was away for long or not.
 func (s *State) beginEra(now time.Time) {
+	s.departed = map[string]time.Time{}
+	for _, it := range s.deletions {
+		if _, back := s.items[it.Key]; !back && s.decoder.Kind(it.Key) == Registration {
+			s.departed[it.Key] = now.Add(lapseAfter)
+		}
+	}
 	s.forgetDeletions()
 	if s.position.Revision > 0 {
 		s.returned = now
--- a/internal/catalog/era_test.go
+++ b/internal/catalog/era_test.go
@@ -128,3 +128,40 @@
 		t.Errorf("after a later start: %s", got)
 	}
 }
+
+// Guards against work for an upstream that is gone, as the store came back from a copy in
+// which its entry has not lapsed yet.
+func TestAnUpstreamThatIsGoneStaysSoInACopy(t *testing.T) {
+	s := beforeTheCopy()
+	s.Apply(start, ofEra(1, 10), ofEra(1, 12), in(1, gone("up/a", 11), gone("up/b", 12)))
+	listing := in(2, put("config", "v23", 8), put("up/a", "s", 4), put("up/b", "s", 5))
+	s.Replace(start, ofEra(2, 10), listing)
+	if got := ids(s, "s"); got != "" {
+		t.Errorf("at once: %s", got)
+	}
+	s.Replace(start.Add(time.Second), ofEra(2, 10), listing)
+	if got := ids(s, "s"); got != "" {
+		t.Errorf("listed again: %s", got)
+	}
+	s.Apply(start, ofEra(2, 10), ofEra(2, 11), in(2, put("up/b", "s", 11)))
+	if got := ids(s, "s"); got != "b" {
+		t.Errorf("b has written again: %s", got)
+	}
+	if s.Tick(start.Add(lapseAfter - time.Millisecond)) {
+		t.Errorf("before entries lapse: %s", ids(s, "s"))
+	}
+	if !s.Tick(start.Add(lapseAfter)) || ids(s, "s") != "a,b" {
+		t.Errorf("an entry that has not lapsed: %s", ids(s, "s"))
+	}
+}
+
+// Guards against an upstream that comes back by an entry that has lapsed meanwhile.
+func TestAnEntryOfACopyThatLapsesNamesNoUpstream(t *testing.T) {
+	s := beforeTheCopy()
+	s.Apply(start, ofEra(1, 10), ofEra(1, 11), in(1, gone("up/a", 11)))
+	s.Replace(start, ofEra(2, 10), in(2, put("config", "v23", 8), put("up/a", "s", 4), put("up/b", "s", 5)))
+	s.Apply(start, ofEra(2, 10), ofEra(2, 11), in(2, gone("up/a", 11)))
+	if s.Tick(start.Add(lapseAfter)) || ids(s, "s") != "b" {
+		t.Errorf("%s", ids(s, "s"))
+	}
+}
--- a/internal/catalog/registrations.go
+++ b/internal/catalog/registrations.go
@@ -16,6 +16,10 @@
 // entry lapses, longer than one lost answer and its repetition.
 const outageAfter = 1500 * time.Millisecond
 
+// lapseAfter is how long an upstream that was gone is not believed to be back by the entry of
+// a copy: longer than the three heartbeats, of 1.2 s each, after which an entry lapses.
+const lapseAfter = 5 * time.Second
+
 // errNoBirth is the fault of an entry that does not say when its upstream started, where
 // earlier ones did: an upstream always does or never.
 var errNoBirth = errors.New("does not say when the upstream started, as it did before")
@@ -30,6 +34,13 @@
 	void *Item
 }
 
+// revival is a copy's entry of an upstream that was gone, which names none until a time: the
+// entry lapses if the upstream does not live.
+type revival struct {
+	item  Item
+	until time.Time
+}
+
 // leftBefore tells whether the same start of an upstream was leaving already in an era before
 // an entry's.
 func (l *latestStart) leftBefore(it Item, u *Upstream) bool {
@@ -41,6 +52,11 @@
 // was under way while the upstream started again, and changes nothing. Neither does one of a
 // later era by which an upstream that leaves would not: the store's copy is from before.
 func (s *State) putUpstream(it Item) bool {
+	if until, gone := s.departed[it.Key]; gone {
+		s.revived[it.Key] = revival{item: it, until: until}
+		return false
+	}
+	delete(s.revived, it.Key)
 	u, err := s.decoder.Upstream(it)
 	latest := s.starts[it.Key]
 	if err == nil && latest != nil && u.Born.IsZero() && !latest.born.IsZero() {
@@ -93,6 +109,7 @@
 	}
 	delete(s.faults, key)
 	delete(s.starts, key)
+	delete(s.revived, key)
 	if s.upstreams[key] == nil {
 		return false
 	}
@@ -111,12 +128,13 @@
 	return held
 }
 
-// Tick gives up doubtful upstreams and evacuations whose time is over; true when any was.
+// Tick gives up doubtful upstreams and evacuations whose time is over, and takes in entries
+// that have not lapsed; true when that changed anything.
 func (s *State) Tick(now time.Time) bool {
 	if s.outage {
 		return false
 	}
-	changed := false
+	changed := s.takeRevived(now)
 	for key, until := range s.doubtful {
 		if now.Before(until) || now.Sub(s.returned) < returnGrace {
 			continue
@@ -129,3 +147,16 @@
 	}
 	return changed
 }
+
+// takeRevived takes in the entries of a copy that have not lapsed in time.
+func (s *State) takeRevived(now time.Time) bool {
+	changed := false
+	for key, r := range s.revived {
+		if now.Before(r.until) {
+			continue
+		}
+		delete(s.revived, key)
+		changed = s.putUpstream(r.item) || changed
+	}
+	return changed
+}
