Drop packed pages of what was disproved

What callers saw, or would: a VM that starts takes in a made-up page from a peer that has discarded it.

After a claim was disproved, none was kept any more below it either, and each was packed anew.

Evidence: the test failed before with the version of before the discard. After: the store's.

--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -225,13 +225,20 @@
 	if at.Before(p.at) {
 		return
 	}
-	if p.at.Before(at) || len(p.bodies) >= maxPacked {
+	if p.at.Before(at) || p.bodies == nil || len(p.bodies) >= maxPacked {
 		p.at = at
 		p.bodies = map[packedKey][]byte{}
 	}
 	p.bodies[key] = body
 }
 
+// forget drops all pages: what they hold was discarded.
+func (p *packedPages) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at, p.bodies = catalog.Position{}, nil
+}
+
 // packedPage is the page for a peer, packed against the document that it holds where
 // this VM has it too.
 func (r *reader) packedPage(after catalog.Position, base uint64) ([]byte, error) {
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -181,6 +181,25 @@
 	}
 }
 
+// Guards against a page of what a peer had made up, kept packed, that is given under the same
+// position once the store has come there.
+func TestAPackedPageOfWhatWasDisprovedIsNotGiven(t *testing.T) {
+	giver := readerAt(text(1), text(2))
+	giver.announce = func(catalog.Position, time.Time, *follow.Announce) {}
+	address := listen(t, giver.serve)
+	pull := pullOf(address, 0)
+	if _, err := readerAt().fetchCatalog(pull); err != nil {
+		t.Fatal(err)
+	}
+	giver.follower.State().Discard(time.Now())
+	giver.do([]follow.Action{follow.Disproved{At: catalog.Position{Revision: 2}}}, catalog.Position{}, time.Time{})
+	giver.follower.State().Replace(time.Now(), catalog.Position{Revision: 2}, []catalog.Item{{Key: "c", Value: []byte(text(3)), Revision: 2}})
+	page, err := readerAt().fetchCatalog(pull)
+	if err != nil || len(page.Items) != 1 || string(page.Items[0].Value) != text(3) {
+		t.Errorf("%v, %v", page.GetItems(), err)
+	}
+}
+
 // Each row is a question that is told to be wrong, and what it is answered.
 func TestQuestionsThatAreWrong(t *testing.T) {
 	address := listen(t, readerAt(text(1)).serve)
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -153,6 +153,7 @@
 			tell = &a
 		case follow.Disproved:
 			r.met.disproved.Inc()
+			r.packed.forget()
 			r.log.Error("store: a position that a peer gave does not exist: discarded", zap.Stringer("position", a.At))
 		}
 	}
