Take a listing that may be stale for one of no era

What callers saw, or would: after the loss of all processes just after the store came back from a copy, routes and evacuations written since are missed for good.

Cause: an answer that may be seconds old can show the former history under the header of the present era. All VMs started with it, at a revision that the store then gave out again.

After: such a listing is of era 0 and stands until anything is known of an era, which replaces it.

--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"slices"
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
@@ -78,16 +79,18 @@
 }
 
 // ListedStale takes in a listing that may be seconds old. It confirms nothing: what peers
-// know above it is asked of them, and readers confirm.
+// know above it is asked of them, and readers confirm. Neither does it tell its era, which may
+// have ended since: it stands until anything is known of an era.
 func (f *Follower) ListedStale(now time.Time, at catalog.Position, items []catalog.Item) []Action {
 	f.out = nil
 	f.answered(now)
 	f.staleAt = now
+	at.Era = 0
 	if !f.state.Position().Before(at) {
 		return f.out
 	}
 	f.relist = false
-	changed := f.state.Replace(now, at, items)
+	changed := f.state.Replace(now, at, withoutEra(items))
 	f.reached(now)
 	f.emit(Announce{})
 	if changed {
@@ -98,6 +101,15 @@
 	return f.out
 }
 
+// withoutEra is items as of no era.
+func withoutEra(items []catalog.Item) []catalog.Item {
+	out := slices.Clone(items)
+	for i := range out {
+		out[i].Era = 0
+	}
+	return out
+}
+
 // Watched takes in the answer of a watch. Its revision must be explained by its
 // changes: a store that has lost a change in between says nothing of it, and
 // what it tells later would join on to a gap. So would changes of another era, whose
--- a/internal/spread/era_test.go
+++ b/internal/spread/era_test.go
@@ -60,6 +60,28 @@
 	}
 }
 
+// Guards against VMs that start with a stale listing of the store's former history, which it
+// tells under its present era, and miss what is written at the same revisions.
+func TestAStaleListingOfAFormerEraIsReplaced(t *testing.T) {
+	for seed := range uint64(5) {
+		fl := New(Options{VMs: 9, Seed: seed, Bound: 3 * time.Second, Document: 1000, Restart: true})
+		copied := fl.Copy()
+		fl.Change()
+		fl.Change()
+		former := fl.Copy()
+		fl.Restore(copied)
+		fl.ShowFormer(former)
+		fl.Run(100 * time.Millisecond)
+		fl.SetPeers()
+		fl.Change()
+		fl.Evacuate("r0-0")
+		fl.Run(3 * time.Second)
+		if late := fl.behind("r0-0"); len(late) > 0 {
+			t.Errorf("seed %d: %d have missed a change, as %s", seed, len(late), late[0])
+		}
+	}
+}
+
 // Guards against a VM that takes what its peers have of the store's new history for old,
 // until the revision rises above the highest one of before.
 func TestAVMThatDoesNotReachTheStoreLearnsFromPeersThatItCameBack(t *testing.T) {
--- a/internal/spread/fleet.go
+++ b/internal/spread/fleet.go
@@ -263,6 +263,9 @@
 // revisions are given out again.
 func (fl *Fleet) Restore(c Copy) { fl.store.restore(c.store) }
 
+// ShowFormer lets answers that may be stale show a copy, under the present era.
+func (fl *Fleet) ShowFormer(c Copy) { fl.store.former = &c.store }
+
 // Change writes the next version of the document.
 func (fl *Fleet) Change() { fl.store.write(fl.now, fl.opts.Document) }
 
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -38,6 +38,8 @@
 	evacuated map[string]catalog.Item
 	// version is that of the last document, which no copy takes back.
 	version uint64
+	// former is what answers that may be stale show, nil for what the store holds.
+	former *store
 	// refuses says that every call is refused at once.
 	refuses bool
 }
@@ -131,6 +133,16 @@
 	}
 }
 
+// showFormer is what the store held in the former era, told as of the present one.
+func (s *store) showFormer() (catalog.Position, []catalog.Item) {
+	at := catalog.Position{Era: s.at.Era, Revision: s.former.at.Revision}
+	items := s.former.newest()
+	for i := range items {
+		items[i].Era = at.Era
+	}
+	return at, items
+}
+
 // list answers with the newest version.
 func (fl *Fleet) list(v *vm, stale bool) {
 	give := v.f.Listed
@@ -150,6 +162,9 @@
 		return
 	}
 	at, items := fl.store.at, fl.store.newest()
+	if stale && fl.store.former != nil {
+		at, items = fl.store.showFormer()
+	}
 	fl.fromStore(v, items, listPatience, func() []follow.Action { return give(fl.now, at, items) }, fail)
 }
 
