--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -223,7 +223,7 @@
 	}
 	if at.Before(known) {
 		r.met.below.WithLabelValues(call).Inc()
-		r.log.Warn("store: answered below the known position", zap.String("call", call),
+		r.log.Info("store: answered below the known position", zap.String("call", call),
 			zap.Stringer("position", at), zap.Stringer("known", known))
 	}
 }
