Tell peers which revisions the changes of a page have passed over

What callers saw, or would: an upstream that has gone, or an evacuation that has ended, is held by single VMs for good.

Cause: a listing shows nothing of what came and went since the revision known before, so a VM that lists gives peers inside that gap everything. A VM that was given its changes passed them on as complete: a third VM inside the gap kept what had gone. What a page does not tell was not told on with it.

Evidence: found by a test that lets three VMs read, pull and lose their store at random (TestVMsHoldTheSameWhateverTheStoreLoses, after 4,916 of 20,000 draws, in a draw without a loss); TestAGapIsPassedOnWithThePage failed before with a, b and c where c has gone.

Change: a page of changes carries the gaps that it rests on, and the receiver keeps them.

Price: VMs inside a gap are given everything more often in a storm. Comparing a hash of the keys held would need no gaps: not tried.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -126,7 +126,7 @@
 	deletions      []Item
 	deletionsFloor uint64
 	// gaps are the revisions that listings have passed over, the latest last.
-	gaps []gap
+	gaps []Gap
 
 	// configItem is what the configuration in force was decoded from: not the newest
 	// version while that one is rejected.
@@ -236,7 +236,7 @@
 		changed = s.put(it) || changed
 	}
 	changed = s.settleConfig() || changed
-	s.noteGap(at.Revision)
+	s.noteListing(at.Revision)
 	for key, it := range s.items {
 		if !listed[key] && !at.Before(it.At()) {
 			changed = s.remove(now, key, copied) || changed
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -364,3 +364,18 @@
 		t.Errorf("the next page: joined %v, %q at %d", joined, ids(s, "s"), s.Revision())
 	}
 }
+
+// Guards against an upstream that is gone and is held for good by a VM that was given the
+// changes by a peer whose own giver has listed the store in between.
+func TestAGapIsPassedOnWithThePage(t *testing.T) {
+	lister, between, behind := filled(), filled(), filled()
+	behind.Apply(start, at(10), at(11), []Item{put("up/c", "s", 11)})
+	lister.Replace(start, at(13), []Item{put("config", "h", 13), put("up/a", "s", 4), put("up/b", "s", 5)})
+	between.Take(start, lister.PageSince(between.Position()))
+	if behind.Take(start, between.PageSince(behind.Position())); behind.Position() != at(13) || ids(behind, "s") != "a,b" {
+		t.Errorf("%s at %v", ids(behind, "s"), behind.Position())
+	}
+	if page := between.PageSince(at(13)); page.Whole {
+		t.Error("a peer after the gap is given everything")
+	}
+}
--- a/internal/catalog/era_test.go
+++ b/internal/catalog/era_test.go
@@ -1,11 +1,16 @@
 package catalog
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 )
 
@@ -165,3 +170,138 @@
 		t.Errorf("%s", ids(s, "s"))
 	}
 }
+
+// history is a store whose writers write again what it loses.
+type history struct {
+	at     Position
+	items  map[string]Item
+	events []Item
+	// last is what was written last under each key, the zero Item for a deletion.
+	last    map[string]Item
+	version int
+}
+
+func (h *history) write(key, value string) {
+	h.at.Revision++
+	it := Item{Key: key, Value: []byte(value), Era: h.at.Era, Revision: h.at.Revision}
+	h.items[key], h.last[key] = it, it
+	h.events = append(h.events, it)
+}
+
+func (h *history) delete(key string) {
+	h.last[key] = Item{}
+	if _, held := h.items[key]; !held {
+		return
+	}
+	h.at.Revision++
+	delete(h.items, key)
+	h.events = append(h.events, Item{Key: key, Era: h.at.Era, Revision: h.at.Revision, Deleted: true})
+}
+
+// configure writes the next version of the configuration.
+func (h *history) configure() {
+	h.version++
+	h.write("config", fmt.Sprint("v", h.version))
+}
+
+// copy is what the store holds now.
+func (h *history) copy() history {
+	return history{at: h.at, items: maps.Clone(h.items), events: slices.Clone(h.events)}
+}
+
+// restore lets the store come back from a copy, in the next era.
+func (h *history) restore(c history) {
+	h.at = Position{Era: h.at.Era + 1, Revision: c.at.Revision}
+	h.items, h.events = maps.Clone(c.items), nil
+	for key, it := range h.items {
+		it.Era = h.at.Era
+		h.items[key] = it
+	}
+}
+
+// rewrite writes again what was lost.
+func (h *history) rewrite() {
+	for _, key := range slices.Sorted(maps.Keys(h.last)) {
+		last, held := h.last[key], h.items[key]
+		switch {
+		case last.Key == "":
+			h.delete(key)
+		case string(held.Value) != string(last.Value):
+			h.write(key, string(last.Value))
+		}
+	}
+}
+
+// read lets a VM read the store, by a watch where that brings what follows on what it knows.
+func (h *history) read(s *State, watch bool) {
+	if !watch || s.Position().Era != h.at.Era {
+		s.Replace(start, h.at, slices.Collect(maps.Values(h.items)))
+		return
+	}
+	var changes []Item
+	for _, it := range h.events {
+		if s.Position().Before(it.At()) {
+			changes = append(changes, it)
+		}
+	}
+	s.Apply(start, s.Position(), h.at, changes)
+}
+
+// Guards against VMs that hold different things, or take a version back, whatever a store
+// does that comes back from copies and however they learn of it.
+func TestVMsHoldTheSameWhateverTheStoreLoses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{at: ofEra(1, 1), items: map[string]Item{}, last: map[string]Item{}}
+		h.configure()
+		copied := h.copy()
+		vms := []*State{New(start, versioned{}), New(start, versioned{}), New(start, versioned{})}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			vm := vms[rapid.IntRange(0, len(vms)-1).Draw(t, "vm")]
+			peer := vms[rapid.IntRange(0, len(vms)-1).Draw(t, "peer")]
+			key := rapid.SampledFrom([]string{"up/a", "up/b", "evacuate/x"}).Draw(t, "key")
+			was := vm.View()
+			switch rapid.SampledFrom([]string{"configure", "write", "delete", "copy", "restore", "rewrite", "list", "watch", "pull", "pull"}).Draw(t, "step") {
+			case "configure":
+				h.configure()
+			case "write":
+				h.write(key, "s "+strings.Repeat("in-x", rapid.IntRange(0, 1).Draw(t, "zone")))
+			case "delete":
+				h.delete(key)
+			case "copy":
+				copied = h.copy()
+			case "restore":
+				h.restore(copied)
+				copied = h.copy()
+			case "rewrite":
+				h.rewrite()
+			case "list":
+				h.read(vm, false)
+			case "watch":
+				h.read(vm, true)
+			case "pull":
+				vm.Take(start, peer.PageSince(vm.Position()))
+			}
+			if now := vm.View(); was.Config != nil && now.Config.Version < was.Config.Version {
+				t.Fatalf("version %d after %d", now.Config.Version, was.Config.Version)
+			}
+		}
+		h.rewrite()
+		h.read(vms[0], true)
+		vms[1].Take(start, vms[0].PageSince(vms[1].Position()))
+		vms[2].Take(start, vms[1].PageSince(vms[2].Position()))
+		for i, vm := range vms {
+			vm.Tick(start.Add(2 * lapseAfter))
+			for _, it := range vm.Items() {
+				if string(it.Value) != string(h.items[it.Key].Value) {
+					t.Errorf("VM %d holds %s %q, the store %q", i, it.Key, it.Value, h.items[it.Key].Value)
+				}
+			}
+			if got := vm.View(); got.Config.Version != uint64(h.version) || describe(vm) != describe(vms[0]) || got.Evacuated["x"] != (h.items["evacuate/x"].Key != "") {
+				t.Errorf("VM %d: version %d of %d, %s, evacuated %v", i, got.Config.Version, h.version, describe(vm), got.Evacuated)
+			}
+			if want := len(h.items) - 1 - len(vm.View().Evacuated); len(vm.View().Upstreams) != want {
+				t.Errorf("VM %d: %d upstreams of %d", i, len(vm.View().Upstreams), want)
+			}
+		}
+	})
+}
--- a/internal/catalog/pages.go
+++ b/internal/catalog/pages.go
@@ -15,30 +15,46 @@
 // keptGaps is how many gaps are kept: listings of several seconds, one after the other.
 const keptGaps = 32
 
-// gap is the revisions between which a listing has shown nothing of what came and went.
-type gap struct{ from, to uint64 }
+// Gap is the revisions between which a listing has shown nothing of what came and went.
+type Gap struct{ From, To uint64 }
 
-// noteGap notes that a listing leads to a revision. An item that was written and deleted
+// noteListing notes that a listing leads to a revision. An item that was written and deleted
 // since the revision known before is in no listing: a peer that holds it could not be told.
-func (s *State) noteGap(to uint64) {
+func (s *State) noteListing(to uint64) {
 	if s.deletionsFloor == 0 {
 		s.deletionsFloor = to
 		return
 	}
-	s.gaps = append(s.gaps, gap{s.position.Revision, to})
+	s.noteGaps([]Gap{{From: s.position.Revision, To: to}})
+}
+
+// noteGaps notes gaps of this VM's listings, or of those that a peer's changes rest on.
+func (s *State) noteGaps(gaps []Gap) {
+	s.gaps = append(s.gaps, gaps...)
 	if over := len(s.gaps) - keptGaps; over > 0 {
-		s.deletionsFloor = max(s.deletionsFloor, s.gaps[over-1].to)
+		s.deletionsFloor = max(s.deletionsFloor, s.gaps[over-1].To)
 		s.gaps = slices.Clone(s.gaps[over:])
 	}
 }
 
+// gapsAbove is the gaps that changes above a revision rest on.
+func (s *State) gapsAbove(revision uint64) []Gap {
+	var out []Gap
+	for _, g := range s.gaps {
+		if g.From >= revision {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
 // forgetDeletions forgets the deletions of an era that is over: no peer of the next one can
 // be told by them what is gone.
 func (s *State) forgetDeletions() { s.deletions, s.deletionsFloor, s.gaps = nil, 0, nil }
 
 // completeAbove tells whether all deletions above a revision are known.
 func (s *State) completeAbove(revision uint64) bool {
-	inside := func(g gap) bool { return g.from < revision && revision < g.to }
+	inside := func(g Gap) bool { return g.From < revision && revision < g.To }
 	return revision >= s.deletionsFloor && !slices.ContainsFunc(s.gaps, inside)
 }
 
@@ -88,6 +104,9 @@
 	// Whole says that the items are all that are known, and not changes.
 	Whole bool
 	Items []Item
+	// Gaps are those that changes rest on: a peer that is inside one is not told by them
+	// what is gone.
+	Gaps []Gap
 }
 
 // PageSince is the page for a peer that knows everything up to a position: the
@@ -96,7 +115,7 @@
 	page := Page{At: s.position, After: after}
 	if after.Revision > 0 {
 		if changes, ok := s.Since(after); ok {
-			page.Items = changes
+			page.Items, page.Gaps = changes, s.gapsAbove(after.Revision)
 			return page
 		}
 	}
@@ -115,7 +134,11 @@
 	case p.After != s.position:
 		return false, false
 	default:
-		return s.Apply(now, p.After, p.At, p.Items)
+		changed, joined = s.Apply(now, p.After, p.At, p.Items)
+		if joined {
+			s.noteGaps(p.Gaps)
+		}
+		return changed, joined
 	}
 }
 
--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -116,6 +116,9 @@
 		After: catalog.Position{Era: m.Era, Revision: m.After},
 		Whole: m.Whole,
 	}
+	for _, g := range m.Gaps {
+		page.Gaps = append(page.Gaps, catalog.Gap{From: g.From, To: g.To})
+	}
 	for _, it := range m.Items {
 		page.Items = append(page.Items, catalog.Item{Key: it.Key, Value: it.Value, Era: it.Era, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted})
 	}
@@ -189,6 +192,9 @@
 			Key: it.Key, Value: it.Value, Era: it.Era, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted,
 		})
 	}
+	for _, g := range known.Gaps {
+		page.Gaps = append(page.Gaps, &pb.CatalogGap{From: g.From, To: g.To})
+	}
 	return page, state.Document(base)
 }
 
