--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -144,11 +144,11 @@
 	// that a copy lacks, with the time at which they are given up.
 	doubtful map[string]time.Time
 
-	// departed are upstreams that were gone when an era began, while its first listing is
-	// taken in, with the time until which a copy's entry of one names no upstream; revived
-	// are those that the listing holds.
-	departed map[string]time.Time
-	revived  map[string]revival
+	// deregistered are the upstreams that were gone when an era began, while its first
+	// listing is taken in, with the time until which their entries in it are not used;
+	// restored are these entries.
+	deregistered map[string]time.Time
+	restored     map[string]restoredEntry
 
 	// starts holds the latest start that an upstream's entry has shown, by key.
 	starts map[string]*latestStart
@@ -170,7 +170,7 @@
 		upstreams:   map[string]*Upstream{},
 		evacuations: map[string]bool{},
 		doubtful:    map[string]time.Time{},
-		revived:     map[string]revival{},
+		restored:    map[string]restoredEntry{},
 		starts:      map[string]*latestStart{},
 		faults:      map[string]string{},
 		lastAnswer:  now,
@@ -244,17 +244,17 @@
 		}
 	}
 	s.position = at
-	s.departed = nil
+	s.deregistered = nil
 	return changed
 }
 
 // beginEra takes in that the store came back from an older copy. What it lost is written
 // again, as after an outage, whether it was away for long or not.
 func (s *State) beginEra(now time.Time) {
-	s.departed = map[string]time.Time{}
+	s.deregistered = map[string]time.Time{}
 	for _, it := range s.deletions {
 		if _, back := s.items[it.Key]; !back && s.decoder.Kind(it.Key) == Registration {
-			s.departed[it.Key] = now.Add(lapseAfter)
+			s.deregistered[it.Key] = now.Add(lapseAfter)
 		}
 	}
 	s.forgetDeletions()
@@ -321,9 +321,10 @@
 }
 
 // settleConfig puts the newest of the versions that came together in force, and an older
-// one only where the newer are rejected, of each era in turn. Of a document that changes several times a second
-// a reader gets some versions at once: decoding those that are over already would take a
-// weak VM most of its time, and nobody would hold them to be sent changes against.
+// one only where the newer are rejected, of each era in turn. Of a document that changes
+// several times a second a reader gets some versions at once: decoding those that are over
+// already would take a weak VM most of its time, and nobody would hold them to be sent
+// changes against.
 func (s *State) settleConfig() bool {
 	slices.SortFunc(s.candidates, func(a, b Item) int {
 		return cmp.Or(cmp.Compare(a.Era, b.Era), byPosition(b, a))
--- a/internal/catalog/registrations.go
+++ b/internal/catalog/registrations.go
@@ -16,8 +16,8 @@
 // entry lapses, longer than one lost answer and its repetition.
 const outageAfter = 1500 * time.Millisecond
 
-// lapseAfter is how long an upstream that was gone is not believed to be back by the entry of
-// a copy: longer than the three heartbeats, of 1.2 s each, after which an entry lapses.
+// lapseAfter is how long the entry that a copy of the store has of an upstream that was gone
+// is not used: longer than the three heartbeats after which an entry lapses.
 const lapseAfter = 5 * time.Second
 
 // errNoBirth is the fault of an entry that does not say when its upstream started, where
@@ -34,29 +34,29 @@
 	void *Item
 }
 
-// revival is a copy's entry of an upstream that was gone, which names none until a time: the
-// entry lapses if the upstream does not live.
-type revival struct {
+// restoredEntry is an entry that a copy of the store has of an upstream that was gone. It is
+// not used until a time, by which it has lapsed if the upstream does not live.
+type restoredEntry struct {
 	item  Item
 	until time.Time
 }
 
-// leftBefore tells whether the same start of an upstream was leaving already in an era before
-// an entry's.
-func (l *latestStart) leftBefore(it Item, u *Upstream) bool {
+// wasLeaving tells whether the same start of an upstream was leaving in the era before an
+// entry's, by which it is not.
+func (l *latestStart) wasLeaving(it Item, u *Upstream) bool {
 	return l.leaving && !u.Leaving && l.item.Era < it.Era && !u.Born.After(l.born)
 }
 
 // putUpstream takes in an entry. One that cannot be read is some other writer's and names
 // no upstream: the address it had may be another service's by now. One of an earlier start
-// was under way while the upstream started again, and changes nothing. Neither does one of a
-// later era by which an upstream that leaves would not: the store's copy is from before.
+// was under way while the upstream started again, and changes nothing. Neither does one that
+// takes back, in a later era, that the upstream is leaving: the store's copy is older.
 func (s *State) putUpstream(it Item) bool {
-	if until, gone := s.departed[it.Key]; gone {
-		s.revived[it.Key] = revival{item: it, until: until}
+	if until, gone := s.deregistered[it.Key]; gone {
+		s.restored[it.Key] = restoredEntry{item: it, until: until}
 		return false
 	}
-	delete(s.revived, it.Key)
+	delete(s.restored, it.Key)
 	u, err := s.decoder.Upstream(it)
 	latest := s.starts[it.Key]
 	if err == nil && latest != nil && u.Born.IsZero() && !latest.born.IsZero() {
@@ -70,7 +70,7 @@
 		return s.drop(it.Key)
 	}
 	delete(s.faults, it.Key)
-	if latest != nil && (latest.born.After(u.Born) || latest.leftBefore(it, &u)) {
+	if latest != nil && (latest.born.After(u.Born) || latest.wasLeaving(it, &u)) {
 		return false
 	}
 	delete(s.doubtful, it.Key)
@@ -109,7 +109,7 @@
 	}
 	delete(s.faults, key)
 	delete(s.starts, key)
-	delete(s.revived, key)
+	delete(s.restored, key)
 	if s.upstreams[key] == nil {
 		return false
 	}
@@ -134,7 +134,7 @@
 	if s.outage {
 		return false
 	}
-	changed := s.takeRevived(now)
+	changed := s.takeRestored(now)
 	for key, until := range s.doubtful {
 		if now.Before(until) || now.Sub(s.returned) < returnGrace {
 			continue
@@ -148,14 +148,14 @@
 	return changed
 }
 
-// takeRevived takes in the entries of a copy that have not lapsed in time.
-func (s *State) takeRevived(now time.Time) bool {
+// takeRestored takes in the entries of a copy that have not lapsed in time.
+func (s *State) takeRestored(now time.Time) bool {
 	changed := false
-	for key, r := range s.revived {
+	for key, r := range s.restored {
 		if now.Before(r.until) {
 			continue
 		}
-		delete(s.revived, key)
+		delete(s.restored, key)
 		changed = s.putUpstream(r.item) || changed
 	}
 	return changed
