List at once after a watch that is answered in a later era; note on eras

Cause: such an answer was followed by a listing after the usual spacing of calls, 0.13 of the bound from the watch's beginning. Change: at once, as after lost history. A test for it, and one that what was disproved in an era is believed in the next.

Tried and not taken: the first watch after a failed read does not wait, so that the store's era is told at once.

--- /dev/null
+++ b/internal/follow/era_test.go
@@ -0,0 +1,40 @@
+package follow
+
+import (
+	"testing"
+	"time"
+
+	"sycamorekeel.example/sycamorekeel/internal/catalog"
+)
+
+// Guards against a reader that joins changes of a later era on to what it knew in the former
+// one, or puts off the listing that it needs.
+func TestAWatchAnsweredInALaterEraIsFollowedByAListingAtOnce(t *testing.T) {
+	f, now := reader()
+	now = now.Add(bound / 4)
+	f.Tick(now)
+	later := catalog.Position{Era: 1, Revision: 12}
+	change := catalog.Item{Key: "u2", Value: []byte("x"), Era: 1, Revision: 12}
+	if got := names(f.Watched(now.Add(time.Millisecond), at(10), later, []catalog.Item{change})); got != "list" {
+		t.Errorf("%q", got)
+	}
+	if f.State().Position() != at(10) {
+		t.Errorf("at %v", f.State().Position())
+	}
+}
+
+// Guards against claims of a later era that are not followed, as a peer made up a revision in
+// the former one.
+func TestWhatWasDisprovedInOneEraIsBelievedInTheNext(t *testing.T) {
+	f, now := believer(t)
+	f.began = now.Add(time.Second)
+	now = now.Add(1100 * time.Millisecond)
+	for range enoughContradictions {
+		f.Listed(now, at(12), nil)
+	}
+	claim := catalog.Position{Era: 1, Revision: 13}
+	f.Heard(now, Peer{VM: "b", Region: "r", Address: "b"}, claim, time.Millisecond)
+	if f.Lead() != claim || f.Disbelieved() != 0 {
+		t.Errorf("the lead is %v, %d claims disbelieved", f.Lead(), f.Disbelieved())
+	}
+}
--- a/internal/follow/read.go
+++ b/internal/follow/read.go
@@ -128,6 +128,9 @@
 	if !joined || f.state.Position().Before(at) || at.Before(after) {
 		f.relist = true
 	}
+	if after.Era < at.Era {
+		f.nextRead = now
+	}
 	if joined && !f.relist {
 		f.confirm(now, changed)
 	} else if changed {
