--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -49,6 +49,13 @@
 	return r
 }
 
+// change changes what a reader that serves peers knows.
+func (r *reader) change(f func(*catalog.State)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.follower.State())
+}
+
 // text is a document of some kilobytes; versions differ in a few bytes.
 func text(version int) string {
 	var b strings.Builder
@@ -173,8 +180,10 @@
 	}
 	for i, version := range []int{3, 4} {
 		revision := uint64(i + 1)
-		giver.follower.State().Replace(time.Now(), catalog.Position{Era: 1, Revision: revision},
-			[]catalog.Item{{Key: "c", Value: []byte(text(version)), Era: 1, Revision: revision}})
+		giver.change(func(s *catalog.State) {
+			s.Replace(time.Now(), catalog.Position{Era: 1, Revision: revision},
+				[]catalog.Item{{Key: "c", Value: []byte(text(version)), Era: 1, Revision: revision}})
+		})
 		if got := ask(catalog.Position{}); got != text(version) {
 			t.Errorf("at revision %d of the next era: %.12q, want version %d", revision, got, version)
 		}
@@ -191,9 +200,11 @@
 	if _, err := readerAt().fetchCatalog(pull); err != nil {
 		t.Fatal(err)
 	}
-	giver.follower.State().Discard(time.Now())
+	giver.change(func(s *catalog.State) { s.Discard(time.Now()) })
 	giver.do([]follow.Action{follow.Disproved{At: catalog.Position{Revision: 2}}}, catalog.Position{}, time.Time{})
-	giver.follower.State().Replace(time.Now(), catalog.Position{Revision: 2}, []catalog.Item{{Key: "c", Value: []byte(text(3)), Revision: 2}})
+	giver.change(func(s *catalog.State) {
+		s.Replace(time.Now(), catalog.Position{Revision: 2}, []catalog.Item{{Key: "c", Value: []byte(text(3)), Revision: 2}})
+	})
 	page, err := readerAt().fetchCatalog(pull)
 	if err != nil || len(page.Items) != 1 || string(page.Items[0].Value) != text(3) {
 		t.Errorf("%v, %v", page.GetItems(), err)
