A query that reaches its minimum late leaves at once

An answer that reached its minimum of parts after its time to leave (20 ms before the objective) waited 100 ms for more parts, so that answers that could still be in time were late. It now leaves at once, also when it is late already: Plan.LateGrace is zero in package edge and remains for the model, which plays 25 ms, 100 ms, and 100 ms from the time to leave on (as before).

Two scripts of TestScripts expected the wait of 100 ms for every late answer. They now check the same with a plan that asks for a wait, and four new scripts check that an answer leaves at once otherwise. Tests of scatter, edge and balance pass.

--- a/internal/balance/query.go
+++ b/internal/balance/query.go
@@ -19,6 +19,12 @@
 	// package edge.
 	answerMargin = 20 * time.Millisecond
 	giveUpMargin = 15 * time.Millisecond
+	// lastMargin is how long before the objective an answer can leave and still be in time: one
+	// way to a caller at 3 ms, and the wait for the processor.
+	lastMargin = 8 * time.Millisecond
+	// longGrace and shortGrace are waits of late answers.
+	longGrace  = 100 * time.Millisecond
+	shortGrace = 25 * time.Millisecond
 )
 
 // query is one query of a caller at one VM.
@@ -44,9 +50,10 @@
 	q := &query{vm: v, kind: k, began: now, done: done}
 	services := v.model.services
 	floor := max(1, int(math.Ceil(k.MinCoverage*float64(len(services))-1e-9)))
+	answerBy := q.answerBy(leaves)
 	q.query = scatter.New(scatter.Plan{
 		Services: services, Idempotent: true, Attempts: 2, MinParts: floor,
-		AnswerBy: q.answerBy(leaves), Deadline: leaves.Add(-giveUpMargin),
+		AnswerBy: answerBy, LatestInTime: q.latestInTime(answerBy), LateGrace: q.lateGrace(), Deadline: leaves.Add(-giveUpMargin),
 	}, q)
 	q.step(func() []scatter.Send { return q.query.Start(now) })
 }
@@ -63,6 +70,28 @@
 	}
 }
 
+// latestInTime is the last time at which an answer that should have left at answerBy leaves at
+// once.
+func (q *query) latestInTime(answerBy time.Time) time.Time {
+	last := q.began.Add(q.kind.Objective - lastMargin)
+	if q.vm.model.opts.Ways.Late == LongWaitFromAnswerBy || last.Before(answerBy) {
+		return answerBy
+	}
+	return last
+}
+
+// lateGrace is how long a late answer waits for the parts beyond its minimum.
+func (q *query) lateGrace() time.Duration {
+	switch q.vm.model.opts.Ways.Late {
+	case ShortWait:
+		return shortGrace
+	case LongWait, LongWaitFromAnswerBy:
+		return longGrace
+	default:
+		return 0
+	}
+}
+
 func (q *query) usual() time.Duration {
 	return time.Duration(usualShare * float64(q.kind.Objective))
 }
--- a/internal/balance/result.go
+++ b/internal/balance/result.go
@@ -37,6 +37,8 @@
 	Failed  int `json:"failed"`
 	// Worth is the sum of what callers got of each: 1 for a whole answer in time.
 	Worth float64 `json:"worth"`
+	// Coverage is the sum of the answers' coverage, late ones included.
+	Coverage float64 `json:"coverage"`
 }
 
 // InTime is the answers in time.
@@ -89,6 +91,7 @@
 
 func (n *Count) add(k *Kind, o outcome) {
 	n.Asked++
+	n.Coverage += o.coverage
 	switch {
 	case o.coverage == 0 && o.refused:
 		n.Refused++
@@ -117,6 +120,7 @@
 		sum.Refused += c.Refused
 		sum.Failed += c.Failed
 		sum.Worth += c.Worth
+		sum.Coverage += c.Coverage
 	}
 	return sum
 }
@@ -138,13 +142,14 @@
 // Write prints results for people.
 func Write(to io.Writer, results []Result) error {
 	tw := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "pattern\tway\tseed\tasked\tworth\tin time a second\tpartial\tlate\trefused\tfailed\tp50 ms\tp99 ms\textra sends\tworth after\t")
+	fmt.Fprintln(tw, "pattern\tway\tseed\tasked\tworth\tin time a second\tpartial\tlate\trefused\tfailed\tcoverage\tp50 ms\tp99 ms\textra sends\tworth after\t")
 	for i := range results {
 		r := &results[i]
 		during, after := Sum(r.During), Sum(r.After)
-		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%.3f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%.3f\t\n",
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%.3f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%.3f\t\n",
 			r.Pattern, r.Way, r.Seed, during.Asked, during.Worth/float64(max(1, during.Asked)), r.Goodput(),
 			during.share(during.Partial), during.share(during.Late), during.share(during.Refused), during.share(during.Failed),
+			during.Coverage/float64(max(1, during.Whole+during.Partial+during.Late)),
 			r.Quantile(0.5).Seconds()*1e3, r.Quantile(0.99).Seconds()*1e3,
 			float64(r.Extra)/float64(max(1, r.Sends)), after.Worth/float64(max(1, after.Asked)))
 	}
--- a/internal/balance/ways.go
+++ b/internal/balance/ways.go
@@ -17,6 +17,8 @@
 	Limit Limit
 	// Ending is when an answer leaves without the parts that are late.
 	Ending Ending
+	// Late is how long an answer that is late waits for more parts.
+	Late Late
 	// Hedging is whether parts that are late are sent to another copy as well.
 	Hedging Hedging
 	// Verdicts is who learns that a copy has failed.
@@ -81,6 +83,21 @@
 	AtDeadline Ending = "deadline"
 )
 
+// Late is a way to end a query that is late.
+type Late string
+
+// Waits of late answers.
+const (
+	// NoWait waits for nothing.
+	NoWait Late = ""
+	// ShortWait waits 25 ms, LongWait 100 ms.
+	ShortWait Late = "25ms"
+	LongWait  Late = "100ms"
+	// LongWaitFromAnswerBy also has answers wait 100 ms that reach the least coverage after they
+	// should have left, though they would still be in time.
+	LongWaitFromAnswerBy Late = "100ms_from_answer_by"
+)
+
 // Hedging is a way to hedge.
 type Hedging string
 
@@ -113,6 +130,7 @@
 	{"refusals", []string{string(AllFull), string(AllFaults)}, func(w *Ways, s string) { w.Refusals = Refusals(s) }},
 	{"limit", []string{string(NoLimit), string(ByLateAnswers), string(ByManyFullParts), string(ByClosedWindows)}, func(w *Ways, s string) { w.Limit = Limit(s) }},
 	{"ending", []string{string(AtFloor), string(AtDeadline)}, func(w *Ways, s string) { w.Ending = Ending(s) }},
+	{"late", []string{string(ShortWait), string(LongWait), string(LongWaitFromAnswerBy)}, func(w *Ways, s string) { w.Late = Late(s) }},
 	{"hedging", []string{string(Never)}, func(w *Ways, s string) { w.Hedging = Hedging(s) }},
 	{"verdicts", []string{string(Shared)}, func(w *Ways, s string) { w.Verdicts = Verdicts(s) }},
 }
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// lateGrace is how long an answer that is already late waits for the parts beyond the
-	// minimum: a quarter of the time after which users notice a delay (about 400 ms).
-	lateGrace = 100 * time.Millisecond
 	// hedgeRetryInterval is the wait before a hedge that the budget refused is tried again.
 	// At the usual size, the budget needs longer than that to allow one more, so that more
 	// frequent tries would gain nothing.
@@ -356,12 +353,17 @@
 func (q *Query) hasMinimum() bool { return q.answered >= q.plan.MinParts }
 
 // partialAnswerAt returns when an answer with the minimum of parts stops waiting for the
-// others.
+// others. One that reaches its minimum after AnswerBy may still be in time, so it waits only
+// if it is later than LatestInTime.
 func (q *Query) partialAnswerAt() time.Time {
-	if late := q.minReachedAt.Add(lateGrace); q.minReachedAt.After(q.plan.AnswerBy) {
-		return late
+	switch {
+	case !q.minReachedAt.After(q.plan.AnswerBy):
+		return q.plan.AnswerBy
+	case !q.minReachedAt.After(q.plan.LatestInTime):
+		return q.minReachedAt
+	default:
+		return q.minReachedAt.Add(q.plan.LateGrace)
 	}
-	return q.plan.AnswerBy
 }
 
 // finishIfDone ends the request when waiting longer cannot improve its outcome in time.
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -97,6 +97,10 @@
 		p.Idempotent = false
 		return p
 	}
+	patient := func(p Plan) Plan {
+		p.LatestInTime, p.LateGrace = at(212*ms), 25*ms
+		return p
+	}
 	trial := func(p Plan) Plan {
 		p.Trial = true
 		return p
@@ -140,10 +144,18 @@
 			"0:0/0:first 1:1/0:first 2:2/0:first end::notrun=false:[0 -1 2]"},
 		{"too few parts wait beyond the objective", plan(3, 3), policy{1, 0, 0}, "0=answered 2=answered +200 +500 1=answered",
 			"0:0/0:first 1:1/0:first 2:2/0:first end::notrun=false:[0 1 2]"},
-		{"a minimum met late waits briefly for the rest", plan(3, 2), policy{1, 0, 0}, "0=answered +300 1=answered +399 2=answered",
+		{"a minimum met late waits for the rest as long as the plan says", patient(plan(3, 2)), policy{1, 0, 0}, "0=answered +300 1=answered +324 2=answered",
 			"0:0/0:first 1:1/0:first 2:2/0:first end::notrun=false:[0 1 2]"},
-		{"a minimum met late waits for the rest no longer than lateGrace", plan(3, 2), policy{1, 0, 0}, "0=answered +300 1=answered +400",
+		{"a minimum met late waits for the rest no longer than the plan says", patient(plan(3, 2)), policy{1, 0, 0}, "0=answered +300 1=answered +325",
+			"0:0/0:first 1:1/0:first 2:2/0:first end::notrun=false:[0 1 -1]"},
+		{"a minimum met after its time to leave leaves at once", plan(3, 2), policy{1, 0, 0}, "0=answered +201 1=answered",
 			"0:0/0:first 1:1/0:first 2:2/0:first end::notrun=false:[0 1 -1]"},
+		{"a minimum met late leaves at once", plan(3, 2), policy{1, 0, 0}, "0=answered +300 1=answered",
+			"0:0/0:first 1:1/0:first 2:2/0:first end::notrun=false:[0 1 -1]"},
+		{"a minimum met at the last time that is in time leaves at once", patient(plan(3, 2)), policy{1, 0, 0}, "0=answered +212 1=answered",
+			"0:0/0:first 1:1/0:first 2:2/0:first end::notrun=false:[0 1 -1]"},
+		{"a minimum met after the last time that is in time waits", patient(plan(3, 2)), policy{1, 0, 0}, "0=answered +213 1=answered +237 2=answered",
+			"0:0/0:first 1:1/0:first 2:2/0:first end::notrun=false:[0 1 2]"},
 		{"a minimum that cannot be met ends the query at once", plan(3, 3), policy{1, 0, 0}, "0=answered 1=failed",
 			"0:0/0:first 1:1/0:first 2:2/0:first end:too_few_parts:notrun=false:[0 -1 -1]"},
 		{"the deadline", plan(1, 1), policy{1, 0, 0}, "+999 +1000",
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -88,6 +88,10 @@
 	MinParts int
 	// AnswerBy is when an answer must leave to meet the route's objective.
 	AnswerBy time.Time
+	// LateGrace is how long an answer that reaches its minimum after LatestInTime, and is late
+	// for that reason, waits for the other parts. Zero: it leaves at once.
+	LateGrace    time.Duration
+	LatestInTime time.Time
 	// Deadline is the request's deadline, set by the caller or the route's timeout.
 	Deadline time.Time
 	// Trial is set if upstreams have crashed while running the same request before: it is
