Hedges only where they can complete a query

A late query asked for a hedge of each late part and again each 25 ms, although one hedge cannot complete a query most parts of which are open, and although the other copies were as busy. A part of a query of more than four parts is now hedged only while at most a quarter of the parts are open, and only at a copy that is expected to answer before the open send and for which no call would wait. replica.Table gives the expected times, scatter decides. A hedge that was forgone or refused is considered again when a part has ended or at the time at which it is expected to be useful or allowed (retrybudget.Budget.AllowedAt).

More open parts do not prevent a hedge whose copy is expected to answer in less than 1/1.25 of the time that the open send still takes. Without this exception, and with a factor of 2, TestWideOutagesLeaveAnswersInTime failed: with the data centre of the VM silent or slow, all parts are open and queries lost parts or failed.

Tests of scatter, retrybudget, replica, balance and edge pass.

--- a/internal/balance/query.go
+++ b/internal/balance/query.go
@@ -22,6 +22,8 @@
 	// lastMargin is how long before the objective an answer can leave and still be in time: one
 	// way to a caller at 3 ms, and the wait for the processor.
 	lastMargin = 8 * time.Millisecond
+	// hedgeRetryInterval is after which time Unconditional tries a refused hedge again.
+	hedgeRetryInterval = 25 * time.Millisecond
 	// longGrace and shortGrace are waits of late answers.
 	longGrace  = 100 * time.Millisecond
 	shortGrace = 25 * time.Millisecond
@@ -53,7 +55,8 @@
 	answerBy := q.answerBy(leaves)
 	q.query = scatter.New(scatter.Plan{
 		Services: services, Idempotent: true, Attempts: 2, MinParts: floor,
-		AnswerBy: answerBy, LatestInTime: q.latestInTime(answerBy), LateGrace: q.lateGrace(), Deadline: leaves.Add(-giveUpMargin),
+		EarlyHedges: v.model.opts.Ways.Hedging == Unconditional || v.model.opts.Ways.Hedging == EarlyUnlessBusy,
+		AnswerBy:    answerBy, LatestInTime: q.latestInTime(answerBy), LateGrace: q.lateGrace(), Deadline: leaves.Add(-giveUpMargin),
 	}, q)
 	q.step(func() []scatter.Send { return q.query.Start(now) })
 }
@@ -243,6 +246,32 @@
 	return q.vm.budgets[q.vm.model.services[part]].Spend(q.vm.model.clock.Now(), kind)
 }
 
+// Expect implements scatter.Policy.
+func (q *query) Expect(_ int, u *catalog.Upstream) scatter.Expectation {
+	v := q.vm
+	if w := v.model.opts.Ways.Hedging; w == Unconditional || w == OfFewParts {
+		return scatter.Expectation{}
+	}
+	ahead := v.pools[u.ID].ahead()
+	answer, next := v.replicas.Expect(v.model.clock.Now(), q.kind.Name, q.usual(), u, ahead)
+	return scatter.Expectation{Answer: answer, Queued: ahead > 0, FreeIn: next}
+}
+
+// Remaining implements scatter.Policy.
+func (q *query) Remaining(attempt int) time.Duration {
+	s := q.sends[attempt]
+	return q.vm.replicas.Remaining(q.vm.model.clock.Now(), q.kind.Name, q.usual(), s.server.Upstream, s.id, q.vm.pools[s.server.ID].ahead())
+}
+
+// HedgeAllowedAt implements scatter.Policy.
+func (q *query) HedgeAllowedAt(part int) time.Time {
+	now := q.vm.model.clock.Now()
+	if q.vm.model.opts.Ways.Hedging == Unconditional {
+		return now.Add(hedgeRetryInterval)
+	}
+	return q.vm.budgets[q.vm.model.services[part]].AllowedAt(now, retrybudget.Hedge)
+}
+
 // HedgeDelay implements scatter.Policy.
 func (q *query) HedgeDelay(_ int, u *catalog.Upstream) time.Duration {
 	if q.vm.model.opts.Ways.Hedging == Never {
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -14,7 +14,10 @@
 // service later is filled for the time since then.
 package retrybudget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // burstFraction is the part of the allowance that a bucket holds; the rest flows in. If a
 // bucket held all of it, a lasting fault would leave only the extra sends that requests
@@ -31,6 +34,9 @@
 // quarter covers a tenth of failing upstreams at the usual ratio of a fifth.
 const retryReserve = 0.25
 
+// rateMemory is the time constant of the average rate of requests.
+const rateMemory = time.Second
+
 // Kind is the purpose of an extra send.
 type Kind int
 
@@ -63,6 +69,10 @@
 	// tokens is the content of the bucket as of refilledAt.
 	tokens     float64
 	refilledAt time.Time
+	// added is the number of requests since refilledAt; requestRate is the recent number of
+	// requests per second as of then.
+	added       float64
+	requestRate float64
 }
 
 // New returns the bucket of a VM that has had its share of the allowance since the given
@@ -83,7 +93,10 @@
 }
 
 // AddRequest adds the ratio for one request of a caller.
-func (b *Budget) AddRequest() { b.tokens += b.limit.Ratio }
+func (b *Budget) AddRequest() {
+	b.tokens += b.limit.Ratio
+	b.added++
+}
 
 // Spend takes one extra send from the budget. It returns false if the budget is exhausted.
 func (b *Budget) Spend(now time.Time, kind Kind) bool {
@@ -104,6 +117,28 @@
 	return b.tokens
 }
 
+// AllowedAt returns when an extra send of a kind is expected to be allowed, if requests arrive
+// as they did recently and nothing else is spent. It returns zero if that never happens.
+func (b *Budget) AllowedAt(now time.Time, kind Kind) time.Time {
+	missing := 1 - b.Remaining(now, kind)
+	if missing <= 0 {
+		return now
+	}
+	rate := b.inflow() + b.limit.Ratio*b.requestRate
+	if rate <= 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(missing / rate * float64(time.Second)))
+}
+
+// inflow returns the tokens per second that flow in from the allowance.
+func (b *Budget) inflow() float64 {
+	if b.limit.Window <= 0 {
+		return 0
+	}
+	return (1 - burstFraction) * b.allowance() / b.limit.Window.Seconds()
+}
+
 // Full reports whether the bucket is full, so that a new one could hold no more.
 func (b *Budget) Full(now time.Time) bool {
 	b.refill(now)
@@ -118,9 +153,12 @@
 // refill adds what has flowed in since the last refill, and cuts the content to the
 // capacity.
 func (b *Budget) refill(now time.Time) {
-	if elapsed := now.Sub(b.refilledAt); elapsed > 0 && b.limit.Window > 0 {
-		b.tokens += (1 - burstFraction) * b.allowance() * elapsed.Seconds() / b.limit.Window.Seconds()
+	if elapsed := now.Sub(b.refilledAt).Seconds(); elapsed > 0 {
+		b.tokens += b.inflow() * elapsed
 		b.refilledAt = now
+		weight := 1 - math.Exp(-elapsed/rateMemory.Seconds())
+		b.requestRate += weight * (b.added/elapsed - b.requestRate)
+		b.added = 0
 	}
 	b.tokens = min(b.tokens, b.capacity())
 }
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -166,3 +166,26 @@
 		t.Errorf("%v left after half a window, want about a quarter of the share of 30 more", left)
 	}
 }
+
+// Guards against hedges that are asked for again long before or after the budget allows one.
+func TestAllowedAtFollowsInflowAndRequests(t *testing.T) {
+	b := New(limit, 1, start)
+	if at := b.AllowedAt(start, Retry); at.Sub(start) < 300*time.Millisecond || at.Sub(start) > 350*time.Millisecond {
+		t.Errorf("allowed after %v with three tokens a second", at.Sub(start))
+	}
+	now := start
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		b.AddRequest()
+		b.Spend(now, Retry)
+	}
+	for b.Spend(now, Retry) {
+	}
+	at := b.AllowedAt(now, Retry)
+	if b.Remaining(at.Add(-time.Millisecond), Retry) >= 1 || at.Sub(now) > 100*time.Millisecond {
+		t.Errorf("allowed after %v with three tokens a second and ten that requests add", at.Sub(now))
+	}
+	if at := New(Limit{}, 1, start).AllowedAt(start, Retry); !at.IsZero() {
+		t.Errorf("allowed at %v without any limit", at)
+	}
+}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -13,10 +13,21 @@
 )
 
 const (
-	// hedgeRetryInterval is the wait before a hedge that the budget refused is tried again.
-	// At the usual size, the budget needs longer than that to allow one more, so that more
-	// frequent tries would gain nothing.
-	hedgeRetryInterval = 25 * time.Millisecond
+	// maxOpenShare is the largest share of the parts that may be unanswered when a part is
+	// hedged. With more, the shards are congested or the query is young: one hedge cannot
+	// complete it.
+	maxOpenShare = 0.25
+	// outageFactor is how many times as long the open send of a part must be expected to take as
+	// its hedge for the part to be hedged although more parts are open. Then the copies that
+	// were chosen first have failed together, for instance with their data centre, while the
+	// others are not congested.
+	outageFactor = 1.25
+	// smallQuery is the number of parts up to which maxOpenShare does not apply: one part is a
+	// quarter of them or more.
+	smallQuery = 4
+	// minHedgeWait is the least wait before a forgone hedge is considered again, so that a
+	// policy that returns times in the past cannot keep the query busy.
+	minHedgeWait = 5 * time.Millisecond
 	// refusalBackoff is the first wait before a part is sent again after every upstream
 	// refused it or was full; it doubles each time. A slot of a full upstream frees about
 	// that often.
@@ -56,6 +67,10 @@
 	hedgeAt    time.Time
 	retryAt    time.Time
 	retryCause Cause
+	// hedgeForgone is set if a hedge was due and is considered again once another part has
+	// ended; forgoneFor holds the reasons of all forgone hedges.
+	hedgeForgone bool
+	forgoneFor   [forgoneReasons]bool
 	// heldCause is the cause of the send that is held back, empty for none.
 	heldCause Cause
 }
@@ -72,6 +87,7 @@
 	failed    int
 	open      int
 	isolation quarantine.Isolation
+	hedging   Hedging
 	// minReachedAt is when MinParts parts were answered, zero before.
 	minReachedAt time.Time
 	// now and sends are the time of the current step and the sends it makes.
@@ -130,6 +146,7 @@
 	}
 	a.ended = true
 	a.result = r
+	ended, isolated := q.answered+q.failed, q.isolation.Active()
 	p := &q.parts[a.part]
 	p.open--
 	q.open--
@@ -140,6 +157,9 @@
 	if !p.ended() {
 		q.handleResult(n, r)
 	}
+	if q.answered+q.failed > ended || isolated && !q.isolation.Active() {
+		q.reconsiderHedges()
+	}
 	return q.endStep()
 }
 
@@ -156,9 +176,6 @@
 			p.tried = p.tried[:0]
 			q.resend(i, p.retryCause)
 		}
-		if due(p.hedgeAt, now) {
-			q.hedge(i)
-		}
 	}
 	return q.endStep()
 }
@@ -180,6 +197,9 @@
 	return next
 }
 
+// Hedging returns the hedges made and forgone so far.
+func (q *Query) Hedging() Hedging { return q.hedging }
+
 // Outcome returns how the request ended, nil while it is in progress.
 func (q *Query) Outcome() *Outcome { return q.outcome }
 
@@ -194,6 +214,7 @@
 	if q.outcome != nil {
 		return nil
 	}
+	q.makeDueHedges()
 	out := q.sends
 	q.sends = nil
 	return out
@@ -315,34 +336,13 @@
 	q.open++
 	p.mayHaveRun++
 	p.hedgeAt = time.Time{}
+	p.hedgeForgone = false
 	if q.mayRunAgain(p) {
 		p.hedgeAt = q.now.Add(q.policy.HedgeDelay(i, u))
 	}
 	q.sends = append(q.sends, Send{Attempt: n, Part: i, Upstream: u, Cause: cause})
 }
 
-// hedge also sends a part whose answer is late to another upstream.
-func (q *Query) hedge(i int) {
-	p := &q.parts[i]
-	p.hedgeAt = time.Time{}
-	if q.isolation.Active() {
-		p.hedgeAt = q.now.Add(hedgeRetryInterval)
-		return
-	}
-	if !q.mayRunAgain(p) || q.plan.Deadline.Sub(q.now) < minRemaining {
-		return
-	}
-	u := q.policy.Choose(i, p.tried)
-	if u == nil {
-		return
-	}
-	if !q.policy.Spend(i, retrybudget.Hedge) {
-		p.hedgeAt = q.now.Add(hedgeRetryInterval)
-		return
-	}
-	q.addSend(i, u, Hedge)
-}
-
 // giveUp ends a part without an answer.
 func (q *Query) giveUp(i int) {
 	q.parts[i].givenUp = true
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -48,6 +48,12 @@
 
 func (p *policy) HedgeDelay(int, *catalog.Upstream) time.Duration { return 50 * ms }
 
+func (p *policy) Expect(int, *catalog.Upstream) Expectation { return Expectation{Answer: 20 * ms} }
+
+func (p *policy) Remaining(int) time.Duration { return 50 * ms }
+
+func (p *policy) HedgeAllowedAt(int) time.Time { return time.Time{} }
+
 func plan(parts, minParts int) Plan {
 	return Plan{
 		Services:   make([]string, parts),
