Hedges of less urgent routes leave budget for the most urgent ones

All hedges claimed the budget alike, so that hedges of many long queries could take what those of the most urgent route needed. A hedge now leaves a further quarter of the bucket if a more urgent route uses the same service; with one priority nothing changes. The limit over all VMs is untouched: reserves only refuse. spec/sends.pml does not model the budget.

TestBudgetLeftIsExported lists all kinds of claims and failed for the new one: it now expects that line as well. Other tests of retrybudget, balance and edge passed in the same run; the changed one passes since.

--- a/internal/balance/options.go
+++ b/internal/balance/options.go
@@ -96,6 +96,15 @@
 	}
 }
 
+// mostUrgent is the priority of the most urgent kind.
+func (o *Options) mostUrgent() int {
+	least := o.Kinds[0].Priority
+	for _, k := range o.Kinds {
+		least = min(least, k.Priority)
+	}
+	return least
+}
+
 // rate is the queries a second of the usual load.
 func (o *Options) rate() float64 {
 	work := 0.0
--- a/internal/balance/query.go
+++ b/internal/balance/query.go
@@ -243,7 +243,7 @@
 
 // Spend implements scatter.Policy.
 func (q *query) Spend(part int, kind retrybudget.Kind) bool {
-	return q.vm.budgets[q.vm.model.services[part]].Spend(q.vm.model.clock.Now(), kind)
+	return q.vm.budgets[q.vm.model.services[part]].Spend(q.vm.model.clock.Now(), q.claim(kind))
 }
 
 // Expect implements scatter.Policy.
@@ -269,7 +269,16 @@
 	if q.vm.model.opts.Ways.Hedging == Unconditional {
 		return now.Add(hedgeRetryInterval)
 	}
-	return q.vm.budgets[q.vm.model.services[part]].AllowedAt(now, retrybudget.Hedge)
+	return q.vm.budgets[q.vm.model.services[part]].AllowedAt(now, q.claim(retrybudget.Hedge))
+}
+
+// claim is the kind as which an extra send claims budget.
+func (q *query) claim(kind retrybudget.Kind) retrybudget.Kind {
+	m := q.vm.model
+	if kind == retrybudget.Hedge && m.opts.Ways.Claims == ByUrgency && q.kind.Priority > m.opts.mostUrgent() {
+		return retrybudget.LessUrgentHedge
+	}
+	return kind
 }
 
 // HedgeDelay implements scatter.Policy.
--- a/internal/balance/ways.go
+++ b/internal/balance/ways.go
@@ -21,6 +21,8 @@
 	Late Late
 	// Hedging is whether parts that are late are sent to another copy as well.
 	Hedging Hedging
+	// Claims is the order of the claims on the budget of extra sends.
+	Claims Claims
 	// Verdicts is who learns that a copy has failed.
 	Verdicts Verdicts
 }
@@ -118,6 +120,17 @@
 	Never Hedging = "never"
 )
 
+// Claims is an order of the claims on the budget.
+type Claims string
+
+// Orders of claims.
+const (
+	// ByUrgency has the hedges of less urgent kinds leave a reserve for those of the most urgent.
+	ByUrgency Claims = ""
+	// AllHedgesEqual has all hedges leave a reserve for retries only.
+	AllHedgesEqual Claims = "equal"
+)
+
 // Verdicts is a way to share what was seen of copies.
 type Verdicts string
 
@@ -141,6 +154,7 @@
 	{"ending", []string{string(AtFloor), string(AtDeadline)}, func(w *Ways, s string) { w.Ending = Ending(s) }},
 	{"late", []string{string(ShortWait), string(LongWait), string(LongWaitFromAnswerBy)}, func(w *Ways, s string) { w.Late = Late(s) }},
 	{"hedging", []string{string(OfFewParts), string(EarlyUnlessBusy), string(Unconditional), string(Never)}, func(w *Ways, s string) { w.Hedging = Hedging(s) }},
+	{"claims", []string{string(AllHedgesEqual)}, func(w *Ways, s string) { w.Claims = Claims(s) }},
 	{"verdicts", []string{string(Shared)}, func(w *Ways, s string) { w.Verdicts = Verdicts(s) }},
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -85,10 +85,12 @@
 	startCall  func(*connpool.Call)
 	checkEnded func(*catalog.Upstream, func(ended bool))
 	// poison withholds requests that crash upstreams.
-	poison   *poison.Guard
-	view     atomic.Pointer[catalog.View]
-	shares   atomic.Pointer[Shares]
-	inFlight atomic.Int64
+	poison *poison.Guard
+	view   atomic.Pointer[catalog.View]
+	shares atomic.Pointer[Shares]
+	// urgencies caches the urgency of routes by service.
+	urgencies atomic.Pointer[urgencies]
+	inFlight  atomic.Int64
 	// schedulingDelay is how late the operating system wakes this process, in nanoseconds.
 	schedulingDelay atomic.Int64
 	started         time.Time
--- a/internal/edge/observe_test.go
+++ b/internal/edge/observe_test.go
@@ -198,7 +198,7 @@
 }
 
 // The gauge shows what may still be spent: eight requests earn four extra sends, and hedges
-// leave a quarter of a bucket of four beyond the first.
+// leave a quarter of a bucket of four beyond the first, less urgent ones half.
 func TestBudgetLeftIsExported(t *testing.T) {
 	e := newTestEngine()
 	e.configure()
@@ -207,6 +207,7 @@
 # HELP sycamorekeel_edge_budget_left Extra sends to a service that the retry budget allows this VM now.
 # TYPE sycamorekeel_edge_budget_left gauge
 sycamorekeel_edge_budget_left{kind="hedge",service="s"} 3.25
+sycamorekeel_edge_budget_left{kind="less_urgent_hedge",service="s"} 2.5
 sycamorekeel_edge_budget_left{kind="retry",service="s"} 4
 `
 	if err := testutil.GatherAndCompare(e.registry, strings.NewReader(want), "sycamorekeel_edge_budget_left"); err != nil {
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -102,6 +102,7 @@
 // Spend implements scatter.Policy.
 func (x *run) Spend(part int, kind retrybudget.Kind) bool {
 	e := x.engine
+	kind = x.claim(part, kind)
 	e.mu.Lock()
 	ok := e.budget(x.plan.Services[part]).Spend(e.now(), kind)
 	e.mu.Unlock()
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -9,6 +9,10 @@
 // during it, plus what the bucket held before. Summed over all VMs, that is the ratio of the
 // requests plus the allowance.
 //
+// Kinds of extra sends have claims in an order: retries, hedges, hedges of less urgent requests.
+// Each kind leaves a reserve in the bucket for the kinds before it. Reserves only refuse sends
+// that the bucket would allow, so that the limit holds for any mix of kinds.
+//
 // The bucket is empty when a process starts, so that the limit holds however callers move
 // between VMs and however often processes are replaced. A bucket that is created for a
 // service later is filled for the time since then.
@@ -34,6 +38,11 @@
 // quarter covers a tenth of failing upstreams at the usual ratio of a fifth.
 const retryReserve = 0.25
 
+// urgentReserve is the part of the budget that hedges of less urgent requests leave for those of
+// the most urgent ones, beside retryReserve. Retries and urgent hedges together then keep half,
+// and the others the other half while they are alone.
+const urgentReserve = 0.25
+
 // rateMemory is the time constant of the average rate of requests.
 const rateMemory = time.Second
 
@@ -46,10 +55,12 @@
 	Retry Kind = iota
 	// Hedge duplicates a send whose answer is late.
 	Hedge
+	// LessUrgentHedge is a hedge of a request to a service that more urgent requests use too.
+	LessUrgentHedge
 )
 
 // Kinds lists all kinds.
-var Kinds = []Kind{Retry, Hedge}
+var Kinds = []Kind{Retry, Hedge, LessUrgentHedge}
 
 // Limit is the limit on the extra sends of all VMs together.
 type Limit struct {
@@ -108,13 +119,10 @@
 }
 
 // Remaining returns the number of extra sends of a kind that may be made now; it is negative for
-// a hedge if the bucket holds less than the reserve for retries.
+// a kind if the bucket holds less than the reserve for the kinds before it.
 func (b *Budget) Remaining(now time.Time, kind Kind) float64 {
 	b.refill(now)
-	if kind == Hedge {
-		return b.tokens - retryReserve*(b.capacity()-minBurst)
-	}
-	return b.tokens
+	return b.tokens - kind.reserve()*(b.capacity()-minBurst)
 }
 
 // AllowedAt returns when an extra send of a kind is expected to be allowed, if requests arrive
@@ -163,10 +171,19 @@
 	b.tokens = min(b.tokens, b.capacity())
 }
 
+// reserve returns the part of the budget that the kind leaves for the kinds before it.
+func (k Kind) reserve() float64 {
+	switch k {
+	case Retry:
+		return 0
+	case Hedge:
+		return retryReserve
+	default:
+		return retryReserve + urgentReserve
+	}
+}
+
 // String returns the kind's name in logs and metrics.
 func (k Kind) String() string {
-	if k == Hedge {
-		return "hedge"
-	}
-	return "retry"
+	return [...]string{"retry", "hedge", "less_urgent_hedge"}[k]
 }
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -189,3 +189,48 @@
 		t.Errorf("allowed at %v without any limit", at)
 	}
 }
+
+// Guards against a flood of less urgent hedges that takes what urgent hedges need, and against
+// hedges that take what retries need, whatever the share of the VM.
+func TestUrgentClaimsFindTokensAfterAFlood(t *testing.T) {
+	flood := func(b *Budget, now time.Time, kind Kind) (n int) {
+		for b.Spend(now, kind) {
+			n++
+		}
+		return n
+	}
+	for _, share := range []float64{0.3, 1} {
+		b := New(limit, share, start)
+		now := start.Add(time.Minute)
+		less, urgent, retries := flood(b, now, LessUrgentHedge), flood(b, now, Hedge), flood(b, now, Retry)
+		if less == 0 || urgent < 2 || retries < 2 {
+			t.Errorf("share %v: %d less urgent hedges, then %d urgent ones, then %d retries", share, less, urgent, retries)
+		}
+		// Under a lasting flood, an urgent hedge finds a token at any time.
+		for range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			b.AddRequest()
+			flood(b, now, LessUrgentHedge)
+		}
+		if !b.Spend(now, Hedge) || !b.Spend(now, Retry) {
+			t.Errorf("share %v: no urgent hedge or retry under a lasting flood", share)
+		}
+	}
+}
+
+// Guards against reserves that allow more than the bucket holds, which would break the limit on
+// all VMs together: no kind may be allowed what a retry is not.
+func TestReservesOnlyRefuse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(limit, rapid.Float64Range(0, 1).Draw(t, "share"), start)
+		now := start
+		for range 30 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			b.AddRequest()
+			allowed := b.Remaining(now, Retry) >= 1
+			if kind := rapid.SampledFrom(Kinds).Draw(t, "kind"); b.Spend(now, kind) && !allowed {
+				t.Fatalf("a %v without a token", kind)
+			}
+		}
+	})
+}
