Counters and log fields of forgone hedges

Nothing told why a late part was not hedged. sycamorekeel_edge_hedges_forgone_total counts the parts by reason (parts_open, copy_busy, budget), each part once for each reason, and the line of an ended request has the fields hedges and forgone.

--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -26,7 +26,7 @@
 		}
 		log = e.opts.Logs.Samples
 	}
-	fields := make([]zap.Field, 0, 25)
+	fields := make([]zap.Field, 0, 27)
 	fields = append(fields,
 		zap.String("request", r.Message.ID),
 		zap.String("reason", string(a.Reason)),
@@ -45,6 +45,12 @@
 	if a.Sends > 0 {
 		fields = append(fields, a.Stages.logFields()...)
 	}
+	if a.Hedging.Made > 0 {
+		fields = append(fields, zap.Int("hedges", a.Hedging.Made))
+	}
+	if forgone := a.Hedging.ForgoneString(); forgone != "" {
+		fields = append(fields, zap.String("forgone", forgone))
+	}
 	if a.BrokenSends > 0 {
 		fields = append(fields, zap.Int("broken", a.BrokenSends), zap.Int("answered", a.AnsweredSends), zap.Stringer("content", r.contentFingerprint()))
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -25,6 +25,7 @@
 	sends          *prometheus.CounterVec
 	replies        *prometheus.CounterVec
 	budgetRefusals *prometheus.CounterVec
+	forgone        *prometheus.CounterVec
 	stages         stageTimes
 	health         *prometheus.CounterVec
 	poison         *poison.Metrics
@@ -79,12 +80,15 @@
 			Name: "sycamorekeel_edge_budget_refusals_total", Help: "Extra sends that the budget did not allow.",
 		}, []string{"kind"}),
 	}
+	m.forgone = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sycamorekeel_edge_hedges_forgone_total", Help: "Parts with a hedge that was due and not made at that time, by reason.",
+	}, []string{"reason"})
 	m.health = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sycamorekeel_edge_health_checks_total", Help: "Health checks of upstreams that may be cold, on new connections and on their own, by result.",
 	}, []string{"result"})
 	m.stages = newStageTimes(reg)
 	m.poison = poison.NewMetrics(reg)
-	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.health)
+	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.forgone, m.health)
 	return m
 }
 
@@ -95,6 +99,11 @@
 	}
 	m.requests.WithLabelValues(result).Inc()
 	m.duration.WithLabelValues(result).Observe(a.Elapsed.Seconds())
+	for reason, n := range a.Hedging.Forgone {
+		if n > 0 {
+			m.forgone.WithLabelValues(scatter.Forgone(reason).String()).Add(float64(n))
+		}
+	}
 	if a.Reason == "" {
 		m.stages.observe(&a.Stages)
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -143,6 +143,8 @@
 	SlowestAfter    time.Duration
 	// BudgetRefusals is how many extra sends the retry budget refused.
 	BudgetRefusals int
+	// Hedging is which hedges were made and forgone.
+	Hedging scatter.Hedging
 	// Stages is how long each stage of the request took.
 	Stages Stages
 	// Elapsed is the time from Received to the end of the request.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -92,7 +92,9 @@
 func (e *Engine) run(v *catalog.View, r *Request) Answer {
 	x := e.newRun(v, r)
 	defer x.close()
-	return x.drive()
+	a := x.drive()
+	a.Hedging = x.query.Hedging()
+	return a
 }
 
 // newRun plans a request and sends nothing.
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -1,6 +1,8 @@
 package scatter
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
@@ -158,6 +160,17 @@
 	Forgone [forgoneReasons]int
 }
 
+// ForgoneString returns the forgone hedges by reason for logs, empty if there are none.
+func (h *Hedging) ForgoneString() string {
+	var out []string
+	for reason, n := range h.Forgone {
+		if n > 0 {
+			out = append(out, fmt.Sprintf("%v=%d", Forgone(reason), n))
+		}
+	}
+	return strings.Join(out, " ")
+}
+
 // Cause is why a send is made, as written to logs and metrics.
 type Cause string
 
