--- a/internal/scatter/hedge.go
+++ b/internal/scatter/hedge.go
@@ -88,10 +88,10 @@
 }
 
 // remaining returns how much longer the open sends of a part are expected to take, the whole
-// time left if none is open.
+// time left if none is open. Sends of the current step, which are not made yet, do not count.
 func (q *Query) remaining(i int) time.Duration {
 	least := q.plan.Deadline.Sub(q.now)
-	for n := range q.attempts {
+	for n := range len(q.attempts) - len(q.sends) {
 		if a := &q.attempts[n]; a.part == i && !a.ended {
 			least = min(least, q.policy.Remaining(n))
 		}
