--- a/internal/virtualtime/clock.go
+++ b/internal/virtualtime/clock.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// RunUntil runs the events that are due up to a time and sets the clock to it.
+func (c *Clock) RunUntil(end time.Time) {
+	for len(c.todo) > 0 && !c.todo[0].at.After(end) {
+		e := heap.Pop(&c.todo).(event)
+		c.now = e.at
+		e.do()
+	}
+	c.now = end
+}
+
 type event struct {
 	at     time.Time
 	number int
