connpool: calls wait at the VM under the limit of their class

Cause: priorities had an effect only between calls that wait for a connection of this VM. Change: a pool counts the open sends of each class and passes over the waiting calls of a class whose limit is reached. A time-out right after a connection was opened counted as a rejection by the upstream; it no longer does.

--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -82,8 +82,8 @@
 	// Extra marks retries and hedges: the message was sent to an upstream of the same
 	// service before.
 	Extra bool
-	// Priority orders calls that wait for a connection; 0 goes first.
-	Priority int
+	// Class holds the priority, which orders calls that wait for a connection: 0 goes first.
+	Class
 	// Barred is evaluated right before the call is written. It returns a short reason for
 	// logs why the call must no longer go to this upstream, or "" to allow it. Nil allows
 	// every call.
@@ -100,6 +100,15 @@
 	conn      net.Conn
 	withdrawn bool
 	finished  bool
+	// heldAt is when the limit of its class first held the call back, zero if it never did;
+	// held is the time from then until it was sent.
+	heldAt time.Time
+	held   time.Duration
+
+	// counted says that the call counts as an open send of its class, since startedAt. The lock
+	// of the Pool guards both.
+	counted   bool
+	startedAt time.Time
 }
 
 // Withdraw cancels the call: Done is no longer called. A call that waits for a
@@ -143,6 +152,29 @@
 	if !c.queuedAt.IsZero() {
 		c.waited = max(now.Sub(c.queuedAt), 1)
 	}
+	if !c.heldAt.IsZero() {
+		c.held = max(now.Sub(c.heldAt), 1)
+	}
+}
+
+// markHeld records that the limit of its class holds the call back.
+func (c *Call) markHeld(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.heldAt.IsZero() {
+		c.heldAt = now
+	}
+}
+
+// Held returns how long the call waited, or has waited until now, since the limit of its class
+// first held it back. It is part of Waited.
+func (c *Call) Held(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.heldAt.IsZero() && c.held == 0 {
+		return max(now.Sub(c.heldAt), 1)
+	}
+	return c.held
 }
 
 // bind attaches the call to a connection and sets its deadline. It returns false when
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -62,6 +62,8 @@
 // run opens the connection and serves calls until it can no longer be used.
 func (c *conn) run(call *Call) {
 	defer c.pool.connEnded(c)
+	// A send that ended must no longer count when connEnded gives waiting calls to connections.
+	defer func() { c.pool.endSend(call) }()
 	began := time.Now()
 	nc, err := net.DialTimeout("tcp", c.pool.upstream.Address, min(dialTimeout, max(time.Until(call.Deadline), time.Millisecond)))
 	if err != nil {
@@ -90,6 +92,7 @@
 		if !c.serve(call) {
 			return
 		}
+		c.pool.endSend(call)
 		call = c.pool.next(c)
 	}
 }
@@ -199,10 +202,11 @@
 // connection failed before any response byte, elapsed after the start of the call.
 func (c *conn) noResponse(err error, elapsed time.Duration) Reply {
 	reply := c.lostReply(err)
-	if !isTimeout(err) && !c.pool.isAbandoned() {
-		reply.Result = scatter.Broken
+	if isTimeout(err) || c.pool.isAbandoned() {
+		return reply
 	}
-	if c.dialTime > 0 && elapsed < c.dialTime+rejectMargin && !c.pool.isAbandoned() {
+	reply.Result = scatter.Broken
+	if c.dialTime > 0 && elapsed < c.dialTime+rejectMargin {
 		c.pool.connRejected(time.Now())
 		reply.Result = scatter.ConnectionClosed
 	}
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -180,7 +181,7 @@
 		Message:  &Message{ID: id, Body: body},
 		Upstream: c.up,
 		Deadline: time.Now().Add(testTimeout),
-		Priority: priority,
+		Class:    Class{Priority: priority},
 		Done:     func(r Reply) { done <- r },
 	}
 	return call, done
@@ -449,7 +450,7 @@
 	cl.pools.SetWindow(cl.up, 1)
 	_, second := cl.begin("2", nil, 0)
 	_, third := cl.begin("3", nil, 0)
-	if ahead := cl.pools.AnswersAhead(time.Now(), []*catalog.Upstream{cl.up}); ahead[0] != 3 {
+	if ahead := cl.pools.AnswersAhead(time.Now(), []*catalog.Upstream{cl.up}, Class{}); ahead[0] != 3 {
 		t.Errorf("%v answers ahead with one call in flight and two waiting, want 3", ahead[0])
 	}
 	release <- true
@@ -487,7 +488,7 @@
 		t.Fatalf("%v (%s)", r.Result, r.Detail)
 	}
 	cl.waitAllClosed()
-	if ahead := cl.pools.AnswersAhead(time.Now(), []*catalog.Upstream{cl.up}); ahead[0] != rejectedAhead {
+	if ahead := cl.pools.AnswersAhead(time.Now(), []*catalog.Upstream{cl.up}, Class{}); ahead[0] != rejectedAhead {
 		t.Errorf("%v answers ahead for an upstream that rejects connections", ahead[0])
 	}
 	if r := cl.call("2"); r.Result != scatter.NoConnection || s.connections() != 1 {
@@ -572,7 +573,7 @@
 		{"rejected, one open", &Pool{limit: 2, open: 1, rejectedUntil: now.Add(time.Second)}, 1},
 		{"rejected, none open", &Pool{limit: 2, rejectedUntil: now.Add(time.Second)}, rejectedAhead},
 	} {
-		if got := c.pool.answersAhead(now); got != c.want {
+		if got := c.pool.answersAhead(now, &Class{}); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
@@ -787,3 +788,14 @@
 		<-done
 	}
 }
+
+// Guards against a call that is withdrawn, or whose deadline passes, right after its connection
+// was opened and that is taken for a rejection by the upstream: the pool then opened no connection
+// for rejectPause and failed the waiting calls, and a call that may have run counted as not run.
+func TestTimeoutOnANewConnectionIsNoRejection(t *testing.T) {
+	s := newServer(t, respondWith(func(id string) string { return response(id, "x") }))
+	c := &conn{pool: newPool(s.upstream(), idProtocol{}, nopObserver{}, 1), dialTime: time.Second}
+	if r := c.noResponse(os.ErrDeadlineExceeded, time.Millisecond); r.Result != scatter.Lost || !c.pool.rejectedUntil.IsZero() {
+		t.Errorf("%v, rejected until %v", r.Result, c.pool.rejectedUntil)
+	}
+}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -9,6 +9,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
+	"sycamorekeel.example/sycamorekeel/internal/sendlimit"
 )
 
 // maxWaiting limits the calls that wait for a connection to one upstream. A call
@@ -68,10 +69,17 @@
 	// rejectedUntil is when the next connection may be opened after one was rejected.
 	rejectedUntil time.Time
 	process       processCheck
+	// limits limits the open sends by class. bypassed counts, for each class with a waiting
+	// call, the more urgent calls that were sent before it.
+	limits   sendlimit.Limiter
+	bypassed map[int]int
+	// wakeTimer runs until wakeAt, when the pause of a waiting call's class ends.
+	wakeTimer *time.Timer
+	wakeAt    time.Time
 }
 
 func newPool(u *catalog.Upstream, protocol Protocol, observer Observer, limit int) *Pool {
-	return &Pool{upstream: u, protocol: protocol, observer: observer, limit: limit, sockets: map[net.Conn]bool{}}
+	return &Pool{upstream: u, protocol: protocol, observer: observer, limit: limit, sockets: map[net.Conn]bool{}, bypassed: map[int]int{}}
 }
 
 // do sends the call on an idle connection, opens a connection for it or queues it.
@@ -80,10 +88,13 @@
 	p.mu.Lock()
 	refused := Reply{}
 	var dead []*conn
+	if call.limited() {
+		p.limits.Configure(call.SharedBy, call.MinLimit)
+	}
 	switch {
 	case p.closed:
 		refused = Reply{Result: scatter.Unreached, Detail: detailUpstreamGone}
-	case p.open == 0 && !p.mayOpen(now), len(p.waiting) >= maxWaiting:
+	case p.open == 0 && !p.mayOpen(now), p.ahead(&call.Class) >= maxWaiting:
 		refused = Reply{Result: scatter.NoConnection, Detail: detailNoConnection}
 	default:
 		if p.busy() == 0 {
@@ -102,8 +113,8 @@
 	}
 }
 
-// dispatch assigns waiting calls to connections while both are available. It returns
-// the unusable idle connections, which the caller must end. The caller holds mu.
+// dispatch assigns waiting calls that may be sent to connections while both are available. It
+// returns the unusable idle connections, which the caller must end. The caller holds mu.
 func (p *Pool) dispatch(now time.Time) (dead []*conn) {
 	for len(p.waiting) > 0 && p.belowWindow() {
 		c, unusable := p.takeIdle(now)
@@ -113,9 +124,12 @@
 		}
 		call := p.nextWaiting(now)
 		switch {
-		case call == nil && c != nil:
-			p.idle = append(p.idle, c)
 		case call == nil:
+			if c != nil {
+				p.idle = append(p.idle, c)
+			}
+			p.scheduleWake(now)
+			return dead
 		case c != nil:
 			c.calls <- call
 		default:
@@ -151,18 +165,6 @@
 	p.rejectedUntil = now.Add(rejectPause)
 }
 
-// enqueue inserts a waiting call in the order of priority, then of arrival. The caller
-// holds mu.
-func (p *Pool) enqueue(call *Call) {
-	i, _ := slices.BinarySearchFunc(p.waiting, call, func(a, b *Call) int {
-		if a.Priority <= b.Priority {
-			return -1
-		}
-		return 1
-	})
-	p.waiting = slices.Insert(p.waiting, i, call)
-}
-
 // takeIdle removes and returns the most recently used idle connection that is still
 // usable, nil without one, and the unusable ones that it removed. The caller holds mu.
 func (p *Pool) takeIdle(now time.Time) (found *conn, dead []*conn) {
@@ -201,26 +203,28 @@
 	return <-c.calls
 }
 
-// nextWaiting removes and returns the first waiting call that can still meet its soft
-// deadline, otherwise the first waiting call. It drops withdrawn calls and returns nil
-// when none is left. If an overloaded upstream served calls strictly in the order of
-// arrival, each call would be late by the time it is sent. The caller holds mu.
+// nextWaiting removes and returns the waiting call to send next and counts it as an open send
+// of its class. It drops withdrawn calls and returns nil when no call may be sent. If an
+// overloaded upstream served calls strictly in the order of arrival, each call would be late
+// by the time it is sent. The caller holds mu.
 func (p *Pool) nextWaiting(now time.Time) *Call {
 	p.waiting = slices.DeleteFunc(p.waiting, (*Call).isWithdrawn)
-	if len(p.waiting) == 0 {
+	i := p.pick(now)
+	if i < 0 {
 		return nil
 	}
-	inTime := func(c *Call) bool { return c.AnswerBy.IsZero() || now.Add(p.meanLatency).Before(c.AnswerBy) }
-	i := max(0, slices.IndexFunc(p.waiting, inTime))
 	call := p.waiting[i]
 	p.waiting = slices.Delete(p.waiting, i, i+1)
 	call.markDequeued(now)
+	p.startSend(now, call)
+	p.countBypass(now, call)
 	return call
 }
 
 // connEnded removes a closed connection and opens one for a waiting call. If no
 // connection is open and none may be opened yet, nothing would ever serve the waiting
-// calls: they fail.
+// calls: they fail. Calls that only the pause of their class holds back are woken by its
+// timer.
 func (p *Pool) connEnded(c *conn) {
 	now := time.Now()
 	p.mu.Lock()
@@ -231,7 +235,7 @@
 	var dead []*conn
 	if !p.closed {
 		dead = p.dispatch(now)
-		if p.open == 0 {
+		if p.open == 0 && !p.mayOpen(now) {
 			stranded = p.waiting
 			p.waiting = nil
 		}
@@ -329,6 +333,7 @@
 	idle := p.idle
 	waiting := p.waiting
 	p.idle, p.waiting = nil, nil
+	p.stopWake()
 	p.mu.Unlock()
 	endConns(idle)
 	finishAll(waiting, Reply{Result: scatter.Unreached, Detail: detailUpstreamGone})
@@ -385,16 +390,23 @@
 const rejectedAhead = 4.0
 
 // answersAhead returns how many answers each connection in use must deliver before one
-// more call gets a connection; 0 when one is idle or may be opened.
-func (p *Pool) answersAhead(now time.Time) float64 {
+// more call of a class gets a connection; 0 when one is idle or may be opened. Under the limit
+// of its class the call waits for answers of that class.
+func (p *Pool) answersAhead(now time.Time, class *Class) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	ahead := p.ahead(class)
+	held := 0.0
+	if class.limited() && !p.limits.MayStart(now, class.Priority) {
+		limit, _ := p.limits.Limit(now, class.Priority)
+		held = float64(p.waitingOf(class.Priority)+1) / limit
+	}
 	switch {
 	case p.belowWindow() && (len(p.idle) > 0 || p.mayOpen(now)):
-		return 0
+		return held
 	case p.open == 0:
-		return rejectedAhead
+		return max(held, rejectedAhead)
 	default:
-		return float64(len(p.waiting)+1) / float64(max(1, p.busy()))
+		return max(held, float64(ahead+1)/float64(max(1, p.busy())))
 	}
 }
--- a/internal/connpool/pools.go
+++ b/internal/connpool/pools.go
@@ -64,8 +64,9 @@
 }
 
 // AnswersAhead returns, for each upstream, how many answers each of its connections in use must
-// deliver before one more call gets a connection; 0 when one is idle or may be opened.
-func (p *Pools) AnswersAhead(now time.Time, upstreams []*catalog.Upstream) []float64 {
+// deliver before one more call gets a connection; 0 when one is idle or may be opened. The
+// limit of the call's class counts too; MinLimit of class is not used.
+func (p *Pools) AnswersAhead(now time.Time, upstreams []*catalog.Upstream, class Class) []float64 {
 	pools := make([]*Pool, len(upstreams))
 	p.mu.Lock()
 	for i, u := range upstreams {
@@ -75,7 +76,7 @@
 	out := make([]float64, len(upstreams))
 	for i, pool := range pools {
 		if pool != nil {
-			out[i] = pool.answersAhead(now)
+			out[i] = pool.answersAhead(now, &class)
 		}
 	}
 	return out
@@ -84,10 +85,7 @@
 // SetWindow limits the requests in flight from this VM to an upstream; 0 leaves only the
 // connection limit. It has no effect if the upstream has restarted after registration u.
 func (p *Pools) SetWindow(u *catalog.Upstream, n int) {
-	p.mu.Lock()
-	pool := p.pools[u.ID]
-	p.mu.Unlock()
-	if pool != nil && !pool.upstream.StartedAfter(u) {
+	if pool := p.current(u); pool != nil {
 		pool.setWindow(n)
 	}
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -253,7 +253,7 @@
 		Upstream: s.Upstream,
 		Deadline: x.plan.Deadline,
 		AnswerBy: x.plan.AnswerBy,
-		Priority: x.req.Route.Priority,
+		Class:    connpool.Class{Priority: x.req.Route.Priority},
 		Extra:    s.Cause != scatter.First,
 		Barred:   func() string { return x.barred(s.Upstream) },
 		Done:     func(r connpool.Reply) { x.replies.put(attemptReply{s.Attempt, r}) },
--- a/internal/sendlimit/sendlimit.go
+++ b/internal/sendlimit/sendlimit.go
@@ -154,6 +154,14 @@
 	return c.pausedUntil
 }
 
+// Open returns the number of open sends of a class.
+func (l *Limiter) Open(priority int) int {
+	if c := l.class(priority); c != nil {
+		return c.open
+	}
+	return 0
+}
+
 // Limit returns the limit of a class, and false if none is in force.
 func (l *Limiter) Limit(now time.Time, priority int) (float64, bool) {
 	c := l.class(priority)
--- a/internal/sendlimit/sendlimit_test.go
+++ b/internal/sendlimit/sendlimit_test.go
@@ -117,7 +117,7 @@
 	}
 	l := &s.limiters[vm]
 	now := s.clock.Now()
-	for l.class(low).open < s.backlog && l.MayStart(now, low) {
+	for l.Open(low) < s.backlog && l.MayStart(now, low) {
 		l.Start(low)
 		s.clock.After(hop, func() {
 			s.run(longWork, func() {
@@ -127,7 +127,7 @@
 			})
 		})
 	}
-	if end := l.PauseEnd(now, low); l.class(low).open < s.backlog && end.After(s.woken[vm]) {
+	if end := l.PauseEnd(now, low); l.Open(low) < s.backlog && end.After(s.woken[vm]) {
 		s.woken[vm] = end
 		s.clock.At(end, func() { s.sendLow(vm) })
 	}
