edge: limits on the sends of less urgent routes over the same shards

Cause: priority is checked at the limit on queries and in the wait for a connection only; the most urgent route is served worst, behind long queries of other VMs. Change: the engine feeds the limits of a pool with the queueing delay of each query send. The routes that share a shard are found when a configuration is compiled.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
+	"sycamorekeel.example/sycamorekeel/internal/sendlimit"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 	"sycamorekeel.example/sycamorekeel/internal/warmup"
 )
@@ -104,6 +105,8 @@
 	shareSince time.Time
 	// limiters limits the queries in flight, keyed by the first shard of their route.
 	limiters map[string]*congestion.Limiter
+	// unloaded holds the answer times of queries without a queue at the upstream.
+	unloaded *sendlimit.Unloaded
 	// draws splits the requests of each route by the weights of its targets.
 	draws map[string]*routing.Sequence
 	sends uint64
@@ -120,6 +123,7 @@
 		replicas:   replica.New(opts.Place, opts.Random),
 		budgets:    map[string]*retrybudget.Budget{},
 		limiters:   map[string]*congestion.Limiter{},
+		unloaded:   sendlimit.NewUnloaded(),
 		draws:      map[string]*routing.Sequence{},
 	}
 	e.warmups.table = warmup.New()
@@ -160,6 +164,7 @@
 		services[s.Name] = true
 	}
 	e.replicas.RetainKinds(routes)
+	e.unloaded.Retain(routes)
 	for name := range e.draws {
 		if !routes[name] {
 			delete(e.draws, name)
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -45,6 +45,9 @@
 	if a.Sends > 0 {
 		fields = append(fields, a.Stages.logFields()...)
 	}
+	if a.Held > 0 {
+		fields = append(fields, zap.Duration("held", a.Held.Round(time.Microsecond)))
+	}
 	if a.BrokenSends > 0 {
 		fields = append(fields, zap.Int("broken", a.BrokenSends), zap.Int("answered", a.AnsweredSends), zap.Stringer("content", r.contentFingerprint()))
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,6 +26,7 @@
 	sends          *prometheus.CounterVec
 	replies        *prometheus.CounterVec
 	budgetRefusals *prometheus.CounterVec
+	sendsHeld      *prometheus.CounterVec
 	stages         stageTimes
 	health         *prometheus.CounterVec
 	poison         *poison.Metrics
@@ -79,12 +81,15 @@
 			Name: "sycamorekeel_edge_budget_refusals_total", Help: "Extra sends that the budget did not allow.",
 		}, []string{"kind"}),
 	}
+	m.sendsHeld = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sycamorekeel_edge_sends_held_total", Help: "Sends that waited because of the limit on the open sends of their class.",
+	}, []string{"class"})
 	m.health = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sycamorekeel_edge_health_checks_total", Help: "Health checks of upstreams that may be cold, on new connections and on their own, by result.",
 	}, []string{"result"})
 	m.stages = newStageTimes(reg)
 	m.poison = poison.NewMetrics(reg)
-	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.health)
+	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.sendsHeld, m.health)
 	return m
 }
 
@@ -120,9 +125,16 @@
 	m.budgetRefusals.WithLabelValues(k.String()).Inc()
 }
 
+// sendHeld counts a send of a class that waited because of the limit of the class.
+func (m *Metrics) sendHeld(priority int) {
+	m.sendsHeld.WithLabelValues(strconv.Itoa(priority)).Inc()
+}
+
 var (
 	budgetLeft = prometheus.NewDesc("sycamorekeel_edge_budget_left",
 		"Extra sends to a service that the retry budget allows this VM now.", []string{"service", "kind"}, nil)
+	sendLimits = prometheus.NewDesc("sycamorekeel_edge_send_limits",
+		"Upstreams with a limit in force on the open sends of a class, by class.", []string{"class"}, nil)
 	upstreamStates = prometheus.NewDesc("sycamorekeel_edge_upstreams",
 		"Upstreams by what they count as.", []string{"state"}, nil)
 	upstreamState = prometheus.NewDesc("sycamorekeel_edge_upstream_state",
@@ -132,6 +144,7 @@
 // Describe implements prometheus.Collector.
 func (e *Engine) Describe(out chan<- *prometheus.Desc) {
 	out <- budgetLeft
+	out <- sendLimits
 	out <- upstreamStates
 	out <- upstreamState
 	e.poison.Describe(out)
@@ -151,6 +164,9 @@
 		return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
 	}
 	var out []prometheus.Metric
+	for class, n := range e.pools.Limited(now) {
+		out = append(out, gauge(sendLimits, float64(n), strconv.Itoa(class)))
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for service, b := range e.budgets {
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -18,7 +18,7 @@
 		return nil
 	}
 	candidates := x.candidates(part)
-	ahead := e.pools.AnswersAhead(now, candidates, connpool.Class{Priority: x.req.Route.Priority})
+	ahead := e.pools.AnswersAhead(now, candidates, connpool.Class{Priority: x.req.Route.Priority, SharedBy: x.sharedBy})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.replicas.Choose(now, x.req.Route.Name, x.defaultLatency, candidates, ahead, tried)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -141,6 +141,8 @@
 	// Received until then. SlowestUpstream is empty if none replied.
 	SlowestUpstream string
 	SlowestAfter    time.Duration
+	// Held is the longest wait of a send because of the limit of its class.
+	Held time.Duration
 	// BudgetRefusals is how many extra sends the retry budget refused.
 	BudgetRefusals int
 	// Stages is how long each stage of the request took.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -15,12 +15,14 @@
 
 // run is the execution of one request.
 type run struct {
-	engine          *Engine
-	view            *catalog.View
-	req             *Request
-	plan            scatter.Plan
-	query           *scatter.Query
-	defaultLatency  time.Duration
+	engine         *Engine
+	view           *catalog.View
+	req            *Request
+	plan           scatter.Plan
+	query          *scatter.Query
+	defaultLatency time.Duration
+	// sharedBy holds the priorities of the routes that share the shards, if there are several.
+	sharedBy        []int
 	sends           []send
 	replies         replyQueue
 	nextCallerCheck time.Time
@@ -47,6 +49,8 @@
 	replied bool
 	// cancelled says that the run no longer waits for the reply.
 	cancelled bool
+	// held is how long the send waited because of the limit of its class.
+	held time.Duration
 }
 
 // open reports whether the run still waits for the send's reply.
@@ -92,12 +96,17 @@
 func (e *Engine) run(v *catalog.View, r *Request) Answer {
 	x := e.newRun(v, r)
 	defer x.close()
-	return x.drive()
+	a := x.drive()
+	a.Held = x.recordHeld()
+	return a
 }
 
 // newRun plans a request and sends nothing.
 func (e *Engine) newRun(v *catalog.View, r *Request) *run {
 	x := &run{engine: e, view: v, req: r, plan: e.plan(r), defaultLatency: defaultLatency(r.Route)}
+	if r.Route.FanOut() {
+		x.sharedBy = v.Table.SharedPriorities(r.Route.Shards[0])
+	}
 	x.replies.signal = make(chan struct{}, 1)
 	x.query = scatter.New(x.plan, x)
 	e.countRequest(x.plan.Services)
@@ -162,6 +171,7 @@
 		s := &x.sends[r.attempt]
 		s.reply = r.reply
 		s.replied = true
+		s.held = s.call.Held(now)
 		x.last, x.lastAt = s, now
 		x.recordReply(now, s)
 		x.trackCrash(s, now)
@@ -181,6 +191,7 @@
 	}
 	change, changed, window := x.updateReplica(now, s)
 	e.pools.SetWindow(s.call.Upstream, window)
+	x.observeQueue(now, s)
 	if changed {
 		e.logStateChange(change)
 	}
@@ -253,7 +264,7 @@
 		Upstream: s.Upstream,
 		Deadline: x.plan.Deadline,
 		AnswerBy: x.plan.AnswerBy,
-		Class:    connpool.Class{Priority: x.req.Route.Priority},
+		Class:    x.class(s.Upstream),
 		Extra:    s.Cause != scatter.First,
 		Barred:   func() string { return x.barred(s.Upstream) },
 		Done:     func(r connpool.Reply) { x.replies.put(attemptReply{s.Attempt, r}) },
@@ -296,10 +307,12 @@
 	e := x.engine
 	now := e.now()
 	s.cancelled = true
+	s.held = s.call.Held(now)
 	s.call.Withdraw()
 	e.mu.Lock()
 	e.replicas.Abandoned(now, x.req.Route.Name, x.defaultLatency, s.call.Upstream, s.id, now.Sub(s.sentAt)-s.call.Waited(now))
 	window := e.replicas.Window(s.call.Upstream)
 	e.mu.Unlock()
 	e.pools.SetWindow(s.call.Upstream, window)
+	x.observeQueue(now, s)
 }
--- a/internal/edge/shares.go
+++ b/internal/edge/shares.go
@@ -15,6 +15,14 @@
 	Ingress bool
 }
 
+// carriers returns the number of VMs that callers are directed to, or of all VMs if that is not known.
+func (s *Shares) carriers() int {
+	if s.IngressVMs <= 0 {
+		return s.VMs
+	}
+	return s.IngressVMs
+}
+
 // portion returns this VM's share of a limit.
 func (s *Shares) portion(bound float64) float64 {
 	if s.IngressVMs <= 0 || s.IngressVMs >= s.VMs {
--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -28,6 +28,9 @@
 	Requests int    `json:"requests"`
 	// Stages holds the mean times in milliseconds.
 	Stages Stages `json:"stages"`
+	// Held is the mean in milliseconds of the longest wait of a send because of the limit on
+	// the open sends of its class.
+	Held float64 `json:"held"`
 	// BudgetRefusals is how many extra sends the retry budget did not allow, in the
 	// mean of the requests; Missing is shards left out, Sends how often upstreams
 	// were asked, InFlight the requests under way at the VM.
@@ -71,6 +74,7 @@
 	Missing  float64   `json:"missing"`
 	Sends    float64   `json:"sends"`
 	Budget   float64   `json:"budget_refusals"`
+	Held     float64   `json:"held"`
 	InFlight float64   `json:"in_flight"`
 }
 
@@ -125,6 +129,7 @@
 	l.Stages.add(&old, -weight)
 	l.Stages.add(&e.Stages, weight)
 	l.BudgetRefusals += weight * (e.Budget - l.BudgetRefusals)
+	l.Held += weight * (e.Held - l.Held)
 	l.Missing += weight * (e.Missing - l.Missing)
 	l.Sends += weight * (e.Sends - l.Sends)
 	l.InFlight += weight * (e.InFlight - l.InFlight)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -108,6 +109,9 @@
 	limits   Limits
 	byHost   map[string][]*Route
 	services map[string]Service
+	// shared holds, for each shard that routes of several priorities name, the priorities in
+	// ascending order.
+	shared map[string][]int
 }
 
 // Compile builds the table of a configuration.
@@ -129,9 +133,28 @@
 	for _, s := range c.Services {
 		t.services[s.Name] = s
 	}
+	t.shared = sharedPriorities(c.Routes)
 	return t
 }
 
+// sharedPriorities returns the distinct priorities of the routes that name a shard, for the
+// shards with more than one.
+func sharedPriorities(routes []Route) map[string][]int {
+	out := map[string][]int{}
+	for i := range routes {
+		for _, shard := range routes[i].Shards {
+			if !slices.Contains(out[shard], routes[i].Priority) {
+				out[shard] = append(out[shard], routes[i].Priority)
+			}
+		}
+	}
+	maps.DeleteFunc(out, func(_ string, priorities []int) bool { return len(priorities) == 1 })
+	for _, priorities := range out {
+		slices.Sort(priorities)
+	}
+	return out
+}
+
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
@@ -145,6 +168,10 @@
 	return s, ok
 }
 
+// SharedPriorities returns the priorities of the routes that share a shard in ascending order,
+// or nil if they have only one.
+func (t *Table) SharedPriorities(shard string) []int { return t.shared[shard] }
+
 // Lookup returns the route of a request, or nil if there is none. It ignores a port
 // in the host.
 func (t *Table) Lookup(host, path string) *Route {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -85,3 +85,18 @@
 		}
 	}
 }
+
+// Guards against limits on the sends of routes that share no shard with a route of another
+// priority.
+func TestSharedPriorities(t *testing.T) {
+	query := func(priority int, shards ...string) Route { return Route{Priority: priority, Shards: shards} }
+	tab := Compile(&Config{Routes: []Route{
+		query(2, "a", "b"), query(0, "a", "b"), query(2, "a", "c"), query(1, "d"), query(1, "d"),
+		{Priority: 0, Targets: []Target{{Service: "c", Weight: 1}}},
+	}})
+	for shard, want := range map[string]string{"a": "[0 2]", "b": "[0 2]", "c": "[]", "d": "[]", "e": "[]"} {
+		if got := fmt.Sprint(tab.SharedPriorities(shard)); got != want {
+			t.Errorf("%s: %s, want %s", shard, got, want)
+		}
+	}
+}
