--- a/internal/balance/query.go
+++ b/internal/balance/query.go
@@ -146,6 +146,7 @@
 			continue
 		}
 		v.replicas.Abandoned(now, q.kind.Name, q.usual(), s.server.Upstream, s.id, now.Sub(s.sentAt)-s.waitedFor(now))
+		v.observeWithdrawn(s)
 		v.withdraw(s)
 		v.setWindow(s.server.Upstream)
 	}
@@ -187,7 +188,7 @@
 	}
 	ahead := make([]float64, len(candidates))
 	for i, u := range candidates {
-		ahead[i] = v.pools[u.ID].ahead()
+		ahead[i] = v.ahead(v.pools[u.ID], q.kind.Priority)
 	}
 	return v.replicas.Choose(v.model.clock.Now(), q.kind.Name, q.usual(), candidates, ahead, tried)
 }
--- a/internal/balance/result.go
+++ b/internal/balance/result.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -135,18 +138,28 @@
 // share is a part of those asked.
 func (c *Count) share(n int) float64 { return float64(n) / float64(max(1, c.Asked)) }
 
+// worthByKind lists the mean worth of each kind.
+func worthByKind(counts map[string]*Count) string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		c := counts[name]
+		out = append(out, fmt.Sprintf("%s %.3f", name, c.Worth/float64(max(1, c.Asked))))
+	}
+	return strings.Join(out, ", ")
+}
+
 // Write prints results for people.
 func Write(to io.Writer, results []Result) error {
 	tw := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "pattern\tway\tseed\tasked\tworth\tin time a second\tpartial\tlate\trefused\tfailed\tp50 ms\tp99 ms\textra sends\tworth after\t")
+	fmt.Fprintln(tw, "pattern\tway\tseed\tasked\tworth\tin time a second\tpartial\tlate\trefused\tfailed\tp50 ms\tp99 ms\textra sends\tworth after\tworth by kind\t")
 	for i := range results {
 		r := &results[i]
 		during, after := Sum(r.During), Sum(r.After)
-		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%.3f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%.3f\t\n",
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%.3f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%.3f\t%s\t\n",
 			r.Pattern, r.Way, r.Seed, during.Asked, during.Worth/float64(max(1, during.Asked)), r.Goodput(),
 			during.share(during.Partial), during.share(during.Late), during.share(during.Refused), during.share(during.Failed),
 			r.Quantile(0.5).Seconds()*1e3, r.Quantile(0.99).Seconds()*1e3,
-			float64(r.Extra)/float64(max(1, r.Sends)), after.Worth/float64(max(1, after.Asked)))
+			float64(r.Extra)/float64(max(1, r.Sends)), after.Worth/float64(max(1, after.Asked)), worthByKind(r.During))
 	}
 	return tw.Flush()
 }
--- a/internal/balance/vm.go
+++ b/internal/balance/vm.go
@@ -13,6 +13,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
+	"sycamorekeel.example/sycamorekeel/internal/sendlimit"
 )
 
 const (
@@ -30,6 +31,7 @@
 	replicas *replica.Table
 	budgets  map[string]*retrybudget.Budget
 	limiter  *congestion.Limiter
+	unloaded *sendlimit.Unloaded
 	pools    map[string]*pool
 	sends    uint64
 }
@@ -40,18 +42,25 @@
 	window  int
 	busy    int
 	waiting []*send
+	// limits bounds the open sends by class. wakeAt is the end of the next pause of a class that
+	// waits, zero for none.
+	limits sendlimit.Limiter
+	wakeAt time.Time
 }
 
 func (p *pool) hasRoom() bool {
 	return p.busy < connections && (p.window == 0 || p.busy < p.window)
 }
 
-// ahead is how many answers come before a further send gets a connection.
-func (p *pool) ahead() float64 {
-	if p.hasRoom() {
-		return 0
+// queued is how many waiting sends go before a further one of a priority.
+func (p *pool) queued(priority int) int {
+	n := 0
+	for _, s := range p.waiting {
+		if s.query.kind.Priority <= priority {
+			n++
+		}
 	}
-	return float64(len(p.waiting)+1) / float64(max(1, p.busy))
+	return n
 }
 
 // send is one send of a query.
@@ -64,6 +73,8 @@
 	// started says that it has a connection, waited how long it has waited for one.
 	started bool
 	waited  time.Duration
+	// startedAt is when it got the connection.
+	startedAt time.Time
 	// job is the request at the upstream, once started.
 	job *job
 	// over says that it has ended or was withdrawn, full that the upstream had no room.
@@ -83,15 +94,15 @@
 func newVM(m *model, i int) *vm {
 	place := locality.Place{DataCentre: dataCentre(i), Region: region(dataCentre(i)), Regions: regionOf}
 	r := rand.New(rand.NewPCG(m.opts.Seed, uint64(i)+100))
-	v := &vm{model: m, rand: r, place: place, budgets: map[string]*retrybudget.Budget{}, pools: map[string]*pool{}}
+	v := &vm{model: m, rand: r, place: place, budgets: map[string]*retrybudget.Budget{}, pools: map[string]*pool{}, unloaded: sendlimit.NewUnloaded()}
 	v.replicas = replica.New(place, r)
 	v.replicas.SetUpstreams(m.clock.Now(), m.registered)
 	v.limiter = congestion.New(congestion.DefaultPolicy().WithSlots(m.opts.Copies * m.opts.Slots))
 	for _, service := range m.services {
 		v.budgets[service] = retrybudget.New(m.opts.Budget, 1/float64(m.opts.VMs), m.clock.Now())
 	}
-	for id := range m.servers {
-		v.pools[id] = &pool{}
+	for id, s := range m.servers {
+		v.pools[id] = v.newPool(s.Upstream)
 	}
 	return v
 }
@@ -132,12 +143,12 @@
 // do gives a send to a connection, or lets it wait for one.
 func (v *vm) do(s *send) {
 	p := v.pools[s.server.ID]
-	if p.hasRoom() {
+	if p.hasRoom() && v.mayStart(p, s.query.kind.Priority) {
 		v.start(s, p)
 		return
 	}
 	s.closed = p.window > 0 && p.window < connections
-	if len(p.waiting) >= maxWaiting {
+	if v.queuedBefore(p, s.query.kind.Priority) >= maxWaiting {
 		s.over = true
 		v.model.clock.After(0, func() { s.query.reply(s, scatter.NoConnection, nil, 0) })
 		return
@@ -149,6 +160,7 @@
 		return 1
 	})
 	p.waiting = slices.Insert(p.waiting, i, s)
+	v.wake(p)
 }
 
 func (v *vm) start(s *send, p *pool) {
@@ -157,6 +169,8 @@
 	s.waited = m.clock.Now().Sub(s.sentAt)
 	s.started = true
 	begun := m.clock.Now()
+	s.startedAt = begun
+	p.limits.Start(s.query.kind.Priority)
 	hop := v.hop(s.server.DataCentre)
 	s.job = &job{work: s.query.kind.Work}
 	s.job.ended = func(r scatter.Result, load *connpool.Load) {
@@ -179,15 +193,22 @@
 func (v *vm) release(s *send, p *pool) {
 	s.over = true
 	p.busy--
+	now := v.model.clock.Now()
+	p.limits.End(now, s.query.kind.Priority, now.Sub(s.startedAt))
 	v.next(p)
 }
 
 func (v *vm) next(p *pool) {
-	for len(p.waiting) > 0 && p.hasRoom() {
-		s := p.waiting[0]
-		p.waiting = p.waiting[1:]
+	for p.hasRoom() {
+		i := slices.IndexFunc(p.waiting, func(s *send) bool { return v.mayStart(p, s.query.kind.Priority) })
+		if i < 0 {
+			break
+		}
+		s := p.waiting[i]
+		p.waiting = slices.Delete(p.waiting, i, i+1)
 		v.start(s, p)
 	}
+	v.wake(p)
 }
 
 // withdraw ends the interest in a send.
@@ -216,6 +237,7 @@
 func (v *vm) note(s *send, r scatter.Result, took time.Duration) {
 	now := v.model.clock.Now()
 	u := s.server.Upstream
+	v.observeQueue(s, r, took)
 	switch r {
 	case scatter.Answered:
 		v.replicas.Answered(now, s.query.kind.Name, s.query.usual(), u, s.id, took)
--- a/internal/balance/ways.go
+++ b/internal/balance/ways.go
@@ -21,6 +21,8 @@
 	Hedging Hedging
 	// Verdicts is who learns that a copy has failed.
 	Verdicts Verdicts
+	// Classes is what limits the open sends of the less urgent kinds.
+	Classes Classes
 }
 
 // Choice is a way to choose a copy.
@@ -103,6 +105,19 @@
 	Shared Verdicts = "shared"
 )
 
+// Classes is a way to limit the open sends of the less urgent kinds at an upstream.
+type Classes string
+
+// Limits by class.
+const (
+	// ByQueue limits them while a more urgent kind sees a queue there.
+	ByQueue Classes = ""
+	// NoClasses limits nothing.
+	NoClasses Classes = "none"
+	// EqualShares limits them to the VM's equal share of the slots at all times.
+	EqualShares Classes = "equal_shares"
+)
+
 // alternatives is every way beside the project's, by matter.
 var alternatives = []struct {
 	matter string
@@ -115,6 +130,7 @@
 	{"ending", []string{string(AtFloor), string(AtDeadline)}, func(w *Ways, s string) { w.Ending = Ending(s) }},
 	{"hedging", []string{string(Never)}, func(w *Ways, s string) { w.Hedging = Hedging(s) }},
 	{"verdicts", []string{string(Shared)}, func(w *Ways, s string) { w.Verdicts = Verdicts(s) }},
+	{"classes", []string{string(NoClasses), string(EqualShares)}, func(w *Ways, s string) { w.Classes = Classes(s) }},
 }
 
 // Standing names the ways that the project decides by.
