connpool: the test of ended sends sees a place that is freed twice

Cause: a send that frees another one's place as well failed no test. Change: another send stays open during each kind of end and is the only one left.

--- a/internal/connpool/limits_test.go
+++ b/internal/connpool/limits_test.go
@@ -147,16 +147,17 @@
 }
 
 // Guards against a class that stays limited by a send that has ended, and against a send
-// that frees the place of another one: after each kind of end the class has no open send, and
-// the next call is sent.
+// that frees the place of another one: after each kind of end only another send is open,
+// and the next call is sent.
 func TestEverySendFreesItsPlaceOnce(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		// change prepares a call that ends by itself; end ends one that is in flight.
 		change func(*client, *Call)
 		end    func(*client, *gate, *Call)
-		// gone says that the upstream takes no further call.
-		gone bool
+		// gone says that the upstream takes no further call, othersEnd that its other open
+		// send ends too.
+		gone, othersEnd bool
 	}{
 		{name: "answered", end: func(_ *client, g *gate, _ *Call) { close(g.open) }},
 		{name: "withdrawn", end: func(_ *client, _ *gate, call *Call) { call.Withdraw() }},
@@ -169,7 +170,7 @@
 			}
 			c.up.Address = ln.Addr().String()
 			ln.Close()
-		}, gone: true},
+		}, gone: true, othersEnd: true},
 		{name: "pool closed", end: func(c *client, g *gate, _ *Call) {
 			c.pools.SetUpstreams(map[string]*catalog.Upstream{})
 			close(g.open)
@@ -178,16 +179,22 @@
 			restarted := *c.up
 			restarted.StartedAt = time.Unix(2000, 0)
 			c.pools.SetUpstreams(map[string]*catalog.Upstream{c.up.ID: &restarted})
-		}, gone: true},
+		}, gone: true, othersEnd: true},
 	} {
-		g := newGate(t, func(id string) bool { return id == "first" })
+		g := newGate(t, func(id string) bool {
+			if id == "other" {
+				<-t.Context().Done()
+			}
+			return id == "first"
+		})
 		cl := newClient(t, g.server, 4)
 		cl.up.StartedAt = time.Unix(1000, 0)
 		call, _ := cl.prepare("first", nil, low)
-		call.SharedBy, call.MinLimit = []int{urgent, low}, 1
+		call.SharedBy, call.MinLimit = []int{urgent, low}, 2
 		if c.change != nil {
 			c.change(cl, call)
 		}
+		cl.beginClass("other", low, 2)
 		cl.pools.Do(call)
 		cl.pools.mu.Lock()
 		pool := cl.pools.pools[cl.up.ID]
@@ -196,26 +203,30 @@
 			cl.waitArrived(g, "first")
 			c.end(cl, g, call)
 		}
+		left := 1
+		if c.othersEnd {
+			left = 0
+		}
 		for begun := time.Now(); ; time.Sleep(time.Millisecond) {
 			pool.mu.Lock()
 			open := pool.limits.Open(low)
 			pool.mu.Unlock()
-			if open == 0 {
+			if open == left {
 				break
 			}
 			if time.Since(begun) > testTimeout {
-				t.Fatalf("%s: %d open sends", c.name, open)
+				t.Fatalf("%s: %d open sends, want %d", c.name, open, left)
 			}
 		}
 		if c.gone {
 			continue
 		}
 		cl.queueSeen()
-		_, second := cl.beginClass("second", low, 1)
+		_, second := cl.beginClass("second", low, 2)
 		if r := cl.wait(second); r.Result != scatter.Answered {
 			t.Errorf("after %s: %v %s", c.name, r.Result, r.Detail)
 		}
-		cl.waitPool(c.name+": an open send is left", func(p *Pool) bool { return p.limits.Open(low) == 0 })
+		cl.waitPool(c.name+": not only the other send is open", func(p *Pool) bool { return p.limits.Open(low) == left })
 	}
 }
 
