--- a/internal/balance/query.go
+++ b/internal/balance/query.go
@@ -178,6 +178,7 @@
 			continue
 		}
 		v.replicas.Abandoned(now, q.kind.Name, q.usual(), s.server.Upstream, s.id, now.Sub(s.sentAt)-s.waitedFor(now))
+		v.observeWithdrawn(s)
 		v.withdraw(s)
 		v.setWindow(s.server.Upstream)
 	}
@@ -219,7 +220,7 @@
 	}
 	ahead := make([]float64, len(candidates))
 	for i, u := range candidates {
-		ahead[i] = v.pools[u.ID].ahead()
+		ahead[i] = v.ahead(v.pools[u.ID], q.kind.Priority)
 	}
 	return v.replicas.Choose(v.model.clock.Now(), q.kind.Name, q.usual(), candidates, ahead, tried)
 }
@@ -252,7 +253,7 @@
 	if w := v.model.opts.Ways.Hedging; w == Unconditional || w == OfFewParts {
 		return scatter.Expectation{}
 	}
-	ahead := v.pools[u.ID].ahead()
+	ahead := v.ahead(v.pools[u.ID], q.kind.Priority)
 	answer, next := v.replicas.Expect(v.model.clock.Now(), q.kind.Name, q.usual(), u, ahead)
 	return scatter.Expectation{Answer: answer, Queued: ahead > 0, FreeIn: next}
 }
@@ -260,7 +261,7 @@
 // Remaining implements scatter.Policy.
 func (q *query) Remaining(attempt int) time.Duration {
 	s := q.sends[attempt]
-	return q.vm.replicas.Remaining(q.vm.model.clock.Now(), q.kind.Name, q.usual(), s.server.Upstream, s.id, q.vm.pools[s.server.ID].ahead())
+	return q.vm.replicas.Remaining(q.vm.model.clock.Now(), q.kind.Name, q.usual(), s.server.Upstream, s.id, q.vm.ahead(q.vm.pools[s.server.ID], q.kind.Priority))
 }
 
 // HedgeAllowedAt implements scatter.Policy.
--- a/internal/balance/ways.go
+++ b/internal/balance/ways.go
@@ -25,6 +25,8 @@
 	Claims Claims
 	// Verdicts is who learns that a copy has failed.
 	Verdicts Verdicts
+	// Classes is what limits the open sends of the less urgent kinds.
+	Classes Classes
 }
 
 // Choice is a way to choose a copy.
@@ -142,6 +144,19 @@
 	Shared Verdicts = "shared"
 )
 
+// Classes is a way to limit the open sends of the less urgent kinds at an upstream.
+type Classes string
+
+// Limits by class.
+const (
+	// ByQueue limits them while a more urgent kind sees a queue there.
+	ByQueue Classes = ""
+	// NoClasses limits nothing.
+	NoClasses Classes = "none"
+	// EqualShares limits them to the VM's equal share of the slots at all times.
+	EqualShares Classes = "equal_shares"
+)
+
 // alternatives is every way beside the project's, by matter.
 var alternatives = []struct {
 	matter string
@@ -156,6 +171,7 @@
 	{"hedging", []string{string(OfFewParts), string(EarlyUnlessBusy), string(Unconditional), string(Never)}, func(w *Ways, s string) { w.Hedging = Hedging(s) }},
 	{"claims", []string{string(AllHedgesEqual)}, func(w *Ways, s string) { w.Claims = Claims(s) }},
 	{"verdicts", []string{string(Shared)}, func(w *Ways, s string) { w.Verdicts = Verdicts(s) }},
+	{"classes", []string{string(NoClasses), string(EqualShares)}, func(w *Ways, s string) { w.Classes = Classes(s) }},
 }
 
 // Standing names the ways that the project decides by.
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -14,7 +14,7 @@
 func (x *run) Expect(_ int, u *catalog.Upstream) scatter.Expectation {
 	e := x.engine
 	now := e.now()
-	ahead := e.pools.AnswersAhead(now, []*catalog.Upstream{u})[0]
+	ahead := e.pools.AnswersAhead(now, []*catalog.Upstream{u}, x.class(u))[0]
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	answer, next := e.replicas.Expect(now, x.req.Route.Name, x.defaultLatency, u, ahead)
@@ -27,7 +27,7 @@
 	now := e.now()
 	s := &x.sends[attempt]
 	u := s.call.Upstream
-	ahead := e.pools.AnswersAhead(now, []*catalog.Upstream{u})[0]
+	ahead := e.pools.AnswersAhead(now, []*catalog.Upstream{u}, x.class(u))[0]
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.replicas.Remaining(now, x.req.Route.Name, x.defaultLatency, u, s.id, ahead)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,6 +26,7 @@
 	sends          *prometheus.CounterVec
 	replies        *prometheus.CounterVec
 	budgetRefusals *prometheus.CounterVec
+	sendsHeld      *prometheus.CounterVec
 	forgone        *prometheus.CounterVec
 	stages         stageTimes
 	health         *prometheus.CounterVec
@@ -80,6 +82,9 @@
 			Name: "sycamorekeel_edge_budget_refusals_total", Help: "Extra sends that the budget did not allow.",
 		}, []string{"kind"}),
 	}
+	m.sendsHeld = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sycamorekeel_edge_sends_held_total", Help: "Sends that waited because of the limit on the open sends of their class.",
+	}, []string{"class"})
 	m.forgone = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sycamorekeel_edge_hedges_forgone_total", Help: "Parts with a hedge that was due and not made at that time, by reason.",
 	}, []string{"reason"})
@@ -88,7 +93,7 @@
 	}, []string{"result"})
 	m.stages = newStageTimes(reg)
 	m.poison = poison.NewMetrics(reg)
-	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.forgone, m.health)
+	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.sendsHeld, m.forgone, m.health)
 	return m
 }
 
@@ -129,9 +134,16 @@
 	m.budgetRefusals.WithLabelValues(k.String()).Inc()
 }
 
+// sendHeld counts a send of a class that waited because of the limit of the class.
+func (m *Metrics) sendHeld(priority int) {
+	m.sendsHeld.WithLabelValues(strconv.Itoa(priority)).Inc()
+}
+
 var (
 	budgetLeft = prometheus.NewDesc("sycamorekeel_edge_budget_left",
 		"Extra sends to a service that the retry budget allows this VM now.", []string{"service", "kind"}, nil)
+	sendLimits = prometheus.NewDesc("sycamorekeel_edge_send_limits",
+		"Upstreams with a limit in force on the open sends of a class, by class.", []string{"class"}, nil)
 	upstreamStates = prometheus.NewDesc("sycamorekeel_edge_upstreams",
 		"Upstreams by what they count as.", []string{"state"}, nil)
 	upstreamState = prometheus.NewDesc("sycamorekeel_edge_upstream_state",
@@ -141,6 +153,7 @@
 // Describe implements prometheus.Collector.
 func (e *Engine) Describe(out chan<- *prometheus.Desc) {
 	out <- budgetLeft
+	out <- sendLimits
 	out <- upstreamStates
 	out <- upstreamState
 	e.poison.Describe(out)
@@ -160,6 +173,9 @@
 		return prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
 	}
 	var out []prometheus.Metric
+	for class, n := range e.pools.Limited(now) {
+		out = append(out, gauge(sendLimits, float64(n), strconv.Itoa(class)))
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for service, b := range e.budgets {
