--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -1,6 +1,7 @@
 // Package congestion limits how many queries of one service a VM scatters concurrently. The
-// limit falls when upstreams refuse sub-requests and rises while it is in use. The package
-// reads no clock: callers pass the time.
+// limit falls when upstreams refuse sub-requests or hold them up, and rises while it is in
+// use. A Group adds a limit for each priority class, a short wait for a place, and the time
+// at which refused callers should retry. The package reads no clock: callers pass the time.
 //
 // Without the limit, load above the upstreams' capacity makes the owners refuse single
 // sub-requests. Most queries then lose a shard and the work done for their other shards is
@@ -9,6 +10,7 @@
 package congestion
 
 import (
+	"math"
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/pb"
@@ -99,13 +101,18 @@
 // Start admits a query of priority p. It returns false if the limit for p is reached. Each
 // admitted query must end with Done or Abandon.
 func (l *Limiter) Start(p pb.Priority) bool {
-	if float64(l.running) >= max(1, l.limit*(1-reservedShare(p))) {
+	if l.running >= l.places(p) {
 		return false
 	}
 	l.running++
 	return true
 }
 
+// places returns how many queries may run if the last of them has priority p.
+func (l *Limiter) places(p pb.Priority) int {
+	return int(math.Ceil(max(1, l.limit*(1-reservedShare(p)))))
+}
+
 // RetryAfter records that a query was refused and returns how long its caller should wait
 // before a retry: the duration of the current episode of congestion, within fixed bounds. Most
 // retries before that would be refused again.
@@ -122,6 +129,10 @@
 	Shards int
 	// RefusedShards is the number of shards that were refused at least once for lack of capacity.
 	RefusedShards int
+	// HeldUpShards is the number of shards whose sub-request waited at the VM for HeldUpAfter
+	// or longer, Expendable the number of shards that the answer may leave out. With fewer
+	// held-up shards single upstreams are at fault; with more the shards are congested.
+	HeldUpShards, Expendable int
 	// Late reports whether the query ended after its objective.
 	Late bool
 }
@@ -129,7 +140,7 @@
 // congestedShare returns the share of shards that counts as refused for lack of capacity.
 func (o *Outcome) congestedShare(p *Policy) float64 {
 	share := float64(o.RefusedShards) / float64(o.Shards)
-	if o.Late && o.RefusedShards > 0 {
+	if o.Late && o.RefusedShards > 0 || o.HeldUpShards > o.Expendable {
 		return max(share, p.CongestedShare)
 	}
 	return share
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -142,6 +142,15 @@
 	return min(due, cl.len)
 }
 
+// ExpectedWait estimates how long an item would wait for a slot if it were pushed now.
+func (q *Queue) ExpectedWait(it *Item) time.Duration {
+	return q.predictedWait(q.customer(it), it)
+}
+
+// Start takes a slot for a request that did not wait in the queue. The caller has checked
+// that a slot is free.
+func (q *Queue) Start() { q.running++ }
+
 // drainTime estimates how long the slots need to serve all waiting items.
 func (q *Queue) drainTime() time.Duration {
 	return q.service.typical() * time.Duration(len(q.byKey)) / time.Duration(max(1, q.opts.Slots))
