edge: a limit for each class, a short wait for a place, returning callers first

Cause: congestion of one class refused the others, the limit fell only when the queues of upstreams were full, and callers that returned were refused again. Change: edge admits queries by congestion.Group. Parts that waited at the VM for a quarter of the objective count. A query waits for a place until one is free, its time is over or its caller has left. Counters, log fields and the page tell the decisions.

--- a/cmd/sycamorekeel/explain.go
+++ b/cmd/sycamorekeel/explain.go
@@ -68,11 +68,11 @@
 func printLosses(out *output, losses []explain.Loss) {
 	w := tabwriter.NewWriter(out.to, 0, 0, 2, ' ', 0)
 	defer w.Flush()
-	fmt.Fprintln(w, "second\toutcome\tvm\trequests\tage\tplan\tresend\tconnect\tupstream\tfinish\tbudget\tmissing\tsends\tin flight\texample")
+	fmt.Fprintln(w, "second\toutcome\tvm\trequests\tage\tqueued\tplan\tresend\tconnect\tupstream\tfinish\tbudget\tmissing\tsends\tin flight\texample")
 	for _, l := range losses {
 		s := l.Stages
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.0f\t%.0f\t%s\n",
-			l.Second.Format("15:04:05"), l.Outcome, l.VM, l.Requests, s.Age, s.Plan, s.Resend, s.Connect, s.Upstream, s.Finish,
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.0f\t%.0f\t%s\n",
+			l.Second.Format("15:04:05"), l.Outcome, l.VM, l.Requests, s.Age, s.Queued, s.Plan, s.Resend, s.Connect, s.Upstream, s.Finish,
 			l.BudgetRefusals, l.Missing, l.Sends, l.InFlight, l.Example)
 	}
 }
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 	"sycamorekeel.example/sycamorekeel/internal/topk"
@@ -12,7 +13,7 @@
 // answer converts the verdict of a query to the answer for the caller.
 func (x *run) answer(v *scatter.Outcome) Answer {
 	a := Answer{Reason: Reason(v.Reason), NotRun: v.NotRun, Sends: len(x.sends), BudgetRefusals: x.budgetRefusals}
-	a.CongestedParts = x.congestedParts()
+	a.CongestedParts, a.HeldUpParts = x.congestedParts(), x.heldUpParts()
 	a.BrokenSends, a.AnsweredSends = x.countResults(scatter.Broken), x.countResults(scatter.Answered)
 	if x.last != nil {
 		a.SlowestUpstream = x.last.call.Upstream.ID
@@ -30,8 +31,21 @@
 	return a
 }
 
-// congestedParts returns how many parts a full upstream refused. Waits for a connection do
-// not count: after a restart one VM may be ready before the others, and then has few
+// heldUpParts returns how many parts waited at this VM for a quarter of the objective or
+// longer, because all sends that this VM may have open at an upstream were in use.
+func (x *run) heldUpParts() int {
+	limit, now := congestion.HeldUpAfter(objective(x.req.Route)), x.engine.now()
+	heldUp := map[int]bool{}
+	for i := range x.sends {
+		if s := &x.sends[i]; s.call.Waited(now) >= limit {
+			heldUp[s.part] = true
+		}
+	}
+	return len(heldUp)
+}
+
+// congestedParts returns how many parts a full upstream refused. A wait for a connection is
+// no refusal: after a restart one VM may be ready before the others, and then has few
 // connections to upstreams that are idle.
 func (x *run) congestedParts() int {
 	full := map[int]bool{}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -84,6 +84,8 @@
 	// upstream has ended.
 	startCall  func(*connpool.Call)
 	checkEnded func(*catalog.Upstream, func(ended bool))
+	// after returns a channel that receives after a duration.
+	after func(time.Duration) <-chan time.Time
 	// poison withholds requests that crash upstreams.
 	poison   *poison.Guard
 	view     atomic.Pointer[catalog.View]
@@ -103,7 +105,9 @@
 	// shareSince is when this VM's share of the fleet limits last grew by shareResetFactor.
 	shareSince time.Time
 	// limiters limits the queries in flight, keyed by the first shard of their route.
-	limiters map[string]*congestion.Limiter
+	limiters map[string]*congestion.Group
+	// waiting holds the queries that wait for a place under a limit.
+	waiting map[*congestion.Query]*place
 	// draws splits the requests of each route by the weights of its targets.
 	draws map[string]*routing.Sequence
 	sends uint64
@@ -114,12 +118,14 @@
 	e := &Engine{
 		opts:       opts,
 		now:        time.Now,
+		after:      time.After,
 		started:    now,
 		shareSince: now,
 		configured: make(chan struct{}),
 		replicas:   replica.New(opts.Place, opts.Random),
 		budgets:    map[string]*retrybudget.Budget{},
-		limiters:   map[string]*congestion.Limiter{},
+		limiters:   map[string]*congestion.Group{},
+		waiting:    map[*congestion.Query]*place{},
 		draws:      map[string]*routing.Sequence{},
 	}
 	e.warmups.table = warmup.New()
@@ -172,10 +178,12 @@
 			delete(e.budgets, name)
 		}
 	}
-	for name := range e.limiters {
+	for name, g := range e.limiters {
 		if !services[name] {
 			delete(e.limiters, name)
+			continue
 		}
+		g.RetainRoutes(routes)
 	}
 }
 
@@ -305,12 +313,12 @@
 	if !r.Route.FanOut() {
 		return e.run(v, r)
 	}
-	l := e.beginQuery(v, r.Route)
-	if l == nil {
-		return refuse(Congested, e.congestedRetryAfter(v, r.Route))
+	p, refusal := e.admitQuery(v, r)
+	if p == nil {
+		return refusal
 	}
 	a := e.run(v, r)
-	e.endQuery(l, r, &a)
+	e.endQuery(p, r, &a)
 	return a
 }
 
--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -26,7 +26,7 @@
 		}
 		log = e.opts.Logs.Samples
 	}
-	fields := make([]zap.Field, 0, 25)
+	fields := make([]zap.Field, 0, 27)
 	fields = append(fields,
 		zap.String("request", r.Message.ID),
 		zap.String("reason", string(a.Reason)),
@@ -50,6 +50,9 @@
 	}
 	if r.Route != nil {
 		fields = append(fields, zap.String("route", r.Route.Name), zap.Duration("objective", r.Route.Objective))
+		if r.Route.FanOut() {
+			fields = append(fields, zap.Duration("queued", r.queued.Round(time.Microsecond)), zap.Bool("returning", r.returning))
+		}
 		if r.Route.Homes.Restricted() {
 			fields = append(fields, zap.Strings("homes", r.Route.Homes.Regions()))
 		}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,10 +1,12 @@
 package edge
 
 import (
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/poison"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
@@ -27,9 +29,45 @@
 	budgetRefusals *prometheus.CounterVec
 	stages         stageTimes
 	health         *prometheus.CounterVec
+	admission      admissionMetrics
 	poison         *poison.Metrics
 }
 
+// admissionMetrics counts what became of queries at the limit of their shards.
+type admissionMetrics struct {
+	waits, refusals, returning *prometheus.CounterVec
+}
+
+func newAdmissionMetrics(reg prometheus.Registerer) admissionMetrics {
+	m := admissionMetrics{
+		waits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamorekeel_edge_admission_waits_total", Help: "Queries that waited for a place under the limit of their shards, by outcome.",
+		}, []string{"outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamorekeel_edge_admission_refusals_total", Help: "Queries refused for congestion, by class.",
+		}, []string{"class"}),
+		returning: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamorekeel_edge_admission_returning_total", Help: "Queries admitted before new ones because their callers returned after a refusal, by class.",
+		}, []string{"class"}),
+	}
+	reg.MustRegister(m.waits, m.refusals, m.returning)
+	return m
+}
+
+// className returns the label of a priority class.
+func className(p pb.Priority) string { return strings.ToLower(p.String()) }
+
+func (m *Metrics) admissionRefused(p pb.Priority) {
+	m.admission.refusals.WithLabelValues(className(p)).Inc()
+}
+
+func (m *Metrics) returningAdmitted(p pb.Priority) {
+	m.admission.returning.WithLabelValues(className(p)).Inc()
+}
+
+// waitEnded counts the wait of a query for a place.
+func (m *Metrics) waitEnded(o waitOutcome) { m.admission.waits.WithLabelValues(string(o)).Inc() }
+
 // stageTimes holds one histogram for each stage.
 type stageTimes struct {
 	plan, resend, connect, upstream, finish prometheus.Observer
@@ -83,6 +121,7 @@
 		Name: "sycamorekeel_edge_health_checks_total", Help: "Health checks of upstreams that may be cold, on new connections and on their own, by result.",
 	}, []string{"result"})
 	m.stages = newStageTimes(reg)
+	m.admission = newAdmissionMetrics(reg)
 	m.poison = poison.NewMetrics(reg)
 	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.health)
 	return m
@@ -121,6 +160,8 @@
 }
 
 var (
+	admissionLimit = prometheus.NewDesc("sycamorekeel_edge_admission_limit",
+		"Queries of a class that may run at a time on this VM, by the first shard of their route.", []string{"service", "class"}, nil)
 	budgetLeft = prometheus.NewDesc("sycamorekeel_edge_budget_left",
 		"Extra sends to a service that the retry budget allows this VM now.", []string{"service", "kind"}, nil)
 	upstreamStates = prometheus.NewDesc("sycamorekeel_edge_upstreams",
@@ -131,6 +172,7 @@
 
 // Describe implements prometheus.Collector.
 func (e *Engine) Describe(out chan<- *prometheus.Desc) {
+	out <- admissionLimit
 	out <- budgetLeft
 	out <- upstreamStates
 	out <- upstreamState
@@ -158,6 +200,11 @@
 			out = append(out, gauge(budgetLeft, max(0, b.Remaining(now, kind)), service, kind.String()))
 		}
 	}
+	for service, g := range e.limiters {
+		g.Limits(func(p pb.Priority, limit float64) {
+			out = append(out, gauge(admissionLimit, limit, service, className(p)))
+		})
+	}
 	count := e.replicas.Count()
 	for _, state := range replica.States {
 		out = append(out, gauge(upstreamStates, float64(count[state]), state.String()))
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -30,6 +30,10 @@
 	Route *routing.Route
 	// trial marks a suspect, which is tried at one upstream first.
 	trial bool
+	// queued is how long the query waited for a place under the limit of its shards.
+	queued time.Duration
+	// returning says that its deadline shows the query to be its caller's second try.
+	returning bool
 	// fingerprint caches the result of contentFingerprint; zero before the first call.
 	fingerprint fingerprint.Fingerprint
 }
@@ -132,6 +136,9 @@
 	Body    []byte
 	// CongestedParts is how many parts were refused by a full upstream.
 	CongestedParts int
+	// HeldUpParts is how many parts waited at this VM for a quarter of the objective or
+	// longer.
+	HeldUpParts int
 	// Sends is the number of sends to upstreams.
 	Sends int
 	// BrokenSends is how many sends ended with the connection closed before any byte of an
--- a/internal/edge/stages.go
+++ b/internal/edge/stages.go
@@ -5,7 +5,9 @@
 // Stages divides the time of a request along the path of the reply that came last, because
 // the answer waited for that reply longest. The stages add up to the total time.
 type Stages struct {
-	// Plan lasts from reading the request to its first send.
+	// Queued is the wait for a place under the limit of the query's shards.
+	Queued time.Duration
+	// Plan lasts from reading the request to its first send, without Queued.
 	Plan time.Duration
 	// Resend lasts from the first send to the send that got the last reply; 0 if they are
 	// the same.
@@ -24,7 +26,8 @@
 func stagesOf(r *Request, first, s *send, repliedAt time.Time) Stages {
 	upstream := s.reply.Took
 	return Stages{
-		Plan:     first.sentAt.Sub(r.Received),
+		Queued:   r.queued,
+		Plan:     first.sentAt.Sub(r.Received) - r.queued,
 		Resend:   s.sentAt.Sub(first.sentAt),
 		Connect:  max(0, repliedAt.Sub(s.sentAt)-upstream),
 		Upstream: upstream,
@@ -33,5 +36,5 @@
 
 // finish sets Finish for a request whose total time is took.
 func (s *Stages) finish(took time.Duration) {
-	s.Finish = max(0, took-s.Plan-s.Resend-s.Connect-s.Upstream)
+	s.Finish = max(0, took-s.Queued-s.Plan-s.Resend-s.Connect-s.Upstream)
 }
--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -42,6 +42,7 @@
 // Stages is where the time of requests went, in milliseconds.
 type Stages struct {
 	Age      float64 `json:"age"`
+	Queued   float64 `json:"queued"`
 	Plan     float64 `json:"plan"`
 	Resend   float64 `json:"resend"`
 	Connect  float64 `json:"connect"`
@@ -52,6 +53,7 @@
 // add adds up two accounts, the second one times a factor.
 func (s *Stages) add(other *Stages, factor float64) {
 	s.Age += factor * other.Age
+	s.Queued += factor * other.Queued
 	s.Plan += factor * other.Plan
 	s.Resend += factor * other.Resend
 	s.Connect += factor * other.Connect
