balance: the limits of package congestion, and a threshold by priority beside them

Cause: the model had one limit for all classes and no callers that come back first. Change: standing ways use congestion.Group as package edge does; limit=full_parts is the former way, limit=priority_threshold a published one (DAGOR). Classes divide the initial limit, and a class whose limit was lowered refuses queries that would be late.

--- a/internal/balance/options.go
+++ b/internal/balance/options.go
@@ -44,6 +44,9 @@
 	Load float64
 }
 
+// usualBusy is the part of the upstreams' slots that the usual load keeps busy.
+const usualBusy = 0.08
+
 // Patterns is the loads of the experiment by name.
 var Patterns = []Pattern{
 	{Name: "quiet"},
@@ -56,6 +59,8 @@
 	{Name: "twice", Load: 2},
 	{Name: "four-times", Load: 4},
 	{Name: "eight-times", Load: 8},
+	{Name: "half", Load: 0.5},
+	{Name: "slow-busy", Share: 0.25, Slow: 4, Load: 1.7 * usualBusy},
 }
 
 // PatternNames is the names of all patterns.
@@ -90,7 +95,7 @@
 			{Name: "sweep", Share: 0.65, Work: 11 * time.Millisecond, Objective: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond, MinCoverage: 0.9, Priority: 1},
 			{Name: "check", Share: 0.35, Work: 4 * time.Millisecond, Objective: 120 * time.Millisecond, Deadline: 1500 * time.Millisecond, MinCoverage: 0.8},
 		},
-		Busy:   0.08,
+		Busy:   usualBusy,
 		Budget: retrybudget.Limit{Ratio: 0.2, Window: 10 * time.Second, Allowance: 170},
 		Begin:  4 * time.Second, End: 8 * time.Second, Length: 14 * time.Second,
 	}
--- a/internal/balance/query.go
+++ b/internal/balance/query.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/connpool"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
@@ -35,17 +36,16 @@
 	wakeAt time.Time
 }
 
-// ask begins a query whose caller leaves at a time.
-func (v *vm) ask(k *Kind, leaves time.Time, done func(*query, *scatter.Outcome)) {
+// ask begins a query that came at a time and whose caller leaves at another.
+func (v *vm) ask(k *Kind, came, leaves time.Time, done func(*query, *scatter.Outcome)) {
 	now := v.model.clock.Now()
 	for _, b := range v.budgets {
 		b.AddRequest()
 	}
-	q := &query{vm: v, kind: k, began: now, done: done}
+	q := &query{vm: v, kind: k, began: came, done: done}
 	services := v.model.services
-	floor := max(1, int(math.Ceil(k.MinCoverage*float64(len(services))-1e-9)))
 	q.query = scatter.New(scatter.Plan{
-		Services: services, Idempotent: true, Attempts: 2, MinParts: floor,
+		Services: services, Idempotent: true, Attempts: 2, MinParts: k.floor(len(services)),
 		AnswerBy: q.answerBy(leaves), Deadline: leaves.Add(-giveUpMargin),
 	}, q)
 	q.step(func() []scatter.Send { return q.query.Start(now) })
@@ -117,6 +117,7 @@
 		return
 	}
 	s.full = r == scatter.Refused && q.takenForFull(load)
+	s.endedAt = q.vm.model.clock.Now()
 	q.vm.note(s, r, took)
 	n := slices.Index(q.sends, s)
 	q.step(func() []scatter.Send { return q.query.Ended(q.vm.model.clock.Now(), n, r) })
@@ -175,6 +176,23 @@
 	return len(held)
 }
 
+// waitedParts is how many parts have waited a quarter of the objective at the VM.
+func (q *query) waitedParts() int {
+	now := q.vm.model.clock.Now()
+	waited := map[int]bool{}
+	for _, s := range q.sends {
+		if s.waitedFor(now) >= congestion.HeldUpAfter(q.kind.Objective) {
+			waited[s.part] = true
+		}
+	}
+	return len(waited)
+}
+
+// floor is the least parts of an answer.
+func (k *Kind) floor(shards int) int {
+	return max(1, int(math.Ceil(k.MinCoverage*float64(shards)-1e-9)))
+}
+
 // Choose implements scatter.Policy.
 func (q *query) Choose(part int, tried []string) *catalog.Upstream {
 	v := q.vm
--- a/internal/balance/result.go
+++ b/internal/balance/result.go
@@ -25,6 +25,8 @@
 	coverage float64
 	refused  bool
 	took     time.Duration
+	// tryTook is how long the last try took.
+	tryTook time.Duration
 }
 
 // Count is the queries of a kind in a span of a run.
@@ -35,6 +37,10 @@
 	Late    int `json:"late"`
 	Refused int `json:"refused"`
 	Failed  int `json:"failed"`
+	// Second is those of Late that were in time from the second try on.
+	Second int `json:"second"`
+	// Congested is the tries that were refused for congestion.
+	Congested int `json:"congested"`
 	// Worth is the sum of what callers got of each: 1 for a whole answer in time.
 	Worth float64 `json:"worth"`
 }
@@ -69,24 +75,38 @@
 	return r
 }
 
-// count takes in how a query ended.
-func (r *Result) count(c *caller, o outcome) {
-	var to *Count
+// span is where a caller's query counts, nil for nowhere.
+func (r *Result) span(c *caller) *Count {
 	switch {
 	case !c.began.Before(r.begin) && c.began.Before(r.end):
-		to = r.During[c.kind.Name]
-		if o.coverage > 0 {
-			// An error means that it is longer than the histogram's range.
-			_ = r.took.RecordValue(min(o.took, longest).Microseconds())
-		}
+		return r.During[c.kind.Name]
 	case c.began.After(r.end.Add(settled)):
-		to = r.After[c.kind.Name]
+		return r.After[c.kind.Name]
 	default:
+		return nil
+	}
+}
+
+// count takes in how a query ended.
+func (r *Result) count(c *caller, o outcome) {
+	to := r.span(c)
+	if to == nil {
 		return
 	}
+	if to == r.During[c.kind.Name] && o.coverage > 0 {
+		// An error means that it is longer than the histogram's range.
+		_ = r.took.RecordValue(min(o.took, longest).Microseconds())
+	}
 	to.add(c.kind, o)
 }
 
+// countCongested takes in a try that was refused for congestion.
+func (r *Result) countCongested(c *caller) {
+	if to := r.span(c); to != nil {
+		to.Congested++
+	}
+}
+
 func (n *Count) add(k *Kind, o outcome) {
 	n.Asked++
 	switch {
@@ -96,7 +116,12 @@
 		n.Failed++
 	case o.took > k.Objective:
 		n.Late++
-		n.Worth += lateWorth * o.coverage * o.coverage
+		worth := lateWorth
+		if o.tryTook <= k.Objective && o.tryTook < o.took {
+			n.Second++
+			worth = secondWorth
+		}
+		n.Worth += worth * o.coverage * o.coverage
 	case o.coverage < 1:
 		n.Partial++
 		n.Worth += o.coverage * o.coverage
@@ -116,6 +141,8 @@
 		sum.Late += c.Late
 		sum.Refused += c.Refused
 		sum.Failed += c.Failed
+		sum.Second += c.Second
+		sum.Congested += c.Congested
 		sum.Worth += c.Worth
 	}
 	return sum
@@ -138,13 +165,13 @@
 // Write prints results for people.
 func Write(to io.Writer, results []Result) error {
 	tw := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "pattern\tway\tseed\tasked\tworth\tin time a second\tpartial\tlate\trefused\tfailed\tp50 ms\tp99 ms\textra sends\tworth after\t")
+	fmt.Fprintln(tw, "pattern\tway\tseed\tasked\tworth\tin time a second\tpartial\tlate\tsecond try\trefused\tfailed\tp50 ms\tp99 ms\textra sends\tworth after\t")
 	for i := range results {
 		r := &results[i]
 		during, after := Sum(r.During), Sum(r.After)
-		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%.3f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%.3f\t\n",
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%.3f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.3f\t%.3f\t\n",
 			r.Pattern, r.Way, r.Seed, during.Asked, during.Worth/float64(max(1, during.Asked)), r.Goodput(),
-			during.share(during.Partial), during.share(during.Late), during.share(during.Refused), during.share(during.Failed),
+			during.share(during.Partial), during.share(during.Late), during.share(during.Second), during.share(during.Refused), during.share(during.Failed),
 			r.Quantile(0.5).Seconds()*1e3, r.Quantile(0.99).Seconds()*1e3,
 			float64(r.Extra)/float64(max(1, r.Sends)), after.Worth/float64(max(1, after.Asked)))
 	}
--- a/internal/balance/vm.go
+++ b/internal/balance/vm.go
@@ -6,10 +6,8 @@
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
-	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/connpool"
 	"sycamorekeel.example/sycamorekeel/internal/locality"
-	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
@@ -29,7 +27,7 @@
 	place    locality.Place
 	replicas *replica.Table
 	budgets  map[string]*retrybudget.Budget
-	limiter  *congestion.Limiter
+	gate     gate
 	pools    map[string]*pool
 	sends    uint64
 }
@@ -68,6 +66,8 @@
 	job *job
 	// over says that it has ended or was withdrawn, full that the upstream had no room.
 	over, full bool
+	// endedAt is when its reply came, zero before and if it was withdrawn.
+	endedAt time.Time
 	// closed says that it has had to wait for the upstream's window.
 	closed bool
 }
@@ -86,7 +86,7 @@
 	v := &vm{model: m, rand: r, place: place, budgets: map[string]*retrybudget.Budget{}, pools: map[string]*pool{}}
 	v.replicas = replica.New(place, r)
 	v.replicas.SetUpstreams(m.clock.Now(), m.registered)
-	v.limiter = congestion.New(congestion.DefaultPolicy().WithSlots(m.opts.Copies * m.opts.Slots))
+	v.gate = newGate(v)
 	for _, service := range m.services {
 		v.budgets[service] = retrybudget.New(m.opts.Budget, 1/float64(m.opts.VMs), m.clock.Now())
 	}
@@ -96,39 +96,6 @@
 	return v
 }
 
-// urgency is the class of a kind's priority.
-func urgency(priority int) pb.Priority {
-	if priority == 0 {
-		return pb.Priority_HIGH
-	}
-	return pb.Priority_NORMAL
-}
-
-// admits begins a query unless too many are under way.
-func (v *vm) admits(k *Kind) bool {
-	return v.model.opts.Ways.Limit == NoLimit || v.limiter.Start(urgency(k.Priority))
-}
-
-// ended takes a query off those under way.
-func (v *vm) ended(q *query) {
-	now := v.model.clock.Now()
-	o := congestion.Outcome{Shards: len(v.model.services), RefusedShards: q.crowdedParts(), Late: now.Sub(q.began) > q.kind.Objective}
-	switch v.model.opts.Ways.Limit {
-	case NoLimit:
-		return
-	case ByManyFullParts:
-		o.Late = false
-	case ByClosedWindows:
-		o.RefusedShards = q.heldUpParts()
-	case ByLateAnswers:
-		o.RefusedShards = 0
-		if o.Late {
-			o.RefusedShards = o.Shards / 2
-		}
-	}
-	v.limiter.Done(now, q.began, o)
-}
-
 // do gives a send to a connection, or lets it wait for one.
 func (v *vm) do(s *send) {
 	p := v.pools[s.server.ID]
--- a/internal/balance/ways.go
+++ b/internal/balance/ways.go
@@ -54,18 +54,25 @@
 
 // Limits.
 const (
-	// ByFullParts cuts the limit by the parts that found no room, of late queries by a single
-	// one.
-	ByFullParts Limit = ""
-	// ByManyFullParts cuts it by a quarter of the parts, whether the query is late or not.
+	// ByClass has a limit for each class, cut by parts that found no room or were held up at
+	// the VM. Queries wait for a place, and callers that come back go first.
+	ByClass Limit = ""
+	// ByFullParts has one limit for all classes, cut by the parts that found no room, of late
+	// queries by a single one.
+	ByFullParts Limit = "full_parts"
+	// ByManyFullParts is ByFullParts, but cuts by a quarter of the parts, whether the query is
+	// late or not.
 	ByManyFullParts Limit = "many_full_parts"
 	// NoLimit bounds nothing.
 	NoLimit Limit = "none"
-	// ByLateAnswers cuts the limit by answers that came after their objective.
+	// ByLateAnswers cuts one limit by answers that came after their objective.
 	ByLateAnswers Limit = "late_answers"
-	// ByClosedWindows also counts the parts that waited as long as the objective for an
-	// upstream whose window was closed.
+	// ByClosedWindows is ByFullParts, but also counts the parts that waited a quarter of the
+	// objective for an upstream whose window was closed.
 	ByClosedWindows Limit = "closed_windows"
+	// ByThreshold admits from a threshold of class and caller on, which follows the mean time
+	// that parts queue.
+	ByThreshold Limit = "priority_threshold"
 )
 
 // Ending is a way to end a query.
@@ -111,7 +118,7 @@
 }{
 	{"choice", []string{string(TwoChoices), string(AnyCopy)}, func(w *Ways, s string) { w.Choice = Choice(s) }},
 	{"refusals", []string{string(AllFull), string(AllFaults)}, func(w *Ways, s string) { w.Refusals = Refusals(s) }},
-	{"limit", []string{string(NoLimit), string(ByLateAnswers), string(ByManyFullParts), string(ByClosedWindows)}, func(w *Ways, s string) { w.Limit = Limit(s) }},
+	{"limit", []string{string(NoLimit), string(ByFullParts), string(ByLateAnswers), string(ByManyFullParts), string(ByClosedWindows), string(ByThreshold)}, func(w *Ways, s string) { w.Limit = Limit(s) }},
 	{"ending", []string{string(AtFloor), string(AtDeadline)}, func(w *Ways, s string) { w.Ending = Ending(s) }},
 	{"hedging", []string{string(Never)}, func(w *Ways, s string) { w.Hedging = Hedging(s) }},
 	{"verdicts", []string{string(Shared)}, func(w *Ways, s string) { w.Verdicts = Verdicts(s) }},
--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -69,6 +69,13 @@
 	return p
 }
 
+// WithClasses returns the policy for each of n classes that share the upstreams: they divide
+// the initial limit.
+func (p Policy) WithClasses(n int) Policy {
+	p.InitialLimit = max(p.MinLimit, p.InitialLimit/float64(max(1, n)))
+	return p
+}
+
 // Limiter limits the concurrent queries of one service. It is not safe for concurrent use.
 type Limiter struct {
 	policy      Policy
--- a/internal/congestion/group.go
+++ b/internal/congestion/group.go
@@ -19,6 +19,9 @@
 	// yieldPeriod is how long a refusal of a class keeps less urgent classes from being
 	// refused less often.
 	yieldPeriod = time.Second
+	// congestedPeriod is how long after its limit was lowered a class refuses queries that it
+	// expects to be late.
+	congestedPeriod = time.Second
 	// promiseGrace is how long after its due time a promised return keeps a place free.
 	promiseGrace = 500 * time.Millisecond
 	// maxReservedPlaces is the largest fraction of the places that new queries leave to
@@ -104,11 +107,11 @@
 type class struct {
 	priority pb.Priority
 	limiter  *Limiter
-	// queue holds the waiting queries: first those of returning callers, then by the time
-	// left.
-	queue            *dispatch.Queue
-	waiting          map[uint64]*Query
-	waitingReturning int
+	// queue holds the waiting queries by the time left. Those of returning callers are not
+	// preferred there: under a lasting overload they would take every place, and new queries,
+	// which can still be answered within their first objective, would all become late.
+	queue   *dispatch.Queue
+	waiting map[uint64]*Query
 	// promises holds the due times of the retries that callers were told to make, in order.
 	promises       []time.Time
 	asked, refused decayed
@@ -142,6 +145,8 @@
 	switch {
 	case g.yields(now, c):
 		return Refused
+	case c.expectsLate(now, q):
+		return Refused
 	case c.hasPlace(now, q):
 		c.queue.Start()
 		c.admit(now, q)
@@ -180,8 +185,8 @@
 		return false
 	}
 	g.serial++
-	q.item = dispatch.Item{Key: dispatch.Key{ID: g.serial}, Priority: queueClass(q), Arrived: q.Arrived, Deadline: q.due()}
-	c.queue.SetSlots(c.places(now, q.Returning))
+	q.item = dispatch.Item{Key: dispatch.Key{ID: g.serial}, Priority: q.Priority, Arrived: q.Arrived, Deadline: q.due()}
+	c.queue.SetSlots(c.places(now, false))
 	wait := c.queue.ExpectedWait(&q.item) + c.untilBelowLimit()
 	start := now.Add(wait)
 	if start.After(q.WaitUntil()) || start.Add(c.queue.ServiceTime()).After(q.due()) {
@@ -191,21 +196,9 @@
 		return false
 	}
 	c.waiting[g.serial] = q
-	if q.Returning {
-		c.waitingReturning++
-	}
 	return true
 }
 
-// queueClass returns the class within the queue, which orders returning callers before new
-// ones.
-func queueClass(q *Query) pb.Priority {
-	if q.Returning {
-		return pb.Priority_HIGH
-	}
-	return pb.Priority_LOW
-}
-
 // Done ends an admitted query and returns the waiting queries that are decided by it.
 func (g *Group) Done(now time.Time, q *Query, o Outcome) []Verdict {
 	q.class.limiter.Done(now, q.admittedAt, o)
@@ -229,7 +222,7 @@
 		return false
 	}
 	c.queue.Cancel(q.item.Key)
-	c.forget(q)
+	delete(c.waiting, q.item.Key.ID)
 	return true
 }
 
@@ -239,15 +232,15 @@
 	for _, c := range g.classes {
 		c.dropLapsed(now)
 		for c.queue.Len() > 0 {
-			c.queue.SetSlots(c.places(now, c.waitingReturning > 0))
+			c.queue.SetSlots(c.places(now, false))
 			next, late := c.queue.Pop(now)
 			for _, r := range late {
-				out = append(out, Verdict{Query: c.forget(c.waiting[r.Item.Key.ID])})
+				out = append(out, Verdict{Query: c.take(r.Item)})
 			}
 			if next == nil {
 				break
 			}
-			q := c.forget(c.waiting[next.Key.ID])
+			q := c.take(next)
 			c.admit(now, q)
 			out = append(out, Verdict{Query: q, Decision: Admitted})
 		}
@@ -315,20 +308,26 @@
 	q.admittedAt = now
 }
 
-// forget removes a query that no longer waits from the records of the class.
-func (c *class) forget(q *Query) *Query {
-	delete(c.waiting, q.item.Key.ID)
-	if q.Returning {
-		c.waitingReturning--
-	}
+// take removes and returns the query of an item that has left the queue.
+func (c *class) take(it *dispatch.Item) *Query {
+	q := c.waiting[it.Key.ID]
+	delete(c.waiting, it.Key.ID)
 	return q
 }
 
-// hasPlace reports whether a query may run at once: there is a place and nobody waits for it
-// who comes first.
+// expectsLate reports whether a query would be late even if it ran at once: the limit was
+// lowered lately, and the queries of the class take longer than its objective. Without
+// congestion, slow upstreams are no reason to refuse. A class without a running query always
+// admits one, so that the estimate is corrected.
+func (c *class) expectsLate(now time.Time, q *Query) bool {
+	return q.Objective > 0 && c.limiter.running > 0 && now.Sub(c.limiter.decreasedAt) <= congestedPeriod &&
+		now.Add(c.queue.ServiceTime()).After(q.due())
+}
+
+// hasPlace reports whether a query may run at once. New queries do not overtake those that
+// wait. Returning callers do: the place that was kept for them must not be lost.
 func (c *class) hasPlace(now time.Time, q *Query) bool {
-	first := c.queue.Len() == 0 || q.Returning && c.waitingReturning == 0
-	return first && c.limiter.running < c.places(now, q.Returning)
+	return (q.Returning || c.queue.Len() == 0) && c.limiter.running < c.places(now, q.Returning)
 }
 
 // places returns how many queries of the class may run. New queries leave places to callers
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -158,7 +158,8 @@
 func (e *Engine) limiter(v *catalog.View, route *routing.Route) *congestion.Group {
 	g := e.limiters[route.Shards[0]]
 	if g == nil {
-		g = congestion.NewGroup(congestion.DefaultPolicy().WithSlots(e.ownSlots(minShardSlots(v, route.Shards))))
+		policy := congestion.DefaultPolicy().WithSlots(e.ownSlots(minShardSlots(v, route.Shards)))
+		g = congestion.NewGroup(policy.WithClasses(classesOf(v, route.Shards[0])))
 		e.limiters[route.Shards[0]] = g
 	}
 	return g
@@ -171,6 +172,19 @@
 	return (slots + vms - 1) / vms
 }
 
+// classesOf returns how many priority classes the queries over a shard have.
+func classesOf(v *catalog.View, first string) int {
+	classes := map[pb.Priority]bool{}
+	if v.Config != nil {
+		for i := range v.Config.Routes {
+			if r := &v.Config.Routes[i]; r.FanOut() && r.Shards[0] == first {
+				classes[priorityClass(r.Priority)] = true
+			}
+		}
+	}
+	return len(classes)
+}
+
 // minShardSlots returns the slots of the shard that has the fewest, among the shards that
 // have an upstream, or 0 if none has.
 func minShardSlots(v *catalog.View, shards []string) int {
--- a/internal/edge/admit_test.go
+++ b/internal/edge/admit_test.go
@@ -181,10 +181,16 @@
 	}
 }
 
-// Guards against a limit that each of several VMs starts with as if it were alone: together
-// they admit several times what the upstreams take before the first sign of congestion.
+// Guards against a limit that each of several VMs and classes starts with as if it were alone:
+// together they admit several times what the upstreams take before the first sign of congestion.
 func TestInitialLimitIsSharedAmongVMs(t *testing.T) {
 	v := &catalog.View{Services: map[string][]*catalog.Upstream{"a": {{Slots: 60}}}}
+	second := routing.Route{Shards: queueRoute.Shards, Priority: 1}
+	shared := &catalog.View{Services: v.Services, Config: &routing.Config{Routes: []routing.Route{*queueRoute, second, second}}}
+	e := newLimitedEngine(func() time.Time { return start })
+	if p, _ := e.askPlace(shared, &Request{Received: start, Route: queueRoute}); p.limit() != 120 {
+		t.Errorf("two classes: limit %v, want 120", p.limit())
+	}
 	for vms, want := range map[int]float64{1: 240, 3: 80, 9: 28, 60: 16} {
 		e := newLimitedEngine(func() time.Time { return start })
 		e.shares.Store(&Shares{VMs: 60, IngressVMs: vms, Ingress: true})
