--- a/internal/edge/log.go
+++ b/internal/edge/log.go
@@ -59,6 +59,9 @@
 	}
 	if r.Route != nil {
 		fields = append(fields, zap.String("route", r.Route.Name), zap.Duration("objective", r.Route.Objective))
+		if r.Route.FanOut() {
+			fields = append(fields, zap.Duration("queued", r.queued.Round(time.Microsecond)), zap.Bool("returning", r.returning))
+		}
 		if r.Route.Homes.Restricted() {
 			fields = append(fields, zap.Strings("homes", r.Route.Homes.Regions()))
 		}
