--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -50,6 +50,11 @@
 	return Policy{CongestedShare: 0.25, MinShards: 4, MaxDecrease: 0.5, MinLimit: 2, InitialLimit: 64}
 }
 
+// mildDecreaseFrom is the least fraction of the limit from which it falls for a query that is
+// only just congested. A query that a pause of an upstream held up while few others ran says
+// nothing about so low a limit, and the limit would refuse queries below capacity.
+const mildDecreaseFrom = 0.5
+
 const (
 	// queriesPerSlot is the number of running queries that keep one slot busy. A query's
 	// sub-requests spend most of their time in transit to an upstream and back.
@@ -187,7 +192,11 @@
 		return
 	}
 	l.decreasedAt = now
-	l.limit = max(l.policy.MinLimit, min(l.limit, float64(running))*(1-l.policy.MaxDecrease*share))
+	from := min(l.limit, float64(running))
+	if share <= l.policy.CongestedShare {
+		from = max(from, mildDecreaseFrom*l.limit)
+	}
+	l.limit = max(l.policy.MinLimit, from*(1-l.policy.MaxDecrease*share))
 }
 
 // Abandon ends a query without adjusting the limit.
--- a/internal/congestion/group_test.go
+++ b/internal/congestion/group_test.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// Guards against a limit that falls to its minimum below capacity: a pause of one upstream
+// holds up a query while hardly another one runs.
+func TestMildCongestionKeepsHalfOfTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	l := newLimiterRunning(2)
+	l.Done(after(time.Second), epoch, Outcome{Shards: shards, HeldUpShards: 2, Expendable: 1})
+	g.Expect(l.Limit()).To(BeNumerically("~", 64*0.5*0.875))
+}
+
 // Guards against congestion of a less urgent class that refuses a more urgent one.
 func TestCongestionOfAClassLeavesOtherClasses(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/edge/admit_test.go
+++ b/internal/edge/admit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,6 +117,17 @@
 	}
 }
 
+// Guards against a wait or a second try that an operator cannot tell from the log.
+func TestWaitAndSecondTryAreLogged(t *testing.T) {
+	e := newTestEngine()
+	r := request("/q/")
+	r.Route, r.queued, r.returning = queueRoute, 30*time.Millisecond, true
+	e.logRequestEnd(r, &Answer{Reason: Congested, NotRun: true})
+	if text := e.lines(t); !strings.Contains(text, `"queued":30,"returning":true`) {
+		t.Errorf("wait and second try are missing from %s", text)
+	}
+}
+
 // Guards against queries that take a place though their caller has left.
 func TestWaitEndsWhenTheCallerLeaves(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
