fleet: every Close of a VM's sockets waits until the socket is closed

Symptom: TestStopDuringStart fails under load with "listen udp 127.x.x.x: bind: address already in use" in Fleet.Restart.

Cause: a fault of the test fleet. VM.Kill closes the callers' listener first. The daemon then ends, and its gossip driver closes the gossip socket at the same time as Kill. Of two concurrent Close calls on a socket of package net the second returns at once, while the first waits for the blocked reader. If Kill's call is the second, Restart listens on the address while the socket is open. Seen in stack traces of a failed run: the former socket is still open in the process, and the driver's goroutine waits in FD.Close.

Change: the wrappers of the fleet's listeners and gossip sockets close the socket once, and each Close returns when it is closed. Kill closes the wrappers. TestEveryCloseWaitsUntilTheSocketIsClosed fails without the change.

--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -159,3 +162,53 @@
 		g.Eventually(done).WithTimeout(time.Minute).Should(Receive(BeNil()))
 	}
 }
+
+// slowClose is a socket that a reader has not left yet: the first Close waits until released is
+// closed, and later ones return at once, as those of package net do.
+type slowClose struct {
+	net.PacketConn
+	net.Listener
+	begun    atomic.Bool
+	released chan struct{}
+}
+
+func (s *slowClose) Close() error {
+	if s.begun.Swap(true) {
+		return net.ErrClosed
+	}
+	<-s.released
+	return nil
+}
+
+// Guards against a restart that fails with "address already in use". Kill closes the callers'
+// listener first, upon which the daemon ends and closes its gossip socket itself. Kill's own Close
+// of that socket returned at once, while the socket was still open for its reader, and Restart
+// listened on the address too early.
+func TestEveryCloseWaitsUntilTheSocketIsClosed(t *testing.T) {
+	tracker := newConnTracker("vm-1", newNetwork())
+	for name, wrap := range map[string]func(*slowClose) io.Closer{
+		"gossip":   func(s *slowClose) io.Closer { return tracker.wrapPacketConn(s) },
+		"listener": func(s *slowClose) io.Closer { return tracker.wrapListener(s) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				socket := &slowClose{released: make(chan struct{})}
+				wrapped := wrap(socket)
+				var returned atomic.Int32
+				for range 2 {
+					go func() {
+						_ = wrapped.Close()
+						returned.Add(1)
+					}()
+				}
+				synctest.Wait()
+				early := returned.Load()
+				close(socket.released)
+				synctest.Wait()
+				g.Expect(early).To(BeZero())
+				g.Expect(returned.Load()).To(BeEquivalentTo(2))
+			})
+		})
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -238,13 +238,19 @@
 	settings.SetDefaults(s)
 	tracker := newConnTracker(s.Vm, f.network)
 	f.network.register(s.Vm, s.PeerAddress)
-	peerFault := newPeerFault(tracker.wrapListener(l.peer))
+	l = vmListeners{
+		caller:   tracker.wrapListener(l.caller),
+		operator: tracker.wrapListener(l.operator),
+		peer:     tracker.wrapListener(l.peer),
+		gossip:   tracker.wrapPacketConn(l.gossip),
+	}
+	peerFault := newPeerFault(l.peer)
 	d, err := daemon.New(s, daemon.Options{
 		Log:          f.opts.Log.With(zap.String("vm", s.Vm)),
-		Caller:       tracker.wrapListener(l.caller),
-		Operator:     tracker.wrapListener(l.operator),
+		Caller:       l.caller,
+		Operator:     l.operator,
 		Peer:         peerFault,
-		Gossip:       tracker.wrapPacketConn(l.gossip),
+		Gossip:       l.gossip,
 		DialPeer:     tracker.dialPeer,
 		DialUpstream: tracker.dialUpstream,
 		ShareLease:   shareLease,
--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -149,12 +150,38 @@
 
 // wrapListener tracks the connections that ln accepts.
 func (t *connTracker) wrapListener(ln net.Listener) net.Listener {
-	return &listener{Listener: ln, tracker: t}
+	return &listener{Listener: ln, tracker: t, closing: newSharedClose()}
 }
 
 type listener struct {
 	net.Listener
 	tracker *connTracker
+	closing *sharedClose
+}
+
+// Close returns once the socket is closed.
+func (l *listener) Close() error { return l.closing.do(l.Listener.Close) }
+
+// sharedClose closes a socket once, and lets every caller wait until it is closed. Of two
+// concurrent Close calls on a socket of package net, the second returns at once, while the first
+// still waits for a blocked reader to leave the socket. Kill and the daemon both close the
+// sockets, and Restart listens again on their addresses once Kill has returned.
+type sharedClose struct {
+	begun  atomic.Bool
+	closed chan struct{}
+	// err is valid once closed is closed.
+	err error
+}
+
+func newSharedClose() *sharedClose { return &sharedClose{closed: make(chan struct{})} }
+
+func (c *sharedClose) do(closeSocket func() error) error {
+	if !c.begun.Swap(true) {
+		c.err = closeSocket()
+		close(c.closed)
+	}
+	<-c.closed
+	return c.err
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -241,14 +268,18 @@
 
 // wrapPacketConn drops datagrams that the VM sends across a cut or after Kill.
 func (t *connTracker) wrapPacketConn(pc net.PacketConn) net.PacketConn {
-	return &packetConn{PacketConn: pc, tracker: t}
+	return &packetConn{PacketConn: pc, tracker: t, closing: newSharedClose()}
 }
 
 type packetConn struct {
 	net.PacketConn
 	tracker *connTracker
+	closing *sharedClose
 }
 
+// Close returns once the socket is closed.
+func (p *packetConn) Close() error { return p.closing.do(p.PacketConn.Close) }
+
 // WriteTo silently drops datagrams across a cut or after Kill.
 func (p *packetConn) WriteTo(b []byte, to net.Addr) (int, error) {
 	cut, _ := p.tracker.net.cutState(direction{p.tracker.vm, p.tracker.net.vmAt(to.String())})
