share, daemon: a VM with a late first configuration is ready only with a share

Symptom: TestOnlyHomeVMsServeACustomer gets 429 concurrency_limit in place of 200 for the first search at a home VM.

Cause: two faults of the product. A process whose first configuration came after the loans of its previous incarnation had expired (LenderTerm after the start) was treated as if its member list had changed: rate came a LenderTerm after the configuration, concurrency only the duration of a request later. Readiness looks at the rate, so the VM was ready and refused everything for 2 s. And the wait for a first token was counted from the process start: a VM configured 2 s after that was ready at once, without any share.

Change: the first list of members in a process gives the part that is never lent together with the rate, also when it comes late. The times at which rate and the full concurrency take effect are unchanged. The wait for a first token begins with the first configuration.

--- a/internal/daemon/shares.go
+++ b/internal/daemon/shares.go
@@ -42,6 +42,8 @@
 	mu         sync.Mutex
 	state      *share.State
 	controller *admission.Controller
+	// configuredAt is when the first configuration was applied, zero before.
+	configuredAt time.Time
 	// served lists the kinds of the customers whose home set contains this VM.
 	served []share.Kind
 }
@@ -89,6 +91,9 @@
 	s.mu.Lock()
 	s.controller.SetWeights(weights)
 	s.served = served
+	if s.configuredAt.IsZero() {
+		s.configuredAt = time.Now()
+	}
 	s.mu.Unlock()
 	s.step(share.Configured{Limits: limits})
 }
@@ -100,7 +105,8 @@
 
 // notReady returns the reason why a starting VM may not use its shares yet, or "" if
 // it may. It waits until the loans of the former incarnation have expired and until
-// a first request of each kind would be admitted, the latter for maxFillWait at most.
+// a first request of each kind would be admitted, the latter for maxFillWait at most after the
+// loans have expired and the first configuration was applied.
 func (s *shares) notReady() string {
 	if s.ready.Load() {
 		return ""
@@ -111,7 +117,8 @@
 	if !s.state.FormerLoansExpired(now) {
 		return "this VM waits until the loans of its former incarnation have ended"
 	}
-	if !s.admitsServedKinds(now) && !s.state.FormerLoansExpired(now.Add(-maxFillWait)) {
+	filling := now.Sub(s.configuredAt) < maxFillWait || !s.state.FormerLoansExpired(now.Add(-maxFillWait))
+	if filling && !s.admitsServedKinds(now) {
 		return "this VM's part of a low rate does not allow a first request yet"
 	}
 	s.ready.Store(true)
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -321,3 +321,33 @@
 		})
 	}
 }
+
+// Guards against a VM that reports ready and then refuses every request for want of concurrency.
+// Its first configuration comes after the loans of its previous incarnation have expired, as on a
+// loaded machine. The rate was then available after a LenderTerm, but concurrency only after the
+// duration of a request beyond that.
+func TestLateFirstConfigurationGivesConcurrencyWithRate(t *testing.T) {
+	g := NewWithT(t)
+	timing := share.Timing{Lease: 200 * time.Millisecond}
+	for _, delay := range []time.Duration{0, timing.LenderTerm() / 2, timing.LenderTerm(), 10 * timing.LenderTerm()} {
+		started := time.Unix(1000, 0)
+		s := share.New(share.Options{VM: "a", Incarnation: 1, Started: started, Timing: timing})
+		now := started.Add(delay)
+		var current share.Share
+		apply := func(actions []share.Action) {
+			for _, a := range actions {
+				if a, ok := a.(share.ApplyShare); ok {
+					current = a.Share
+				}
+			}
+		}
+		apply(s.Step(now, share.Configured{Limits: []share.Limit{threeMembers(60, 12)}}))
+		for end := now.Add(2 * timing.LenderTerm()); now.Before(end); now = now.Add(timing.TickInterval()) {
+			apply(s.Step(now, share.Tick{Usage: func(share.Kind) share.Usage { return share.Usage{} }}))
+			if current.Base.Rate > 0 {
+				g.Expect(current.Base.Concurrency).To(BeNumerically(">", 0), "delay %v, %v after the start", delay, now.Sub(started))
+			}
+		}
+		g.Expect(current.Base.Rate).To(BeNumerically(">", 0))
+	}
+}
--- a/internal/share/state.go
+++ b/internal/share/state.go
@@ -21,6 +21,8 @@
 	// kinds take turns under maxMessagesPerTick.
 	cursor  int
 	actions []Action
+	// listed is set once a configuration has named the members of a limit.
+	listed bool
 }
 
 // entry is the state of one kind.
@@ -49,8 +51,8 @@
 	failedRequests int
 	// published is the share of the last ApplyShare action.
 	published Share
-	// restarting is set while only loans of a previous incarnation of this VM
-	// delay the entitlement.
+	// restarting is set if only loans of a previous incarnation of this VM can
+	// be outstanding.
 	restarting bool
 }
 
@@ -115,6 +117,7 @@
 		}
 	}
 	s.entries = kept
+	s.listed = s.listed || slices.ContainsFunc(limits, func(l Limit) bool { return len(l.Members) > 0 })
 	sort.Slice(s.kinds, func(i, j int) bool {
 		a, b := s.kinds[i], s.kinds[j]
 		return a.Customer < b.Customer || (a.Customer == b.Customer && a.Name < b.Name)
@@ -135,11 +138,13 @@
 	if changed {
 		e.membersChangedAt = now
 		e.rateIncreaseAt = now.Add(s.timing.LenderTerm())
-		e.restarting = first && !s.FormerLoansExpired(now)
-		if e.restarting {
-			// This is the first list of the process: only loans of a previous
-			// incarnation of this VM can be outstanding, and they expire one
-			// LenderTerm after the start.
+		// With the first list of the process only loans of a previous incarnation
+		// can be outstanding, also if the list comes after they have expired.
+		// Otherwise a VM whose configuration comes late would have rate but no
+		// concurrency for the duration of a request, and refuse every request.
+		e.restarting = first && (!s.listed || !s.FormerLoansExpired(now))
+		if e.restarting && !s.FormerLoansExpired(now) {
+			// Loans of a previous incarnation expire one LenderTerm after the start.
 			e.rateIncreaseAt = s.started.Add(s.timing.LenderTerm())
 		}
 		e.concurrencyIncreaseAt = e.rateIncreaseAt.Add(e.drainTime())
