sendlimit: the lowest limit is one and a half times the VM's share of the slots

Cause: with exactly the share, slots are idle while sends wait at other VMs, as sends do not arrive evenly. Change: a margin of 1.5.

--- a/internal/sendlimit/sendlimit.go
+++ b/internal/sendlimit/sendlimit.go
@@ -30,17 +30,20 @@
 	// limit would stay in force when the more urgent routes get no more requests.
 	quietAfter    = time.Second
 	quietInterval = 100 * time.Millisecond
+	// shareMargin is the lowest limit as a multiple of the VM's share of the slots. Sends do not
+	// arrive evenly: with exactly the share, slots are idle while sends wait at other VMs.
+	shareMargin = 1.5
 	// farFactor is the ratio of the lowest limit for an upstream in another region to the
 	// VM's share of the slots: half of the time of such a send passes on the network.
 	farFactor = 1.8
 )
 
-// MinLimit returns the lowest limit on a VM for one upstream: its equal share of the
-// upstream's slots among the VMs that callers are directed to. far says that the upstream is
-// in another region. With the limits of all these VMs at their lowest, their sends together
-// just keep the slots busy, so that no class is shut out.
+// MinLimit returns the lowest limit on a VM for one upstream: somewhat more than its equal
+// share of the upstream's slots among the VMs that callers are directed to. far says that the
+// upstream is in another region. With the limits of all these VMs at their lowest, their sends
+// together keep the slots busy, so that no class is shut out.
 func MinLimit(slots, vms int, far bool) float64 {
-	share := float64(max(1, slots)) / float64(max(1, vms))
+	share := shareMargin * float64(max(1, slots)) / float64(max(1, vms))
 	if far {
 		return farFactor * share
 	}
