congestion: held-up parts count for late queries, Retry-After lasts as long as congestion

Cause: parts that waited for a quarter of the objective lowered the limit although their queries were in time, so that upstreams idled while queries were refused; callers were told to return within the overload and were refused again; and places kept for callers that return made new queries late, so that under a lasting overload most were answered on the second try. Change: only late queries lower the limit by held-up parts. Retry-After is at least as long as the congestion has lasted, within its bounds. No places are kept for returning callers and they do not overtake waiting queries.

--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -143,7 +143,8 @@
 	RefusedShards int
 	// HeldUpShards is the number of shards whose sub-request waited at the VM for HeldUpAfter
 	// or longer, Expendable the number of shards that the answer may leave out. With fewer
-	// held-up shards single upstreams are at fault; with more the shards are congested.
+	// held-up shards single upstreams are at fault; with more the shards are congested if the
+	// query is late too.
 	HeldUpShards, Expendable int
 	// Late reports whether the query ended after its objective.
 	Late bool
@@ -152,7 +153,7 @@
 // congestedShare returns the share of shards that counts as refused for lack of capacity.
 func (o *Outcome) congestedShare(p *Policy) float64 {
 	share := float64(o.RefusedShards) / float64(o.Shards)
-	if o.Late && o.RefusedShards > 0 || o.HeldUpShards > o.Expendable {
+	if o.Late && (o.RefusedShards > 0 || o.HeldUpShards > o.Expendable) {
 		return max(share, p.CongestedShare)
 	}
 	return share
--- a/internal/congestion/group.go
+++ b/internal/congestion/group.go
@@ -22,11 +22,8 @@
 	// congestedPeriod is how long after its limit was lowered a class refuses queries that it
 	// expects to be late.
 	congestedPeriod = time.Second
-	// promiseGrace is how long after its due time a promised return keeps a place free.
+	// promiseGrace is how long after its due time a promised return counts as still to come.
 	promiseGrace = 500 * time.Millisecond
-	// maxReservedPlaces is the largest fraction of the places that new queries leave to
-	// callers that were told to return.
-	maxReservedPlaces = 1.0 / 3
 	// retryDeadlineShare is the share of their remaining time up to which callers honour
 	// Retry-After.
 	retryDeadlineShare = 1.0 / 3
@@ -107,9 +104,7 @@
 type class struct {
 	priority pb.Priority
 	limiter  *Limiter
-	// queue holds the waiting queries by the time left. Those of returning callers are not
-	// preferred there: under a lasting overload they would take every place, and new queries,
-	// which can still be answered within their first objective, would all become late.
+	// queue holds the waiting queries by the time left.
 	queue   *dispatch.Queue
 	waiting map[uint64]*Query
 	// promises holds the due times of the retries that callers were told to make, in order.
@@ -147,7 +142,7 @@
 		return Refused
 	case c.expectsLate(now, q):
 		return Refused
-	case c.hasPlace(now, q):
+	case c.hasPlace():
 		c.queue.Start()
 		c.admit(now, q)
 		return Admitted
@@ -186,7 +181,7 @@
 	}
 	g.serial++
 	q.item = dispatch.Item{Key: dispatch.Key{ID: g.serial}, Priority: q.Priority, Arrived: q.Arrived, Deadline: q.due()}
-	c.queue.SetSlots(c.places(now, false))
+	c.queue.SetSlots(c.places())
 	wait := c.queue.ExpectedWait(&q.item) + c.untilBelowLimit()
 	start := now.Add(wait)
 	if start.After(q.WaitUntil()) || start.Add(c.queue.ServiceTime()).After(q.due()) {
@@ -232,7 +227,7 @@
 	for _, c := range g.classes {
 		c.dropLapsed(now)
 		for c.queue.Len() > 0 {
-			c.queue.SetSlots(c.places(now, false))
+			c.queue.SetSlots(c.places())
 			next, late := c.queue.Pop(now)
 			for _, r := range late {
 				out = append(out, Verdict{Query: c.take(r.Item)})
@@ -262,7 +257,7 @@
 		left := q.Deadline - now.Sub(q.Arrived)
 		longest = max(0, min(longest, time.Duration(retryDeadlineShare*float64(left))))
 	}
-	high := min(longest, max(minRetryAfter, time.Duration(retryMargin*float64(g.untilRoom(now, c)))))
+	high := min(longest, max(c.limiter.RetryAfter(now), time.Duration(retryMargin*float64(g.untilRoom(now, c)))))
 	low := min(high, max(minRetryAfter, time.Duration(retrySpread*float64(high))))
 	after := low + time.Duration(random*float64(high-low))
 	if !q.Returning && after > 0 {
@@ -324,27 +319,16 @@
 		now.Add(c.queue.ServiceTime()).After(q.due())
 }
 
-// hasPlace reports whether a query may run at once. New queries do not overtake those that
-// wait. Returning callers do: the place that was kept for them must not be lost.
-func (c *class) hasPlace(now time.Time, q *Query) bool {
-	return (q.Returning || c.queue.Len() == 0) && c.limiter.running < c.places(now, q.Returning)
+// hasPlace reports whether a query may run at once. It does not overtake those that wait.
+//
+// Callers that return after a refusal have no preference. Their queries are late in any case, and
+// under a lasting overload each place that is kept for them makes a new query late as well.
+func (c *class) hasPlace() bool {
+	return c.queue.Len() == 0 && c.limiter.running < c.places()
 }
 
-// places returns how many queries of the class may run. New queries leave places to callers
-// whose promised return is due.
-func (c *class) places(now time.Time, returning bool) int {
-	n := c.limiter.places(c.priority)
-	if returning {
-		return n
-	}
-	due, _ := slices.BinarySearchFunc(c.promises, now, func(at, now time.Time) int {
-		if at.After(now) {
-			return 1
-		}
-		return -1
-	})
-	return max(1, n-min(due, int(maxReservedPlaces*float64(n))))
-}
+// places returns how many queries of the class may run.
+func (c *class) places() int { return c.limiter.places(c.priority) }
 
 // promise records that a caller was told to retry at the given time.
 func (c *class) promise(at time.Time) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -50,7 +50,7 @@
 			Name: "sycamorekeel_edge_admission_refusals_total", Help: "Queries refused for congestion, by class.",
 		}, []string{"class"}),
 		returning: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sycamorekeel_edge_admission_returning_total", Help: "Queries admitted before new ones because their callers returned after a refusal, by class.",
+			Name: "sycamorekeel_edge_admission_returning_total", Help: "Queries admitted whose callers returned after a refusal, by class.",
 		}, []string{"class"}),
 	}
 	reg.MustRegister(m.waits, m.refusals, m.returning)
