connpool: a check that runs while the process is replaced reports its end

Found while tracing TestRequestThatCrashesUpstreamsIsQuarantined ("after 3 sends the request reached upstreams 4 more times in 12 attempts").

Symptom: a crash is not recorded for the quarantine.

Cause: a process restarts at once, and the check's dial reaches the new process. If the new registration arrives before the check has ended, there is no recheck to notify yet. The check then adds one to a pool that is no longer known, and the crash is never reported.

Change: a pool keeps that its process was replaced; running and later checks report its end. TestCheckDuringWhichTheProcessIsReplaced fails without it.

This is not the whole cause of the failing test, so its entry stays, with what was seen: a crash at a process whose new registration the VM does not have yet is dropped as a second report of the crash before, and the other VMs then send the request before the next crash is detected.

--- a/internal/connpool/check.go
+++ b/internal/connpool/check.go
@@ -30,6 +30,8 @@
 	waiters    []func(ended bool)
 	finishedAt time.Time
 	ended      bool
+	// replaced is set once another process is known to have replaced this one.
+	replaced bool
 	// rechecks are called if a registration shows within restartWindow that the process
 	// which listens is a new one.
 	rechecks []recheck
@@ -75,6 +77,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
+	case p.process.replaced:
+		go notify(true)
 	case p.process.running:
 		p.process.waiters = append(p.process.waiters, notify)
 	case now.Sub(p.process.finishedAt) < checkTTL:
@@ -102,6 +106,8 @@
 	now := time.Now()
 	p.mu.Lock()
 	c := &p.process
+	// The dial may have reached the process that replaced the one to be checked.
+	ended = ended || c.replaced
 	waiters := c.waiters
 	c.running, c.waiters, c.finishedAt, c.ended = false, nil, now, ended
 	if !ended {
@@ -113,10 +119,11 @@
 	}
 }
 
-func (p *Pool) hasRechecks() bool {
+// awaitsRestart reports whether a callback waits for the result of a check or of a recheck.
+func (p *Pool) awaitsRestart() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.process.rechecks) > 0
+	return p.process.running || len(p.process.rechecks) > 0
 }
 
 // addressInUse reports whether a known upstream has the address. A removed upstream that
@@ -130,10 +137,11 @@
 	return false
 }
 
-// reportRestart notifies the rechecks that have not expired that the process has ended
-// after all. The caller must hold no lock.
+// reportRestart notifies the rechecks that have not expired, and a running check, that the
+// process has ended after all. The caller must hold no lock.
 func (p *Pool) reportRestart(now time.Time) {
 	p.mu.Lock()
+	p.process.replaced = true
 	waiting := p.process.rechecks
 	p.process.rechecks = nil
 	p.mu.Unlock()
--- a/internal/connpool/check_test.go
+++ b/internal/connpool/check_test.go
@@ -107,3 +107,30 @@
 		}
 	}
 }
+
+// Guards against missed crashes: the registration of the new process arrives while a check runs
+// whose dial has reached that process. The check then reported a running process, and no later
+// registration corrected it.
+func TestCheckDuringWhichTheProcessIsReplaced(t *testing.T) {
+	for _, id := range []string{"u", "v"} {
+		s := newServer(t, respondWith(func(id string) string { return response(id, "x") }))
+		cl := newClient(t, s, 1)
+		cl.up.StartedAt = time.Unix(1000, 0)
+		cl.call("1")
+		pool := cl.pools.pools[cl.up.ID]
+		later := restarted(cl.up, s)
+		later.ID = id
+		out := make(chan bool, 2)
+		pool.process.running = true
+		pool.process.waiters = []func(bool){func(ended bool) { out <- ended }}
+		cl.setUpstream(later)
+		pool.runCheck()
+		if n := len(out); n != 1 || !<-out {
+			t.Errorf("%s: %d results, want one that the process has ended", id, n)
+		}
+		pool.check(time.Now(), func(ended bool) { out <- ended })
+		if !<-out {
+			t.Errorf("%s: a later check reports that the replaced process runs", id)
+		}
+	}
+}
--- a/internal/connpool/pools.go
+++ b/internal/connpool/pools.go
@@ -114,7 +114,7 @@
 	p.mu.Unlock()
 	for _, pool := range removed {
 		pool.close()
-		if pool.hasRechecks() && addressInUse(known, pool.upstream.Address) {
+		if pool.awaitsRestart() && addressInUse(known, pool.upstream.Address) {
 			pool.reportRestart(time.Now())
 		}
 	}
