Review: waits that end with their call, hedges of waiting sends, limits of few shards

A call that was withdrawn or refused while it waited went on to wait for as long as its query ran, so that its part counted as held up and lowered the limit. A send that waits for a connection was never seen as late, so that its hedge was forgone until it was dispatched. The unloaded time overflowed after some twenty minutes without an answer. Routes with fewer shards than the limits adjust to began with a divided limit that nothing raised. Besides: the classes that share a shard are looked up for each shard; a class yields to a more urgent one only on five recent queries; the promised returns are bounded; the label of the send limits is the priority.

--- a/internal/balance/query.go
+++ b/internal/balance/query.go
@@ -279,7 +279,7 @@
 // Remaining implements scatter.Policy.
 func (q *query) Remaining(attempt int) time.Duration {
 	s := q.sends[attempt]
-	return q.vm.replicas.Remaining(q.vm.model.clock.Now(), q.kind.Name, q.usual(), s.server.Upstream, s.id, q.vm.ahead(q.vm.pools[s.server.ID], q.kind.Priority))
+	return q.vm.replicas.Remaining(q.vm.model.clock.Now(), q.kind.Name, q.usual(), s.server.Upstream, s.id, !s.started, q.vm.ahead(q.vm.pools[s.server.ID], q.kind.Priority))
 }
 
 // HedgeAllowedAt implements scatter.Policy.
--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -59,7 +59,7 @@
 	// queriesPerSlot is the number of running queries that keep one slot busy. A query's
 	// sub-requests spend most of their time in transit to an upstream and back.
 	queriesPerSlot = 4
-	// minInitialLimit is the lowest initial limit: the slots may be counted before most
+	// minInitialLimit is the lowest initial limit of all classes together: the slots may be counted before most
 	// upstreams have registered.
 	minInitialLimit = 16
 )
--- a/internal/congestion/group.go
+++ b/internal/congestion/group.go
@@ -19,6 +19,12 @@
 	// yieldPeriod is how long a refusal of a class keeps less urgent classes from being
 	// refused less often.
 	yieldPeriod = time.Second
+	// minYieldEvidence is how many recent queries of a class its share of refusals must rest on
+	// before less urgent classes yield to it.
+	minYieldEvidence = 5
+	// maxPromises bounds the promised returns that are remembered. Retry-After has reached its
+	// upper bound long before.
+	maxPromises = 1024
 	// congestedPeriod is how long after its limit was lowered a class refuses queries that it
 	// expects to be late.
 	congestedPeriod = time.Second
@@ -165,7 +171,7 @@
 		if u == c {
 			return false
 		}
-		if now.Sub(u.lastRefusal) <= yieldPeriod && u.refusedShare(now) > c.refusedShare(now) {
+		if now.Sub(u.lastRefusal) <= yieldPeriod && u.asked.value(now) >= minYieldEvidence && u.refusedShare(now) > c.refusedShare(now) {
 			return true
 		}
 	}
@@ -332,6 +338,9 @@
 
 // promise records that a caller was told to retry at the given time.
 func (c *class) promise(at time.Time) {
+	if len(c.promises) >= maxPromises {
+		return
+	}
 	i, _ := slices.BinarySearchFunc(c.promises, at, time.Time.Compare)
 	c.promises = slices.Insert(c.promises, i, at)
 }
--- a/internal/congestion/group_test.go
+++ b/internal/congestion/group_test.go
@@ -212,7 +212,7 @@
 	group, running = newGroupRunning(high, 12)
 	waiting := query(high, at, deadline)
 	g.Expect(group.Ask(after(at), waiting)).To(Equal(Waiting))
-	g.Expect(ask(deadline - time.Second)).To(Equal(Refused), "second try behind a query that waits")
+	g.Expect(ask(deadline-time.Second)).To(Equal(Refused), "second try behind a query that waits")
 	verdicts := group.Done(after(at), running[0], Outcome{})
 	g.Expect(verdicts).To(Equal([]Verdict{{Query: waiting, Decision: Admitted}}))
 }
--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -82,7 +82,8 @@
 	// Extra marks retries and hedges: the message was sent to an upstream of the same
 	// service before.
 	Extra bool
-	// Class holds the priority, which orders calls that wait for a connection: 0 goes first.
+	// Class orders calls that wait for a connection, the most urgent (0) first, and holds the
+	// limits on open sends that apply to the call.
 	Class
 	// Barred is evaluated right before the call is written. It returns a short reason for
 	// logs why the call must no longer go to this upstream, or "" to allow it. Nil allows
@@ -120,6 +121,7 @@
 	if c.withdrawn || c.finished {
 		return
 	}
+	c.endWait(time.Now())
 	c.withdrawn = true
 	if c.conn != nil {
 		// Fails only when the connection is already closed.
@@ -145,18 +147,32 @@
 	c.queuedAt = now
 }
 
-// markDequeued records the end of the wait.
+// markDequeued records that the call got a connection.
 func (c *Call) markDequeued(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.queuedAt.IsZero() {
+	c.endWait(now)
+}
+
+// endWait records the end of the wait, with or without a connection. Otherwise a call that was
+// withdrawn or refused while it waited would seem to wait for as long as its request runs. The
+// caller holds mu.
+func (c *Call) endWait(now time.Time) {
+	if !c.queuedAt.IsZero() && c.waited == 0 {
 		c.waited = max(now.Sub(c.queuedAt), 1)
 	}
-	if !c.heldAt.IsZero() {
+	if !c.heldAt.IsZero() && c.held == 0 {
 		c.held = max(now.Sub(c.heldAt), 1)
 	}
 }
 
+// Waiting reports whether the call waits for a connection.
+func (c *Call) Waiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.queuedAt.IsZero() && c.waited == 0
+}
+
 // markHeld records that the limit of its class holds the call back.
 func (c *Call) markHeld(now time.Time) {
 	c.mu.Lock()
@@ -195,6 +211,7 @@
 func (c *Call) finish(r Reply) {
 	c.mu.Lock()
 	done := !c.withdrawn && !c.finished
+	c.endWait(time.Now())
 	c.finished = true
 	c.conn = nil
 	c.mu.Unlock()
--- a/internal/connpool/limits_test.go
+++ b/internal/connpool/limits_test.go
@@ -245,3 +245,24 @@
 		t.Errorf("the held call: %v %s after %v", r.Result, r.Detail, second.Held(time.Now()))
 	}
 }
+
+// Guards against waits that go on after their call has ended: a call that is withdrawn or
+// refused while it waits would count as held up for as long as its request runs.
+func TestWaitEndsWithTheCall(t *testing.T) {
+	for name, end := range map[string]func(*Call){
+		"withdrawn": (*Call).Withdraw,
+		"refused":   func(c *Call) { c.finish(Reply{Result: scatter.NoConnection}) },
+	} {
+		c := &Call{Done: func(Reply) {}}
+		c.markQueued(time.Now())
+		c.markHeld(time.Now())
+		if !c.Waiting() {
+			t.Errorf("%s: a queued call does not wait", name)
+		}
+		end(c)
+		later := time.Now().Add(time.Hour)
+		if c.Waiting() || c.Waited(later) >= time.Hour || c.Held(later) >= time.Hour {
+			t.Errorf("%s: waited %v, held %v", name, c.Waited(later), c.Held(later))
+		}
+	}
+}
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -158,13 +158,24 @@
 func (e *Engine) limiter(v *catalog.View, route *routing.Route) *congestion.Group {
 	g := e.limiters[route.Shards[0]]
 	if g == nil {
-		policy := congestion.DefaultPolicy().WithSlots(e.ownSlots(minShardSlots(v, route.Shards)))
-		g = congestion.NewGroup(policy.WithClasses(classesOf(v, route.Shards[0])))
+		g = congestion.NewGroup(e.limitPolicy(v, route.Shards))
 		e.limiters[route.Shards[0]] = g
 	}
 	return g
 }
 
+// limitPolicy returns the policy of the limits of some shards: the classes of all VMs divide the
+// initial limit. Outcomes of queries with few shards do not adjust a limit, so that it must not
+// begin low.
+func (e *Engine) limitPolicy(v *catalog.View, shards []string) congestion.Policy {
+	policy := congestion.DefaultPolicy()
+	slots := minShardSlots(v, shards)
+	if len(shards) < policy.MinShards {
+		return policy.WithSlots(slots)
+	}
+	return policy.WithSlots(e.ownSlots(slots)).WithClasses(classesOf(v, shards[0]))
+}
+
 // ownSlots returns this VM's share of slots that all VMs use: each VM that callers are
 // directed to starts with as many queries as keep its share busy.
 func (e *Engine) ownSlots(slots int) int {
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -30,7 +30,7 @@
 	ahead := e.pools.AnswersAhead(now, []*catalog.Upstream{u}, x.class(u))[0]
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.replicas.Remaining(now, x.req.Route.Name, x.defaultLatency, u, s.id, ahead)
+	return e.replicas.Remaining(now, x.req.Route.Name, x.defaultLatency, u, s.id, s.call.Waiting(), ahead)
 }
 
 // HedgeAllowedAt implements scatter.Policy.
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -17,10 +17,20 @@
 
 // class returns the limits on open sends that apply to a send of the request to an upstream.
 func (x *run) class(u *catalog.Upstream) connpool.Class {
-	c := connpool.Class{Priority: x.req.Route.Priority, SharedBy: x.sharedBy}
-	if len(x.sharedBy) > 0 {
+	c := x.shardClass(u.Service)
+	if len(c.SharedBy) > 0 {
 		far := x.engine.opts.Place.Distance(u.DataCentre) == locality.Far
-		c.MinLimit = sendlimit.MinLimit(u.Slots, x.engine.shares.Load().carriers(), far)
+		c.MinLimit = sendlimit.MinLimit(u.Slots, x.engine.shares.Load().ingressVMs(), far)
+	}
+	return c
+}
+
+// shardClass returns the class of the request's sends to the upstreams of a shard, without the
+// lowest limit. Only routes that fan out take part in the limits.
+func (x *run) shardClass(service string) connpool.Class {
+	c := connpool.Class{Priority: x.req.Route.Priority}
+	if x.req.Route.FanOut() {
+		c.SharedBy = x.view.Table.SharedPriorities(service)
 	}
 	return c
 }
@@ -28,10 +38,10 @@
 // observeQueue adjusts the limits on less urgent sends to an upstream by the result of a send.
 // A send that was cancelled counts only if it was open for so long that it met a queue.
 func (x *run) observeQueue(now time.Time, s *send) {
-	if len(x.sharedBy) == 0 || s.replied && s.cancelled {
+	e, u := x.engine, s.call.Upstream
+	if len(x.shardClass(u.Service).SharedBy) == 0 || s.replied && s.cancelled {
 		return
 	}
-	e, u := x.engine, s.call.Upstream
 	distance := e.opts.Place.Distance(u.DataCentre)
 	answered := s.replied && s.reply.Result == scatter.Answered
 	took := s.reply.Took
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -122,12 +122,12 @@
 		t.Errorf("the wait is missing from %s", text)
 	}
 	want := `
-# HELP sycamorekeel_edge_send_limits Upstreams with a limit in force on the open sends of a class, by class.
+# HELP sycamorekeel_edge_send_limits Upstreams with a limit in force on the open sends of a class, by the priority of its routes.
 # TYPE sycamorekeel_edge_send_limits gauge
-sycamorekeel_edge_send_limits{class="1"} 1
+sycamorekeel_edge_send_limits{priority="1"} 1
 # HELP sycamorekeel_edge_sends_held_total Sends that waited because of the limit on the open sends of their class.
 # TYPE sycamorekeel_edge_sends_held_total counter
-sycamorekeel_edge_sends_held_total{class="1"} 1
+sycamorekeel_edge_sends_held_total{priority="1"} 1
 `
 	if err := testutil.GatherAndCompare(s.registry, strings.NewReader(want), "sycamorekeel_edge_send_limits", "sycamorekeel_edge_sends_held_total"); err != nil {
 		t.Error(err)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -122,7 +122,7 @@
 	}
 	m.sendsHeld = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sycamorekeel_edge_sends_held_total", Help: "Sends that waited because of the limit on the open sends of their class.",
-	}, []string{"class"})
+	}, []string{"priority"})
 	m.forgone = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sycamorekeel_edge_hedges_forgone_total", Help: "Parts with a hedge that was due and not made at that time, by reason.",
 	}, []string{"reason"})
@@ -180,11 +180,11 @@
 
 var (
 	admissionLimit = prometheus.NewDesc("sycamorekeel_edge_admission_limit",
-		"Queries of a class that may run at a time on this VM, by the first shard of their route.", []string{"service", "class"}, nil)
+		"Limit on the concurrent queries of a class on this VM, by the first shard of their route; class normal uses 0.9 of it, low 0.7.", []string{"service", "class"}, nil)
 	budgetLeft = prometheus.NewDesc("sycamorekeel_edge_budget_left",
 		"Extra sends to a service that the retry budget allows this VM now.", []string{"service", "kind"}, nil)
 	sendLimits = prometheus.NewDesc("sycamorekeel_edge_send_limits",
-		"Upstreams with a limit in force on the open sends of a class, by class.", []string{"class"}, nil)
+		"Upstreams with a limit in force on the open sends of a class, by the priority of its routes.", []string{"priority"}, nil)
 	upstreamStates = prometheus.NewDesc("sycamorekeel_edge_upstreams",
 		"Upstreams by what they count as.", []string{"state"}, nil)
 	upstreamState = prometheus.NewDesc("sycamorekeel_edge_upstream_state",
--- a/internal/edge/policy.go
+++ b/internal/edge/policy.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
-	"sycamorekeel.example/sycamorekeel/internal/connpool"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 )
@@ -18,7 +17,7 @@
 		return nil
 	}
 	candidates := x.candidates(part)
-	ahead := e.pools.AnswersAhead(now, candidates, connpool.Class{Priority: x.req.Route.Priority, SharedBy: x.sharedBy})
+	ahead := e.pools.AnswersAhead(now, candidates, x.shardClass(x.plan.Services[part]))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.replicas.Choose(now, x.req.Route.Name, x.defaultLatency, candidates, ahead, tried)
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -15,14 +15,12 @@
 
 // run is the execution of one request.
 type run struct {
-	engine         *Engine
-	view           *catalog.View
-	req            *Request
-	plan           scatter.Plan
-	query          *scatter.Query
-	defaultLatency time.Duration
-	// sharedBy holds the priorities of the routes that share the shards, if there are several.
-	sharedBy        []int
+	engine          *Engine
+	view            *catalog.View
+	req             *Request
+	plan            scatter.Plan
+	query           *scatter.Query
+	defaultLatency  time.Duration
 	sends           []send
 	replies         replyQueue
 	nextCallerCheck time.Time
@@ -105,9 +103,6 @@
 // newRun plans a request and sends nothing.
 func (e *Engine) newRun(v *catalog.View, r *Request) *run {
 	x := &run{engine: e, view: v, req: r, plan: e.plan(r), defaultLatency: defaultLatency(r.Route)}
-	if r.Route.FanOut() {
-		x.sharedBy = v.Table.SharedPriorities(r.Route.Shards[0])
-	}
 	x.replies.signal = make(chan struct{}, 1)
 	x.query = scatter.New(x.plan, x)
 	e.countRequest(x.plan.Services)
--- a/internal/edge/shares.go
+++ b/internal/edge/shares.go
@@ -15,8 +15,8 @@
 	Ingress bool
 }
 
-// carriers returns the number of VMs that callers are directed to, or of all VMs if that is not known.
-func (s *Shares) carriers() int {
+// ingressVMs returns the number of VMs that callers are directed to, or of all VMs if that is not known.
+func (s *Shares) ingressVMs() int {
 	if s.IngressVMs <= 0 {
 		return s.VMs
 	}
--- a/internal/replica/expect_test.go
+++ b/internal/replica/expect_test.go
@@ -21,11 +21,18 @@
 	sentAt := f.now
 	for _, c := range []struct{ age, least, most int }{{10, 15, 25}, {40, 40, 40}, {100, 200, 200}, {400, 400, 400}} {
 		f.now = sentAt.Add(ms * time.Duration(c.age))
-		if left := f.table.Remaining(f.now, "k", assumed, near, 1000, 0); left < ms*time.Duration(c.least) || left > ms*time.Duration(c.most) {
+		if left := f.table.Remaining(f.now, "k", assumed, near, 1000, false, 0); left < ms*time.Duration(c.least) || left > ms*time.Duration(c.most) {
 			t.Errorf("after %d ms a near send is expected to take %v more, want %d to %d ms", c.age, left, c.least, c.most)
 		}
 	}
-	if left := f.table.Remaining(f.now, "k", assumed, near, 1001, 0); left < 10_000*ms {
+	if left := f.table.Remaining(f.now, "k", assumed, near, 1001, false, 0); left < 10_000*ms {
 		t.Errorf("a send to a former process is expected to take %v more", left)
 	}
+	// A send that waits for a connection counts as one that is still to be made, however short
+	// the time between its choice and its wait was.
+	f.table.Sent(f.now, "k", assumed, near, 1002, noWait)
+	f.now = f.now.Add(time.Microsecond)
+	if left := f.table.Remaining(f.now, "k", assumed, near, 1002, true, 3); left < 60*ms {
+		t.Errorf("a send behind three answers is expected to take %v more", left)
+	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -260,9 +260,9 @@
 
 // Remaining returns how much longer an open send to c is expected to take. A late send is
 // expected to last until the end of a usual pause. Past its expected time, a send is expected to
-// take at least as long again as it has taken. One that waits for a connection takes as long as
-// a further send, and one to a former process of c is never answered.
-func (t *Table) Remaining(now time.Time, kindName string, assumed time.Duration, c *catalog.Upstream, attempt uint64, ahead float64) time.Duration {
+// take at least as long again as it has taken. One that waits for a connection, as waiting
+// says, takes as long as a further send; one to a former process of c is never answered.
+func (t *Table) Remaining(now time.Time, kindName string, assumed time.Duration, c *catalog.Upstream, attempt uint64, waiting bool, ahead float64) time.Duration {
 	u := t.stats(c)
 	i := slices.IndexFunc(u.open, func(o openSend) bool { return o.attempt == attempt })
 	if i < 0 {
@@ -270,7 +270,7 @@
 	}
 	o := &u.open[i]
 	age := o.age(now)
-	if age <= 0 {
+	if waiting {
 		answer, _ := t.Expect(now, kindName, assumed, c, ahead)
 		return answer
 	}
--- a/internal/sendlimit/sendlimit.go
+++ b/internal/sendlimit/sendlimit.go
@@ -33,8 +33,8 @@
 	// shareMargin is the lowest limit as a multiple of the VM's share of the slots. Sends do not
 	// arrive evenly: with exactly the share, slots are idle while sends wait at other VMs.
 	shareMargin = 1.5
-	// farFactor is the ratio of the lowest limit for an upstream in another region to the
-	// VM's share of the slots: half of the time of such a send passes on the network.
+	// farFactor multiplies the lowest limit for an upstream in another region: half of the time
+	// of such a send passes on the network.
 	farFactor = 1.8
 )
 
--- a/internal/sendlimit/unloaded.go
+++ b/internal/sendlimit/unloaded.go
@@ -18,6 +18,8 @@
 	// quantile. It follows the time and not the answers: under load many answers come in a
 	// second, and the unloaded time would soon include the queue.
 	rise = 0.02
+	// maxUnloaded is above the objective of any route.
+	maxUnloaded = time.Hour
 )
 
 // unloaded is the unloaded answer time of one route at one distance.
@@ -67,9 +69,10 @@
 	o.time, o.at = low, now
 }
 
-// after returns the unloaded time as of now.
+// after returns the unloaded time as of now, at most maxUnloaded: without a bound the time
+// would overflow after some twenty minutes without an answer.
 func (o *unloaded) after(now time.Time) time.Duration {
-	return time.Duration(float64(o.time) * math.Pow(1+rise, now.Sub(o.at).Seconds()))
+	return time.Duration(min(float64(o.time)*math.Pow(1+rise, now.Sub(o.at).Seconds()), float64(maxUnloaded)))
 }
 
 // Time returns the unloaded time of a route at a distance, and false while there are too few
