Close connections of callers that read nothing for 5 s

Cause: the callers' server has no write timeout, so a VM holds a response for as long as its caller keeps the connection open without reading from it. fasthttp's WriteTimeout is one deadline for a whole response and would cut callers that read slowly.

Change: the callers' listener wraps each connection. A write that the kernel does not take is checked ten times in 5 s; if the caller's kernel acknowledges nothing in ten checks in a row (TIOCOUTQ), the connection is counted, logged and reset. The wrapper keeps SyscallConn, by which sockpeek notices callers that have left. golang.org/x/sys was an indirect requirement and is now a direct one.

Result: go test -race -count=30 and GOMAXPROCS=1 -count=30 on internal/httpserver pass; node, wire and docs pass.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -57,6 +57,12 @@
 	}
 }
 
+func newCallerStalls(reg prometheus.Registerer) prometheus.Counter {
+	return promauto.With(reg).NewCounter(prometheus.CounterOpts{
+		Name: "sycamorekeel_edge_caller_stalls_total", Help: "Connections closed because their caller read nothing of a response.",
+	})
+}
+
 // resultLabel returns the result label of a call that ended with err.
 func resultLabel(err error) string {
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,6 +131,7 @@
 	recentShares shareHistory
 	traffic      *traffic.Meter
 	callerConns  connCounter
+	callerStalls prometheus.Counter
 	warnings     *warningLog
 }
 
@@ -184,6 +185,7 @@
 	}
 	d.gossip = d.newGossip(now, set)
 	d.registerGauges(opts.Registry)
+	d.callerStalls = newCallerStalls(opts.Registry)
 	opts.Registry.MustRegister(opts.Traffic)
 	d.syncer.memberUpdates = d.gossip.Updates
 	d.syncer.learnMembers = d.gossip.MergeUpdates
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -32,6 +32,9 @@
 	callerIdleTimeout = 5 * time.Minute
 	// requestReadTimeout limits the time to read one request.
 	requestReadTimeout = 10 * time.Second
+	// callerStallTimeout closes the connection of a caller that reads nothing of a response
+	// for this long.
+	callerStallTimeout = 5 * time.Second
 	// maxBodyBytes limits a request's body; a configuration may set a lower limit.
 	maxBodyBytes = 8 << 20
 	// callerDescriptorShare is the fraction of the process's file descriptors available
@@ -129,9 +132,19 @@
 		}
 		s.ln = ln
 	}
+	stalls := &httpserver.StallLimiter{Timeout: callerStallTimeout, OnStall: d.callerStalled}
+	servers[0].ln = stalls.Listener(servers[0].ln)
 	return servers, nil
 }
 
+// callerStalled counts and logs a caller whose connection is closed because it reads nothing.
+func (d *Daemon) callerStalled(s httpserver.Stall) {
+	d.callerStalls.Inc()
+	d.logs.Failures.Info("edge: caller reads nothing, connection closed",
+		zap.String("request", s.Request), zap.String("remote", s.Remote),
+		zap.Int("written", s.Written), zap.Int("size", s.Size))
+}
+
 // maxCallerConns returns the maximum number of concurrent connections of callers.
 // Further connections are answered with status 503 and closed; without this limit, a
 // flood of connections would use up the file descriptors, and no connection to an
--- a/internal/sockpeek/sockpeek.go
+++ b/internal/sockpeek/sockpeek.go
@@ -1,11 +1,15 @@
 // Package sockpeek inspects sockets: it detects unread bytes or a close on a connection
-// without reading from it, and whether a process listens on an address.
+// without reading from it, bytes that the remote end has not acknowledged, and whether a
+// process listens on an address.
 package sockpeek
 
 import (
 	"errors"
 	"net"
 	"syscall"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of a connection's receive side.
@@ -55,3 +59,23 @@
 		return Readable
 	}
 }
+
+// Unacknowledged returns how many bytes written to a connection its remote end has not
+// acknowledged. It returns 0 for connections that are not sockets.
+func Unacknowledged(nc net.Conn) (int, error) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	var n int
+	var queryErr error
+	err = raw.Control(func(fd uintptr) { n, queryErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	return n, trace.Wrap(queryErr)
+}
--- a/internal/wire/ingress.go
+++ b/internal/wire/ingress.go
@@ -13,6 +13,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/connpool"
 	"sycamorekeel.example/sycamorekeel/internal/edge"
+	"sycamorekeel.example/sycamorekeel/internal/httpserver"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
@@ -35,6 +36,7 @@
 // Handle serves one request.
 func (in *Ingress) Handle(ctx *fasthttp.RequestCtx) {
 	r, reason := in.decodeRequest(ctx)
+	httpserver.SetRequest(ctx.Conn(), r.Message.ID)
 	if reason != "" {
 		a := in.engine.Refuse(r, reason)
 		in.writeRefusal(ctx, r, &a)
