httpserver: allow 15 s without acknowledgement while a link loses segments

Cause: nothing acknowledged for 5 s does not mean that a caller reads nothing. After a loss of a few seconds TCP retransmits at about 0.2, 0.6, 1.4, 3.0 and 6.2 s, so that a caller that does read was cut. The send buffer of 256 KiB turned off the kernel's own sizing, which limits throughput to remote callers; the detection does not need it.

Change: after ten checks without progress TCP_INFO is read. With retransmissions, or two or more probes of a closed window, without an answer, thirty checks are allowed, until there is progress. The decision is a type of its own that takes the state of TCP. The send buffer is left to the kernel. The line is now "edge: caller has acknowledged nothing, connection closed", with a field lost.

No loss on a real link was tried.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -1,5 +1,6 @@
 // Package httpserver holds the common part of the HTTP interfaces for callers and for
-// operators: serving with a graceful shutdown.
+// operators: serving with a graceful shutdown, and closing connections whose remote end takes
+// nothing.
 package httpserver
 
 import (
--- a/internal/httpserver/stall.go
+++ b/internal/httpserver/stall.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
 
 	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
 )
@@ -19,15 +20,16 @@
 	// a pause of this process the time has passed, but the acknowledgements of the remote end
 	// may not have arrived yet.
 	stallChecks = 10
-	// sendBufferBytes limits the send buffer that the kernel keeps for a connection. The
-	// kernel would enlarge it to several megabytes, which nothing in this process counts.
-	sendBufferBytes = 256 << 10
+	// lostStallChecks takes the place of stallChecks while the link loses segments. TCP
+	// retransmits about 0.2, 0.6, 1.4, 3 and 6.2 s after a loss, so that a link that was cut
+	// for 3 s may deliver nothing before 6.2 s.
+	lostStallChecks = 3 * stallChecks
 )
 
-// errStalled is returned by writes to a connection whose remote end reads nothing.
-var errStalled = errors.New("the remote end reads nothing")
+// errStalled is returned by writes to a connection whose remote end has acknowledged nothing.
+var errStalled = errors.New("the remote end has acknowledged nothing")
 
-// Stall describes a connection that was closed because its remote end read nothing.
+// Stall describes a connection that was closed because its remote end acknowledged nothing.
 type Stall struct {
 	Remote string
 	// Request is the id that SetRequest recorded last.
@@ -35,19 +37,24 @@
 	// Written is how many bytes of the last write were handed to the kernel, Size the size of
 	// that write.
 	Written, Size int
+	// Lost says that segments were being lost after stallChecks, so that the remote end may
+	// have been reading and was allowed more checks.
+	Lost bool
 }
 
-// StallLimiter closes connections whose remote end reads nothing while there is something to
-// write to it. A remote end that reads slowly is not closed, however long the write takes.
-// What counts as reading is an acknowledgement of bytes by the remote kernel, which
-// acknowledges without limit only while the application reads.
+// StallLimiter closes connections whose remote end acknowledges nothing while there is
+// something to write to it. A remote end that reads slowly is not closed, however long the
+// write takes: its kernel acknowledges bytes as long as the application reads.
 type StallLimiter struct {
-	// Timeout is how long the remote end may read nothing.
+	// Timeout is how long the remote end may acknowledge nothing. It is three times as long
+	// while the link loses segments.
 	Timeout time.Duration
 	// OnStall is called for each connection before it is closed.
 	OnStall func(Stall)
 	// onCheck is called before each check; tests use it to read at that moment.
 	onCheck func()
+	// tcpInfo replaces sockpeek.TCPInfo in tests.
+	tcpInfo func(net.Conn) (*unix.TCPInfo, error)
 }
 
 // Listener returns a listener whose connections are limited.
@@ -65,10 +72,6 @@
 		// The server distinguishes errors of Accept by their type.
 		return nil, err
 	}
-	if tcp, ok := nc.(*net.TCPConn); ok {
-		// Without the limit the connection works as well.
-		_ = tcp.SetWriteBuffer(sendBufferBytes)
-	}
 	return &stallConn{Conn: nc, limiter: l.limiter}, nil
 }
 
@@ -100,10 +103,8 @@
 
 // Write implements net.Conn.
 func (c *stallConn) Write(b []byte) (int, error) {
-	written, idle := 0, 0
-	// acknowledged is how many bytes of this write the remote kernel has acknowledged, less
-	// the bytes of earlier writes that it had not.
-	acknowledged, known := 0, false
+	written := 0
+	var w watch
 	for {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.limiter.Timeout / stallChecks)); err != nil {
 			return written, trace.Wrap(err)
@@ -121,22 +122,68 @@
 		if err != nil {
 			return written, trace.Wrap(err)
 		}
-		now := written - pending
-		if !known || now > acknowledged {
-			acknowledged, known, idle = now, true, 0
-			continue
-		}
-		if idle++; idle >= stallChecks {
-			c.abort(written, len(b))
+		if w.check(written-pending, c.tcpInfo) {
+			c.abort(written, len(b), w.lost)
 			return written, errStalled
 		}
 	}
 }
 
+// watch decides whether a write has stalled. The zero value is that of a write that has not
+// been checked.
+type watch struct {
+	// acknowledged is how many bytes of the write the remote kernel has acknowledged, less the
+	// bytes of earlier writes that it had not.
+	acknowledged int
+	known        bool
+	// idle is the number of checks in a row without progress.
+	idle int
+	// lost says that segments were being lost after stallChecks of them.
+	lost bool
+}
+
+// check takes the bytes acknowledged so far and reports whether the write has stalled. It
+// reads the state of TCP only if that decides.
+func (w *watch) check(acknowledged int, tcpInfo func() *unix.TCPInfo) bool {
+	if !w.known || acknowledged > w.acknowledged {
+		*w = watch{acknowledged: acknowledged, known: true}
+		return false
+	}
+	w.idle++
+	if w.idle < stallChecks {
+		return false
+	}
+	// More checks stay allowed until there is progress: a link that has just recovered may not
+	// have delivered anything yet.
+	w.lost = w.lost || losesSegments(tcpInfo())
+	return !w.lost || w.idle >= lostStallChecks
+}
+
+// tcpInfo returns the state of TCP, or nil if it cannot be read.
+func (c *stallConn) tcpInfo() *unix.TCPInfo {
+	read := c.limiter.tcpInfo
+	if read == nil {
+		read = sockpeek.TCPInfo
+	}
+	info, err := read(c.Conn)
+	if err != nil {
+		return nil
+	}
+	return info
+}
+
+// losesSegments reports whether retransmissions, or more than one probe of a closed window,
+// have had no answer. A remote kernel whose application does not read answers the probes,
+// after which Probes is 0. Retransmissions into a closed window, of segments for which the
+// remote kernel had no memory, do not count as Retransmits. The state is nil if it is not known.
+func losesSegments(info *unix.TCPInfo) bool {
+	return info != nil && (info.Retransmits > 0 || info.Probes > 1)
+}
+
 // abort reports the stall and makes Close discard the bytes that the kernel holds, which the
 // kernel would otherwise keep offering to the remote end.
-func (c *stallConn) abort(written, size int) {
-	s := Stall{Remote: c.RemoteAddr().String(), Written: written, Size: size}
+func (c *stallConn) abort(written, size int, lost bool) {
+	s := Stall{Remote: c.RemoteAddr().String(), Written: written, Size: size, Lost: lost}
 	if id := c.request.Load(); id != nil {
 		s.Request = *id
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -59,7 +59,7 @@
 
 func newCallerStalls(reg prometheus.Registerer) prometheus.Counter {
 	return promauto.With(reg).NewCounter(prometheus.CounterOpts{
-		Name: "sycamorekeel_edge_caller_stalls_total", Help: "Connections closed because their caller read nothing of a response.",
+		Name: "sycamorekeel_edge_caller_stalls_total", Help: "Connections closed because their caller acknowledged nothing of a response.",
 	})
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -32,8 +32,8 @@
 	callerIdleTimeout = 5 * time.Minute
 	// requestReadTimeout limits the time to read one request.
 	requestReadTimeout = 10 * time.Second
-	// callerStallTimeout closes the connection of a caller that reads nothing of a response
-	// for this long.
+	// callerStallTimeout closes the connection of a caller that acknowledges nothing of a
+	// response for this long.
 	callerStallTimeout = 5 * time.Second
 	// maxBodyBytes limits a request's body; a configuration may set a lower limit.
 	maxBodyBytes = 8 << 20
@@ -137,12 +137,13 @@
 	return servers, nil
 }
 
-// callerStalled counts and logs a caller whose connection is closed because it reads nothing.
+// callerStalled counts and logs a caller whose connection is closed because it has
+// acknowledged nothing.
 func (d *Daemon) callerStalled(s httpserver.Stall) {
 	d.callerStalls.Inc()
-	d.logs.Failures.Info("edge: caller reads nothing, connection closed",
+	d.logs.Failures.Info("edge: caller has acknowledged nothing, connection closed",
 		zap.String("request", s.Request), zap.String("remote", s.Remote),
-		zap.Int("written", s.Written), zap.Int("size", s.Size))
+		zap.Int("written", s.Written), zap.Int("size", s.Size), zap.Bool("lost", s.Lost))
 }
 
 // maxCallerConns returns the maximum number of concurrent connections of callers.
--- a/internal/sockpeek/sockpeek.go
+++ b/internal/sockpeek/sockpeek.go
@@ -1,6 +1,6 @@
 // Package sockpeek inspects sockets: it detects unread bytes or a close on a connection
-// without reading from it, bytes that the remote end has not acknowledged, and whether a
-// process listens on an address.
+// without reading from it, bytes that the remote end has not acknowledged, the state of TCP,
+// and whether a process listens on an address.
 package sockpeek
 
 import (
@@ -63,19 +63,34 @@
 // Unacknowledged returns how many bytes written to a connection its remote end has not
 // acknowledged. It returns 0 for connections that are not sockets.
 func Unacknowledged(nc net.Conn) (int, error) {
+	if _, ok := nc.(syscall.Conn); !ok {
+		return 0, nil
+	}
+	return query(nc, func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.TIOCOUTQ) })
+}
+
+// TCPInfo returns the state of a TCP connection.
+func TCPInfo(nc net.Conn) (*unix.TCPInfo, error) {
+	return query(nc, func(fd int) (*unix.TCPInfo, error) {
+		return unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+}
+
+// query calls f with the descriptor of a connection.
+func query[T any](nc net.Conn, f func(fd int) (T, error)) (T, error) {
+	var value T
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return 0, nil
+		return value, trace.NotImplemented("%T is not a socket", nc)
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return 0, trace.Wrap(err)
+		return value, trace.Wrap(err)
 	}
-	var n int
 	var queryErr error
-	err = raw.Control(func(fd uintptr) { n, queryErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	err = raw.Control(func(fd uintptr) { value, queryErr = f(int(fd)) })
 	if err != nil {
-		return 0, trace.Wrap(err)
+		return value, trace.Wrap(err)
 	}
-	return n, trace.Wrap(queryErr)
+	return value, trace.Wrap(queryErr)
 }
