scatter: hedges depend on waiting calls alone; congestion: slow answers refuse nothing

Change: a hedge is forgone only if calls wait for its copy or the budget refuses it, and is considered again at the time that the policy gives. Cause, refusals: for a second after a limit fell, queries were refused when the mean duration exceeded the objective, also where copies were slow and nothing was congested.

--- a/internal/balance/query.go
+++ b/internal/balance/query.go
@@ -55,8 +55,7 @@
 	answerBy := q.answerBy(leaves)
 	q.query = scatter.New(scatter.Plan{
 		Services: services, Idempotent: true, Attempts: 2, MinParts: k.floor(len(services)),
-		EarlyHedges: v.model.opts.Ways.Hedging == Unconditional || v.model.opts.Ways.Hedging == EarlyUnlessBusy,
-		AnswerBy:    answerBy, LatestInTime: q.latestInTime(answerBy), LateGrace: q.lateGrace(), Deadline: leaves.Add(-giveUpMargin),
+		AnswerBy: answerBy, LatestInTime: q.latestInTime(answerBy), LateGrace: q.lateGrace(), Deadline: leaves.Add(-giveUpMargin),
 	}, q)
 	q.step(func() []scatter.Send { return q.query.Start(now) })
 }
@@ -265,21 +264,13 @@
 	return q.vm.budgets[q.vm.model.services[part]].Spend(q.vm.model.clock.Now(), q.claim(kind))
 }
 
-// Expect implements scatter.Policy.
-func (q *query) Expect(_ int, u *catalog.Upstream) scatter.Expectation {
+// Busy implements scatter.Policy.
+func (q *query) Busy(_ int, u *catalog.Upstream) (bool, time.Duration) {
 	v := q.vm
-	if w := v.model.opts.Ways.Hedging; w == Unconditional || w == OfFewParts {
-		return scatter.Expectation{}
+	if v.model.opts.Ways.Hedging == Unconditional || v.ahead(v.pools[u.ID], q.kind.Priority) == 0 {
+		return false, 0
 	}
-	ahead := v.ahead(v.pools[u.ID], q.kind.Priority)
-	answer, next := v.replicas.Expect(v.model.clock.Now(), q.kind.Name, q.usual(), u, ahead)
-	return scatter.Expectation{Answer: answer, Queued: ahead > 0, FreeIn: next}
-}
-
-// Remaining implements scatter.Policy.
-func (q *query) Remaining(attempt int) time.Duration {
-	s := q.sends[attempt]
-	return q.vm.replicas.Remaining(q.vm.model.clock.Now(), q.kind.Name, q.usual(), s.server.Upstream, s.id, !s.started, q.vm.ahead(q.vm.pools[s.server.ID], q.kind.Priority))
+	return true, v.replicas.NextAnswer(v.model.clock.Now(), q.kind.Name, q.usual(), u)
 }
 
 // HedgeAllowedAt implements scatter.Policy.
--- a/internal/balance/ways.go
+++ b/internal/balance/ways.go
@@ -114,14 +114,9 @@
 
 // Ways to hedge.
 const (
-	// Completing hedges what takes longer than nearly all answers if the hedge can complete the
-	// query: most parts are answered, and the other copy is expected to answer first.
-	Completing Hedging = ""
-	// OfFewParts hedges when most parts are answered, whatever is expected of the other copy.
-	OfFewParts Hedging = "few_open"
-	// EarlyUnlessBusy hedges however many parts are open if the other copy is expected to answer
-	// first.
-	EarlyUnlessBusy Hedging = "unless_busy"
+	// UnlessBusy hedges what takes longer than nearly all answers, unless calls to the other copy
+	// have to wait.
+	UnlessBusy Hedging = ""
 	// Unconditional hedges all that takes longer than nearly all answers, and tries what the
 	// budget refuses again after 25 ms.
 	Unconditional Hedging = "unconditional"
@@ -175,7 +170,7 @@
 	{"limit", []string{string(NoLimit), string(ByFullParts), string(ByLateAnswers), string(ByManyFullParts), string(ByClosedWindows), string(ByThreshold)}, func(w *Ways, s string) { w.Limit = Limit(s) }},
 	{"ending", []string{string(AtFloor), string(AtDeadline)}, func(w *Ways, s string) { w.Ending = Ending(s) }},
 	{"late", []string{string(ShortWait), string(LongWait), string(LongWaitFromAnswerBy)}, func(w *Ways, s string) { w.Late = Late(s) }},
-	{"hedging", []string{string(OfFewParts), string(EarlyUnlessBusy), string(Unconditional), string(Never)}, func(w *Ways, s string) { w.Hedging = Hedging(s) }},
+	{"hedging", []string{string(Unconditional), string(Never)}, func(w *Ways, s string) { w.Hedging = Hedging(s) }},
 	{"claims", []string{string(AllHedgesEqual)}, func(w *Ways, s string) { w.Claims = Claims(s) }},
 	{"verdicts", []string{string(Shared)}, func(w *Ways, s string) { w.Verdicts = Verdicts(s) }},
 	{"classes", []string{string(NoClasses), string(EqualShares)}, func(w *Ways, s string) { w.Classes = Classes(s) }},
--- a/internal/congestion/group.go
+++ b/internal/congestion/group.go
@@ -25,9 +25,6 @@
 	// maxPromises bounds the promised returns that are remembered. Retry-After has reached its
 	// upper bound long before.
 	maxPromises = 1024
-	// congestedPeriod is how long after its limit was lowered a class refuses queries that it
-	// expects to be late.
-	congestedPeriod = time.Second
 	// promiseGrace is how long after its due time a promised return counts as still to come.
 	promiseGrace = 500 * time.Millisecond
 	// retryDeadlineShare is the share of their remaining time up to which callers honour
@@ -146,8 +143,6 @@
 	switch {
 	case g.yields(now, c):
 		return Refused
-	case c.expectsLate(now, q):
-		return Refused
 	case c.hasPlace():
 		c.queue.Start()
 		c.admit(now, q)
@@ -316,15 +311,6 @@
 	return q
 }
 
-// expectsLate reports whether a query would be late even if it ran at once: the limit was
-// lowered lately, and the queries of the class take longer than its objective. Without
-// congestion, slow upstreams are no reason to refuse. A class without a running query always
-// admits one, so that the estimate is corrected.
-func (c *class) expectsLate(now time.Time, q *Query) bool {
-	return q.Objective > 0 && c.limiter.running > 0 && now.Sub(c.limiter.decreasedAt) <= congestedPeriod &&
-		now.Add(c.queue.ServiceTime()).After(q.due())
-}
-
 // hasPlace reports whether a query may run at once. It does not overtake those that wait.
 //
 // Callers that return after a refusal have no preference. Their queries are late in any case, and
--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -166,13 +166,6 @@
 	}
 }
 
-// Waiting reports whether the call waits for a connection.
-func (c *Call) Waiting() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.queuedAt.IsZero() && c.waited == 0
-}
-
 // markHeld records that the limit of its class holds the call back.
 func (c *Call) markHeld(now time.Time) {
 	c.mu.Lock()
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -7,30 +7,18 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
-	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
 
-// Expect implements scatter.Policy.
-func (x *run) Expect(_ int, u *catalog.Upstream) scatter.Expectation {
+// Busy implements scatter.Policy.
+func (x *run) Busy(_ int, u *catalog.Upstream) (bool, time.Duration) {
 	e := x.engine
 	now := e.now()
-	ahead := e.pools.AnswersAhead(now, []*catalog.Upstream{u}, x.class(u))[0]
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	answer, next := e.replicas.Expect(now, x.req.Route.Name, x.defaultLatency, u, ahead)
-	return scatter.Expectation{Answer: answer, Queued: ahead > 0, FreeIn: next}
-}
-
-// Remaining implements scatter.Policy.
-func (x *run) Remaining(attempt int) time.Duration {
-	e := x.engine
-	now := e.now()
-	s := &x.sends[attempt]
-	u := s.call.Upstream
-	ahead := e.pools.AnswersAhead(now, []*catalog.Upstream{u}, x.class(u))[0]
+	if e.pools.AnswersAhead(now, []*catalog.Upstream{u}, x.class(u))[0] == 0 {
+		return false, 0
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.replicas.Remaining(now, x.req.Route.Name, x.defaultLatency, u, s.id, s.call.Waiting(), ahead)
+	return true, e.replicas.NextAnswer(now, x.req.Route.Name, x.defaultLatency, u)
 }
 
 // HedgeAllowedAt implements scatter.Policy.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -216,73 +216,32 @@
 const coldFactor = 1.6
 
 // cost returns the expected answer time of c in seconds, with ahead answers to wait for
-// first, plus penalties. The open sends count by their number, which spreads sends over
-// upstreams that would answer equally soon.
+// first, plus penalties.
 func (t *Table) cost(now time.Time, k *kindStats, c *catalog.Upstream, ahead float64) float64 {
-	u := t.stats(c)
-	cost := t.expected(now, k, c, ahead, float64(len(u.open))/float64(max(1, c.Slots)))
-	f := u.errorRate(now)
-	cost = cost/(1-min(f, 0.9)) + f*k.assumed.Seconds()
-	if now.Before(u.downUntil) {
-		cost += downPenalty
-	}
-	return cost
-}
-
-// expected returns the time in seconds until an answer of c, if it does not fail, with ahead
-// answers to wait for at this VM and queued at c.
-func (t *Table) expected(now time.Time, k *kindStats, c *catalog.Upstream, ahead, queued float64) float64 {
 	u := t.stats(c)
 	base := t.median(now, k, t.place.Distance(c.DataCentre)).Seconds()
 	cost := base * u.slowness(now) * (1 + ahead)
 	if now.Before(u.coldUntil) {
 		cost *= coldFactor
 	}
-	cost += base * queued
+	cost += base * float64(len(u.open)) / float64(max(1, c.Slots))
 	if u.paused(now) {
 		cost += pausePenalty.Seconds()
 	}
-	return cost
-}
-
-// Expect returns how long a further send to c is expected to take until its answer, if it does
-// not fail, with ahead answers to wait for first, and the time until the next answer of c.
-func (t *Table) Expect(now time.Time, kindName string, assumed time.Duration, c *catalog.Upstream, ahead float64) (answer, next time.Duration) {
-	k := t.kind(kindName, assumed)
-	u := t.stats(c)
-	queued := 0.0
-	if c.Slots > 0 {
-		queued = max(0, float64(len(u.open)+1-c.Slots)) / float64(c.Slots)
+	f := u.errorRate(now)
+	cost = cost/(1-min(f, 0.9)) + f*k.assumed.Seconds()
+	if now.Before(u.downUntil) {
+		cost += downPenalty
 	}
-	median := t.median(now, k, t.place.Distance(c.DataCentre))
-	return seconds(t.expected(now, k, c, ahead, queued)), time.Duration(float64(median) * u.slowness(now))
+	return cost
 }
 
-// Remaining returns how much longer an open send to c is expected to take. A late send is
-// expected to last until the end of a usual pause. Past its expected time, a send is expected to
-// take at least as long again as it has taken. One that waits for a connection, as waiting
-// says, takes as long as a further send; one to a former process of c is never answered.
-func (t *Table) Remaining(now time.Time, kindName string, assumed time.Duration, c *catalog.Upstream, attempt uint64, waiting bool, ahead float64) time.Duration {
-	u := t.stats(c)
-	i := slices.IndexFunc(u.open, func(o openSend) bool { return o.attempt == attempt })
-	if i < 0 {
-		return seconds(downPenalty)
-	}
-	o := &u.open[i]
-	age := o.age(now)
-	if waiting {
-		answer, _ := t.Expect(now, kindName, assumed, c, ahead)
-		return answer
-	}
-	expected := time.Duration(float64(o.expected) * u.slowness(now))
-	if float64(age) > lateFactor*float64(o.expected) {
-		expected = max(expected, pausePenalty)
-	}
-	return max(age, expected-age)
+// NextAnswer returns the time until the next answer of c is expected.
+func (t *Table) NextAnswer(now time.Time, kindName string, assumed time.Duration, c *catalog.Upstream) time.Duration {
+	median := t.median(now, t.kind(kindName, assumed), t.place.Distance(c.DataCentre))
+	return time.Duration(float64(median) * t.stats(c).slowness(now))
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // slowness returns the ratio of the upstream's answer time to the expected one.
 func (u *upstreamStats) slowness(now time.Time) float64 {
 	w := u.weight * decay(now.Sub(u.observedAt), slownessHalfLife)
--- a/internal/scatter/hedge.go
+++ b/internal/scatter/hedge.go
@@ -15,44 +15,34 @@
 	}
 }
 
-// reconsiderHedges makes all forgone hedges due.
-func (q *Query) reconsiderHedges() {
+// resumeHedges makes the hedges due that the isolation of the query held back.
+func (q *Query) resumeHedges() {
 	for i := range q.parts {
-		if p := &q.parts[i]; p.hedgeForgone {
+		if p := &q.parts[i]; p.hedgeHeld {
 			p.hedgeAt = q.now
 		}
 	}
 }
 
-// hedge also sends a part whose answer is late to another upstream, if that can complete the
-// query sooner. Otherwise it schedules when the hedge is considered again.
+// hedge also sends a part whose answer is late to another upstream, unless the send would wait
+// there or the budget refuses it. Then it schedules when the hedge is considered again.
 func (q *Query) hedge(i int) {
 	p := &q.parts[i]
 	p.hedgeAt = time.Time{}
-	p.hedgeForgone = false
+	p.hedgeHeld = false
 	if !q.mayRunAgain(p) || q.plan.Deadline.Sub(q.now) < minRemaining {
 		return
 	}
 	if q.isolation.Active() {
-		p.hedgeForgone = true
+		p.hedgeHeld = true
 		return
 	}
 	u := q.policy.Choose(i, p.tried)
 	if u == nil {
 		return
 	}
-	e, remaining := q.policy.Expect(i, u), q.remaining(i)
-	why, needed := CopyBusy, e.Answer
-	if q.tooManyOpen() {
-		why, needed = PartsOpen, time.Duration(outageFactor*float64(e.Answer))
-	}
-	switch {
-	case e.Queued:
-		q.forgo(p, why, q.now.Add(e.FreeIn))
-		return
-	case needed > remaining:
-		// A send that is late is expected to take the longer the later it is.
-		q.forgo(p, why, q.now.Add(needed-remaining))
+	if busy, freeIn := q.policy.Busy(i, u); busy {
+		q.forgo(p, CopyBusy, q.now.Add(freeIn))
 		return
 	}
 	if !q.policy.Spend(i, retrybudget.Hedge) {
@@ -64,9 +54,9 @@
 }
 
 // forgo records that a hedge of a part is not made. It is considered again at the given time,
-// if that is not zero, and whenever another part has ended.
+// if that is not zero. The end of another part frees neither the copy nor the budget, and to
+// consider all late parts at each end takes a query of a hundred parts too much processor time.
 func (q *Query) forgo(p *part, why Forgone, again time.Time) {
-	p.hedgeForgone = true
 	if !p.forgoneFor[why] {
 		p.forgoneFor[why] = true
 		q.hedging.Forgone[why]++
@@ -79,22 +69,3 @@
 	}
 	p.hedgeAt = again
 }
-
-// tooManyOpen reports whether so many parts are unanswered that a hedge of one cannot complete
-// the query.
-func (q *Query) tooManyOpen() bool {
-	n := len(q.parts)
-	return !q.plan.EarlyHedges && n > smallQuery && float64(n-q.answered-q.failed) > maxOpenShare*float64(n)
-}
-
-// remaining returns how much longer the open sends of a part are expected to take, the whole
-// time left if none is open. Sends of the current step, which are not made yet, do not count.
-func (q *Query) remaining(i int) time.Duration {
-	least := q.plan.Deadline.Sub(q.now)
-	for n := range len(q.attempts) - len(q.sends) {
-		if a := &q.attempts[n]; a.part == i && !a.ended {
-			least = min(least, q.policy.Remaining(n))
-		}
-	}
-	return least
-}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -13,18 +13,6 @@
 )
 
 const (
-	// maxOpenShare is the largest share of the parts that may be unanswered when a part is
-	// hedged. With more, the shards are congested or the query is young: one hedge cannot
-	// complete it.
-	maxOpenShare = 0.25
-	// outageFactor is how many times as long the open send of a part must be expected to take as
-	// its hedge for the part to be hedged although more parts are open. Then the copies that
-	// were chosen first have failed together, for instance with their data centre, while the
-	// others are not congested.
-	outageFactor = 1.25
-	// smallQuery is the number of parts up to which maxOpenShare does not apply: one part is a
-	// quarter of them or more.
-	smallQuery = 4
 	// minHedgeWait is the least wait before a forgone hedge is considered again, so that a
 	// policy that returns times in the past cannot keep the query busy.
 	minHedgeWait = 5 * time.Millisecond
@@ -67,10 +55,10 @@
 	hedgeAt    time.Time
 	retryAt    time.Time
 	retryCause Cause
-	// hedgeForgone is set if a hedge was due and is considered again once another part has
-	// ended; forgoneFor holds the reasons of all forgone hedges.
-	hedgeForgone bool
-	forgoneFor   [forgoneReasons]bool
+	// hedgeHeld is set if a hedge is held back until the query is no longer isolated;
+	// forgoneFor holds the reasons of all forgone hedges.
+	hedgeHeld  bool
+	forgoneFor [forgoneReasons]bool
 	// heldCause is the cause of the send that is held back, empty for none.
 	heldCause Cause
 }
@@ -146,7 +134,7 @@
 	}
 	a.ended = true
 	a.result = r
-	ended, isolated := q.answered+q.failed, q.isolation.Active()
+	isolated := q.isolation.Active()
 	p := &q.parts[a.part]
 	p.open--
 	q.open--
@@ -157,8 +145,8 @@
 	if !p.ended() {
 		q.handleResult(n, r)
 	}
-	if q.answered+q.failed > ended || isolated && !q.isolation.Active() {
-		q.reconsiderHedges()
+	if isolated && !q.isolation.Active() {
+		q.resumeHedges()
 	}
 	return q.endStep()
 }
@@ -336,7 +324,7 @@
 	q.open++
 	p.mayHaveRun++
 	p.hedgeAt = time.Time{}
-	p.hedgeForgone = false
+	p.hedgeHeld = false
 	if q.mayRunAgain(p) {
 		p.hedgeAt = q.now.Add(q.policy.HedgeDelay(i, u))
 	}
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -96,8 +96,6 @@
 	LatestInTime time.Time
 	// Deadline is the request's deadline, set by the caller or the route's timeout.
 	Deadline time.Time
-	// EarlyHedges allows hedges while most parts are unanswered.
-	EarlyHedges bool
 	// Trial is set if upstreams have crashed while running the same request before: it is
 	// sent to one upstream alone, and to others only after that one has survived it.
 	Trial bool
@@ -116,42 +114,28 @@
 	Reachable(part int) bool
 	// HedgeDelay returns how long to wait for an upstream's answer before a part is hedged.
 	HedgeDelay(part int, u *catalog.Upstream) time.Duration
-	// Expect returns what is expected of an upstream that would get a hedge of a part.
-	Expect(part int, u *catalog.Upstream) Expectation
-	// Remaining returns how much longer an open attempt is expected to take.
-	Remaining(attempt int) time.Duration
+	// Busy reports whether a further send to an upstream would have to wait at this VM, and the
+	// time until the upstream's next answer, when it may have become free.
+	Busy(part int, u *catalog.Upstream) (busy bool, freeIn time.Duration)
 	// HedgeAllowedAt returns when the budget of a part's service is expected to allow a hedge
 	// that it has refused, zero if never.
 	HedgeAllowedAt(part int) time.Time
 }
 
-// Expectation is what is expected of one more send to an upstream.
-type Expectation struct {
-	// Answer is the time until its answer.
-	Answer time.Duration
-	// Queued is set if the send would wait for a connection.
-	Queued bool
-	// FreeIn is the time until the upstream's next answer, when it may have become free.
-	FreeIn time.Duration
-}
-
 // Forgone is why a hedge that was due was not made.
 type Forgone int
 
 // Reasons for forgone hedges.
 const (
-	// PartsOpen: too many parts of the query are unanswered.
-	PartsOpen Forgone = iota
-	// CopyBusy: the upstream that would get the hedge is expected to answer later than the
-	// open send, or calls to it have to wait.
-	CopyBusy
+	// CopyBusy: calls to the upstream that would get the hedge have to wait at this VM.
+	CopyBusy Forgone = iota
 	// OverBudget: the budget refused the hedge.
 	OverBudget
 	forgoneReasons
 )
 
 // String returns the reason's name in logs and metrics.
-func (f Forgone) String() string { return [...]string{"parts_open", "copy_busy", "budget"}[f] }
+func (f Forgone) String() string { return [...]string{"copy_busy", "budget"}[f] }
 
 // Hedging describes the hedges of a query: how many were made, and for how many parts one that
 // was due was forgone at least once, by reason.
