--- a/internal/balance/threshold.go
+++ b/internal/balance/threshold.go
@@ -35,7 +35,7 @@
 	queued  time.Duration
 	parts   int
 	fastest map[*Kind]time.Duration
-	// retry tells refused callers when to come back, as the single limit did.
+	// retry computes Retry-After, as the single limit does.
 	retry *congestion.Limiter
 }
 
--- a/internal/connpool/limits.go
+++ b/internal/connpool/limits.go
@@ -8,8 +8,8 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 )
 
-// maxBypass is how many calls of more urgent classes may be sent while a class waits that its
-// limit does not hold back; the class is next then. It is that of package dispatch.
+// maxBypass is how many calls of more urgent classes may be sent while a call of a class waits
+// that its limit does not hold back; that class is next then. Package dispatch has the same bound.
 const maxBypass = 16
 
 // Class describes the limits on open sends that apply to a call.
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -128,8 +128,8 @@
 	return p.group.RetryAfter(e.now(), p.query, random)
 }
 
-// endQuery gives back the place of a query that has ended and tells the waiting queries that
-// are decided by it.
+// endQuery gives back the place of a query that has ended and wakes the waiting queries that
+// this decides.
 func (e *Engine) endQuery(p *place, r *Request, a *Answer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -90,8 +90,9 @@
 	MinParts int
 	// AnswerBy is when an answer must leave to meet the route's objective.
 	AnswerBy time.Time
-	// LateGrace is how long an answer that reaches its minimum after LatestInTime, and is late
-	// for that reason, waits for the other parts. Zero: it leaves at once.
+	// LateGrace is how long an answer that reaches its minimum after LatestInTime waits for the
+	// other parts. Package balance compares values; elsewhere both are zero and such an answer
+	// leaves at once.
 	LateGrace    time.Duration
 	LatestInTime time.Time
 	// Deadline is the request's deadline, set by the caller or the route's timeout.
--- a/internal/sendlimit/sendlimit.go
+++ b/internal/sendlimit/sendlimit.go
@@ -19,8 +19,8 @@
 	// maxIncrease is the most by which one answer without a queue raises a limit. Above a
 	// limit of five the increase is the limit's reciprocal.
 	maxIncrease = 0.2
-	// liftAbove is the limit above which it is lifted: it is then as high as the sends that
-	// a usual upstream holds in its slots and its queue.
+	// liftAbove is the limit above which it is lifted: one VM then may have several times the
+	// usual slots of an upstream open.
 	liftAbove = 16.0
 	// maxPause bounds the pause after a send under a fractional limit. A longer pause would
 	// exceed the objective of most routes.
