edge: observe the sends of a failed request that may have crashed upstreams

A query is over as soon as its verdict is certain, and its open sends are cancelled. With three shards, two of which must answer, the crash of the third upstream came a moment later, or its reply was not yet read: two crashes of one round were recorded, the request was no suspect.

Change: if a connection broke under a request and no upstream has survived it, the sends in flight go on for 250 ms after its end. An upstream that crashes is counted, one that answers clears the request. The caller's answer does not wait for it; a caller that leaves ends all work at once, as before.

--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -132,6 +132,27 @@
 	}
 }
 
+// Expire limits the time until which a call in flight may be answered, and returns whether Done
+// is called, now or later. A call that waits for a connection is dropped.
+func (c *Call) Expire(deadline time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.withdrawn:
+		return false
+	case c.finished:
+		return true
+	case c.conn == nil:
+		c.endWait(time.Now())
+		c.withdrawn = true
+		return false
+	default:
+		// Fails only when the connection is already closed.
+		_ = c.conn.SetDeadline(deadline)
+		return true
+	}
+}
+
 // Waited returns how long the call waited, or has waited until now, because all
 // connections that this VM may have to the upstream were in use.
 func (c *Call) Waited(now time.Time) time.Duration {
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -13,8 +13,14 @@
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
 
-// suspectHeldRetry gives the trial of a suspect time to end.
-const suspectHeldRetry = time.Second
+const (
+	// suspectHeldRetry gives the trial of a suspect time to end.
+	suspectHeldRetry = time.Second
+	// crashObservation is how long sends of a failed request are observed after its end: several
+	// times the time of an answer, and half of the time within which upstreams must stop work
+	// that nobody waits for.
+	crashObservation = 250 * time.Millisecond
+)
 
 // admit decides whether a request may run, given what earlier requests with the same content
 // did to upstreams.
@@ -50,19 +56,36 @@
 // trackCrash records whether the upstream survived the request. If the upstream closed the
 // connection without an answer, it checks whether the process has ended; that may be due to
 // this request or another.
-func (x *run) trackCrash(s *send, now time.Time) {
+func (x *run) trackCrash(s *send, now time.Time, subject func() poison.Request) {
 	e := x.engine
 	switch r := s.reply.Result; {
 	case r.Survived():
 		if !x.survived.Swap(true) {
-			e.poison.Survived(now, x.req.subject())
+			e.poison.Survived(now, subject())
 		}
 	case (r == scatter.Broken || r == scatter.ConnectionClosed) && !x.survived.Load():
-		x.connectionBroken = true
+		x.connectionBroken.Store(true)
 		// Computed here because the check ends in another goroutine.
-		subject := x.req.subject()
+		content := subject()
 		crash := quarantine.Crash{Instance: instanceHash(s.call.Upstream), ConnectedAt: s.reply.ConnectedAt, SentAt: s.sentAt, EndedAt: now}
-		e.checkEnded(s.call.Upstream, func(ended bool) { x.crashChecked(ended, subject, crash) })
+		e.checkEnded(s.call.Upstream, func(ended bool) { x.crashChecked(ended, content, crash) })
+	}
+}
+
+// observeCrashes tracks the replies of sends that were in flight when the run ended. An upstream
+// often crashes just after its request has failed because of the crashes before.
+func (x *run) observeCrashes(subject poison.Request, observed map[int]send) {
+	for len(observed) > 0 {
+		<-x.replies.signal
+		for _, r := range x.replies.take() {
+			s, ok := observed[r.attempt]
+			if !ok {
+				continue
+			}
+			delete(observed, r.attempt)
+			s.reply = r.reply
+			x.trackCrash(&s, x.engine.now(), func() poison.Request { return subject })
+		}
 	}
 }
 
@@ -82,7 +105,7 @@
 // peers.
 func (x *run) close() {
 	x.finished.Store(true)
-	if x.connectionBroken && !x.survived.Load() {
+	if x.connectionBroken.Load() && !x.survived.Load() {
 		x.engine.poison.Unanswered(x.req.contentFingerprint())
 	}
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -33,7 +33,7 @@
 	// run has ended. Crash checks read both from other goroutines.
 	survived, finished atomic.Bool
 	// connectionBroken says that an upstream has closed its connection under the request.
-	connectionBroken bool
+	connectionBroken atomic.Bool
 }
 
 // send is one attempt to run a part at an upstream.
@@ -138,7 +138,7 @@
 			return Answer{Reason: CallerGone, Sends: len(x.sends)}
 		}
 	}
-	x.cancelOpen()
+	x.endOpen()
 	return x.answer(x.query.Outcome())
 }
 
@@ -170,7 +170,7 @@
 		s.held = s.call.Held(now)
 		x.last, x.lastAt = s, now
 		x.recordReply(now, s)
-		x.trackCrash(s, now)
+		x.trackCrash(s, now, x.req.subject)
 		x.dispatch(x.query.Ended(now, r.attempt, r.reply.Result))
 		if r.reply.Result == scatter.Answered {
 			x.cancelPart(s.part)
@@ -278,6 +278,30 @@
 	e.startCall(call)
 }
 
+// endOpen ends the sends that are still open. If upstreams may have crashed under the request,
+// it goes on to observe those in flight: their upstreams may be about to crash as well.
+func (x *run) endOpen() {
+	if !x.connectionBroken.Load() || x.survived.Load() {
+		x.cancelOpen()
+		return
+	}
+	observed := map[int]send{}
+	until := x.engine.now().Add(crashObservation)
+	for i := range x.sends {
+		s := &x.sends[i]
+		if !s.open() {
+			continue
+		}
+		x.abandon(s)
+		if s.call.Expire(until) {
+			observed[i] = *s
+		}
+	}
+	if len(observed) > 0 {
+		go x.observeCrashes(x.req.subject(), observed)
+	}
+}
+
 // cancelOpen cancels all sends that are still open.
 func (x *run) cancelOpen() {
 	for i := range x.sends {
@@ -300,11 +324,16 @@
 
 // cancelSend cancels one send.
 func (x *run) cancelSend(s *send) {
+	x.abandon(s)
+	s.call.Withdraw()
+}
+
+// abandon records that the run no longer waits for a send's reply.
+func (x *run) abandon(s *send) {
 	e := x.engine
 	now := e.now()
 	s.cancelled = true
 	s.held = s.call.Held(now)
-	s.call.Withdraw()
 	e.mu.Lock()
 	e.replicas.Abandoned(now, x.req.Route.Name, x.defaultLatency, s.call.Upstream, s.id, now.Sub(s.sentAt)-s.call.Waited(now))
 	window := e.replicas.Window(s.call.Upstream)
