owner: refuse what arrives just after a pause as shed, with the time to come back

Callers saw: 502 upstream_failed, not run, "no shard answered", in place of an answer, for a search with all of its two seconds left (TestOnlyHomeVMsServeACustomer, once in 400 runs beside load).

Cause: for 100 ms after a pause of its process an owner reads what arrived meanwhile. A request that it reads then may have waited in the socket buffer for the whole pause, so its remaining time was reduced by the pause; requests sent after the pause were reduced alike, and refused as too_late, at once or after what little was left. A sender does not retry what is too late.

Change: only the sender knows how much time is left. The owner refuses such requests as not run, at once, as shed, with the rest of the 100 ms as the time to come back. The sender tries another replica, or the owner again.

TestRequestSentAfterAPauseIs- NotTooLate failed before. That the run on record was paused is likely, not shown: only its refusal was kept.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -84,7 +84,7 @@
 	CircuitOpen Reason = "circuit_open"
 	// Stopping: this VM is shutting down.
 	Stopping Reason = "stopping"
-	// Paused: this process was paused for longer than the time left.
+	// Paused: this process was paused, and the request may have waited for that time.
 	Paused Reason = "paused"
 	// AtUpstream: the upstream refused the request.
 	AtUpstream Reason = "at_upstream"
--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -40,9 +40,15 @@
 	p.lastTick = now
 }
 
+// ResumesIn returns how long dispatching stays suspended; 0 if it is not. A sub-request that
+// arrives meanwhile may have waited in a socket buffer since before the pause.
+func (p *PauseDetector) ResumesIn(now time.Time) time.Duration {
+	p.Check(now)
+	return max(0, p.heldUntil.Sub(now))
+}
+
 // Check reports whether dispatching is suspended at now, and the length of the
-// last pause. A sub-request that arrives while dispatching is suspended may have
-// waited that long in a socket buffer.
+// last pause.
 func (p *PauseDetector) Check(now time.Time) (held bool, gap time.Duration) {
 	if !p.lastTick.IsZero() {
 		if away := pause.Gap(p.lastTick, now); away >= p.opts.Gap {
--- a/internal/owner/executor.go
+++ b/internal/owner/executor.go
@@ -175,7 +175,7 @@
 	if e.queue.Len() == 0 {
 		return nil, nil
 	}
-	if suspended, _ := e.owner.suspended(now); suspended {
+	if e.owner.suspended(now) {
 		return nil, nil
 	}
 	if why := e.checkUsable(now); why != nil {
@@ -269,7 +269,7 @@
 // an item. The caller holds mu.
 func (e *executor) recordOutcome(it *dispatch.Item, out *upstream.Outcome, now time.Time, took time.Duration) {
 	running := e.queue.Running()
-	suspended, _ := e.owner.suspended(now)
+	suspended := e.owner.suspended(now)
 	switch {
 	case suspended:
 		// The duration includes the pause of this process.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -196,19 +196,15 @@
 	e.push(now, it)
 }
 
-// prepare sets the item's deadline and priority and returns its executor.
+// prepare sets the item's deadline and priority and returns its executor. It refuses items that
+// arrive just after a pause of the process.
 func (o *Owner) prepare(now time.Time, it *dispatch.Item) (*executor, *dispatch.Refusal) {
-	remaining := time.Duration(it.Request.RemainingUs) * time.Microsecond
-	if suspended, gap := o.suspended(now); suspended {
-		// The request may have waited in a socket buffer for the whole pause while
-		// its remaining time did not decrease. Without this subtraction the owner
-		// would run work that its sender gave up long ago.
-		remaining -= gap
-		if remaining <= 0 {
-			return nil, &dispatch.Refusal{Result: pb.Result_TOO_LATE, Reason: dispatch.Paused}
-		}
+	if wait := o.resumesIn(now); wait > 0 {
+		// The request may have waited in a socket buffer for the whole pause while its remaining
+		// time did not decrease, and its sender may have given it up. Only the sender knows.
+		return nil, &dispatch.Refusal{Result: pb.Result_SHED, Reason: dispatch.Paused, RetryAfter: wait}
 	}
-	it.Deadline = now.Add(remaining)
+	it.Deadline = now.Add(time.Duration(it.Request.RemainingUs) * time.Microsecond)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.setPriority(it)
@@ -330,17 +326,17 @@
 }
 
 // suspended reports whether dispatching is suspended, because the process was
-// paused or its view may be out of date, and the length of the pause.
-func (o *Owner) suspended(now time.Time) (bool, time.Duration) {
+// paused or its view may be out of date.
+func (o *Owner) suspended(now time.Time) bool {
+	return o.resumesIn(now) > 0 || o.opts.ViewStale != nil && o.opts.ViewStale(now)
+}
+
+// resumesIn returns how long requests are distrusted because the process was paused; 0 if
+// they are not.
+func (o *Owner) resumesIn(now time.Time) time.Duration {
 	o.pauseMu.Lock()
-	suspended, gap := o.pause.Check(now)
-	o.pauseMu.Unlock()
-	if suspended || o.opts.ViewStale == nil {
-		return suspended, gap
-	}
-	// A request that arrives now was sent after the pause, so its remaining time
-	// is not reduced.
-	return o.opts.ViewStale(now), 0
+	defer o.pauseMu.Unlock()
+	return o.pause.ResumesIn(now)
 }
 
 // refuse answers an item that did not run.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -258,6 +258,26 @@
 	g.Expect(r.runCount(2) + r.runCount(3) + r.runCount(5)).To(BeZero())
 }
 
+// Failure: a request that was sent after a pause is refused as too late, with all of its time
+// left. The owner took it for one that had waited in the socket buffer for the whole pause, and
+// its sender does not retry what is too late. The sender gets the time after which the owner
+// trusts requests again.
+func TestRequestSentAfterAPauseIsNotTooLate(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t, rigConfig{slots: 1, connections: 40})
+	r.tick()
+	r.advance(3 * time.Second)
+	early := <-r.sendFor(1, 2*time.Second)
+	g.Expect(early.Result).To(Equal(pb.Result_SHED))
+	g.Expect(early.Detail).To(Equal(string(dispatch.Paused)))
+	wait := time.Duration(early.RetryAfterMs) * time.Millisecond
+	g.Expect(wait).To(And(BeNumerically(">", 0), BeNumerically("<=", DefaultPauseOptions().Settle)))
+	r.advance(wait)
+	r.tick()
+	g.Expect((<-r.sendFor(2, 2*time.Second)).Result).To(Equal(pb.Result_OK))
+	g.Expect(r.runCount(1)).To(BeZero())
+}
+
 // Failure: a caller is answered that its request did not run only when a slow
 // request ends. The only slot hangs while the deadline of a queued request passes.
 // Deadlines were checked only when a slot became free.
