congestion: a pause of one upstream does not lower a low limit that is not in use

Callers saw (in the model): queries refused as congested at half of the capacity, and served on the second try (TestBelowCapacityNothingIsRefusedForCongestion, 4 of 4,245).

Cause: a query that must have all parts is late if one upstream pauses. That counted as congestion and cut the limit of its class from 8 to 3.5 and 2, though only one to four queries ran; the queries of the next pause were refused. And a class of two began with 8 places, which the queries of one pause fill.

Change: while its class has places left, a query that is only just congested leaves a limit of 16. A limit in use and more refused parts lower it as before. A class begins with 12 places at least.

--- a/internal/balance/overload_test.go
+++ b/internal/balance/overload_test.go
@@ -62,3 +62,16 @@
 		}
 	}
 }
+
+// Guards against the same at further seeds: 7 of the first 20 had refusals at half of the
+// capacity, as single pauses lowered limits that were not in use.
+func TestHalfOfTheCapacityIsServedAtFurtherSeeds(t *testing.T) {
+	for seed := uint64(seeds + 1); seed <= 20; seed++ {
+		opts := DefaultOptions()
+		opts.Pattern, opts.Seed = Pattern{Name: "half", Load: 0.5}, seed
+		r := Play(opts)
+		if n := Sum(r.During).Congested + Sum(r.After).Congested; n > 0 {
+			t.Errorf("seed %d: %d queries refused for congestion", seed, n)
+		}
+	}
+}
--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -62,6 +62,9 @@
 	// minInitialLimit is the lowest initial limit of all classes together: the slots may be counted before most
 	// upstreams have registered.
 	minInitialLimit = 16
+	// minClassLimit is the lowest initial limit of one class. Fewer places do not hold the queries
+	// that come during a usual pause of an upstream.
+	minClassLimit = 12
 )
 
 // WithSlots returns the policy with an initial limit for the given number of slots: those of
@@ -75,9 +78,11 @@
 }
 
 // WithClasses returns the policy for each of n classes that share the upstreams: they divide
-// the initial limit.
+// the initial limit, and none begins below minClassLimit.
 func (p Policy) WithClasses(n int) Policy {
-	p.InitialLimit = max(p.MinLimit, p.InitialLimit/float64(max(1, n)))
+	if n > 1 {
+		p.InitialLimit = max(minClassLimit, p.InitialLimit/float64(n))
+	}
 	return p
 }
 
@@ -148,6 +153,8 @@
 	HeldUpShards, Expendable int
 	// Late reports whether the query ended after its objective.
 	Late bool
+	// Priority is the query's.
+	Priority pb.Priority
 }
 
 // congestedShare returns the share of shards that counts as refused for lack of capacity.
@@ -169,12 +176,29 @@
 	share := o.congestedShare(&l.policy)
 	switch {
 	case share >= l.policy.CongestedShare:
-		l.decrease(now, started, running, share)
-	case float64(running) >= l.limit*(1-reservedShare(pb.Priority_LOW)):
+		l.decrease(now, started, l.floor(running, share, o.Priority), running, share)
+	case l.inUse(running, pb.Priority_LOW):
 		l.increase()
 	}
 }
 
+// inUse reports whether the running queries take up the part of the limit that queries of
+// priority p may use.
+func (l *Limiter) inUse(running int, p pb.Priority) bool {
+	return float64(running) >= l.limit*(1-reservedShare(p))
+}
+
+// floor returns the least limit that a congested query may leave. A pause of one upstream makes
+// queries late at any load. While fewer of them run than the limit admits, they say nothing
+// about a low limit: lowered further, it would refuse the queries that come during the next
+// pause, although the upstreams have room for them.
+func (l *Limiter) floor(running int, share float64, p pb.Priority) float64 {
+	if share > l.policy.CongestedShare || l.inUse(running, p) {
+		return l.policy.MinLimit
+	}
+	return max(l.policy.MinLimit, min(l.limit, minInitialLimit))
+}
+
 // increase raises the limit by one before the first congestion. After it, the limit grows by
 // one per round of queries.
 func (l *Limiter) increase() {
@@ -185,10 +209,11 @@
 	l.limit += 1 / l.limit
 }
 
-// decrease lowers the limit in proportion to share, the congested share of a query's shards.
+// decrease lowers the limit in proportion to share, the congested share of a query's shards, and
+// not below floor.
 // It ignores queries started before the last decrease: they ran under the higher limit, so a
 // set of concurrent queries lowers the limit once.
-func (l *Limiter) decrease(now, started time.Time, running int, share float64) {
+func (l *Limiter) decrease(now, started time.Time, floor float64, running int, share float64) {
 	if started.Before(l.decreasedAt) {
 		return
 	}
@@ -197,7 +222,7 @@
 	if share <= l.policy.CongestedShare {
 		from = max(from, mildDecreaseFrom*l.limit)
 	}
-	l.limit = max(l.policy.MinLimit, from*(1-l.policy.MaxDecrease*share))
+	l.limit = max(floor, from*(1-l.policy.MaxDecrease*share))
 }
 
 // Abandon ends a query without adjusting the limit.
--- a/internal/congestion/group.go
+++ b/internal/congestion/group.go
@@ -197,6 +197,7 @@
 
 // Done ends an admitted query and returns the waiting queries that are decided by it.
 func (g *Group) Done(now time.Time, q *Query, o Outcome) []Verdict {
+	o.Priority = q.Priority
 	q.class.limiter.Done(now, q.admittedAt, o)
 	q.class.queue.Done(now.Sub(q.admittedAt), false)
 	return g.decide(now)
--- a/internal/congestion/group_test.go
+++ b/internal/congestion/group_test.go
@@ -327,3 +327,33 @@
 		})
 	})
 }
+
+// Guards against queries that are refused below capacity: a pause of one upstream makes a query
+// late while the class has places left, and its low limit is lowered further. A limit that is in
+// use is lowered.
+func TestPauseBelowCapacityKeepsALowLimit(t *testing.T) {
+	g := NewWithT(t)
+	late := Outcome{Shards: shards, HeldUpShards: 1, Late: true, Priority: high}
+	for _, c := range []struct {
+		running int
+		limit   float64
+	}{{1, 8}, {7, 8}, {8, 7}} {
+		p := DefaultPolicy()
+		p.InitialLimit = 8
+		l := New(p)
+		for range c.running {
+			l.Start(high)
+		}
+		l.Done(after(time.Second), epoch, late)
+		g.Expect(l.Limit()).To(BeNumerically("~", c.limit), "%d running", c.running)
+	}
+}
+
+// Guards against a class that begins with less room than the queries of one pause need, as it
+// shares a small number of slots with others.
+func TestClassesBeginWithRoomForAPause(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(DefaultPolicy().WithSlots(1).WithClasses(2).InitialLimit).To(BeNumerically("==", minClassLimit))
+	g.Expect(DefaultPolicy().WithSlots(1).WithClasses(1).InitialLimit).To(BeNumerically("==", minInitialLimit))
+	g.Expect(DefaultPolicy().WithSlots(24).WithClasses(2).InitialLimit).To(BeNumerically("==", queriesPerSlot*24/2))
+}
--- a/internal/frontend/scatter.go
+++ b/internal/frontend/scatter.go
@@ -45,7 +45,7 @@
 		l.Abandon()
 		return
 	}
-	l.Done(now, started, congestion.Outcome{Shards: len(o.Shards), RefusedShards: saturatedShards(o)})
+	l.Done(now, started, congestion.Outcome{Shards: len(o.Shards), RefusedShards: saturatedShards(o), Priority: k.Priority})
 }
 
 // saturatedShards counts the shards that refused at least one sub-request for lack
