quarantine: send own crashes to peers also after a peer's entry has arrived

What callers may see: a request that crashes upstreams is a suspect later than it could be. Crashes are sent to all peers when their attempt has ended, unless the record was sent before; a peer's entry for the same request, merged while the attempt ran, marked the record as sent. The own crashes then travelled by repeats to two peers a second alone.

Change: the record keeps whether it has crashes that peers were not sent. TestOwnCrashesAreSentAfterAPeersEntry failed before: the peer counted one crash of two.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -134,6 +134,8 @@
 	announceTrial bool
 	// shared is set once peers have the record, pending while it waits to be sent to all peers.
 	shared, pending bool
+	// unsent is set while this VM has detected crashes that peers have not been sent.
+	unsent bool
 }
 
 // Table holds the requests under which upstreams have ended. It is not safe for concurrent use.
@@ -208,6 +210,7 @@
 		// settleTime the crash is that of the next process under the same name.
 		return r.transition(now, content, was)
 	}
+	r.unsent = true
 	if newRound {
 		r.rounds++
 		r.roundStart = c.EndedAt
@@ -228,7 +231,7 @@
 // two messages for each query that loses some of its parts: its crashes and, once another part
 // is answered, its clearance.
 func (t *Table) Unanswered(content fingerprint.Fingerprint) {
-	if r := t.records[content]; r != nil && !r.cleared() && !r.shared {
+	if r := t.records[content]; r != nil && !r.cleared() && r.unsent {
 		r.pending = true
 	}
 }
@@ -360,7 +363,7 @@
 		switch {
 		case now.After(r.expiry(now)):
 			delete(t.records, content)
-		case !r.shared && r.standing(now) == Suspect && now.Sub(r.lastCrash) >= shareSuspectAfter:
+		case r.unsent && r.standing(now) == Suspect && now.Sub(r.lastCrash) >= shareSuspectAfter:
 			r.pending = true
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -320,6 +320,22 @@
 	}
 }
 
+// Guards against crashes that peers learn of by repeats alone, seconds later: a peer's entry for
+// the same request arrives while this VM's attempt still runs.
+func TestOwnCrashesAreSentAfterAPeersEntry(t *testing.T) {
+	a, b := newVM(t), newVM(t)
+	a.crashed(1, 0)
+	b.crashed(2, 5*ms)
+	b.sendPending(10*ms, a)
+	a.sendPending(40*ms, b)
+	if n := b.records[content(1)].crashes(); n != 2 {
+		t.Errorf("the peer counts %d crashes, want 2", n)
+	}
+	if a.Unanswered(content(1)); a.HasPending() {
+		t.Error("pending again although peers have all")
+	}
+}
+
 // Guards against a second VM that sends a request to another replica of each shard while the
 // first VM's attempt, under which a dozen upstreams have ended, still runs.
 func TestManyCrashesArePendingAtOnce(t *testing.T) {
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -33,7 +33,7 @@
 	for _, content := range pending[:min(limit, len(pending))] {
 		r := t.records[content]
 		out = append(out, r.entry(now, content))
-		r.pending, r.announceTrial, r.shared = false, false, true
+		r.pending, r.unsent, r.announceTrial, r.shared = false, false, false, true
 	}
 	return out
 }
