connpool: take the start of an upstream from the registrations, not from its pool

Change: Pools keeps the registrations that it was last given; a check and a new pool go by the latest start. TestCheckAfterThePoolOfTheProcessIsRemoved and TestCallWithEarlierRegistrationOpensThePoolOfTheCurrentOne failed before.

--- a/internal/connpool/check.go
+++ b/internal/connpool/check.go
@@ -64,12 +64,26 @@
 func (p *Pools) CheckProcess(u *catalog.Upstream, notify func(ended bool)) {
 	p.mu.Lock()
 	pool := p.pools[u.ID]
+	replaced := p.replaced(u)
 	p.mu.Unlock()
-	if pool == nil || pool.upstream.StartedAfter(u) {
-		go notify(pool != nil)
-		return
+	switch {
+	case replaced || pool != nil && pool.upstream.StartedAfter(u):
+		go notify(true)
+	case pool == nil:
+		go notify(false)
+	default:
+		pool.check(time.Now(), notify)
+	}
+}
+
+// replaced reports whether the registrations show that the process of an upstream has ended: a
+// later start, or another upstream at its address. The caller holds mu.
+func (p *Pools) replaced(u *catalog.Upstream) bool {
+	current := p.known[u.ID]
+	if current == nil {
+		return addressInUse(p.known, u.Address)
 	}
-	pool.check(time.Now(), notify)
+	return current.StartedAfter(u)
 }
 
 // check starts a check, joins the running one or reuses the last result within checkTTL.
--- a/internal/connpool/check_test.go
+++ b/internal/connpool/check_test.go
@@ -134,3 +134,20 @@
 		}
 	}
 }
+
+// Guards against missed crashes: the registration of the new process arrives between the end of
+// the connection and the check, and has already removed the pool of the former process.
+func TestCheckAfterThePoolOfTheProcessIsRemoved(t *testing.T) {
+	for _, id := range []string{"u", "v"} {
+		s := newServer(t, respondWith(func(id string) string { return response(id, "x") }))
+		cl := newClient(t, s, 1)
+		cl.up.StartedAt = time.Unix(1000, 0)
+		cl.call("1")
+		later := restarted(cl.up, s)
+		later.ID = id
+		cl.setUpstream(later)
+		if !cl.processEnded() {
+			t.Errorf("the process that %s has replaced is reported as running", id)
+		}
+	}
+}
--- a/internal/connpool/pools.go
+++ b/internal/connpool/pools.go
@@ -16,6 +16,8 @@
 	mu    sync.Mutex
 	limit func(service string) int
 	pools map[string]*Pool
+	// known holds the current registrations by id, nil before the first.
+	known map[string]*catalog.Upstream
 }
 
 // Observer receives the connection events, traffic and health checks of upstreams.
@@ -48,8 +50,8 @@
 	p.mu.Lock()
 	pool := p.pools[u.ID]
 	var former *Pool
-	if pool == nil || u.StartedAfter(pool.upstream) {
-		former, pool = pool, newPool(u, p.protocol, p.observer, p.limit(u.Service))
+	if latest := p.latest(u); pool == nil || latest.StartedAfter(pool.upstream) {
+		former, pool = pool, newPool(latest, p.protocol, p.observer, p.limit(latest.Service))
 		p.pools[u.ID] = pool
 	}
 	p.mu.Unlock()
@@ -63,6 +65,15 @@
 	pool.do(call)
 }
 
+// latest returns the current registration of an upstream if it is of a later start than u, which
+// a query may have held for a while, and u otherwise. The caller holds mu.
+func (p *Pools) latest(u *catalog.Upstream) *catalog.Upstream {
+	if current := p.known[u.ID]; current != nil && current.StartedAfter(u) {
+		return current
+	}
+	return u
+}
+
 // AnswersAhead returns, for each upstream, how many answers each of its connections in use must
 // deliver before one more call gets a connection; 0 when one is idle or may be opened. The
 // limit of the call's class counts too; MinLimit of class is not used.
@@ -95,6 +106,7 @@
 // the others.
 func (p *Pools) SetUpstreams(known map[string]*catalog.Upstream) {
 	p.mu.Lock()
+	p.known = known
 	var removed, restarted []*Pool
 	for id, pool := range p.pools {
 		u := known[id]
--- a/internal/connpool/restart_test.go
+++ b/internal/connpool/restart_test.go
@@ -103,3 +103,28 @@
 		}
 	}
 }
+
+// Guards against calls that are lost in flight to a live process: a query that holds the earlier
+// registration opened the pool anew under it, and the next call with the current registration
+// abandoned that pool and its connections.
+func TestCallWithEarlierRegistrationOpensThePoolOfTheCurrentOne(t *testing.T) {
+	arrived := make(chan string, 1)
+	s := newServer(t, unresponsive(arrived))
+	cl := newClient(t, s, 2)
+	cl.up.StartedAt = time.Unix(1000, 0)
+	former, current := cl.up, restarted(cl.up, s)
+	cl.setUpstream(current)
+	_, inFlight := cl.begin("1", nil, 0)
+	<-arrived
+	cl.up = current
+	cl.begin("2", nil, 0)
+	<-arrived
+	select {
+	case r := <-inFlight:
+		t.Errorf("the call with the earlier registration ended: %v, %s", r.Result, r.Detail)
+	default:
+	}
+	if p := cl.pools.pools[former.ID]; !p.upstream.StartedAt.Equal(current.StartedAt) {
+		t.Errorf("the pool is that of the start at %v", p.upstream.StartedAt)
+	}
+}
