quarantine: block no request that has not been a suspect

A poison request was ending the three upstreams of their service meanwhile.

Cause: a third crash that came a second or more after the second blocked a request also if the first two, in one moment, had not made it a suspect, so that it was never tried at one upstream alone.

Change: a crash a second or more after the last one blocks a suspect only; a chain of four blocks as before. A poison request pays one send more for it. TestNoRequestIsBlockedBeforeItIsASuspect failed before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -218,7 +218,7 @@
 	if c.EndedAt.After(r.lastCrash) {
 		r.lastCrash = c.EndedAt
 	}
-	if was != Blocked && r.crashes() >= suspectCrashes && (r.rounds >= blockRounds && r.blocks == 0 || newRound && settled) {
+	if was != Blocked && r.crashes() >= suspectCrashes && (r.rounds >= blockRounds && r.blocks == 0 || newRound && settled && was == Suspect) {
 		r.blocks++
 	}
 	change := r.transition(now, content, was)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -99,6 +99,19 @@
 	v.expectStanding(0, Suspect)
 }
 
+// Guards against blocking an innocent request without a trial: two upstreams end under it at
+// once, and a third one later, each because of another request. It has been no suspect yet.
+func TestNoRequestIsBlockedBeforeItIsASuspect(t *testing.T) {
+	v := newVM(t)
+	v.crashed(1, 0)
+	v.crashed(2, 10*ms)
+	v.expectStanding(10*ms, Free)
+	v.crashed(3, 2*time.Second)
+	v.expectStanding(2*time.Second, Suspect)
+	v.crashed(4, 4*time.Second)
+	v.expectStanding(4*time.Second, Blocked)
+}
+
 // A process of an upstream counts once, however many of its connections close. A later crash
 // under the same name is that of another process.
 func TestUpstreamProcessCountsOnce(t *testing.T) {
