Review case 1: keep the dose at the backends that get requests

The script garbles at three of five services' backends, so that the share is 0.6 of those that get requests too.

--- a/review/stand/extraanswer.go
+++ b/review/stand/extraanswer.go
@@ -10,15 +10,15 @@
 
 // Figures of the case "extra-answer".
 const (
-	extraServices = 3
+	extraServices = 5
 	extraWork     = 28 * time.Millisecond
 	extraSlots    = 3
 	extraQueue    = 3
 	// extraClients is the number of clients of each service at each daemon.
 	extraClients = 2
-	// Two of the three backends of a service send three in a hundred answers twice, for five
+	// The backends of three of the five services send three in a hundred answers twice, for five
 	// seconds at a time.
-	extraShare   = 2
+	extraGarbled = 3
 	extraAnswers = 0.03
 	extraWindow  = 5 * time.Second
 	extraWindows = 3
@@ -49,7 +49,7 @@
 			if err != nil {
 				return failed, err
 			}
-			if i < extraShare {
+			if s < extraGarbled {
 				b.extra = func() bool { return garbling.Load() && rand.Float64() < extraAnswers }
 			}
 			w.backend = append(w.backend, b)
@@ -81,7 +81,7 @@
 		time.Sleep(time.Second)
 		if trouble {
 			garbling.Store(true)
-			w.logf("two of the three backends of each service begin to send 3 in 100 answers twice")
+			w.logf("the backends of three of the five services begin to send 3 in 100 answers twice")
 		}
 		time.Sleep(extraWindow)
 		garbling.Store(false)
