node: answer every request in flight before a planned stop ends the process

Callers saw their connection close without a byte 5.8 s after SIGTERM: requests accepted late in the grace period that upstreams were working on, and requests that every upstream had refused and that the VM held for a later try.

Cause: a shutdown waited for requests in flight until the exit and did not tell them of it. Each of them waited for its own deadline: at an upstream, in the backoff after a refusal, in the queue for a connection or for a place under the congestion limit, for the trial of a suspect.

The engine now knows the end of the shutdown from SIGTERM on (0.45 s before the end of the grace period). Queries end then with what they have. Sends whose answer is not expected by then are not made, and a request without a send at an upstream is refused at once, so that its caller still has time elsewhere. A call knows whether any part of it was written, so that 'not run' is said only where it is certain; the same now holds at a deadline. Open connections are served until the end instead of being closed 1.3 s before the end of the grace period: a stop takes up to 0.85 s longer if callers keep idle connections.

TestPlannedStopAnswersWhatItCannotServe fails before: timed_out and all_refused in place of stopping; the scatter and edge tests need the new calls.

--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -104,6 +104,8 @@
 	conn      net.Conn
 	withdrawn bool
 	finished  bool
+	// unsent is set if the call was withdrawn before any part of it was written.
+	unsent bool
 	// heldAt is when the limit of its class first held the call back, zero if it never did;
 	// held is the time from then until it was sent.
 	heldAt time.Time
@@ -117,19 +119,36 @@
 
 // Withdraw cancels the call: Done is no longer called. A call that waits for a
 // connection is dropped. The connection of a call in flight is closed, which makes
-// the upstream stop working on it.
-func (c *Call) Withdraw() {
+// the upstream stop working on it. Withdraw returns whether the call has certainly never been
+// written, not even in part.
+func (c *Call) Withdraw() (unsent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.withdrawn || c.finished {
-		return
+	if c.dropUnsent() || c.withdrawn || c.finished {
+		return c.unsent
 	}
-	c.endWait(time.Now())
 	c.withdrawn = true
-	if c.conn != nil {
-		// Fails only when the connection is already closed.
-		_ = c.conn.SetDeadline(time.Now())
+	// Fails only when the connection is already closed.
+	_ = c.conn.SetDeadline(time.Now())
+	return false
+}
+
+// DropUnsent cancels the call if it has not been given to a connection, and returns whether it
+// did: the call has then never been written, and Done is not called.
+func (c *Call) DropUnsent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dropUnsent()
+}
+
+// dropUnsent implements DropUnsent. The caller holds mu.
+func (c *Call) dropUnsent() bool {
+	if c.withdrawn || c.finished || c.conn != nil {
+		return false
 	}
+	c.endWait(time.Now())
+	c.withdrawn, c.unsent = true, true
+	return true
 }
 
 // Expire limits the time until which a call in flight may be answered, and returns whether Done
@@ -142,9 +161,7 @@
 		return false
 	case c.finished:
 		return true
-	case c.conn == nil:
-		c.endWait(time.Now())
-		c.withdrawn = true
+	case c.dropUnsent():
 		return false
 	default:
 		// Fails only when the connection is already closed.
--- a/internal/connpool/limits_test.go
+++ b/internal/connpool/limits_test.go
@@ -250,7 +250,7 @@
 // refused while it waits would count as held up for as long as its request runs.
 func TestWaitEndsWithTheCall(t *testing.T) {
 	for name, end := range map[string]func(*Call){
-		"withdrawn": (*Call).Withdraw,
+		"withdrawn": func(c *Call) { c.Withdraw() },
 		"refused":   func(c *Call) { c.finish(Reply{Result: scatter.NoConnection}) },
 	} {
 		c := &Call{Done: func(Reply) {}}
--- a/internal/edge/admit.go
+++ b/internal/edge/admit.go
@@ -89,8 +89,12 @@
 	began := e.now()
 	defer func() { r.queued = e.now().Sub(began) }()
 	limit := e.after(p.query.WaitUntil().Sub(began))
+	stopping := e.stop.begun
 	for {
 		select {
+		case <-stopping:
+			stopping = nil
+			limit = e.after(min(p.query.WaitUntil().Sub(e.now()), e.stopLimits(r.Route).LastSend.Sub(e.now())))
 		case admitted := <-p.decided:
 			if !admitted {
 				return waitRefused
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,6 +98,7 @@
 	schedulingDelay atomic.Int64
 	started         time.Time
 	warmups         warmupTracker
+	stop            shutdown
 	// configured is closed when the first configuration arrives.
 	configured     chan struct{}
 	configuredOnce sync.Once
@@ -127,6 +128,7 @@
 		started:    now,
 		shareSince: now,
 		configured: make(chan struct{}),
+		stop:       shutdown{begun: make(chan struct{})},
 		replicas:   replica.New(opts.Place, opts.Random),
 		budgets:    map[string]*retrybudget.Budget{},
 		limiters:   map[string]*congestion.Group{},
@@ -304,6 +306,9 @@
 	if r.Route == nil {
 		return refuse(NoRoute, 0)
 	}
+	if e.stopsTooSoon(r.Route) {
+		return refuse(Stopping, stoppingRetry)
+	}
 	if e.cannotMeetObjective(r.Route) {
 		return refuse(Overloaded, overloadRetry)
 	}
@@ -314,6 +319,8 @@
 		return refuse(SuspectHeld, suspectHeldRetry)
 	case a.Waited && r.callerGone():
 		return Answer{Reason: CallerGone}
+	case a.Waited && e.stopsTooSoon(r.Route):
+		return refuse(Stopping, stoppingRetry)
 	default:
 		r.trial = a.Standing == quarantine.Suspect
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -92,6 +92,8 @@
 	PoisonRequest Reason = "poison_request"
 	// SuspectHeld: upstreams have ended under the request, and other attempts are trying it.
 	SuspectHeld Reason = "suspect_held"
+	// Stopping: this VM shuts down before an answer can arrive.
+	Stopping = Reason(scatter.Stopping)
 	// CallerGone: the caller closed its connection.
 	CallerGone Reason = "caller_gone"
 	// Malformed: the request violates the protocol.
@@ -166,8 +168,12 @@
 
 // retryAfter returns when a caller may retry a request that has not run.
 func retryAfter(reason scatter.Reason) time.Duration {
-	if reason == scatter.NoUpstream {
+	switch reason {
+	case scatter.NoUpstream:
 		return noUpstreamRetry
+	case scatter.Stopping:
+		return stoppingRetry
+	default:
+		return refusedRetry
 	}
-	return refusedRetry
 }
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -124,6 +124,11 @@
 	x.nextCallerCheck = now.Add(callerCheckInterval)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	stopping := x.engine.stop.begun
+	if x.engine.stop.active() {
+		stopping = nil
+		x.limitByStop()
+	}
 	x.dispatch(x.query.Start(now))
 	for x.query.Outcome() == nil {
 		timer.Reset(x.nextWake().Sub(x.engine.now()))
@@ -131,7 +136,13 @@
 		case <-x.replies.signal:
 			x.takeReplies()
 		case <-timer.C:
+			// An answer that has arrived counts, also if this step ends the query.
+			x.takeReplies()
 			x.dispatch(x.query.Tick(x.engine.now()))
+			x.dropUnsent()
+		case <-stopping:
+			stopping = nil
+			x.limitByStop()
 		}
 		if x.callerGone() {
 			x.cancelOpen()
@@ -278,8 +289,9 @@
 	e.startCall(call)
 }
 
-// endOpen ends the sends that are still open. If upstreams may have crashed under the request,
-// it goes on to observe those in flight: their upstreams may be about to crash as well.
+// endOpen ends the sends that are still open, and records those that have never left this VM. If
+// upstreams may have crashed under the request, it goes on to observe those in flight: their
+// upstreams may be about to crash as well.
 func (x *run) endOpen() {
 	if !x.connectionBroken.Load() || x.survived.Load() {
 		x.cancelOpen()
@@ -302,11 +314,12 @@
 	}
 }
 
-// cancelOpen cancels all sends that are still open.
+// cancelOpen cancels all sends that are still open. An ended query learns which of them have
+// never left this VM.
 func (x *run) cancelOpen() {
 	for i := range x.sends {
-		if s := &x.sends[i]; s.open() {
-			x.cancelSend(s)
+		if s := &x.sends[i]; s.open() && x.cancelSend(s) && x.query.Outcome() != nil {
+			x.query.Unsent(i)
 		}
 	}
 }
@@ -322,10 +335,10 @@
 	}
 }
 
-// cancelSend cancels one send.
-func (x *run) cancelSend(s *send) {
+// cancelSend cancels one send and returns whether it has certainly never left this VM.
+func (x *run) cancelSend(s *send) (unsent bool) {
 	x.abandon(s)
-	s.call.Withdraw()
+	return s.call.Withdraw()
 }
 
 // abandon records that the run no longer waits for a send's reply.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -41,9 +41,12 @@
 	// to callers' connections. Connections to upstreams use the rest, as each query is
 	// sent to several upstreams.
 	callerDescriptorShare = 0.4
-	// drainMargin is the part of the grace period reserved for requests in flight after
-	// the VM has stopped accepting new ones.
+	// drainMargin is the part of the grace period in which the VM accepts no new connections.
+	// Requests on open connections are served until flushMargin before the exit.
 	drainMargin = 1300 * time.Millisecond
+	// flushMargin is the part of the grace period reserved for writing the last answers, when
+	// every request in flight has ended, before exitMargin.
+	flushMargin = 250 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the process to exit by
 	// itself.
 	exitMargin = 200 * time.Millisecond
@@ -180,32 +183,47 @@
 	return out
 }
 
-// shutdown stops the VM's service without cutting off a request. Callers learn from the
-// directory and from each response that the VM is leaving. Meanwhile it accepts new
-// requests for the drain period, or until the directory answers that callers hold have
-// expired and no caller is connected.
+// shutdown stops the VM's service. Callers learn from the directory and from each response that
+// the VM is leaving. Meanwhile it accepts connections for the drain period, or until the
+// directory answers that callers hold have expired and no caller is connected. Requests on open
+// connections are answered until the end of the grace period, those that cannot be served by
+// then with a refusal.
 func (d *Daemon) shutdown(servers []*server) {
 	start := time.Now()
+	exit := start.Add(d.settings.Load().Grace - exitMargin)
+	end := exit.Add(-flushMargin)
 	d.leaving.Store(true)
+	d.engine.BeginStop(end)
 	d.log.Info("node: stopping", zap.Int64("in_flight", d.engine.InFlight()), zap.Int64("connections", d.callerConns.open.Load()))
 	d.publishCapacity()
 	d.gossip.Leave()
 	drainEnd := start.Add(d.settings.Load().drainPeriod())
 	answersExpired := start.Add(directoryTTLFactor * d.settings.Load().directoryTTL())
-	for now := time.Now(); now.Before(drainEnd); now = time.Now() {
-		if now.After(answersExpired) && d.callerConns.open.Load() == 0 {
-			break
-		}
-		time.Sleep(drainPollInterval)
+	d.pollUntil(drainEnd, func() bool {
+		return time.Now().After(answersExpired) && d.callerConns.open.Load() == 0
+	})
+	callers := &servers[0].http
+	if err := callers.StopAccepting(); err != nil {
+		d.log.Warn("node: listener for callers not closed", zap.Error(err))
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(d.settings.Load().Grace-exitMargin))
+	// Idle connections stay open: a caller whose request meets the close of its connection
+	// cannot tell whether it has run.
+	d.pollUntil(end, func() bool { return d.callerConns.open.Load() == 0 })
+	ctx, cancel := context.WithDeadline(context.Background(), exit)
 	defer cancel()
-	if err := servers[0].http.Shutdown(ctx); err != nil {
+	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn("node: stopped with requests in flight", zap.Int64("in_flight", d.engine.InFlight()), zap.Error(err))
 	}
 	d.engine.Close()
 }
 
+// pollUntil waits until a time, or until done returns true.
+func (d *Daemon) pollUntil(end time.Time, done func() bool) {
+	for now := time.Now(); now.Before(end) && !done(); now = time.Now() {
+		time.Sleep(min(drainPollInterval, end.Sub(now)))
+	}
+}
+
 // closeAll closes the servers that are still open.
 func closeAll(servers []*server) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -63,7 +63,7 @@
 	return s.PeerAddress
 }
 
-// drainPeriod is how long a VM that is shutting down accepts new requests.
+// drainPeriod is how long a VM that is shutting down accepts new connections.
 func (s *Settings) drainPeriod() time.Duration { return max(s.Grace-drainMargin, 0) }
 
 // directoryTTL returns the TTL of directory answers. It does not exceed the drain
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -54,6 +54,9 @@
 	pending chan struct{}
 	// nonEmpty is set while the table has records. Each request reads it without the lock.
 	nonEmpty atomic.Bool
+	// stopping is closed when attempts must no longer wait.
+	stopping chan struct{}
+	stopOnce sync.Once
 
 	mu    sync.Mutex
 	table *quarantine.Table
@@ -61,7 +64,7 @@
 
 // New returns a Guard with an empty table.
 func New(logs logring.Loggers, metrics *Metrics) *Guard {
-	return &Guard{logs: logs, metrics: metrics, pending: make(chan struct{}, 1), table: quarantine.New()}
+	return &Guard{logs: logs, metrics: metrics, pending: make(chan struct{}, 1), stopping: make(chan struct{}), table: quarantine.New()}
 }
 
 // Request identifies a request to a Guard.
@@ -83,6 +86,9 @@
 	g.nonEmpty.Store(!g.table.Empty())
 }
 
+// EndWaits refuses the attempts of suspects that wait for a trial, now and later.
+func (g *Guard) EndWaits() { g.stopOnce.Do(func() { close(g.stopping) }) }
+
 // Blocked reports whether a request must not be sent to any upstream.
 func (g *Guard) Blocked(now time.Time, content fingerprint.Fingerprint) bool {
 	standing, _ := g.standing(now, content)
@@ -107,7 +113,11 @@
 	a := g.TryAdmit(now(), s.Content, &w)
 	waited := !a.RetryAt.IsZero()
 	for !a.RetryAt.IsZero() {
-		time.Sleep(a.RetryAt.Sub(now()))
+		select {
+		case <-g.stopping:
+			return quarantine.Admission{Standing: a.Standing, Held: true, Waited: waited}
+		case <-time.After(a.RetryAt.Sub(now())):
+		}
 		a = g.TryAdmit(now(), s.Content, &w)
 	}
 	a.Waited = waited
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -242,6 +242,32 @@
 	return time.Duration(float64(median) * t.stats(c).slowness(now))
 }
 
+// TailLatency returns the tail of the answer times of a kind, at the nearest distance with enough
+// observations; 0 if there is none.
+func (t *Table) TailLatency(now time.Time, kindName string, assumed time.Duration) time.Duration {
+	k := t.kind(kindName, assumed)
+	for d := range k.byDistance {
+		t.median(now, k, locality.Distance(d))
+		if tail := k.byDistance[d].tail; tail > 0 {
+			return tail
+		}
+	}
+	return 0
+}
+
+// LeastOpen returns the fewest open sends for each slot among the candidates, 0 without
+// candidates.
+func (t *Table) LeastOpen(candidates []*catalog.Upstream) float64 {
+	least := 0.0
+	for i, c := range candidates {
+		open := float64(len(t.stats(c).open)) / float64(max(1, c.Slots))
+		if i == 0 || open < least {
+			least = open
+		}
+	}
+	return least
+}
+
 // slowness returns the ratio of the upstream's answer time to the expected one.
 func (u *upstreamStats) slowness(now time.Time) float64 {
 	w := u.weight * decay(now.Sub(u.observedAt), slownessHalfLife)
--- a/internal/scatter/hedge.go
+++ b/internal/scatter/hedge.go
@@ -30,7 +30,7 @@
 	p := &q.parts[i]
 	p.hedgeAt = time.Time{}
 	p.hedgeHeld = false
-	if !q.mayRunAgain(p) || q.plan.Deadline.Sub(q.now) < minRemaining {
+	if q.SendsOver() || !q.mayRunAgain(p) || q.plan.Deadline.Sub(q.now) < minRemaining {
 		return
 	}
 	if q.isolation.Active() {
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -78,6 +78,9 @@
 	hedging   Hedging
 	// minReachedAt is when MinParts parts were answered, zero before.
 	minReachedAt time.Time
+	// stop is set while the VM is shutting down, cutShort once a part was given up for it.
+	stop     *Stop
+	cutShort bool
 	// now and sends are the time of the current step and the sends it makes.
 	now     time.Time
 	sends   []Send
@@ -165,12 +168,13 @@
 			q.resend(i, p.retryCause)
 		}
 	}
+	q.giveUpUnsendable()
 	return q.endStep()
 }
 
 // Next returns when Tick must be called next.
 func (q *Query) Next() time.Time {
-	next := q.plan.Deadline
+	next := earlier(q.plan.Deadline, q.nextStopStep())
 	if q.hasMinimum() {
 		next = earlier(next, q.partialAnswerAt())
 	}
@@ -269,10 +273,11 @@
 	if q.mayRunAgain(p) && p.refused > 0 && p.refused < maxRefusals {
 		p.retryAt = q.now.Add(refusalBackoff << (p.refused - 1))
 		p.retryCause = cause
-		if p.retryAt.Before(q.plan.Deadline) {
+		if q.mayScheduleAt(p.retryAt) {
 			return
 		}
 	}
+	q.cutShort = q.cutShort || q.SendsOver()
 	q.giveUp(i)
 }
 
@@ -283,7 +288,7 @@
 // tryResend sends a part again if the limits and the budget allow it.
 func (q *Query) tryResend(i int, cause Cause) bool {
 	p := &q.parts[i]
-	if !q.mayRunAgain(p) || p.refused >= maxRefusals {
+	if q.SendsOver() || !q.mayRunAgain(p) || p.refused >= maxRefusals {
 		return false
 	}
 	u := q.policy.Choose(i, p.tried)
@@ -306,6 +311,11 @@
 }
 
 func (q *Query) sendFirst(i int) {
+	if q.SendsOver() {
+		q.cutShort = true
+		q.giveUp(i)
+		return
+	}
 	u := q.policy.Choose(i, nil)
 	if u == nil {
 		q.giveUp(i)
@@ -369,11 +379,16 @@
 		q.finish(q.failureReason())
 	case !q.now.Before(q.plan.Deadline):
 		q.finish(TimedOut)
+	case q.stopEnded():
+		q.finish(q.stopOutcome())
 	}
 }
 
 // failureReason returns why the minimum of parts cannot be met.
 func (q *Query) failureReason() Reason {
+	if q.cutShort && q.notRun() {
+		return Stopping
+	}
 	if len(q.attempts) == len(q.sends) {
 		return NoUpstream
 	}
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -76,6 +76,8 @@
 	TooFewParts Reason = "too_few_parts"
 	// TimedOut: the caller's deadline or the route's timeout has passed.
 	TimedOut Reason = "timed_out"
+	// Stopping: this VM shuts down before an answer can arrive.
+	Stopping Reason = "stopping"
 )
 
 // Plan describes a request before anything is sent.
@@ -102,6 +104,14 @@
 	Trial bool
 }
 
+// Stop limits a query on a VM that is shutting down.
+type Stop struct {
+	// LastSend is until when sends are made: the answer to a later one would not arrive in time.
+	LastSend time.Time
+	// End is when the query ends, with whatever has been answered.
+	End time.Time
+}
+
 // Policy chooses upstreams and keeps the budget. A Query calls it during a step.
 type Policy interface {
 	// Choose returns an upstream for a part that is not among the tried ids, nil if there
--- a/internal/wire/ingress.go
+++ b/internal/wire/ingress.go
@@ -248,7 +248,7 @@
 	switch {
 	case a.NotRun:
 		return fasthttp.StatusServiceUnavailable
-	case a.Reason == edge.Reason(scatter.TimedOut):
+	case a.Reason == edge.Reason(scatter.TimedOut), a.Reason == edge.Stopping:
 		return fasthttp.StatusGatewayTimeout
 	default:
 		return fasthttp.StatusBadGateway
