connpool: carry a request at most once on a connection

Callers of unsafe routes saw a request run twice, or got 503 for one that ran, while upstreams sent some responses a second time.

Cause: all sends of an attempt have the client's request id. After a refusal and a backoff the request returned to the same upstream on the connection used last. The second copy of the refusal arrived there as the response to that send, and the request was sent once more while the upstream ran it.

A message now records the connections that have carried it. A further send takes another idle connection or a new one; at the limit of connections the old one is closed first and replaced in place, so that the limit holds and no call waits for a connection that it may not use. A response to an earlier send cannot arrive there, in whatever order. A refusal must name its request: a rejected health check has no id, and its copy could be read as the first response of a connection.

Ruled out: a response to another request (its id is checked), unread bytes before the send (checked at reuse; the copy arrives after it).

--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -3,13 +3,14 @@
 // connections per upstream is limited to this VM's share of what the upstream
 // accepts. The package never retries: each call is sent at most once.
 //
-// Lock order: Pools.mu, then Pool.mu, then Call.mu. No blocking operation runs under
+// Lock order: Pools.mu, then Pool.mu, then Call.mu or Message.mu. No blocking operation runs under
 // these locks: only the connection limit is read and idle sockets are inspected
 // without blocking. Replies are delivered and bytes are transferred with no lock held.
 package connpool
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,14 +20,32 @@
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
 
-// Message is a caller's request as it is sent to upstreams. It is immutable and
-// shared by all sends of the request.
+// Message is a caller's request as it is sent to upstreams. It is shared by all sends of the
+// request, which do not change what it holds.
 type Message struct {
 	// ID is the request id that the caller gave this attempt.
 	ID string
 	// Header holds the method, target, host and end-to-end headers.
 	Header *fasthttp.RequestHeader
 	Body   []byte
+
+	mu sync.Mutex
+	// carriers holds the ids of the connections on which the message was written.
+	carriers []uint64
+}
+
+// carriedBy reports whether the message was written on a connection.
+func (m *Message) carriedBy(connection uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Contains(m.carriers, connection)
+}
+
+// addCarrier records that the message is written on a connection.
+func (m *Message) addCarrier(connection uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.carriers = append(m.carriers, connection)
 }
 
 // Reply is the outcome of a call.
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -42,9 +42,14 @@
 	asyncWriteBytes = 8 << 10
 )
 
+// lastConnID is the id of the connection opened last in this process.
+var lastConnID atomic.Uint64
+
 // conn is a connection to an upstream and the state of its goroutine.
 type conn struct {
-	pool    *Pool
+	pool *Pool
+	// id identifies the socket in netConn, which may be replaced.
+	id      uint64
 	netConn net.Conn
 	// bytes counts the bytes of the current call in both directions.
 	bytes atomic.Int64
@@ -63,21 +68,41 @@
 
 // run opens the connection and serves calls until it can no longer be used.
 func (c *conn) run(call *Call) {
-	defer c.pool.connEnded(c)
+	defer c.pool.connEnded()
 	// A send that ended must no longer count when connEnded gives waiting calls to connections.
 	defer func() { c.pool.endSend(call) }()
+	defer c.closeSocket()
+	if !c.connect(call) {
+		return
+	}
+	for call != nil {
+		if call.Message.carriedBy(c.id) && !c.reconnect(call) {
+			return
+		}
+		if !c.serve(call) {
+			return
+		}
+		c.pool.endSend(call)
+		call = c.pool.next(c)
+	}
+}
+
+// connect opens the connection for a call and checks the upstream's health. If either fails, it
+// ends the call and returns false.
+func (c *conn) connect(call *Call) bool {
 	c.dialledAt = time.Now()
 	nc, err := net.DialTimeout("tcp", c.pool.upstream.Address, min(dialTimeout, max(time.Until(call.Deadline), time.Millisecond)))
 	if err != nil {
 		c.pool.dialFailed(call, err)
-		return
+		return false
 	}
 	if !c.pool.registerSocket(nc) {
 		// The connection is discarded; a close error changes nothing.
 		_ = nc.Close()
 		call.finish(Reply{Result: scatter.Unreached, Detail: detailUpstreamGone})
-		return
+		return false
 	}
+	c.id = lastConnID.Add(1)
 	c.netConn = nc
 	c.dialTime = time.Since(c.dialledAt)
 	c.pool.observer.ConnectionOpened(c.pool.upstream)
@@ -85,18 +110,32 @@
 	c.br = bufio.NewReaderSize(counted, bufferBytes)
 	c.bw = bufio.NewWriterSize(counted, bufferBytes)
 	c.idleUntil = time.Now().Add(defaultIdleTimeout)
-	defer nc.Close()
 	if err := c.checkHealth(counted); err != nil {
 		call.finish(Reply{Result: scatter.Barred, Detail: "health: " + err.Error()})
-		return
+		return false
 	}
-	for call != nil {
-		if !c.serve(call) {
-			return
-		}
-		c.pool.endSend(call)
-		call = c.pool.next(c)
+	return true
+}
+
+// reconnect replaces the connection by a new one, on which a call is sent whose message the old
+// one has carried. An upstream may send a response twice. On the old connection the second copy
+// of an earlier refusal, with the same request id, would be taken for the response to this call,
+// and the request would be sent once more while the upstream runs it.
+func (c *conn) reconnect(call *Call) bool {
+	c.closeSocket()
+	c.pool.connReplaced()
+	return c.connect(call)
+}
+
+// closeSocket closes the socket, if there is one.
+func (c *conn) closeSocket() {
+	if c.netConn == nil {
+		return
 	}
+	c.pool.unregisterSocket(c.netConn)
+	// The connection is no longer used; a close error changes nothing.
+	_ = c.netConn.Close()
+	c.netConn = nil
 }
 
 // serve sends one call and reads its response. It returns false when the connection
@@ -116,6 +155,7 @@
 		return true
 	}
 	defer func() { c.pool.observer.Sent(c.pool.upstream, call.Extra, int(c.bytes.Swap(0))) }()
+	call.Message.addCarrier(c.id)
 	var req fasthttp.Request
 	c.pool.protocol.Encode(&req, call.Message, call.Upstream, left)
 	written, err := c.write(&req, len(call.Message.Body))
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -36,6 +36,9 @@
 	if string(resp.Header.Peek("Id")) != m.ID {
 		return scatter.Lost, "", "foreign"
 	}
+	if resp.StatusCode() == fasthttp.StatusServiceUnavailable {
+		return scatter.Refused, "", "refused"
+	}
 	return scatter.Answered, "", ""
 }
 
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -130,8 +130,10 @@
 			}
 			p.scheduleWake(now)
 			return dead
-		case c != nil:
+		case c != nil && !call.Message.carriedBy(c.id):
 			c.calls <- call
+		case c != nil:
+			p.avoidCarrier(now, c, call)
 		default:
 			p.openConn(call)
 		}
@@ -139,6 +141,25 @@
 	return dead
 }
 
+// avoidCarrier assigns a call whose message the idle connection c has carried to another idle
+// connection or a new one. If neither is possible, c is replaced by a new connection. The caller
+// holds mu.
+func (p *Pool) avoidCarrier(now time.Time, c *conn, call *Call) {
+	for i, other := range slices.Backward(p.idle) {
+		if !call.Message.carriedBy(other.id) && other.usable(now) {
+			p.idle[i] = c
+			other.calls <- call
+			return
+		}
+	}
+	if !p.mayOpen(now) {
+		c.calls <- call
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.openConn(call)
+}
+
 // belowWindow reports whether the window admits one more connection in use. The caller
 // holds mu.
 func (p *Pool) belowWindow() bool { return p.window == 0 || p.busy() < p.window }
@@ -225,12 +246,11 @@
 // connection is open and none may be opened yet, nothing would ever serve the waiting
 // calls: they fail. Calls that only the pause of their class holds back are woken by its
 // timer.
-func (p *Pool) connEnded(c *conn) {
+func (p *Pool) connEnded() {
 	now := time.Now()
 	p.mu.Lock()
 	p.open--
 	p.lastProgress = now
-	delete(p.sockets, c.netConn)
 	var stranded []*Call
 	var dead []*conn
 	if !p.closed {
@@ -373,6 +393,20 @@
 	return true
 }
 
+// unregisterSocket removes a socket that is about to be closed.
+func (p *Pool) unregisterSocket(s net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.sockets, s)
+}
+
+// connReplaced counts a connection that is opened in place of another.
+func (p *Pool) connReplaced() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.openedTotal++
+}
+
 func (p *Pool) isAbandoned() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/wire/upstream.go
+++ b/internal/wire/upstream.go
@@ -28,11 +28,16 @@
 
 // Decode implements connpool.Protocol.
 func (up UpstreamProtocol) Decode(resp *fasthttp.Response, m *connpool.Message) (scatter.Result, string, string) {
-	if id := resp.Header.Peek(up.Names.RequestID); len(id) > 0 && string(id) != m.ID {
+	id := up.ResponseID(resp)
+	if id != "" && id != m.ID {
 		return scatter.Lost, "", "the answer is to another request"
 	}
 	status := resp.StatusCode()
 	if len(resp.Header.Peek(up.Names.NotRun)) > 0 || status == fasthttp.StatusMisdirectedRequest {
+		if id == "" {
+			// It may be the second copy of an earlier response, while the upstream runs the request.
+			return scatter.Lost, "", "status " + strconv.Itoa(status) + " does not name the request that it refuses"
+		}
 		return scatter.Refused, "", "status " + strconv.Itoa(status)
 	}
 	proof := string(resp.Header.Peek(up.Names.Proof))
@@ -50,6 +55,11 @@
 	}
 }
 
+// ResponseID implements connpool.Protocol.
+func (up UpstreamProtocol) ResponseID(resp *fasthttp.Response) string {
+	return string(resp.Header.Peek(up.Names.RequestID))
+}
+
 const (
 	// paceUnit is the reported pace of work that takes its usual time.
 	paceUnit = 100
--- a/internal/wire/upstream_test.go
+++ b/internal/wire/upstream_test.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/connpool"
+	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
 
 // Guards against taking a malformed or implausible report for an upstream's load.
@@ -50,3 +51,31 @@
 		}
 	}
 }
+
+// Guards against a refusal that names no request, such as the second copy of a rejected health
+// check, being taken for the refusal of a request that the upstream runs.
+func TestRefusalMustNameItsRequest(t *testing.T) {
+	names := DefaultHeaderNames()
+	for _, c := range []struct {
+		status int
+		id     string
+		want   scatter.Result
+	}{
+		{fasthttp.StatusServiceUnavailable, "a", scatter.Refused},
+		{fasthttp.StatusServiceUnavailable, "", scatter.Lost},
+		{fasthttp.StatusServiceUnavailable, "b", scatter.Lost},
+		{fasthttp.StatusMisdirectedRequest, "a", scatter.Refused},
+		{fasthttp.StatusMisdirectedRequest, "", scatter.Lost},
+	} {
+		var resp fasthttp.Response
+		resp.SetStatusCode(c.status)
+		resp.Header.Set(names.NotRun, "1")
+		if c.id != "" {
+			resp.Header.Set(names.RequestID, c.id)
+		}
+		got, _, detail := UpstreamProtocol{Names: names}.Decode(&resp, &connpool.Message{ID: "a"})
+		if got != c.want {
+			t.Errorf("status %d for %q: %v %s, want %v", c.status, c.id, got, detail, c.want)
+		}
+	}
+}
