node: compare and apply a view in one step

A VM that got two views of the catalog at the same time could leave the older one in force until the next change.

Cause: applyView compared the view with the one in force and stored it without a lock between the two. Views come from the goroutines of the store's watch, of pulls and of the ticker, after the syncer's lock is released. applyMembers did the same with member views.

Both are one step under a lock now. The capacity is published after the lock is released: it sends datagrams and calls back.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,6 +122,10 @@
 	syncer        *catalogSyncer
 	gossip        *gossip.Driver
 	members       atomic.Pointer[membership.View]
+	// viewMu is held while a catalog view is compared with the current one and applied, membersMu
+	// likewise for a member view. Locks of the engine, the syncer and the logs are acquired under
+	// them, and neither under the other.
+	viewMu, membersMu sync.Mutex
 	// upstreamCounts is the number of upstreams per data centre in the current view.
 	upstreamCounts atomic.Pointer[map[string]int]
 	leaving        atomic.Bool
@@ -276,15 +280,26 @@
 
 // applyView makes v the current catalog view unless the current view is newer.
 func (d *Daemon) applyView(v *catalog.View) {
+	if d.replaceView(v) {
+		d.publishCapacity()
+	}
+}
+
+// replaceView implements applyView and reports whether v is now in force. Views arrive from
+// several goroutines: the lock keeps one that was compared before a newer view was applied from
+// replacing it.
+func (d *Daemon) replaceView(v *catalog.View) bool {
+	d.viewMu.Lock()
+	defer d.viewMu.Unlock()
 	old := d.engine.View()
 	if old != nil && !old.SupersededBy(v) {
-		return
+		return false
 	}
 	d.engine.SetView(time.Now(), v)
 	counts := countUpstreams(v)
 	d.upstreamCounts.Store(&counts)
 	d.logView(old, v)
-	d.publishCapacity()
+	return true
 }
 
 func (d *Daemon) logView(old, v *catalog.View) {
@@ -353,14 +368,23 @@
 
 // applyMembers makes view the current member view unless the current one is newer.
 func (d *Daemon) applyMembers(view *membership.View) {
+	if d.replaceMembers(view) {
+		d.updateShares(time.Now())
+	}
+}
+
+// replaceMembers implements applyMembers and reports whether view is now in force.
+func (d *Daemon) replaceMembers(view *membership.View) bool {
+	d.membersMu.Lock()
+	defer d.membersMu.Unlock()
 	old := d.members.Load()
 	if old.Version > view.Version {
-		return
+		return false
 	}
 	d.members.Store(view)
 	d.logMembers(old, view)
 	d.syncer.setPeers(view, d.settings.Load().VM)
-	d.updateShares(time.Now())
+	return true
 }
 
 // updateShares updates this VM's share of the limits that apply to the whole fleet.
