bodylimit: bound the memory of all response bodies together

While an upstream sent chunks without end, a daemon grew from 22 to 521 MB (24 callers; the users saw 189 MB with eight answers), and the platform kills it at 136 MB, with every request on the VM.

Cause: a response was limited to 16 MiB, all of them together to nothing, and the buffer of a body had the declared size before a byte had arrived.

Buffers grow as bytes arrive; bodies count until their callers have taken them; when memory runs out the largest that is being read is given up, so that endless bodies end and small ones arrive. Its connection is closed and the request goes to another upstream if it may.

A connection also discards one second copy of the response before, instead of ending the request that waits: the response behind it is its own.

Requests of peers, the directory and readiness checks are limited to 64 KiB.

--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -16,6 +16,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
@@ -57,6 +58,8 @@
 	Proof string
 	// Response is the upstream's response: set when Result is Answered or Failed.
 	Response *fasthttp.Response
+	// Body is the memory that the body of Response takes. Whoever receives the reply releases it.
+	Body *bodylimit.Lease
 	// Load is the load that the upstream reported with a response other than an answer; nil
 	// without a report.
 	Load *Load
@@ -83,6 +86,8 @@
 type Protocol interface {
 	// Encode fills in req; left is the time that the upstream has to respond.
 	Encode(req *fasthttp.Request, m *Message, u *catalog.Upstream, left time.Duration)
+	// ResponseID returns the id of the request that a response names, "" if it names none.
+	ResponseID(resp *fasthttp.Response) string
 	// Decode classifies a complete response. It returns the result, the upstream's
 	// signature of an answer, and the reason when the response is not an answer.
 	Decode(resp *fasthttp.Response, m *Message) (r scatter.Result, proof, detail string)
@@ -268,9 +273,11 @@
 	c.finished = true
 	c.conn = nil
 	c.mu.Unlock()
-	if done {
-		c.Done(r)
+	if !done {
+		r.Body.Release()
+		return
 	}
+	c.Done(r)
 }
 
 // barredReason returns why the call must not go to its upstream, "" when it may.
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
@@ -30,8 +31,6 @@
 	// bufferBytes is the size of each connection's read buffer and write buffer; a
 	// typical request or partial answer fits.
 	bufferBytes = 2048
-	// maxReplyBytes limits the size of a response, which is held in memory as a whole.
-	maxReplyBytes = 16 << 20
 	// rejectMargin is added to the dial time of a connection. If the upstream closes
 	// the connection within the sum, before any response byte, it has rejected the
 	// connection: accepting a connection and processing a request take longer.
@@ -57,6 +56,8 @@
 	bw    *bufio.Writer
 	// calls delivers the next call; closing it ends the connection.
 	calls chan *Call
+	// lastID is the id of the request that the connection has carried last, "" for none.
+	lastID string
 	// idleUntil is when the upstream may close the connection if it is idle.
 	idleUntil time.Time
 	// dialledAt is when the opening of the connection began.
@@ -103,6 +104,7 @@
 		return false
 	}
 	c.id = lastConnID.Add(1)
+	c.lastID = ""
 	c.netConn = nc
 	c.dialTime = time.Since(c.dialledAt)
 	c.pool.observer.ConnectionOpened(c.pool.upstream)
@@ -168,24 +170,48 @@
 		return false
 	}
 	c.dialTime = 0
-	resp := &fasthttp.Response{}
-	resp.SkipBody = req.Header.IsHead()
-	err = resp.ReadLimitBody(c.br, maxReplyBytes)
+	resp, body, err := c.readResponse(call.Message, req.Header.IsHead())
 	if err != nil {
 		call.finish(c.lostReply(err))
 		return false
 	}
-	reply := Reply{Response: resp, Took: time.Since(now)}
+	reply := Reply{Response: resp, Body: body, Took: time.Since(now)}
 	reply.Result, reply.Proof, reply.Detail = c.pool.protocol.Decode(resp, call.Message)
 	if reply.Result != scatter.Answered {
 		reply.Load = c.pool.protocol.DecodeLoad(resp)
 	}
 	c.pool.observeLatency(reply.Took)
 	usable := c.reusable(resp, written) && reply.Result != scatter.Lost
+	c.lastID = call.Message.ID
 	call.finish(reply)
 	return usable && !call.isWithdrawn()
 }
 
+// readResponse reads the response to a message and returns the memory that its body takes. A
+// second copy of the response before it is discarded: an upstream may send it where the next
+// response is expected.
+func (c *conn) readResponse(m *Message, head bool) (*fasthttp.Response, *bodylimit.Lease, error) {
+	resp, body, err := c.readOne(head)
+	if err != nil || c.lastID == "" || c.lastID == m.ID || c.pool.protocol.ResponseID(resp) != c.lastID || resp.ConnectionClose() {
+		return resp, body, err
+	}
+	body.Release()
+	return c.readOne(head)
+}
+
+// readOne reads one response.
+func (c *conn) readOne(head bool) (*fasthttp.Response, *bodylimit.Lease, error) {
+	resp := &fasthttp.Response{SkipBody: head, StreamBody: true}
+	if err := resp.ReadLimitBody(c.br, 0); err != nil {
+		return nil, nil, err
+	}
+	nc := c.netConn
+	// Fails only when the connection is already closed.
+	abort := func() { _ = nc.SetDeadline(time.Now()) }
+	body, err := c.pool.bodies.memory.ReadBody(resp, c.pool.bodies.limit, abort)
+	return resp, body, err
+}
+
 // write sends the request; a large body is sent from another goroutine. The returned
 // channel receives the result of the complete write, nil on success.
 func (c *conn) write(req *fasthttp.Request, body int) (<-chan error, error) {
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -42,6 +42,10 @@
 	return scatter.Answered, "", ""
 }
 
+func (idProtocol) ResponseID(resp *fasthttp.Response) string {
+	return string(resp.Header.Peek("Id"))
+}
+
 func (idProtocol) DecodeLoad(*fasthttp.Response) *Load { return nil }
 
 func (idProtocol) DecodeHealth(resp *fasthttp.Response) (Health, error) {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -44,6 +44,7 @@
 	upstream *catalog.Upstream
 	protocol Protocol
 	observer Observer
+	bodies   bodyLimits
 
 	mu sync.Mutex
 	// limit is the maximum number of connections. open counts the connections that are open
--- a/internal/connpool/pools.go
+++ b/internal/connpool/pools.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
@@ -12,6 +13,7 @@
 type Pools struct {
 	protocol Protocol
 	observer Observer
+	bodies   bodyLimits
 
 	mu    sync.Mutex
 	limit func(service string) int
@@ -41,9 +43,29 @@
 // NewPools returns pools without connections. limit returns the maximum number of
 // connections from this VM to one upstream of a service.
 func NewPools(protocol Protocol, observer Observer, limit func(service string) int) *Pools {
-	return &Pools{protocol: protocol, observer: observer, limit: limit, pools: map[string]*Pool{}}
+	return &Pools{
+		protocol: protocol, observer: observer, limit: limit, pools: map[string]*Pool{},
+		bodies: bodyLimits{bodylimit.NewMemory(defaultBodyMemory, func() {}), defaultMaxBody},
+	}
+}
+
+const (
+	// defaultMaxBody and defaultBodyMemory apply unless LimitBodies is called, in bytes.
+	defaultMaxBody    = 16 << 20
+	defaultBodyMemory = 4 * defaultMaxBody
+)
+
+// bodyLimits bounds the bodies of responses.
+type bodyLimits struct {
+	memory *bodylimit.Memory
+	// limit is the size of one body in bytes.
+	limit int
 }
 
+// LimitBodies bounds the bodies of all responses together, and each of them to a number of bytes.
+// It must be called before the first call.
+func (p *Pools) LimitBodies(memory *bodylimit.Memory, each int) { p.bodies = bodyLimits{memory, each} }
+
 // Do sends a call without blocking; the reply goes to its Done function.
 func (p *Pools) Do(call *Call) {
 	u := call.Upstream
@@ -52,6 +74,7 @@
 	var former *Pool
 	if latest := p.latest(u); pool == nil || latest.StartedAfter(pool.upstream) {
 		former, pool = pool, newPool(latest, p.protocol, p.observer, p.limit(latest.Service))
+		pool.bodies = p.bodies
 		p.pools[u.ID] = pool
 	}
 	p.mu.Unlock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/congestion"
 	"sycamorekeel.example/sycamorekeel/internal/connpool"
@@ -49,6 +50,10 @@
 	// peers are unreachable. Callers try twice, and after the loss of all processes the
 	// first try was spent on VMs that were down.
 	startupConfigWait = 400 * time.Millisecond
+	// maxBody limits one response of an upstream in bytes, bodyShare the part of BodyMemory that it
+	// may take.
+	maxBody   = 16 << 20
+	bodyShare = 2
 	// shareResetFactor is the factor by which this VM's share must grow for budgets created
 	// later to start empty at that time. The number of VMs that callers are directed to
 	// changes by one now and then, which is no reason to empty budgets.
@@ -70,6 +75,9 @@
 	Budget retrybudget.Limit
 	// MaxRequests limits the requests in flight on this VM.
 	MaxRequests int
+	// BodyMemory limits the bytes of upstreams' response bodies that this VM holds; 0 for the
+	// default of connpool.
+	BodyMemory int
 	// Random seeds routing splits and randomises the choice of upstreams.
 	Random *rand.Rand
 	// ViewAge returns the time since the store last confirmed the current view.
@@ -139,6 +147,10 @@
 	e.warmups.table = warmup.New()
 	e.shares.Store(&Shares{VMs: 1, IngressVMs: 1, Ingress: true})
 	e.pools = connpool.NewPools(opts.Protocol, upstreamObserver{opts.Traffic, opts.Place, e}, e.connectionLimit)
+	if opts.BodyMemory > 0 {
+		memory := bodylimit.NewMemory(opts.BodyMemory, opts.Metrics.bodiesAborted.Inc)
+		e.pools.LimitBodies(memory, min(maxBody, opts.BodyMemory/bodyShare))
+	}
 	e.startCall = e.pools.Do
 	e.checkEnded = e.pools.CheckProcess
 	e.poison = poison.New(opts.Logs, opts.Metrics.poison)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -34,6 +34,8 @@
 	health         *prometheus.CounterVec
 	admission      admissionMetrics
 	poison         *poison.Metrics
+	// bodiesAborted counts responses given up for lack of memory.
+	bodiesAborted prometheus.Counter
 }
 
 // admissionMetrics counts what became of queries at the limit of their shards.
@@ -129,10 +131,13 @@
 	m.health = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sycamorekeel_edge_health_checks_total", Help: "Health checks of upstreams that may be cold, on new connections and on their own, by result.",
 	}, []string{"result"})
+	m.bodiesAborted = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "sycamorekeel_edge_bodies_aborted_total", Help: "Responses of upstreams given up because the bodies of all together took too much memory.",
+	})
 	m.stages = newStageTimes(reg)
 	m.admission = newAdmissionMetrics(reg)
 	m.poison = poison.NewMetrics(reg)
-	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.sendsHeld, m.forgone, m.health)
+	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.sendsHeld, m.forgone, m.health, m.bodiesAborted)
 	return m
 }
 
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/connpool"
 	"sycamorekeel.example/sycamorekeel/internal/fingerprint"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
@@ -131,6 +132,8 @@
 	// Response is the unchanged response of one upstream; nil for a merged answer or a
 	// refusal.
 	Response *fasthttp.Response
+	// Memory is what the body of Response takes; to be released once it has been written.
+	Memory *bodylimit.Lease
 	// Proofs, Missing and Body describe a merged answer: the signatures of its parts, the
 	// number of missing shards, and the merged records.
 	Proofs  []string
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -66,6 +66,8 @@
 	mu      sync.Mutex
 	pending []attemptReply
 	signal  chan struct{}
+	// closed says that the bodies of replies are no longer used.
+	closed bool
 }
 
 type attemptReply struct {
@@ -76,6 +78,9 @@
 func (q *replyQueue) put(r attemptReply) {
 	q.mu.Lock()
 	q.pending = append(q.pending, r)
+	if q.closed {
+		r.reply.Body.Release()
+	}
 	q.mu.Unlock()
 	select {
 	case q.signal <- struct{}{}:
@@ -91,12 +96,35 @@
 	return pending
 }
 
+// close releases the bodies of the replies that have not been taken, and of those to come.
+func (q *replyQueue) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	for _, r := range q.pending {
+		r.reply.Body.Release()
+	}
+}
+
+// releaseBodies gives back the memory of the responses, except the one that the answer forwards.
+func (x *run) releaseBodies(a *Answer) {
+	x.replies.close()
+	for i := range x.sends {
+		if r := &x.sends[i].reply; r.Response == nil || r.Response != a.Response {
+			r.Body.Release()
+		} else {
+			a.Memory = r.Body
+		}
+	}
+}
+
 func (e *Engine) run(v *catalog.View, r *Request) Answer {
 	x := e.newRun(v, r)
 	defer x.close()
 	a := x.drive()
 	a.Hedging = x.query.Hedging()
 	a.Held = x.recordHeld()
+	x.releaseBodies(&a)
 	return a
 }
 
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -25,6 +25,8 @@
 	return scatter.Answered, "", ""
 }
 
+func (forwardProtocol) ResponseID(*fasthttp.Response) string { return "" }
+
 func (forwardProtocol) DecodeLoad(*fasthttp.Response) *connpool.Load { return nil }
 
 func (forwardProtocol) DecodeHealth(*fasthttp.Response) (connpool.Health, error) {
--- a/internal/edge/warm_test.go
+++ b/internal/edge/warm_test.go
@@ -35,6 +35,8 @@
 	return scatter.Answered, "", ""
 }
 
+func (statusProtocol) ResponseID(*fasthttp.Response) string { return "" }
+
 func (statusProtocol) DecodeLoad(*fasthttp.Response) *connpool.Load { return nil }
 
 func (statusProtocol) DecodeHealth(resp *fasthttp.Response) (connpool.Health, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/catalogsync"
 	"sycamorekeel.example/sycamorekeel/internal/connpool"
@@ -31,6 +32,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/locality"
 	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pagecodec"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/placement"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
@@ -165,6 +167,7 @@
 		Traffic:     opts.Traffic,
 		Budget:      set.RetryBudget,
 		MaxRequests: max(minRequests, int(maxRequests*set.Cores)),
+		BodyMemory:  set.BodyMemory(),
 		Random:      random,
 		ViewAge:     func() time.Duration { return d.syncer.confirmedAge(time.Now()) },
 	})
@@ -174,6 +177,8 @@
 		store:     opts.Adapter.Store,
 		announce:  d.announce,
 		applyView: d.applyView,
+		bodies:    bodylimit.NewMemory(maxPageBytes(set), func() {}),
+		maxPage:   maxPageBytes(set),
 		countBytes: func(p traffic.Purpose, address string, bytes int) {
 			d.traffic.Add(p, d.distanceTo(address), bytes)
 		},
@@ -199,6 +204,14 @@
 	return d
 }
 
+// maxPageBytes returns the size limit of a peer's response, and of all of them together.
+func maxPageBytes(set *Settings) int {
+	if memory := set.BodyMemory(); memory > 0 {
+		return min(pagecodec.MaxPage, memory)
+	}
+	return pagecodec.MaxPage
+}
+
 func hashName(name string) uint64 {
 	h := fnv.New64a()
 	// Write on a hash.Hash never returns an error.
--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -87,7 +87,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	client := &fasthttp.HostClient{
-		Addr: p.Address, MaxResponseBodySize: pagecodec.MaxPage, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
+		Addr: p.Address, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
 		DialTimeout: func(addr string, _ time.Duration) (net.Conn, error) {
 			conn, err := dialWithIdleTimeout(addr, p.StallTimeout)
 			if err != nil {
@@ -96,9 +96,11 @@
 			return traffic.CountConn(conn, func(n int) { s.countBytes(purpose, p.Address, n) }), nil
 		},
 	}
-	if err := client.DoTimeout(req, resp, p.Timeout); err != nil {
+	body, err := s.bodies.Do(client, req, resp, p.Timeout, s.maxPage)
+	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	defer body.Release()
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, trace.ConnectionProblem(nil, "the peer answered with status %d", resp.StatusCode())
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -37,6 +37,9 @@
 	callerStallTimeout = 5 * time.Second
 	// maxBodyBytes limits a request's body; a configuration may set a lower limit.
 	maxBodyBytes = 8 << 20
+	// maxSmallBodyBytes limits the bodies of requests of peers and of the platform; the largest is
+	// the member entry of a VM that joins.
+	maxSmallBodyBytes = 64 << 10
 	// callerDescriptorShare is the fraction of the process's file descriptors available
 	// to callers' connections. Connections to upstreams use the rest, as each query is
 	// sent to several upstreams.
@@ -117,7 +120,7 @@
 	servers := []*server{{name: "callers", http: httpserver.New(callers)}}
 	addresses := []string{d.settings.Load().CallerAddress}
 	add := func(name, address string, h fasthttp.RequestHandler) {
-		small := &fasthttp.Server{Handler: h, Logger: httpLogger{d.logs.Failures, name}, ReadBufferSize: smallBufferSize, WriteBufferSize: smallBufferSize, IdleTimeout: callerIdleTimeout, ReadTimeout: requestReadTimeout, ReduceMemoryUsage: true}
+		small := &fasthttp.Server{Handler: h, Logger: httpLogger{d.logs.Failures, name}, MaxRequestBodySize: maxSmallBodyBytes, ReadBufferSize: smallBufferSize, WriteBufferSize: smallBufferSize, IdleTimeout: callerIdleTimeout, ReadTimeout: requestReadTimeout, ReduceMemoryUsage: true}
 		servers = append(servers, &server{name: name, http: httpserver.New(small)})
 		addresses = append(addresses, address)
 	}
--- a/internal/node/syncer.go
+++ b/internal/node/syncer.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/catalogsync"
 	"sycamorekeel.example/sycamorekeel/internal/gossip"
@@ -52,6 +53,10 @@
 	applyView func(*catalog.View)
 	// countBytes counts bytes exchanged with the peer at an address.
 	countBytes func(p traffic.Purpose, address string, bytes int)
+	// bodies bounds the bytes of peers' responses that are being read or decoded, maxPage those of
+	// one.
+	bodies  *bodylimit.Memory
+	maxPage int
 	// memberUpdates returns the member list, and learnMembers adds entries to it.
 	memberUpdates func() []*pb.MemberUpdate
 	learnMembers  func([]*pb.MemberUpdate)
--- a/internal/wire/ingress.go
+++ b/internal/wire/ingress.go
@@ -33,6 +33,9 @@
 	return &Ingress{engine: engine, names: names, leaving: leaving}
 }
 
+// memoryKey is the key of the user value that holds the memory of the response.
+const memoryKey = "memory"
+
 // Handle serves one request.
 func (in *Ingress) Handle(ctx *fasthttp.RequestCtx) {
 	r, reason := in.decodeRequest(ctx)
@@ -43,6 +46,10 @@
 	} else {
 		a := in.engine.Serve(r)
 		in.write(ctx, r, &a)
+		if a.Memory != nil {
+			// The server closes user values once the response has been written.
+			ctx.SetUserValue(memoryKey, a.Memory)
+		}
 	}
 	if in.leaving() {
 		ctx.SetConnectionClose()
