daemon: refuse what outlasts a planned stop instead of closing its connection

Callers of the project's own interface got no answer to requests that were still in flight at the end of drain_ms: the same cause as on the platform's path, a stop that waits for requests and does not tell them of its end.

The frontend now ends them 0.3 s before the end of the limit. They are refused as deadline_exceeded or, if they may run once, outcome_unknown: their sub-requests may be running.

Spec 'is reported as unknown when it outlasts a planned stop': before, the callers time out; now three of three are told.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -23,6 +23,9 @@
 	// leavePropagation is how long peers that the announcement has not reached may still
 	// return the leaving VM as an endpoint to callers.
 	leavePropagation = 2 * time.Second
+	// flushMargin is the part of the drain limit reserved for the refusals of requests that are
+	// still in flight: at most half of the limit.
+	flushMargin = 300 * time.Millisecond
 	// stopPollInterval is the interval at which a stop checks whether it can proceed.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -45,7 +48,7 @@
 
 // stop takes this VM out of service. A planned stop first redirects peers and
 // callers to other VMs. Then new requests are refused, and those in flight finish
-// within the drain limit. Callers cache endpoints for their TTL, so refusing earlier
+// within the drain limit; those that do not are refused just before its end. Callers cache endpoints for their TTL, so refusing earlier
 // would reject requests that this VM can still serve.
 func (d *Daemon) stop(planned bool) {
 	d.log.Info("daemon: stopping, requests in flight finish first")
@@ -53,8 +56,11 @@
 		d.leave()
 	}
 	d.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Limits.DrainMs)*time.Millisecond)
+	limit := time.Duration(d.settings.Limits.DrainMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	answers, cancelAnswers := context.WithTimeout(ctx, limit-min(flushMargin, limit/2))
+	defer cancelAnswers()
 	go func() {
 		select {
 		case <-d.stops.halt:
@@ -62,7 +68,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	d.front.Stop(ctx)
+	d.front.Stop(answers)
 	d.releaseOwned()
 	d.stopOwner(ctx)
 	d.server.Flush(ctx)
--- a/internal/fleet/once_test.go
+++ b/internal/fleet/once_test.go
@@ -408,6 +408,26 @@
 		Expect(<-results).To(Equal(map[string]int{"answered": 5}))
 	})
 
+	// Guards against a planned stop that closes connections without an answer when
+	// payments outlast the drain limit.
+	It("is reported as unknown when it outlasts a planned stop", func() {
+		d.waitHealthy(2)
+		d.changeUpstreams(func(b *standin.Behaviour) { b.Hang = true })
+		DeferCleanup(d.changeUpstreams, func(b *standin.Behaviour) { b.Hang = false })
+		ops := d.operations(2, 3)
+		running := func() int { return d.counter(2, `sycamorekeel_once_operations_total{verdict="new"}`) }
+		before := running()
+		results := make(chan map[string]int, 1)
+		go func() {
+			defer GinkgoRecover()
+			results <- d.sendAll(2, ops, 0)
+		}()
+		Eventually(running).WithTimeout(10 * time.Second).Should(Equal(before + 3))
+		d.VMs[2].Settings.Limits.DrainMs = 700
+		Expect(d.VMs[2].Stop()).To(Succeed())
+		Expect(<-results).To(Equal(map[string]int{"outcome_unknown/unknown": 3}))
+	})
+
 	// Guards against reporting "unknown" for a payment that was never sent: both
 	// upstreams refuse connections, and this is treated as a timeout.
 	It("is reported as not run when no byte was written", func() {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -124,6 +124,10 @@
 	log  *zap.Logger
 	met  *metrics
 
+	// halted is done when the requests in flight must end, after halt.
+	halted context.Context
+	halt   context.CancelFunc
+
 	mu       sync.Mutex
 	stopping bool
 	running  sync.WaitGroup
@@ -133,11 +137,23 @@
 
 // New returns a Frontend that accepts requests.
 func New(opts Options) *Frontend {
-	return &Frontend{opts: opts, log: opts.Log, met: newMetrics(opts.Registry), limiters: map[string]*congestion.Limiter{}}
+	f := &Frontend{opts: opts, log: opts.Log, met: newMetrics(opts.Registry), limiters: map[string]*congestion.Limiter{}}
+	f.halted, f.halt = context.WithCancel(context.Background())
+	return f
 }
 
-// Stop refuses new requests and returns when those in flight have ended or ctx
-// is done.
+// untilHalt returns a context that is also done when the requests in flight must end.
+func (f *Frontend) untilHalt(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(f.halted, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// Stop refuses new requests and waits for those in flight. When ctx is done, those that are left end
+// at once, without the answers that have not arrived, so that their callers get a refusal.
 func (f *Frontend) Stop(ctx context.Context) {
 	f.mu.Lock()
 	f.stopping = true
@@ -150,12 +166,18 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		if f.opts.Poison != nil {
+			f.opts.Poison.EndWaits()
+		}
+		f.halt()
 	}
 }
 
 // Query executes one request of an authenticated customer. Exactly one of the
 // results is non-nil.
 func (f *Frontend) Query(ctx context.Context, k *contract.Kind, req *Request) (*Answer, *Failure) {
+	ctx, cancel := f.untilHalt(ctx)
+	defer cancel()
 	started := f.opts.Now()
 	x := &execution{front: f, kind: k, req: req, started: started, id: newRequestID()}
 	answer, failure := x.run(ctx)
--- a/internal/frontend/operations.go
+++ b/internal/frontend/operations.go
@@ -135,6 +135,8 @@
 	if k.Idempotent {
 		return o.query(ctx, k, req).reply
 	}
+	ctx, cancel := o.opts.Frontend.untilHalt(ctx)
+	defer cancel()
 	key, err := o.key(k, req)
 	if err != nil {
 		return o.refuse(req, refusal.New(refusal.ForeignOperation, err.Error()+"; ask endpoints for a lease"))
