--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -11,15 +11,15 @@
 
 const (
 	// stopReserve and stopReserveUnsafe are how many tail latencies before the end of a shutdown
-	// the last sends are made. A caller whose safe request is cut off may repeat it elsewhere;
-	// for a request that may run once nobody could tell whether it has run.
+	// the last sends are made. An idempotent request that is cut off may be repeated elsewhere;
+	// the outcome of another one stays unknown.
 	stopReserve       = 1.5
 	stopReserveUnsafe = 2.0
 	// stoppingRetry lets callers return as soon as they have opened a connection to another VM.
 	stoppingRetry = 50 * time.Millisecond
 )
 
-// shutdown tells requests when the VM stops. The zero end means that it does not.
+// shutdown is when the VM stops serving, valid once begun is closed.
 type shutdown struct {
 	// begun is closed when the shutdown begins, after end is set.
 	begun chan struct{}
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -33,8 +33,8 @@
 	return connpool.Health{}, nil
 }
 
-// stopEngine is an engine with one upstream and a plain and an unsafe route to it. Calls are
-// recorded and get no reply, unless started is called with them.
+// stopEngine returns an engine with one upstream and a plain, an unsafe and a query route to it.
+// Calls are delivered to the channel and get no reply.
 func stopEngine(t *testing.T, address string) (*testEngine, chan *connpool.Call) {
 	t.Helper()
 	e := newTestEngine()
@@ -92,7 +92,7 @@
 			e.BeginStop(time.Now())
 			a := awaitAnswer(t, name, answers)
 			if !a.NotRun || a.RetryAfter <= 0 || a.Response != nil {
-				t.Errorf("%s %s: %+v, want a refusal that tells when to return", path, name, a)
+				t.Errorf("%s %s: %+v, want a refusal with the time to return", path, name, a)
 			}
 		}
 	}
