--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"net"
-	"sync"
-	"sync/atomic"
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
@@ -16,8 +14,6 @@
 // Server is an HTTP server with graceful shutdown.
 type Server struct {
 	http *fasthttp.Server
-	// accepting is the listener of Serve.
-	accepting *atomic.Pointer[onceListener]
 }
 
 // New wraps a configured fasthttp server and sets the options that all interfaces share. It
@@ -26,36 +22,12 @@
 	s.NoDefaultServerHeader = true
 	s.CloseOnShutdown = true
 	s.Logger = discardLogger{}
-	return Server{http: s, accepting: &atomic.Pointer[onceListener]{}}
+	return Server{http: s}
 }
 
-// Serve accepts connections on ln and serves requests until StopAccepting or Shutdown.
+// Serve accepts connections on ln and serves requests until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	once := &onceListener{Listener: ln}
-	s.accepting.Store(once)
-	return trace.Wrap(s.http.Serve(once))
-}
-
-// StopAccepting closes the listener. Connections that are open, also idle ones, stay and are
-// served.
-func (s *Server) StopAccepting() error {
-	if ln := s.accepting.Load(); ln != nil {
-		return trace.Wrap(ln.Close())
-	}
-	return nil
-}
-
-// onceListener is a listener that may be closed more than once.
-type onceListener struct {
-	net.Listener
-	once sync.Once
-	err  error
-}
-
-// Close implements net.Listener.
-func (l *onceListener) Close() error {
-	l.once.Do(func() { l.err = l.Listener.Close() })
-	return l.err
+	return trace.Wrap(s.http.Serve(ln))
 }
 
 // Shutdown stops accepting connections and waits until all open requests are served or ctx
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -44,8 +44,8 @@
 	// to callers' connections. Connections to upstreams use the rest, as each query is
 	// sent to several upstreams.
 	callerDescriptorShare = 0.4
-	// drainMargin is the part of the grace period in which the VM accepts no new connections.
-	// Requests on open connections are served until flushMargin before the exit.
+	// drainMargin is the part of the grace period at its end in which no caller that respects the
+	// TTL of its directory answer opens a connection.
 	drainMargin = 1300 * time.Millisecond
 	// flushMargin is the part of the grace period reserved for writing the last answers, when
 	// every request in flight has ended, before exitMargin.
@@ -187,10 +187,9 @@
 }
 
 // shutdown stops the VM's service. Callers learn from the directory and from each response that
-// the VM is leaving. Meanwhile it accepts connections for the drain period, or until the
-// directory answers that callers hold have expired and no caller is connected. Requests on open
-// connections are answered until the end of the grace period, those that cannot be served by
-// then with a refusal.
+// the VM is leaving. Until shortly before the end of the grace period, or until the directory
+// answers that callers hold have expired and no caller is connected, it accepts connections and
+// answers every request: those that cannot be served by then with a refusal.
 func (d *Daemon) shutdown(servers []*server) {
 	start := time.Now()
 	exit := start.Add(d.settings.Load().Grace - exitMargin)
@@ -200,33 +199,21 @@
 	d.log.Info("node: stopping", zap.Int64("in_flight", d.engine.InFlight()), zap.Int64("connections", d.callerConns.open.Load()))
 	d.publishCapacity()
 	d.gossip.Leave()
-	drainEnd := start.Add(d.settings.Load().drainPeriod())
 	answersExpired := start.Add(directoryTTLFactor * d.settings.Load().directoryTTL())
-	d.pollUntil(drainEnd, func() bool {
-		return time.Now().After(answersExpired) && d.callerConns.open.Load() == 0
-	})
-	callers := &servers[0].http
-	if err := callers.StopAccepting(); err != nil {
-		d.log.Warn("node: listener for callers not closed", zap.Error(err))
+	for now := time.Now(); now.Before(end); now = time.Now() {
+		if now.After(answersExpired) && d.callerConns.open.Load() == 0 {
+			break
+		}
+		time.Sleep(min(drainPollInterval, end.Sub(now)))
 	}
-	// Idle connections stay open: a caller whose request meets the close of its connection
-	// cannot tell whether it has run.
-	d.pollUntil(end, func() bool { return d.callerConns.open.Load() == 0 })
 	ctx, cancel := context.WithDeadline(context.Background(), exit)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := servers[0].http.Shutdown(ctx); err != nil {
 		d.log.Warn("node: stopped with requests in flight", zap.Int64("in_flight", d.engine.InFlight()), zap.Error(err))
 	}
 	d.engine.Close()
 }
 
-// pollUntil waits until a time, or until done returns true.
-func (d *Daemon) pollUntil(end time.Time, done func() bool) {
-	for now := time.Now(); now.Before(end) && !done(); now = time.Now() {
-		time.Sleep(min(drainPollInterval, end.Sub(now)))
-	}
-}
-
 // closeAll closes the servers that are still open.
 func closeAll(servers []*server) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -63,7 +63,8 @@
 	return s.PeerAddress
 }
 
-// drainPeriod is how long a VM that is shutting down accepts new connections.
+// drainPeriod is how long callers with a directory answer may open connections to a VM that is
+// shutting down.
 func (s *Settings) drainPeriod() time.Duration { return max(s.Grace-drainMargin, 0) }
 
 // directoryTTL returns the TTL of directory answers. It does not exceed the drain
