catalog: refuse the changes of a watch that began in an earlier era

The store had come back from a copy in era 2.

Cause: a reader had pulled the catalog at 2/69 while its watch of 1/73 waited. The answer, changes of era 2 above revision 73, ended in the era of the state and began at a lower position (an earlier era), so that it was applied: 70 to 73 were missed, and passed on to the VMs that pulled.

Changes must begin in the era in which they end now; otherwise the reader lists, as for other gaps. TestWatchOfEarlierEraDoesNotContinueAPulledCatalog fails before ('announce changed watch>11' at 1/11 in place of a listing).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -267,9 +267,10 @@
 }
 
 // Apply applies the changes between two positions. It refuses them (applied is false) if they
-// start above the current position, which would leave a gap, or belong to another era.
+// start above the current position or in another era than they end, which would leave a gap, or
+// belong to another era than the state.
 func (s *State) Apply(now time.Time, after, upTo Position, changes []Item) (changed, applied bool) {
-	if upTo.Era != s.position.Era || s.position.Before(after) {
+	if upTo.Era != s.position.Era || upTo.Era != after.Era || s.position.Before(after) {
 		return false, false
 	}
 	for _, it := range changes {
--- a/internal/catalogsync/era_test.go
+++ b/internal/catalogsync/era_test.go
@@ -38,3 +38,21 @@
 		t.Errorf("the lead is %v, %d claims ignored", f.Lead(), f.RejectedClaims())
 	}
 }
+
+// Guards against missed changes: a reader that had pulled the catalog of a later era while its watch
+// of the previous one waited took the answer for the changes after that catalog, though it starts
+// at a higher revision.
+func TestWatchOfEarlierEraDoesNotContinueAPulledCatalog(t *testing.T) {
+	f, now := reader()
+	f.Tick(now.Add(bound / 4))
+	pulled := catalog.Position{Era: 1, Revision: 6}
+	f.state.Replace(now, pulled, nil)
+	if f.State().Position() != pulled {
+		t.Fatalf("at %v after the pull", f.State().Position())
+	}
+	change := catalog.Item{Key: "u2", Value: []byte("x"), Era: 1, Revision: 11}
+	got := describeActions(f.Watched(now.Add(bound/3), at(10), change.Position(), []catalog.Item{change}))
+	if got != "list" || f.State().Position() != pulled {
+		t.Errorf("%q at %v, want a listing, as the changes of revisions 7 to 10 are unknown", got, f.State().Position())
+	}
+}
