node: name the requests that are open when a stop ends

A stop that ran out of time logged how many requests were in flight.

Each connection of a caller knows the request that is being answered on it, until the whole answer has been handed to the kernel. At the end of a stop one line each, 32 at most, gives id, route, age, stage, the upstreams of open sends, whether any part was sent, and the bytes of the answer written so far.

--- a/internal/connpool/call.go
+++ b/internal/connpool/call.go
@@ -128,6 +128,8 @@
 	conn      net.Conn
 	withdrawn bool
 	finished  bool
+	// sent is set once the call has been given to a connection.
+	sent bool
 	// unsent is set if the call was withdrawn before any part of it was written.
 	unsent bool
 	// heldAt is when the limit of its class first held the call back, zero if it never did;
@@ -194,6 +196,40 @@
 	}
 }
 
+// State is how far a call has come.
+type State string
+
+// States of calls.
+const (
+	// StateUnsent: no part of the call has been written.
+	StateUnsent State = "unsent"
+	// StateSent: the call has been written, or is being written, and has no complete response.
+	StateSent State = "sent"
+	// StateEnded: the call has its reply or was withdrawn.
+	StateEnded State = "ended"
+)
+
+// State returns how far the call has come.
+func (c *Call) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.finished || c.withdrawn:
+		return StateEnded
+	case c.conn != nil:
+		return StateSent
+	default:
+		return StateUnsent
+	}
+}
+
+// WasSent reports whether any part of the call may have been written.
+func (c *Call) WasSent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent
+}
+
 // Waited returns how long the call waited, or has waited until now, because all
 // connections that this VM may have to the upstream were in use.
 func (c *Call) Waited(now time.Time) time.Duration {
@@ -260,6 +296,7 @@
 		return false
 	}
 	c.conn = conn
+	c.sent = true
 	// The following write returns the same error.
 	_ = conn.SetDeadline(c.Deadline)
 	return true
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -285,7 +285,9 @@
 func (e *Engine) Serve(r *Request) Answer {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
+	r.progress.enter(StageReceived)
 	a := e.serve(r)
+	r.progress.enter(StageAnswer)
 	e.recordEnd(r, &a)
 	return a
 }
@@ -318,12 +320,14 @@
 	if r.Route == nil {
 		return refuse(NoRoute, 0)
 	}
+	r.progress.setRoute(r.Route.Name)
 	if e.stopsTooSoon(r.Route) {
 		return refuse(Stopping, stoppingRetry)
 	}
 	if e.cannotMeetObjective(r.Route) {
 		return refuse(Overloaded, overloadRetry)
 	}
+	r.progress.enter(StageSuspect)
 	switch a := e.admit(r); {
 	case a.Standing == quarantine.Blocked:
 		return refuse(PoisonRequest, a.Until.Sub(e.now()))
@@ -339,6 +343,7 @@
 	if !r.Route.FanOut() {
 		return e.run(v, r)
 	}
+	r.progress.enter(StageQueue)
 	p, refusal := e.admitQuery(v, r)
 	if p == nil {
 		return refusal
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -28,7 +28,8 @@
 	// nil.
 	Conn net.Conn
 	// Route is the matched route; nil before the lookup.
-	Route *routing.Route
+	Route    *routing.Route
+	progress progress
 	// trial marks a suspect, which is tried at one upstream first.
 	trial bool
 	// queued is how long the query waited for a place under the limit of its shards.
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -120,6 +120,7 @@
 
 func (e *Engine) run(v *catalog.View, r *Request) Answer {
 	x := e.newRun(v, r)
+	r.progress.enter(StageBackoff)
 	defer x.close()
 	a := x.drive()
 	a.Hedging = x.query.Hedging()
@@ -314,6 +315,7 @@
 	if s.Cause != scatter.First {
 		e.opts.Logs.Failures.Info("edge: sent again", x.logFields(&x.sends[s.Attempt])...)
 	}
+	x.req.progress.addCall(call)
 	e.startCall(call)
 }
 
--- a/internal/httpserver/stall.go
+++ b/internal/httpserver/stall.go
@@ -82,6 +82,8 @@
 	net.Conn
 	limiter *StallLimiter
 	request atomic.Pointer[string]
+	// written is how many bytes of the answer to request have been handed to the kernel.
+	written atomic.Int64
 }
 
 // SetRequest records the id of the request that is being answered on a connection, for
@@ -89,9 +91,19 @@
 func SetRequest(nc net.Conn, id string) {
 	if c, ok := nc.(*stallConn); ok {
 		c.request.Store(&id)
+		c.written.Store(0)
 	}
 }
 
+// written returns how many bytes have been handed to the kernel since SetRequest, 0 for connections
+// that no StallLimiter limits.
+func written(nc net.Conn) int {
+	if c, ok := nc.(*stallConn); ok {
+		return int(c.written.Load())
+	}
+	return 0
+}
+
 // SyscallConn implements syscall.Conn, so that sockpeek can inspect the socket.
 func (c *stallConn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
@@ -111,6 +123,7 @@
 		}
 		n, err := c.Conn.Write(b[written:])
 		written += n
+		c.written.Add(int64(n))
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			// The server distinguishes errors of Write by their type.
 			return written, err
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -119,7 +119,7 @@
 		return 0
 	})
 	gauge("sycamorekeel_edge_in_flight", "Requests under way.", func() float64 { return float64(d.engine.InFlight()) })
-	gauge("sycamorekeel_edge_caller_connections", "Open connections of callers.", func() float64 { return float64(d.callerConns.open.Load()) })
+	gauge("sycamorekeel_edge_caller_connections", "Open connections of callers.", func() float64 { return float64(d.callerConns.Len()) })
 	gauge("sycamorekeel_edge_upstream_connections_opened", "Connections opened to the present upstreams.", func() float64 {
 		return float64(d.engine.ConnectionsOpened())
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/cpulag"
 	"sycamorekeel.example/sycamorekeel/internal/edge"
 	"sycamorekeel.example/sycamorekeel/internal/gossip"
+	"sycamorekeel.example/sycamorekeel/internal/httpserver"
 	"sycamorekeel.example/sycamorekeel/internal/locality"
 	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
@@ -82,8 +83,9 @@
 	Decoder   catalog.Decoder
 	Upstreams connpool.Protocol
 	// Callers returns the handler that passes callers' requests to the engine.
-	// leaving reports whether the VM is shutting down.
-	Callers func(e *edge.Engine, leaving func() bool) CallerHandler
+	// leaving reports whether the VM is shutting down; begin must be called with each request
+	// before it is answered.
+	Callers func(e *edge.Engine, leaving func() bool, begin func(net.Conn, *edge.Request)) CallerHandler
 	// Directory returns the handler of directory lookups. choose returns the caller
 	// addresses of the VMs that a caller should use, and ttl is how long it may keep
 	// the answer.
@@ -136,7 +138,7 @@
 	carrying     atomic.Bool
 	recentShares shareHistory
 	traffic      *traffic.Meter
-	callerConns  connCounter
+	callerConns  *httpserver.Conns[*edge.Request]
 	callerStalls prometheus.Counter
 	warnings     *warningLog
 }
@@ -153,6 +155,7 @@
 		adapter:       opts.Adapter,
 		traffic:       opts.Traffic,
 		started:       now,
+		callerConns:   httpserver.NewConns[*edge.Request](),
 		warnings:      newWarningLog(opts.Logs.Changes, opts.Registry),
 	}
 	d.settings.Store(set)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -14,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/edge"
 	"sycamorekeel.example/sycamorekeel/internal/httpserver"
 	"sycamorekeel.example/sycamorekeel/internal/placement"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
@@ -73,18 +73,6 @@
 
 func (s *server) serve() error { return s.http.Serve(s.ln) }
 
-// connCounter counts callers' open connections.
-type connCounter struct{ open atomic.Int64 }
-
-func (c *connCounter) onStateChange(_ net.Conn, s fasthttp.ConnState) {
-	switch s {
-	case fasthttp.StateNew:
-		c.open.Add(1)
-	case fasthttp.StateClosed, fasthttp.StateHijacked:
-		c.open.Add(-1)
-	}
-}
-
 // httpLogger forwards fasthttp's log lines to zap. By default they go to standard error
 // without a rate limit, and the writer blocks if standard error is not read.
 type httpLogger struct {
@@ -100,7 +88,8 @@
 // listen creates all servers and opens their listeners. The first server is the one for
 // callers.
 func (d *Daemon) listen() ([]*server, error) {
-	handler := d.adapter.Callers(d.engine, d.leaving.Load)
+	begin := func(nc net.Conn, r *edge.Request) { d.callerConns.Begin(nc, r, r.Received) }
+	handler := d.adapter.Callers(d.engine, d.leaving.Load, begin)
 	callers := &fasthttp.Server{
 		Handler:                      handler.Handle,
 		ErrorHandler:                 handler.HandleError,
@@ -111,7 +100,7 @@
 		MaxRequestBodySize:           maxBodyBytes,
 		ReadTimeout:                  requestReadTimeout,
 		IdleTimeout:                  callerIdleTimeout,
-		ConnState:                    d.callerConns.onStateChange,
+		ConnState:                    d.callerConns.OnStateChange,
 		NoDefaultContentType:         true,
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
@@ -196,12 +185,12 @@
 	end := exit.Add(-flushMargin)
 	d.leaving.Store(true)
 	d.engine.BeginStop(end)
-	d.log.Info("node: stopping", zap.Int64("in_flight", d.engine.InFlight()), zap.Int64("connections", d.callerConns.open.Load()))
+	d.log.Info("node: stopping", zap.Int64("in_flight", d.engine.InFlight()), zap.Int("connections", d.callerConns.Len()))
 	d.publishCapacity()
 	d.gossip.Leave()
 	answersExpired := start.Add(directoryTTLFactor * d.settings.Load().directoryTTL())
 	for now := time.Now(); now.Before(end); now = time.Now() {
-		if now.After(answersExpired) && d.callerConns.open.Load() == 0 {
+		if now.After(answersExpired) && d.callerConns.Len() == 0 {
 			break
 		}
 		time.Sleep(min(drainPollInterval, end.Sub(now)))
@@ -209,7 +198,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), exit)
 	defer cancel()
 	if err := servers[0].http.Shutdown(ctx); err != nil {
-		d.log.Warn("node: stopped with requests in flight", zap.Int64("in_flight", d.engine.InFlight()), zap.Error(err))
+		d.logOpenRequests()
 	}
 	d.engine.Close()
 }
--- a/internal/standalone/adapter.go
+++ b/internal/standalone/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -25,8 +26,8 @@
 		Store:     NewFileStore(set.StoreAddress),
 		Decoder:   ItemDecoder{},
 		Upstreams: wire.UpstreamProtocol{Names: wire.DefaultHeaderNames()},
-		Callers: func(e *edge.Engine, leaving func() bool) node.CallerHandler {
-			return wire.NewIngress(e, wire.DefaultHeaderNames(), leaving)
+		Callers: func(e *edge.Engine, leaving func() bool, begin func(net.Conn, *edge.Request)) node.CallerHandler {
+			return wire.NewIngress(e, wire.DefaultHeaderNames(), leaving, begin)
 		},
 		Directory: directoryHandler,
 		Ready: func(ready func() bool) fasthttp.RequestHandler {
--- a/internal/wire/ingress.go
+++ b/internal/wire/ingress.go
@@ -25,12 +25,15 @@
 	names  HeaderNames
 	// leaving reports whether this VM is shutting down.
 	leaving func() bool
+	// begin is called with each request whose answer is begun.
+	begin func(net.Conn, *edge.Request)
 }
 
 // NewIngress returns a handler that serves callers with engine. While leaving returns true,
-// each response closes its connection.
-func NewIngress(engine *edge.Engine, names HeaderNames, leaving func() bool) *Ingress {
-	return &Ingress{engine: engine, names: names, leaving: leaving}
+// each response closes its connection. begin is called with each request before it is served; nil
+// for no call.
+func NewIngress(engine *edge.Engine, names HeaderNames, leaving func() bool, begin func(net.Conn, *edge.Request)) *Ingress {
+	return &Ingress{engine: engine, names: names, leaving: leaving, begin: begin}
 }
 
 // memoryKey is the key of the user value that holds the memory of the response.
@@ -40,6 +43,9 @@
 func (in *Ingress) Handle(ctx *fasthttp.RequestCtx) {
 	r, reason := in.decodeRequest(ctx)
 	httpserver.SetRequest(ctx.Conn(), r.Message.ID)
+	if in.begin != nil {
+		in.begin(ctx.Conn(), r)
+	}
 	if reason != "" {
 		a := in.engine.Refuse(r, reason)
 		in.writeRefusal(ctx, r, &a)
--- a/internal/wire/ingress_test.go
+++ b/internal/wire/ingress_test.go
@@ -38,7 +38,7 @@
 	})
 	c := &routing.Config{Limits: routing.Limits{HeaderBytes: 100, BodyBytes: 10}}
 	engine.SetView(time.Now(), &catalog.View{Config: c, Table: routing.Compile(c)})
-	in := NewIngress(engine, DefaultHeaderNames(), func() bool { return false })
+	in := NewIngress(engine, DefaultHeaderNames(), func() bool { return false }, nil)
 	server := &fasthttp.Server{
 		Handler: in.Handle, ErrorHandler: in.HandleError,
 		ReadBufferSize: 500, MaxRequestBodySize: 100, ReadTimeout: readTimeout, Logger: log.New(io.Discard, "", 0),
