node: end a planned stop once every request that was read is answered

Callers lost requests while VMs stopped: connections ended without an answer though the platform had not killed the process. The exit came at a fixed time, 0.2 s before the end of the grace period, and idle connections were closed 0.25 s before, from another goroutine than the one that reads them. Whatever the process had not got to by then was cut: answers being written, requests whose first byte was read as the connection was closed, requests that waited unread, connections that waited to be accepted. A process that gets processor time in between shows none of it.

Now the order is fixed, not the time. A connection is closed by its reader alone, once it has read nothing and nothing waits unread, or after the answer. The process leaves when no connection of a caller is open and none waits to be accepted. What is still open 0.2 s before the end of the grace period is logged; the process then goes on until it is killed, or twice the grace period after the signal. A request that stays incomplete does not hold the process longer than before.

--- a/internal/httpserver/conns.go
+++ b/internal/httpserver/conns.go
@@ -18,6 +18,10 @@
 
 // connection is the state of one connection.
 type connection[R any] struct {
+	opened time.Time
+	// readFrom is when the first byte of a request was read that is not answered, zero if there is
+	// none.
+	readFrom time.Time
 	// request is being answered since began; nil if there is none.
 	request *R
 	began   time.Time
@@ -44,10 +48,17 @@
 	case fasthttp.StateClosed, fasthttp.StateHijacked:
 		delete(c.open, nc)
 	case fasthttp.StateNew:
-		c.open[nc] = &connection[R]{}
-	default:
+		c.open[nc] = &connection[R]{opened: time.Now()}
+	case fasthttp.StateActive:
 		if conn := c.open[nc]; conn != nil {
-			conn.request = nil
+			conn.readFrom = time.Now()
+		}
+	case fasthttp.StateIdle:
+		if conn := c.open[nc]; conn != nil {
+			*conn = connection[R]{opened: conn.opened}
+		}
+		if limited, ok := nc.(*callerConn); ok {
+			limited.reading.Store(false)
 		}
 	}
 }
@@ -68,6 +79,33 @@
 	return len(c.open)
 }
 
+// CloseIdle closes the connections on which no request is being read or answered, or waits unread,
+// and that have been open for at least a time. It must be called repeatedly until Busy and Len tell
+// that they are closed.
+func (c *Conns[R]) CloseIdle(now time.Time, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for nc, conn := range c.open {
+		if limited, ok := nc.(*callerConn); ok && conn.readFrom.IsZero() && now.Sub(conn.opened) >= age {
+			limited.closeIdle()
+		}
+	}
+}
+
+// Busy returns the number of open connections without those on which a part of a request has been
+// read and nothing has been answered since a time.
+func (c *Conns[R]) Busy(since time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.open)
+	for _, conn := range c.open {
+		if conn.request == nil && !conn.readFrom.IsZero() && conn.readFrom.Before(since) {
+			n--
+		}
+	}
+	return n
+}
+
 // Answering returns the requests that are being answered, in no order.
 func (c *Conns[R]) Answering() []Answering[R] {
 	c.mu.Lock()
--- a/internal/httpserver/stall.go
+++ b/internal/httpserver/stall.go
@@ -72,24 +72,26 @@
 		// The server distinguishes errors of Accept by their type.
 		return nil, err
 	}
-	return &stallConn{Conn: nc, limiter: l.limiter}, nil
+	return &callerConn{Conn: nc, limiter: l.limiter}, nil
 }
 
-// stallConn is a connection that a StallLimiter limits. The connection is a field of
+// callerConn is a connection that a StallLimiter limits, and that its reader closes once it is idle
+// after closeIdle. The connection is a field of
 // interface type, so that io.Copy and fasthttp find no ReadFrom or writev that would bypass
 // Write.
-type stallConn struct {
+type callerConn struct {
 	net.Conn
 	limiter *StallLimiter
 	request atomic.Pointer[string]
 	// written is how many bytes of the answer to request have been handed to the kernel.
 	written atomic.Int64
+	idleClose
 }
 
 // SetRequest records the id of the request that is being answered on a connection, for
 // Stall.Request. It does nothing for connections that no StallLimiter limits.
 func SetRequest(nc net.Conn, id string) {
-	if c, ok := nc.(*stallConn); ok {
+	if c, ok := nc.(*callerConn); ok {
 		c.request.Store(&id)
 		c.written.Store(0)
 	}
@@ -98,14 +100,14 @@
 // written returns how many bytes have been handed to the kernel since SetRequest, 0 for connections
 // that no StallLimiter limits.
 func written(nc net.Conn) int {
-	if c, ok := nc.(*stallConn); ok {
+	if c, ok := nc.(*callerConn); ok {
 		return int(c.written.Load())
 	}
 	return 0
 }
 
 // SyscallConn implements syscall.Conn, so that sockpeek can inspect the socket.
-func (c *stallConn) SyscallConn() (syscall.RawConn, error) {
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, trace.NotImplemented("%T is not a socket", c.Conn)
@@ -114,7 +116,7 @@
 }
 
 // Write implements net.Conn.
-func (c *stallConn) Write(b []byte) (int, error) {
+func (c *callerConn) Write(b []byte) (int, error) {
 	written := 0
 	var w watch
 	for {
@@ -173,7 +175,7 @@
 }
 
 // tcpInfo returns the state of TCP, or nil if it cannot be read.
-func (c *stallConn) tcpInfo() *unix.TCPInfo {
+func (c *callerConn) tcpInfo() *unix.TCPInfo {
 	read := c.limiter.tcpInfo
 	if read == nil {
 		read = sockpeek.TCPInfo
@@ -195,7 +197,7 @@
 
 // abort reports the stall and makes Close discard the bytes that the kernel holds, which the
 // kernel would otherwise keep offering to the remote end.
-func (c *stallConn) abort(written, size int, lost bool) {
+func (c *callerConn) abort(written, size int, lost bool) {
 	s := Stall{Remote: c.RemoteAddr().String(), Written: written, Size: size, Lost: lost}
 	if id := c.request.Load(); id != nil {
 		s.Request = *id
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -473,11 +473,12 @@
 	}
 	var stopping sync.WaitGroup
 	stopping.Add(1)
+	var exitLimit time.Time
 	go func() {
 		defer stopping.Done()
 		select {
 		case <-ctx.Done():
-			d.shutdown(servers)
+			exitLimit = d.shutdown(servers)
 		case <-run.Done():
 		}
 		stop()
@@ -485,6 +486,8 @@
 	}()
 	err = group.Wait()
 	stopping.Wait()
+	// A connection may have been accepted while the listener was closed.
+	d.closeConnections(nil, exitLimit, slowRequestTime)
 	d.log.Info("node: stopped", zap.Error(err))
 	return trace.Wrap(err)
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"time"
@@ -51,14 +50,11 @@
 	// every request in flight has ended, before exitMargin.
 	flushMargin = 250 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the process to exit by
-	// itself.
+	// itself. What is still open then is logged.
 	exitMargin = 200 * time.Millisecond
 	// directoryTTLFactor is how many times its TTL some callers keep a directory
 	// answer.
 	directoryTTLFactor = 3
-	// drainPollInterval is the interval at which a shutdown checks for open connections
-	// of callers.
-	drainPollInterval = 100 * time.Millisecond
 )
 
 // directoryServer is the name of the server that handles directory lookups.
@@ -174,41 +170,3 @@
 	}
 	return out
 }
-
-// shutdown stops the VM's service. Callers learn from the directory and from each response that
-// the VM is leaving. Until shortly before the end of the grace period, or until the directory
-// answers that callers hold have expired and no caller is connected, it accepts connections and
-// answers every request: those that cannot be served by then with a refusal.
-func (d *Daemon) shutdown(servers []*server) {
-	start := time.Now()
-	exit := start.Add(d.settings.Load().Grace - exitMargin)
-	end := exit.Add(-flushMargin)
-	d.leaving.Store(true)
-	d.engine.BeginStop(end)
-	d.log.Info("node: stopping", zap.Int64("in_flight", d.engine.InFlight()), zap.Int("connections", d.callerConns.Len()))
-	d.publishCapacity()
-	d.gossip.Leave()
-	answersExpired := start.Add(directoryTTLFactor * d.settings.Load().directoryTTL())
-	for now := time.Now(); now.Before(end); now = time.Now() {
-		if now.After(answersExpired) && d.callerConns.Len() == 0 {
-			break
-		}
-		time.Sleep(min(drainPollInterval, end.Sub(now)))
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), exit)
-	defer cancel()
-	if err := servers[0].http.Shutdown(ctx); err != nil {
-		d.logOpenRequests()
-	}
-	d.engine.Close()
-}
-
-// closeAll closes the servers that are still open.
-func closeAll(servers []*server) {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	for _, s := range servers {
-		// The process is about to exit, which closes whatever remains open.
-		_ = s.http.Shutdown(ctx)
-	}
-}
