node: date a planned stop by the earliest moment at which its signal can have come

A process that gets no processor as it is stopped sees the signal late, and counted its grace period from there. With 0.45 s reserved at the end, a delay of more than that puts the last answers behind the kill: every request in flight is cut, without a line in the log.

The wake-ups that already measure the scheduling delay, each 50 ms, date the last pause. A signal that is first seen in a pause, or just after one, counts from the begin of the pause. That may end a request earlier than needed, never too late.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -36,7 +36,8 @@
 // every request that has arrived is answered and all connections of callers are closed. The result
 // is the time at which the process exits even if requests are open.
 func (d *Daemon) shutdown(servers []*server) (exitLimit time.Time) {
-	start := time.Now()
+	// The grace period began when the signal was sent, not when the process saw it.
+	start := d.pauses.EarliestArrival(time.Now())
 	grace := d.settings.Load().Grace
 	exit := start.Add(grace - exitMargin)
 	end := exit.Add(-flushMargin)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
 	"sycamorekeel.example/sycamorekeel/internal/pagecodec"
+	"sycamorekeel.example/sycamorekeel/internal/pause"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/placement"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
@@ -141,6 +142,7 @@
 	callerConns  *httpserver.Conns[*edge.Request]
 	callerStalls prometheus.Counter
 	warnings     *warningLog
+	pauses       pause.Meter
 }
 
 // New returns a Daemon that has not been started; call Run to start it.
@@ -156,6 +158,7 @@
 		traffic:       opts.Traffic,
 		started:       now,
 		callerConns:   httpserver.NewConns[*edge.Request](),
+		pauses:        pause.Meter{Interval: cpulag.Interval},
 		warnings:      newWarningLog(opts.Logs.Changes, opts.Registry),
 	}
 	d.settings.Store(set)
@@ -504,7 +507,9 @@
 			return nil
 		case <-t.C:
 		}
-		changed := m.Observe(time.Now())
+		now := time.Now()
+		d.pauses.Observe(now)
+		changed := m.Observe(now)
 		d.engine.SetSchedulingDelay(m.Lag())
 		if changed {
 			d.strained.Store(m.Strained())
