node: write the lines about open requests before the process may be killed

They are logged 0.2 s before the end of the grace period, and the log buffer was written each 0.25 s: a process that is killed lost them in most cases. Sync, which did nothing, now makes the buffer be written at once without waiting for it.

--- a/internal/logring/classes.go
+++ b/internal/logring/classes.go
@@ -76,5 +76,8 @@
 	return len(line), nil
 }
 
-// Sync implements zapcore.WriteSyncer. It does nothing: Run writes the lines.
-func (w classWriter) Sync() error { return nil }
+// Sync implements zapcore.WriteSyncer. It makes Run write the lines soon and does not wait for that.
+func (w classWriter) Sync() error {
+	w.ring.requestFlush()
+	return nil
+}
--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -38,6 +38,8 @@
 	// reported holds the counts of dropped that summary lines have already
 	// reported. Only Flush uses it.
 	reported [numClasses]uint64
+	// flushSoon has an element when Run is to flush before the next interval is over.
+	flushSoon chan struct{}
 
 	// mu guards the fields below.
 	mu  sync.Mutex
@@ -52,7 +54,7 @@
 // New returns an empty ring that writes to out. vm is the VM name that every line
 // carries.
 func New(vm string, out io.Writer, now func() time.Time) *Buffer {
-	return &Buffer{vm: vm, out: out, now: now, tokens: bytesPerSecond, lastRefill: now()}
+	return &Buffer{vm: vm, out: out, now: now, flushSoon: make(chan struct{}, 1), tokens: bytesPerSecond, lastRefill: now()}
 }
 
 // add copies a line into the buffer, or drops and counts it.
@@ -83,13 +85,20 @@
 		case <-ctx.Done():
 			return r.Flush()
 		case <-t.C:
-			if err := r.Flush(); err != nil {
-				// Keep running, the output may recover. The lines of a failed write
-				// are lost uncounted. While a write blocks, new lines are dropped
-				// and counted once the buffer is full.
-				continue
-			}
+		case <-r.flushSoon:
 		}
+		// Keep running after an error, the output may recover. The lines of a failed
+		// write are lost uncounted. While a write blocks, new lines are dropped and
+		// counted once the buffer is full.
+		_ = r.Flush()
+	}
+}
+
+// requestFlush makes Run flush the buffer without waiting for the interval.
+func (r *Buffer) requestFlush() {
+	select {
+	case r.flushSoon <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/logring/logring_test.go
+++ b/internal/logring/logring_test.go
@@ -166,6 +166,20 @@
 	}
 }
 
+// Guards against lines that are lost because the process is killed before the next flush, and against
+// a Sync that waits for the output.
+func TestSyncAsksForAFlushWithoutWaiting(t *testing.T) {
+	r := New("v", &bytes.Buffer{}, time.Now)
+	for range 2 {
+		if err := r.Loggers().Changes.Sync(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(r.flushSoon) != 1 {
+		t.Errorf("%d flushes asked for, want 1", len(r.flushSoon))
+	}
+}
+
 func BenchmarkWrite(b *testing.B) {
 	r := New("v", &bytes.Buffer{}, time.Now)
 	line := []byte(strings.Repeat("x", 255) + "\n")
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -27,4 +27,6 @@
 			zap.String("request", p.ID), zap.String("route", p.Route), zap.Duration("age", p.Age), zap.String("stage", string(p.Stage)),
 			zap.Strings("upstreams", p.Upstreams), zap.Bool("sent", p.Sent), zap.Int("written", a.Written))
 	}
+	// The process may be killed before the lines would be written otherwise.
+	_ = d.log.Sync()
 }
