--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 PROTO := $(wildcard proto/sycamorekeel/v1/*.proto)
 
-.PHONY: all build demo bench capacity test race processes soak generate lint spec spec-mutants
+.PHONY: all build demo bench capacity test race processes soak rolling generate lint spec spec-mutants
 
 all: build
 
@@ -47,6 +47,10 @@
 soak: build
 	bin/sycamorekeel-soak bin/sycamorekeel-edge --seed $(SEED) --seeds 10
 
+# Restarts all VMs of a small deployment in turn, twice, while callers go on.
+rolling: build
+	bin/sycamorekeel-soak bin/sycamorekeel-edge --rolling 2 --vms 9 --callers 16 --seed $(SEED)
+
 # Regenerates internal/pb. Needs protoc and the two generators below; the build
 # does not, as the generated code is committed.
 generate:
