--- a/cmd/sycamorekeel-soak/main.go
+++ b/cmd/sycamorekeel-soak/main.go
@@ -28,7 +28,7 @@
 	Idle    bool          `help:"Measure instead what control alone costs each VM of a fleet without callers."`
 	Rolling int           `placeholder:"ROUNDS" help:"Instead restart all VMs in turn, so many times, while callers go on, and name each request that was read and not answered. Use 9 VMs, as the small sites have."`
 	Busy    int           `help:"With --rolling: processes that use the processor beside the VMs."`
-	Pause   bool          `help:"With --rolling: freeze each VM for a moment in the last second of its grace period."`
+	Pause   bool          `help:"With --rolling: freeze each VM once, as it gets its signal or in the last second of its grace period."`
 	Verbose bool          `short:"v" help:"Print each fault."`
 }
 
