connpool: check responses as they arrive; statuses that do not exist are no answers

Callers saw: an upstream answered HTTP/1.1 000; the caller got 200 with the upstream's signature, also after an interim 100, and parts of queries with that status were merged. Statuses 001, 099 and 101 were passed on.

Cause: the library takes a status of 0 for one that is not set, and 200 for that. What it returns has no trace of it, so the check of the decoded response could not see it.

Change: responsecheck.Reader stands between the socket and the buffer that the library reads from. It follows the responses byte by byte, up to the end of each body, and returns an error in place of the end of a malformed line, so that no reader can take the head for complete. Interim heads, second copies and health checks go through the same reader. The call is lost, not broken: bytes arrived, which says neither that the process ended nor that the request has not run. It is logged with its cause, counted by rule, and its connection ends.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
@@ -52,8 +53,10 @@
 	netConn net.Conn
 	// bytes counts the bytes of the current call in both directions.
 	bytes atomic.Int64
-	br    *bufio.Reader
-	bw    *bufio.Writer
+	// responses checks what br reads.
+	responses *responsecheck.Reader
+	br        *bufio.Reader
+	bw        *bufio.Writer
 	// calls delivers the next call; closing it ends the connection.
 	calls chan *Call
 	// lastID is the id of the request that the connection has carried last, "" for none.
@@ -109,7 +112,8 @@
 	c.dialTime = time.Since(c.dialledAt)
 	c.pool.observer.ConnectionOpened(c.pool.upstream)
 	counted := traffic.CountConn(nc, func(n int) { c.bytes.Add(int64(n)) })
-	c.br = bufio.NewReaderSize(counted, bufferBytes)
+	c.responses = responsecheck.NewReader(counted)
+	c.br = bufio.NewReaderSize(c.responses, bufferBytes)
 	c.bw = bufio.NewWriterSize(counted, bufferBytes)
 	c.idleUntil = time.Now().Add(defaultIdleTimeout)
 	if err := c.checkHealth(counted); err != nil {
@@ -160,6 +164,7 @@
 	call.Message.addCarrier(c.id)
 	var req fasthttp.Request
 	c.pool.protocol.Encode(&req, call.Message, call.Upstream, left)
+	c.responses.SetHeadRequest(req.Header.IsHead())
 	written, err := c.write(&req, len(call.Message.Body))
 	if err != nil {
 		call.finish(c.noResponse(err, time.Since(now)))
@@ -271,7 +276,7 @@
 func (c *conn) noResponse(err error, elapsed time.Duration) Reply {
 	reply := c.lostReply(err)
 	reply.ConnectedAt = c.dialledAt
-	if isTimeout(err) || c.pool.isAbandoned() {
+	if isTimeout(err) || c.responses.Malformed() != nil || c.pool.isAbandoned() {
 		return reply
 	}
 	reply.Result = scatter.Broken
@@ -289,6 +294,10 @@
 		return Reply{Result: scatter.Lost, Detail: "no answer in time"}
 	}
 	c.pool.observer.ConnectionEnded(c.pool.upstream)
+	if malformed := c.responses.Malformed(); malformed != nil {
+		c.pool.observer.ResponseMalformed(malformed.Rule)
+		return Reply{Result: scatter.Lost, Detail: malformed.Error()}
+	}
 	return Reply{Result: scatter.Lost, Detail: "connection: " + err.Error()}
 }
 
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
 
@@ -159,6 +160,8 @@
 
 func (nopObserver) ConnectionEnded(*catalog.Upstream) {}
 
+func (nopObserver) ResponseMalformed(responsecheck.Rule) {}
+
 func (nopObserver) Sent(*catalog.Upstream, bool, int) {}
 
 // client makes calls to one upstream through pools with a connection limit.
--- a/internal/connpool/health.go
+++ b/internal/connpool/health.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
@@ -41,7 +42,9 @@
 	defer nc.Close()
 	p.observer.ConnectionOpened(u)
 	counted := traffic.CountConn(nc, func(n int) { p.observer.HealthBytes(u, n) })
-	return requestHealth(counted, bufio.NewReader(counted), p.protocol, u, path)
+	responses := responsecheck.NewReader(counted)
+	h, err := requestHealth(counted, bufio.NewReader(responses), p.protocol, u, path)
+	return h, checkedError(responses, p.observer, err)
 }
 
 // requestHealth performs a health check over an open connection. A response of another
@@ -82,7 +85,18 @@
 	}
 	begun := time.Now()
 	h, err := requestHealth(nc, c.br, c.pool.protocol, u, path)
+	err = checkedError(c.responses, observer, err)
 	observer.HealthBytes(u, int(c.bytes.Swap(0)))
 	observer.HealthChecked(u, begun, h, err)
 	return trace.Wrap(err)
 }
+
+// checkedError returns how the response of a failed health check was malformed, or err.
+func checkedError(responses *responsecheck.Reader, observer Observer, err error) error {
+	malformed := responses.Malformed()
+	if err == nil || malformed == nil {
+		return err
+	}
+	observer.ResponseMalformed(malformed.Rule)
+	return malformed
+}
--- a/internal/connpool/pools.go
+++ b/internal/connpool/pools.go
@@ -6,6 +6,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
 
@@ -31,6 +32,9 @@
 	// ConnectionEnded reports that the remote end closed a connection, or that a connection could not
 	// be opened: the upstream may have restarted. It is called before the next call is sent.
 	ConnectionEnded(u *catalog.Upstream)
+	// ResponseMalformed counts a response that breaks a rule, so that its connection ends. The upstream
+	// may have run the request.
+	ResponseMalformed(broken responsecheck.Rule)
 	// HealthPath returns the path that each new connection requests before its first call;
 	// "" skips the health check.
 	HealthPath(u *catalog.Upstream) string
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -10,6 +10,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/poison"
 	"sycamorekeel.example/sycamorekeel/internal/replica"
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
 )
@@ -36,6 +37,8 @@
 	poison         *poison.Metrics
 	// bodiesAborted counts responses given up for lack of memory.
 	bodiesAborted prometheus.Counter
+	// malformed counts malformed responses by the rule that they break.
+	malformed *prometheus.CounterVec
 }
 
 // admissionMetrics counts what became of queries at the limit of their shards.
@@ -134,10 +137,13 @@
 	m.bodiesAborted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "sycamorekeel_edge_bodies_aborted_total", Help: "Responses of upstreams given up because the bodies of all together took too much memory.",
 	})
+	m.malformed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sycamorekeel_edge_malformed_responses_total", Help: "Responses of upstreams, health checks included, that are no HTTP responses, by the rule that they break.",
+	}, []string{"rule"})
 	m.stages = newStageTimes(reg)
 	m.admission = newAdmissionMetrics(reg)
 	m.poison = poison.NewMetrics(reg)
-	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.sendsHeld, m.forgone, m.health, m.bodiesAborted)
+	reg.MustRegister(m.requests, m.duration, m.partial, m.sends, m.replies, m.budgetRefusals, m.sendsHeld, m.forgone, m.health, m.bodiesAborted, m.malformed)
 	return m
 }
 
@@ -174,6 +180,10 @@
 	m.health.WithLabelValues(result).Inc()
 }
 
+func (m *Metrics) responseMalformed(broken responsecheck.Rule) {
+	m.malformed.WithLabelValues(string(broken)).Inc()
+}
+
 func (m *Metrics) budgetRefused(k retrybudget.Kind) {
 	m.budgetRefusals.WithLabelValues(k.String()).Inc()
 }
--- a/internal/edge/traffic.go
+++ b/internal/edge/traffic.go
@@ -6,6 +6,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/connpool"
 	"sycamorekeel.example/sycamorekeel/internal/locality"
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
@@ -22,6 +23,11 @@
 	o.engine.warmups.suspectRestart(time.Now(), u)
 }
 
+// ResponseMalformed implements connpool.Observer.
+func (o upstreamObserver) ResponseMalformed(broken responsecheck.Rule) {
+	o.engine.opts.Metrics.responseMalformed(broken)
+}
+
 // HealthPath implements connpool.Observer. New connections to upstreams that sustain few
 // requests while cold check their health first.
 func (o upstreamObserver) HealthPath(u *catalog.Upstream) string {
--- /dev/null
+++ b/internal/responsecheck/head.go
@@ -0,0 +1,89 @@
+package responsecheck
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+)
+
+// noLength is the length of a head that declares none.
+const noLength = -1
+
+// head is what a response's head says about its end.
+type head struct {
+	oldVersion bool
+	status     int
+	// length is the declared length of the body in bytes, or noLength.
+	length  int64
+	chunked bool
+	// lastEndsWithLF says that the last field line ended with LF alone.
+	lastEndsWithLF bool
+}
+
+// interim reports whether another head follows.
+func (h *head) interim() bool { return h.status < http.StatusOK }
+
+// neverHasBody reports whether the status excludes a body.
+func (h *head) neverHasBody() bool {
+	return h.interim() || h.status == http.StatusNoContent || h.status == http.StatusNotModified
+}
+
+const (
+	http11 = "HTTP/1.1"
+	// statusDigits is the length of a status.
+	statusDigits = 3
+)
+
+// parseStatusLine checks a status line. Source: RFC 9112, section 4.
+func (h *head) parseStatusLine(text []byte) *Error {
+	version, rest, ok := bytes.Cut(text, []byte{' '})
+	h.oldVersion = string(version) != http11
+	status, _, _ := bytes.Cut(rest, []byte{' '})
+	if !ok || len(status) != statusDigits {
+		return malformed(Status, "the status line is %s", quote(text))
+	}
+	for _, c := range status {
+		if c < '0' || c > '9' {
+			return malformed(Status, "the status line is %s", quote(text))
+		}
+		h.status = 10*h.status + int(c-'0')
+	}
+	if h.status < http.StatusContinue || h.status == http.StatusSwitchingProtocols {
+		return malformed(Status, "status %s", status)
+	}
+	return nil
+}
+
+// parseField checks a field line of a head. Source: RFC 9110, section 5, and RFC 9112, section 5.
+func (h *head) parseField(text []byte) *Error {
+	if text[0] == ' ' || text[0] == '\t' {
+		return nil
+	}
+	name, value, _ := bytes.Cut(text, []byte{':'})
+	h.parseFraming(bytes.TrimRight(name, " "), value)
+	return nil
+}
+
+// parseFraming takes in a field that delimits the body.
+func (h *head) parseFraming(name, value []byte) {
+	switch {
+	case isName(name, "Content-Length"):
+		if length, err := strconv.ParseInt(string(trimBlanks(value)), 10, 64); err == nil && length >= 0 {
+			h.length = length
+		}
+	case isName(name, "Transfer-Encoding"):
+		h.chunked = !h.oldVersion && bytes.EqualFold(trimBlanks(value), []byte("chunked"))
+	}
+}
+
+// isName reports whether a field has a name, in upper or lower case.
+func isName(name []byte, want string) bool {
+	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
+}
+
+// trimBlanks returns a value without the blanks around it.
+func trimBlanks(value []byte) []byte { return bytes.Trim(value, " \t") }
+
+func isHexDigit(c byte) bool {
+	return '0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F'
+}
