responsecheck: field names are tokens that their colon follows

Callers saw: a line 'X Odd: 1' was passed on; 'X-Odd : 1' was passed on without the blank. A response whose length or chunks are declared in a name that is none had a body that is not the upstream's.

Cause: the library trims the blank before a colon and keeps a name with a blank inside, and tells nothing of either in what it returns. The same leniency decides the framing.

Change: a name must be one or more token bytes (RFC 9110, section 5.6.2), directly followed by its colon. RFC 9112 lets a proxy remove the blank before the colon; such a response is refused, since who sent the name cannot be trusted about where its body ends.

Evidence, TestInvalidFieldNameIsNoAnswer before: 'blank inside', 'before the colon', 'in the stamp', 'in the length', 'in the encoding', 'in an interim head' and 'error with a blank' each reach the caller with the signature and as parts of queries (7 of 8). Now 8 of 8 are lost, and the 32 odd but sound answers pass, among them every byte that a name may hold.

--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -16,6 +16,8 @@
 	// length is the declared length of the body in bytes, or noLength.
 	length  int64
 	chunked bool
+	// fields counts the fields of the head.
+	fields int
 	// lastEndsWithLF says that the last field line ended with LF alone.
 	lastEndsWithLF bool
 }
@@ -57,10 +59,26 @@
 // parseField checks a field line of a head. Source: RFC 9110, section 5, and RFC 9112, section 5.
 func (h *head) parseField(text []byte) *Error {
 	if text[0] == ' ' || text[0] == '\t' {
-		return nil
+		return h.parseFold(text)
+	}
+	end := 0
+	for end < len(text) && isTokenByte[text[end]] {
+		end++
+	}
+	if end == 0 || end == len(text) || text[end] != ':' {
+		return malformed(FieldName, "the field line %s has no valid name", quote(text))
+	}
+	h.fields++
+	h.parseFraming(text[:end], text[end+1:])
+	return nil
+}
+
+// parseFold checks a line that continues the value of the field before it.
+func (h *head) parseFold(text []byte) *Error {
+	switch {
+	case h.fields == 0:
+		return malformed(FieldName, "the first field line %s begins with a blank", quote(text))
 	}
-	name, value, _ := bytes.Cut(text, []byte{':'})
-	h.parseFraming(bytes.TrimRight(name, " "), value)
 	return nil
 }
 
@@ -84,6 +102,17 @@
 // trimBlanks returns a value without the blanks around it.
 func trimBlanks(value []byte) []byte { return bytes.Trim(value, " \t") }
 
+// isTokenByte holds the bytes of tokens. Source: RFC 9110, section 5.6.2.
+var isTokenByte = func() (table [256]bool) {
+	for c := '0'; c <= 'z'; c++ {
+		table[c] = c <= '9' || 'A' <= c && c <= 'Z' || 'a' <= c
+	}
+	for _, c := range "!#$%&'*+-.^_`|~" {
+		table[c] = true
+	}
+	return table
+}()
+
 func isHexDigit(c byte) bool {
 	return '0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F'
 }
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -23,6 +23,8 @@
 	// Status: the status line holds a status of three digits, from 100 on. Status 101 would
 	// switch to a protocol that no request asks for.
 	Status Rule = "status"
+	// FieldName: a field name is a token that its colon follows directly.
+	FieldName Rule = "field_name"
 	// Chunk: the chunks of a body have a size and end where it says.
 	Chunk Rule = "chunk"
 	// Line: a head ends with an empty line, and no line exceeds maxLine.
