responsecheck: responses begin with HTTP/1.1 or HTTP/1.0

Callers saw: responses of versions that do not exist (HTTP/9.9, 2.0, 1.2, 0.9) as answers, and a response behind an empty line.

Cause: the library takes any two digits for a version and skips empty lines before it. With a version other than 1.1 it ignores Transfer-Encoding, so that chunk sizes are among the bytes of the body.

--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -31,6 +31,7 @@
 }
 
 const (
+	http10 = "HTTP/1.0"
 	http11 = "HTTP/1.1"
 	// statusDigits is the length of a status.
 	statusDigits = 3
@@ -39,7 +40,10 @@
 // parseStatusLine checks a status line. Source: RFC 9112, section 4.
 func (h *head) parseStatusLine(text []byte) *Error {
 	version, rest, ok := bytes.Cut(text, []byte{' '})
-	h.oldVersion = string(version) != http11
+	if string(version) != http10 && string(version) != http11 {
+		return malformed(Version, "it begins with %s", quote(text))
+	}
+	h.oldVersion = string(version) == http10
 	status, _, _ := bytes.Cut(rest, []byte{' '})
 	if !ok || len(status) != statusDigits {
 		return malformed(Status, "the status line is %s", quote(text))
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -20,6 +20,8 @@
 
 // Rules for responses.
 const (
+	// Version: the version is HTTP/1.0 or HTTP/1.1.
+	Version Rule = "version"
 	// Status: the status line holds a status of three digits, from 100 on. Status 101 would
 	// switch to a protocol that no request asks for.
 	Status Rule = "status"
@@ -185,9 +187,6 @@
 	text, crlf := bytes.CutSuffix(line, []byte{'\r'})
 	switch r.state {
 	case statusLine:
-		if len(text) == 0 {
-			return nil
-		}
 		r.head = head{length: noLength}
 		r.state = headField
 		return r.head.parseStatusLine(text)
