responsecheck: a head delimits its body in one way

Callers saw: the chunk sizes of a body among its bytes, complete as it seemed, for chunks in a response of version 1.0; answers with both a length and chunks.

Cause: the library ignores Transfer-Encoding in version 1.0 and Content-Length beside chunks. Another hop may choose the other way (RFC 9112, section 6): such a response is to be treated as an error.

--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -18,6 +18,8 @@
 	chunked bool
 	// fields counts the fields of the head.
 	fields int
+	// framingField says that the last field delimits the body.
+	framingField bool
 	// lastEndsWithLF says that the last field line ended with LF alone.
 	lastEndsWithLF bool
 }
@@ -73,8 +75,8 @@
 		return malformed(FieldName, "the field line %s has no valid name", quote(text))
 	}
 	h.fields++
-	h.parseFraming(text[:end], text[end+1:])
-	return nil
+	h.framingField = false
+	return h.parseFraming(text[:end], text[end+1:])
 }
 
 // parseFold checks a line that continues the value of the field before it.
@@ -82,20 +84,22 @@
 	switch {
 	case h.fields == 0:
 		return malformed(FieldName, "the first field line %s begins with a blank", quote(text))
+	case h.framingField:
+		return malformed(Framing, "a field that delimits the body is folded")
 	}
 	return nil
 }
 
-// parseFraming takes in a field that delimits the body.
-func (h *head) parseFraming(name, value []byte) {
+// parseFraming takes in a field that delimits the body. Two such fields contradict each other, or
+// would if either were changed on the way. Source: RFC 9112, section 6.
+func (h *head) parseFraming(name, value []byte) *Error {
 	switch {
 	case isName(name, "Content-Length"):
-		if length, err := strconv.ParseInt(string(trimBlanks(value)), 10, 64); err == nil && length >= 0 {
-			h.length = length
-		}
+		return h.parseLength(trimBlanks(value))
 	case isName(name, "Transfer-Encoding"):
-		h.chunked = !h.oldVersion && bytes.EqualFold(trimBlanks(value), []byte("chunked"))
+		return h.parseTransferEncoding(trimBlanks(value))
 	}
+	return nil
 }
 
 // isName reports whether a field has a name, in upper or lower case.
@@ -106,6 +110,38 @@
 // trimBlanks returns a value without the blanks around it.
 func trimBlanks(value []byte) []byte { return bytes.Trim(value, " \t") }
 
+func (h *head) parseLength(value []byte) *Error {
+	h.framingField = true
+	if h.chunked || h.length != noLength {
+		return malformed(Framing, "the body is delimited twice")
+	}
+	for _, c := range value {
+		if c < '0' || c > '9' {
+			return malformed(Framing, "the length is %s", quote(value))
+		}
+	}
+	length, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil {
+		return malformed(Framing, "the length is %s", quote(value))
+	}
+	h.length = length
+	return nil
+}
+
+func (h *head) parseTransferEncoding(value []byte) *Error {
+	h.framingField = true
+	switch {
+	case h.oldVersion:
+		return malformed(Framing, "a response of version 1.0 has a transfer encoding")
+	case h.chunked || h.length != noLength:
+		return malformed(Framing, "the body is delimited twice")
+	case !bytes.EqualFold(value, []byte("chunked")):
+		return malformed(Framing, "the transfer encoding is %s", quote(value))
+	}
+	h.chunked = true
+	return nil
+}
+
 // isTokenByte holds the bytes of tokens. Source: RFC 9110, section 5.6.2.
 var isTokenByte = func() (table [256]bool) {
 	for c := '0'; c <= 'z'; c++ {
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -27,6 +27,8 @@
 	Status Rule = "status"
 	// FieldName: a field name is a token that its colon follows directly.
 	FieldName Rule = "field_name"
+	// Framing: the head delimits the body in one way.
+	Framing Rule = "framing"
 	// Chunk: the chunks of a body have a size and end where it says.
 	Chunk Rule = "chunk"
 	// Line: a head ends with an empty line, and no line exceeds maxLine.
