responsecheck: no control characters in reasons and values

Reasons are not passed on, but a head with 'O\rK' or a NUL there is none, and what a lone CR ends depends on the reader.

--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -46,7 +46,7 @@
 		return malformed(Version, "it begins with %s", quote(text))
 	}
 	h.oldVersion = string(version) == http10
-	status, _, _ := bytes.Cut(rest, []byte{' '})
+	status, reason, _ := bytes.Cut(rest, []byte{' '})
 	if !ok || len(status) != statusDigits {
 		return malformed(Status, "the status line is %s", quote(text))
 	}
@@ -59,6 +59,9 @@
 	if h.status < http.StatusContinue || h.status == http.StatusSwitchingProtocols {
 		return malformed(Status, "status %s", status)
 	}
+	if !validValue(reason) {
+		return malformed(FieldValue, "the reason %s holds a control character", quote(reason))
+	}
 	return nil
 }
 
@@ -74,6 +77,9 @@
 	if end == 0 || end == len(text) || text[end] != ':' {
 		return malformed(FieldName, "the field line %s has no valid name", quote(text))
 	}
+	if !validValue(text[end+1:]) {
+		return malformed(FieldValue, "the value of field %s holds a control character", quote(text[:end]))
+	}
 	h.fields++
 	h.framingField = false
 	return h.parseFraming(text[:end], text[end+1:])
@@ -86,6 +92,8 @@
 		return malformed(FieldName, "the first field line %s begins with a blank", quote(text))
 	case h.framingField:
 		return malformed(Framing, "a field that delimits the body is folded")
+	case !validValue(text):
+		return malformed(FieldValue, "the folded line %s holds a control character", quote(text))
 	}
 	return nil
 }
@@ -142,6 +150,25 @@
 	return nil
 }
 
+// validValue reports whether a field value or a reason holds no control character except tabs.
+func validValue(b []byte) bool {
+	for _, c := range b {
+		if isControl[c] {
+			return false
+		}
+	}
+	return true
+}
+
+// isControl holds the control characters except tabs.
+var isControl = func() (table [256]bool) {
+	for c := range ' ' {
+		table[c] = c != '\t'
+	}
+	table[0x7f] = true
+	return table
+}()
+
 // isTokenByte holds the bytes of tokens. Source: RFC 9110, section 5.6.2.
 var isTokenByte = func() (table [256]bool) {
 	for c := '0'; c <= 'z'; c++ {
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -27,6 +27,8 @@
 	Status Rule = "status"
 	// FieldName: a field name is a token that its colon follows directly.
 	FieldName Rule = "field_name"
+	// FieldValue: a field value or a reason holds no control characters except tabs.
+	FieldValue Rule = "field_value"
 	// Framing: the head delimits the body in one way.
 	Framing Rule = "framing"
 	// Chunk: the chunks of a body have a size and end where it says.
@@ -268,7 +270,7 @@
 // endsChunkSize reports whether text may follow a chunk size: nothing, or extensions.
 func endsChunkSize(text []byte) bool {
 	text = bytes.TrimLeft(text, " \t")
-	return len(text) == 0 || text[0] == ';'
+	return len(text) == 0 || text[0] == ';' && validValue(text)
 }
 
 // quote returns the beginning of a line for an error.
