--- a/internal/responsecheck/head.go
+++ b/internal/responsecheck/head.go
@@ -16,7 +16,7 @@
 	// length is the declared length of the body in bytes, or noLength.
 	length  int64
 	chunked bool
-	// fields counts the fields of the head.
+	// fields counts the fields of the head, then those of the trailer section.
 	fields int
 	// framingField says that the last field delimits the body.
 	framingField bool
@@ -65,8 +65,9 @@
 	return nil
 }
 
-// parseField checks a field line of a head. Source: RFC 9110, section 5, and RFC 9112, section 5.
-func (h *head) parseField(text []byte) *Error {
+// parseField checks a field line of a head, or of a trailer section, where nothing delimits the
+// body any more. Source: RFC 9110, section 5, and RFC 9112, section 5.
+func (h *head) parseField(text []byte, trailer bool) *Error {
 	if text[0] == ' ' || text[0] == '\t' {
 		return h.parseFold(text)
 	}
@@ -82,6 +83,9 @@
 	}
 	h.fields++
 	h.framingField = false
+	if trailer {
+		return nil
+	}
 	return h.parseFraming(text[:end], text[end+1:])
 }
 
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -207,14 +207,11 @@
 	}
 }
 
-// endFieldLine checks a line of a head, or the empty line after it or after a trailer section.
+// endFieldLine checks a line of a head or of a trailer section, or the empty line after it.
 func (r *Reader) endFieldLine(text []byte, crlf bool) *Error {
 	if len(text) > 0 {
 		r.head.lastEndsWithLF = !crlf
-		if r.state == trailerField {
-			return nil
-		}
-		return r.head.parseField(text)
+		return r.head.parseField(text, r.state == trailerField)
 	}
 	if !crlf || r.head.lastEndsWithLF {
 		return malformed(Line, "the fields do not end with CRLF and an empty line")
@@ -229,7 +226,7 @@
 
 // endHead changes to the state after a head. Source: RFC 9112, section 6.3.
 func (r *Reader) endHead() {
-	r.head.lastEndsWithLF = false
+	r.head.fields, r.head.lastEndsWithLF = 0, false
 	switch {
 	case r.toHead && !r.head.interim(), r.head.neverHasBody():
 		r.state = statusLine
