--- a/internal/responsecheck/responsecheck_test.go
+++ b/internal/responsecheck/responsecheck_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -101,6 +102,38 @@
 	}
 }
 
+// Guards against a request on a connection with bytes that belong to none: its response would be read
+// behind them.
+func TestRequestIsNotWrittenBehindUnexpectedBytes(t *testing.T) {
+	for name, excess := range map[string]string{"none": "", "a response": sound[0][:10], "an interim response": "HTTP/1.1 100 Continue\r\n\r\n", "an empty line": "\r\n"} {
+		client, server := net.Pipe()
+		c := NewConn(client)
+		go func() {
+			if _, err := bufio.NewReader(server).ReadString('\n'); err != nil {
+				t.Error(err)
+			}
+			if _, err := io.WriteString(server, sound[0]+excess); err != nil {
+				t.Error(err)
+			}
+			_, _ = io.Copy(io.Discard, server)
+		}()
+		if _, err := io.WriteString(c, "GET\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(c, make([]byte, len(sound[0]))); err != nil {
+			t.Fatal(err)
+		}
+		if excess != "" {
+			_, _ = c.Read(make([]byte, 100))
+		}
+		if _, err := io.WriteString(c, "GET\n"); (excess != "") != errors.Is(err, ErrUnexpectedBytes) {
+			t.Errorf("%s: %v", name, err)
+		}
+		client.Close()
+		server.Close()
+	}
+}
+
 // maxFuzzBody limits the bodies of FuzzResponse in bytes: the library allocates what a chunk declares.
 const maxFuzzBody = 1 << 20
 
