node: check the responses of peers

A page of the catalog, and a list of members, was taken from a response of another VM that is none. An empty body is a page without changes.

Evidence, TestMalformedPageIsRefused before: status 000, version 9.9 and 'Content-Length : 0' each give a page without an error.

--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -16,6 +16,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalogsync"
 	"sycamorekeel.example/sycamorekeel/internal/pagecodec"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
@@ -93,7 +94,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return traffic.CountConn(conn, func(n int) { s.countBytes(purpose, p.Address, n) }), nil
+			return responsecheck.NewConn(traffic.CountConn(conn, func(n int) { s.countBytes(purpose, p.Address, n) })), nil
 		},
 	}
 	body, err := s.bodies.Do(client, req, resp, p.Timeout, s.maxPage)
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -21,7 +22,9 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalogsync"
 	"sycamorekeel.example/sycamorekeel/internal/pagecodec"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 	"sycamorekeel.example/sycamorekeel/internal/routing"
+	"sycamorekeel.example/sycamorekeel/internal/standin"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
 
@@ -273,3 +276,30 @@
 		ln.Close()
 	}
 }
+
+// Guards against a page that is taken from a malformed response of a peer: an empty body is a page
+// without changes.
+func TestMalformedPageIsRefused(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000":      "HTTP/1.1 000 Zero\r\nContent-Length: 0\r\n\r\n",
+		"version 9.9":     "HTTP/9.9 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"blank in a name": "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
+	} {
+		peer, err := standin.StartRaw(head)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &catalogSyncer{
+			bodies: bodylimit.NewMemory(1<<20, func() {}), maxPage: 1 << 20, countBytes: func(traffic.Purpose, string, int) {},
+			met: newCatalogMetrics(prometheus.NewRegistry()),
+		}
+		req := newPeerRequest(peer.Address(), catalogPath)
+		page, err := s.fetch(req, traffic.Page, catalogsync.Pull{Address: peer.Address(), StallTimeout: 10 * time.Second, Timeout: 10 * time.Second}, catalog.Document{})
+		var malformed *responsecheck.Error
+		if !errors.As(err, &malformed) {
+			t.Errorf("%s: page %v, %v, want a malformed response", name, page, err)
+		}
+		fasthttp.ReleaseRequest(req)
+		peer.Close()
+	}
+}
