upstream: check the replies of upstreams

Change: the client's connections read through the same check, for requests, probes and cancellations. The outcome is UNKNOWN with the cause, counted by sycamorekeel_upstream_malformed_responses_total. Bytes behind a reply make the next request use another connection, as unread bytes did.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
 )
 
@@ -84,6 +85,8 @@
 type Metrics struct {
 	opened prometheus.Counter
 	open   prometheus.Gauge
+	// malformed counts malformed responses by the rule that they break.
+	malformed *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics with r.
@@ -98,6 +101,10 @@
 			Name: "sycamorekeel_upstream_connections",
 			Help: "Connections to upstreams that are open.",
 		}),
+		malformed: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "sycamorekeel_upstream_malformed_responses_total",
+			Help: "Responses of upstreams, to probes and cancellations too, that are no HTTP responses, by the rule that they break.",
+		}, []string{"rule"}),
 	}
 }
 
@@ -179,7 +186,7 @@
 	}
 	c.metrics.opened.Inc()
 	c.metrics.open.Inc()
-	return &countedConn{Conn: conn, metrics: c.metrics}, nil
+	return &countedConn{Conn: conn, metrics: c.metrics, responses: responsecheck.NewReader(conn)}, nil
 }
 
 func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync/atomic"
 
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 	"sycamorekeel.example/sycamorekeel/internal/sockpeek"
 )
 
@@ -13,7 +14,7 @@
 
 // countedConn decrements the gauge of open connections once when it is closed.
 // Before it writes the first bytes of a request, it checks whether the upstream has
-// closed the connection in the meantime.
+// closed the connection in the meantime, or sent bytes that belong to no request.
 //
 // Without the check, a request written to a closed connection gets no reply, and
 // since bytes were sent its outcome is unknown although nothing can have run. This
@@ -22,7 +23,9 @@
 type countedConn struct {
 	net.Conn
 	metrics *Metrics
-	closed  atomic.Bool
+	// responses checks what Read returns.
+	responses *responsecheck.Reader
+	closed    atomic.Bool
 	// idle is set by reading a reply and cleared by writing the next request.
 	idle bool
 }
@@ -30,12 +33,12 @@
 // Read implements net.Conn.
 func (c *countedConn) Read(b []byte) (int, error) {
 	c.idle = true
-	return c.Conn.Read(b)
+	return c.responses.Read(b)
 }
 
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
-	if c.idle && sockpeek.Look(c.Conn) != sockpeek.Idle {
+	if c.idle && (sockpeek.Look(c.Conn) != sockpeek.Idle || !c.responses.BetweenResponses()) {
 		return 0, &dialError{errClosedIdle}
 	}
 	c.idle = false
@@ -46,6 +49,9 @@
 func (c *countedConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
 		c.metrics.open.Dec()
+		if malformed := c.responses.Malformed(); malformed != nil {
+			c.metrics.malformed.WithLabelValues(string(malformed.Rule)).Inc()
+		}
 	}
 	return c.Conn.Close()
 }
--- a/internal/upstream/contract_test.go
+++ b/internal/upstream/contract_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/standin"
@@ -122,6 +123,13 @@
 	Entry("stalls within the body", okHead+"Content-Length: 9\r\n\r\n{}", true, pb.Result_UNKNOWN),
 	Entry("non-numeric content length", okHead+"Content-Length: many\r\n\r\n{}", false, pb.Result_UNKNOWN),
 	Entry("not HTTP", "hello\r\n\r\n", false, pb.Result_UNKNOWN),
+	Entry("status 000", "HTTP/1.1 000 Zero\r\nX-Snapshot: 1/7\r\nContent-Length: 2\r\n\r\n{}", false, pb.Result_UNKNOWN),
+	Entry("status 099", "HTTP/1.1 099 X\r\nX-Snapshot: 1/7\r\nContent-Length: 2\r\n\r\n{}", false, pb.Result_UNKNOWN),
+	Entry("unknown version", "HTTP/9.9 200 OK\r\nX-Snapshot: 1/7\r\nContent-Length: 2\r\n\r\n{}", false, pb.Result_UNKNOWN),
+	Entry("blank before a colon", "HTTP/1.1 200 OK\r\nX-Snapshot : 1/7\r\nContent-Length: 2\r\n\r\n{}", false, pb.Result_UNKNOWN),
+	Entry("blank before the colon of a refusal", "HTTP/1.1 503 X\r\nX-Not-Run : shed\r\nContent-Length: 0\r\n\r\n", false, pb.Result_UNKNOWN),
+	Entry("chunks in version 1.0", "HTTP/1.0 200 OK\r\nX-Snapshot: 1/7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", false, pb.Result_UNKNOWN),
+	Entry("blank in a trailer", okHead+"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Sum: 1\r\n\r\n", false, pb.Result_UNKNOWN),
 	Entry("body over the limit", okHead+"Content-Length: 4096\r\n\r\n"+strings.Repeat("x", 4096), false, pb.Result_UPSTREAM_ERROR),
 	Entry("content length over the limit", okHead+"Content-Length: 99999999\r\n\r\n", false, pb.Result_UPSTREAM_ERROR),
 	Entry("chunked body over the limit", okHead+"Transfer-Encoding: chunked\r\n\r\n1000\r\n"+strings.Repeat("x", 4096)+"\r\n0\r\n\r\n", false, pb.Result_UPSTREAM_ERROR),
@@ -155,6 +163,18 @@
 		Expect(req.Header.Get(upstream.HeaderDeadline)).To(MatchRegexp(`^[0-9]+$`))
 	})
 
+	It("counts a malformed reply by the rule that it breaks", func() {
+		registry := prometheus.NewRegistry()
+		s := startRaw("HTTP/1.1 000 Zero\r\nContent-Length: 0\r\n\r\n", false)
+		c := upstream.NewClient(upstream.Options{Address: s.address, Connections: 1, Metrics: upstream.NewMetrics(registry)})
+		contractCall(c, longTimeout)
+		Expect(testutil.GatherAndCompare(registry, strings.NewReader(`
+# HELP sycamorekeel_upstream_malformed_responses_total Responses of upstreams, to probes and cancellations too, that are no HTTP responses, by the rule that they break.
+# TYPE sycamorekeel_upstream_malformed_responses_total counter
+sycamorekeel_upstream_malformed_responses_total{rule="status"} 1
+`), "sycamorekeel_upstream_malformed_responses_total")).To(Succeed())
+	})
+
 	It("reports a refused connection as UNREACHABLE", func() {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
