platform client: check the responses of the configuration service

Evidence, TestMalformedResponseIsRefused before: status 000, version 9.9 and a blank in a name each give revision 7 without an error. A revision that is too high hides later changes. Now the read fails and says why.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -18,6 +18,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/config"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 )
 
 const (
@@ -123,7 +124,7 @@
 		return nil, net.ErrClosed
 	}
 	c.conns[conn] = struct{}{}
-	return &trackedConn{Conn: conn, client: c}, nil
+	return responsecheck.NewConn(&trackedConn{Conn: conn, client: c}), nil
 }
 
 // trackedConn removes itself from the client's connections when it is closed.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 	"time"
 
@@ -173,3 +174,23 @@
 		config.New().Merge(page)
 	})
 }
+
+// Guards against changes that are taken from a malformed response of the service.
+func TestMalformedResponseIsRefused(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000":      "HTTP/1.1 000 Zero\r\n",
+		"version 9.9":     "HTTP/9.9 200 OK\r\n",
+		"blank in a name": "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+	} {
+		service, err := standin.StartRaw(head + "Content-Length: 14\r\n\r\n{\"revision\":7}")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := platform.NewClient(service.Address())
+		if page, err := c.Changes(0, 0); err == nil || !strings.Contains(err.Error(), "malformed response") {
+			t.Errorf("%s: page %v, %v, want a malformed response", name, page, err)
+		}
+		c.Close()
+		service.Close()
+	}
+}
