--- a/cmd/sycamorekeel/client.go
+++ b/cmd/sycamorekeel/client.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
+
+	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 )
 
 const clientTimeout = 30 * time.Second
@@ -38,6 +41,7 @@
 	client := &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial:                      dialChecked,
 	}
 	if err := client.DoTimeout(req, resp, clientTimeout); err != nil {
 		return trace.ConnectionProblem(err, "no answer from %s: %v", c.url, err)
@@ -47,3 +51,12 @@
 	}
 	return trace.Wrap(json.Unmarshal(resp.Body(), v))
 }
+
+// dialChecked opens a connection whose responses are checked.
+func dialChecked(address string) (net.Conn, error) {
+	conn, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return responsecheck.NewConn(conn), nil
+}
