Tests of replies without end for the owners' path, the configuration service and pages

Reported by another operator: a backend sent bytes that were no answer, without end, and the machine kept them all. Eleven endless parts (first line, headers, interim heads, chunks, chunk sizes and extensions, trailers, bodies with and without a length, no response at all) had tests for requests to upstreams, health checks and the store; the other readers of the daemons had three heads for pages and none for the rest. All eleven end by a limit of size for each reader, long before the deadline, and their connections are closed. They pass on too; nothing else is changed for them.

--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -303,3 +303,25 @@
 		peer.Close()
 	}
 }
+
+// Guards against a page without end in a part that TestEndlessPageIsGivenUp does not reach.
+func TestEveryEndlessPartOfAPageIsGivenUp(t *testing.T) {
+	for part, text := range standin.EndlessAnswers {
+		peer, err := standin.StartEndless(text[0], text[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &catalogSyncer{bodies: bodylimit.NewMemory(1<<20, func() {}), maxPage: 1 << 20, countBytes: func(traffic.Purpose, string, int) {}}
+		req := newPeerRequest(peer.Address(), catalogPath)
+		page, err := s.fetch(req, traffic.Page, catalogsync.Pull{Address: peer.Address(), StallTimeout: time.Minute, Timeout: time.Minute}, catalog.Document{})
+		if err == nil {
+			t.Errorf("%s: page %v", part, page)
+		}
+		peer.WaitEnded()
+		if s.bodies.Used() != 0 {
+			t.Errorf("%s: %d bytes are still held", part, s.bodies.Used())
+		}
+		fasthttp.ReleaseRequest(req)
+		peer.Close()
+	}
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -194,3 +194,20 @@
 		service.Close()
 	}
 }
+
+// Guards against a response without end, in any part, that is kept until memory runs out.
+func TestEndlessResponseIsGivenUp(t *testing.T) {
+	for part, text := range standin.EndlessAnswers {
+		service, err := standin.StartEndless(text[0], text[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := platform.NewClient(service.Address())
+		if page, err := c.Changes(0, time.Minute); err == nil {
+			t.Errorf("%s: page %v", part, page)
+		}
+		service.WaitEnded()
+		c.Close()
+		service.Close()
+	}
+}
--- a/internal/upstream/contract_test.go
+++ b/internal/upstream/contract_test.go
@@ -146,6 +146,22 @@
 	Entry("not run: unknown reason", notRunReply("tired"), false, pb.Result_UNKNOWN),
 )
 
+// Guards against a reply without end, in any part, that is kept until memory runs out. Nothing but the
+// limits of the client ends it: the deadline is far away.
+var _ = Describe("a reply without end", func() {
+	for part, text := range standin.EndlessAnswers {
+		It("ends the request: "+part, func() {
+			s, err := standin.StartEndless(text[0], text[1])
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(s.Close)
+			out := contractCall(contractClient(s.Address()), longTimeout)
+			Expect(out.Result).To(BeElementOf(pb.Result_UNKNOWN, pb.Result_UPSTREAM_ERROR), out.Detail)
+			Expect(out.Body).To(BeNil())
+			s.WaitEnded()
+		})
+	}
+})
+
 func notRunReply(reason string) string {
 	return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: " + reason + "\r\nContent-Length: 0\r\n\r\n"
 }
