sycamorekeel: limit the size of an answer

The command line kept what a faulty daemon sent until memory ran out: an answer without end, or a declared length of 4 GB.

Evidence, TestEndlessAnswerIsGivenUp before, with 4 GB of address space: 'fatal error: out of memory'. Now an answer ends at 16 MiB.

--- a/cmd/sycamorekeel/client.go
+++ b/cmd/sycamorekeel/client.go
@@ -11,7 +11,11 @@
 	"sycamorekeel.example/sycamorekeel/internal/responsecheck"
 )
 
-const clientTimeout = 30 * time.Second
+const (
+	clientTimeout = 30 * time.Second
+	// maxAnswer limits one answer in bytes: a faulty daemon may send bytes without end.
+	maxAnswer = 16 << 20
+)
 
 // call is one HTTP request to a daemon.
 type call struct {
@@ -41,6 +45,7 @@
 	client := &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:       maxAnswer,
 		Dial:                      dialChecked,
 	}
 	if err := client.DoTimeout(req, resp, clientTimeout); err != nil {
--- a/cmd/sycamorekeel/client_test.go
+++ b/cmd/sycamorekeel/client_test.go
@@ -21,3 +21,18 @@
 		daemon.Close()
 	}
 }
+
+// Guards against an answer without end, in any part, that is kept until memory runs out.
+func TestEndlessAnswerIsGivenUp(t *testing.T) {
+	for part, text := range standin.EndlessAnswers {
+		daemon, err := standin.StartEndless(text[0], text[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := (call{method: "GET", url: "http://" + daemon.Address() + "/"}).do(&struct{}{}); err == nil || strings.Contains(err.Error(), "timeout") {
+			t.Errorf("%s: %v, want the limit of a size", part, err)
+		}
+		daemon.WaitEnded()
+		daemon.Close()
+	}
+}
