--- a/internal/connpool/endless_test.go
+++ b/internal/connpool/endless_test.go
@@ -11,6 +11,7 @@
 
 	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/scatter"
+	"sycamorekeel.example/sycamorekeel/internal/standin"
 )
 
 // flood reads one request and writes a text, then another one without end, piece bytes at a time.
@@ -33,25 +34,10 @@
 	}
 }
 
-// endlessResponses holds the beginning of responses and what repeats without end.
-var endlessResponses = map[string][2]string{
-	"first line":      {"HTTP/1.1 200 ", "x"},
-	"no response":     {"", "x"},
-	"header":          {"HTTP/1.1 200 OK\r\nA: ", "x"},
-	"headers":         {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-	"interim heads":   {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-	"chunks":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
-	"chunk size":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
-	"chunk extension": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
-	"trailers":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
-	"body":            {"HTTP/1.1 200 OK\r\n\r\n", "x"},
-	"declared length": {"HTTP/1.1 200 OK\r\nContent-Length: 4000000000\r\n\r\n", "x"},
-}
-
 // Guards against upstreams that send bytes without end, in any part of a response, fast or a byte
 // at a time: the call must end, its connection must be closed and its memory given back.
 func TestEndlessResponseEndsTheCall(t *testing.T) {
-	for name, text := range endlessResponses {
+	for name, text := range standin.EndlessAnswers {
 		for _, piece := range []int{1, 32 << 10} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
@@ -158,7 +144,7 @@
 // Guards against health checks that do not end: the upstream must not be given the request, and the
 // connection must be closed.
 func TestEndlessHealthResponseBarsTheUpstream(t *testing.T) {
-	for name, text := range endlessResponses {
+	for name, text := range standin.EndlessAnswers {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newServer(t, func(_ int, c net.Conn) {
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -86,9 +86,9 @@
 	// left is the number of bytes left in sizedData.
 	left int64
 	head head
-	// toHead says that the responses answer HEAD requests.
-	toHead bool
-	err    *Error
+	// headRequest says that the responses answer HEAD requests.
+	headRequest bool
+	err         *Error
 }
 
 // NewReader returns a reader of the responses on a connection.
@@ -96,7 +96,7 @@
 
 // SetHeadRequest says whether the following responses answer HEAD requests, whose responses have
 // no body.
-func (r *Reader) SetHeadRequest(head bool) { r.toHead = head }
+func (r *Reader) SetHeadRequest(head bool) { r.headRequest = head }
 
 // Malformed returns how a response was malformed, nil if none was.
 func (r *Reader) Malformed() *Error { return r.err }
@@ -228,7 +228,7 @@
 func (r *Reader) endHead() {
 	r.head.fields, r.head.lastEndsWithLF = 0, false
 	switch {
-	case r.toHead && !r.head.interim(), r.head.neverHasBody():
+	case r.headRequest && !r.head.interim(), r.head.neverHasBody():
 		r.state = statusLine
 	case r.head.chunked:
 		r.state = chunkSize
