edge: bodies and connections of callers follow the memory of the machine

What callers saw: a process that exceeded its memory was killed, with every request on its VM, when clients announced or sent large bodies; beside a crowd of connections that send nothing they got 503.

Cause: the server read by 8 MiB, whatever the configuration allows, took a declared length as one buffer before a byte had come, copied the body once more, and nothing bounded all bodies together. Connections followed the descriptors alone. What the kernel holds unread was bounded by its own 6 MB a connection.

Change: - httpserver.Bodies reads bodies. A length above the limit in force is refused with 413 when the head has been read; a body in chunks costs its limit at most. Memory is taken as bytes arrive, from one bodylimit.Memory for all callers, an eighth of the machine's; there is no second copy. When it runs out, of the largest bodies the one goes that has waited longest for its next bytes, with 503 and Retry-After (nothing of it has run). A quarter is kept for small bodies. - httpserver.ConnLimiter bounds connections by descriptors and by memory (a fifth). A new one takes the place of the one that keeps the server waiting longest, mid-request or never used before idle ones. - A receive buffer of 16 KiB, 256 KiB while a body beyond 64 KiB arrives, which counts as memory of that body. - A client that is refused while it sends is read on for a second, so that it gets the refusal. - The store and peers have a sixteenth of the memory each for their responses, an eighth before: with all shares used a machine of 136 MB keeps a margin.

Why streaming of requests: only so can the library be kept from taking the declared length. Its price: a connection keeps its buffer of 18 KiB while it is idle.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -296,6 +296,9 @@
 // logged and counted like any other.
 func (e *Engine) Refuse(r *Request, reason Reason) Answer {
 	a := refuse(reason, 0)
+	if reason == NoBodyMemory || reason == Displaced {
+		a.RetryAfter = overloadRetry
+	}
 	e.recordEnd(r, &a)
 	return a
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -106,6 +106,10 @@
 	HeaderTooLarge Reason = "head_too_large"
 	// RequestTooSlow: the request did not arrive in time.
 	RequestTooSlow Reason = "request_too_slow"
+	// NoBodyMemory: the bodies of all callers together take too much memory.
+	NoBodyMemory Reason = "no_body_memory"
+	// Displaced: the connection is needed for another caller, and its request has not arrived.
+	Displaced Reason = "displaced"
 )
 
 // Retry times that refusals recommend.
--- a/internal/httpserver/idle.go
+++ b/internal/httpserver/idle.go
@@ -68,11 +68,7 @@
 	if limited, ok := ln.(stallListener); ok {
 		ln = limited.Listener
 	}
-	tcp, ok := ln.(*net.TCPListener)
-	if !ok {
-		return 0
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := syscallConn(ln)
 	if err != nil {
 		return 0
 	}
--- a/internal/httpserver/stall.go
+++ b/internal/httpserver/stall.go
@@ -107,13 +107,7 @@
 }
 
 // SyscallConn implements syscall.Conn, so that sockpeek can inspect the socket.
-func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, trace.NotImplemented("%T is not a socket", c.Conn)
-	}
-	return sc.SyscallConn()
-}
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) { return syscallConn(c.Conn) }
 
 // Write implements net.Conn.
 func (c *callerConn) Write(b []byte) (int, error) {
@@ -203,7 +197,7 @@
 		s.Request = *id
 	}
 	c.limiter.OnStall(s)
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
 		// If it fails, the kernel discards the bytes later.
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,9 @@
 	traffic      *traffic.Meter
 	callerConns  *httpserver.Conns[*edge.Request]
 	callerStalls prometheus.Counter
+	// callerBodies limits the memory of request bodies of callers.
+	callerBodies *bodylimit.Memory
+	conns        *connEvents
 	warnings     *warningLog
 	pauses       pause.Meter
 }
@@ -173,7 +176,7 @@
 		Traffic:     opts.Traffic,
 		Budget:      set.RetryBudget,
 		MaxRequests: max(minRequests, int(maxRequests*set.Cores)),
-		BodyMemory:  set.BodyMemory(),
+		BodyMemory:  set.UpstreamBodyMemory(),
 		Random:      random,
 		ViewAge:     func() time.Duration { return d.syncer.confirmedAge(time.Now()) },
 	})
@@ -201,6 +204,8 @@
 	d.gossip = d.newGossip(now, set)
 	d.registerGauges(opts.Registry)
 	d.callerStalls = newCallerStalls(opts.Registry)
+	d.conns = newConnEvents(opts.Logs.Failures, opts.Registry)
+	d.callerBodies = newCallerBodies(set, opts.Registry)
 	opts.Registry.MustRegister(opts.Traffic)
 	d.syncer.memberUpdates = d.gossip.Updates
 	d.syncer.learnMembers = d.gossip.MergeUpdates
@@ -212,7 +217,7 @@
 
 // maxPageBytes returns the size limit of a peer's response, and of all of them together.
 func maxPageBytes(set *Settings) int {
-	if memory := set.BodyMemory(); memory > 0 {
+	if memory := set.ControlBodyMemory(); memory > 0 {
 		return min(pagecodec.MaxPage, memory)
 	}
 	return pagecodec.MaxPage
@@ -528,6 +533,7 @@
 			return nil
 		case now := <-t.C:
 			d.engine.Tick(now)
+			d.conns.logNew()
 			d.updateShares(now)
 		}
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -39,10 +39,8 @@
 	// maxSmallBodyBytes limits the bodies of requests of peers and of the platform; the largest is
 	// the member entry of a VM that joins.
 	maxSmallBodyBytes = 64 << 10
-	// callerDescriptorShare is the fraction of the process's file descriptors available
-	// to callers' connections. Connections to upstreams use the rest, as each query is
-	// sent to several upstreams.
-	callerDescriptorShare = 0.4
+	// defaultBodyMemory bounds request bodies if the memory of the process is not known.
+	defaultBodyMemory = 4 * maxBodyBytes
 	// drainMargin is the part of the grace period at its end in which no caller that respects the
 	// TTL of its directory answer opens a connection.
 	drainMargin = 1300 * time.Millisecond
@@ -81,51 +79,96 @@
 	l.log.Info("http: "+fmt.Sprintf(format, args...), zap.String("server", l.server))
 }
 
+// listener describes a server and where it listens.
+type listener struct {
+	name    string
+	address string
+	handle  fasthttp.RequestHandler
+}
+
 // listen creates all servers and opens their listeners. The first server is the one for
 // callers.
 func (d *Daemon) listen() ([]*server, error) {
+	set := d.settings.Load()
+	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	callers, err := d.listenCallers(set)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	servers := []*server{callers}
+	for _, l := range []listener{
+		{"ready", set.ReadyAddress, d.adapter.Ready(d.ready)},
+		{directoryServer, set.DirectoryAddress, d.adapter.Directory(d.chooseVMs, set.directoryTTL())},
+		{"peers", set.peerListen(), d.syncer.servePeer},
+		{"metrics", set.MetricsAddress, metrics},
+	} {
+		s, err := d.listenSmall(l)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
+// listenCallers opens the server for callers.
+func (d *Daemon) listenCallers(set *Settings) (*server, error) {
+	const name = "callers"
 	begin := func(nc net.Conn, r *edge.Request) { d.callerConns.Begin(nc, r, r.Received) }
 	handler := d.adapter.Callers(d.engine, d.leaving.Load, begin)
-	callers := &fasthttp.Server{
-		Handler:                      handler.Handle,
-		ErrorHandler:                 handler.HandleError,
-		Logger:                       httpLogger{d.logs.Failures, "callers"},
-		Concurrency:                  maxCallerConns(d.settings.Load().Descriptors),
-		ReadBufferSize:               callerReadBufferSize,
-		WriteBufferSize:              smallBufferSize,
-		MaxRequestBodySize:           maxBodyBytes,
-		ReadTimeout:                  requestReadTimeout,
-		IdleTimeout:                  callerIdleTimeout,
-		ConnState:                    d.callerConns.OnStateChange,
-		NoDefaultContentType:         true,
-		NoDefaultDate:                true,
-		DisablePreParseMultipartForm: true,
-		ReduceMemoryUsage:            true,
+	limiter := d.connLimiter(name, set.maxCallerConns())
+	http := &fasthttp.Server{
+		Logger:               httpLogger{d.logs.Failures, name},
+		Concurrency:          limiter.Concurrency(),
+		ReadBufferSize:       callerReadBufferSize,
+		WriteBufferSize:      smallBufferSize,
+		ReadTimeout:          requestReadTimeout,
+		IdleTimeout:          callerIdleTimeout,
+		ConnState:            d.callerConns.OnStateChange,
+		NoDefaultContentType: true,
+		NoDefaultDate:        true,
+		ReduceMemoryUsage:    true,
 	}
-	servers := []*server{{name: "callers", http: httpserver.New(callers)}}
-	addresses := []string{d.settings.Load().CallerAddress}
-	add := func(name, address string, h fasthttp.RequestHandler) {
-		small := &fasthttp.Server{Handler: h, Logger: httpLogger{d.logs.Failures, name}, MaxRequestBodySize: maxSmallBodyBytes, ReadBufferSize: smallBufferSize, WriteBufferSize: smallBufferSize, IdleTimeout: callerIdleTimeout, ReadTimeout: requestReadTimeout, ReduceMemoryUsage: true}
-		servers = append(servers, &server{name: name, http: httpserver.New(small)})
-		addresses = append(addresses, address)
+	bodies := &httpserver.Bodies{Memory: d.callerBodies, Limit: d.bodyLimit}
+	bodies.Serve(http, handler.Handle, handler.HandleError)
+	ln, err := httpserver.Listen(set.CallerAddress)
+	if err != nil {
+		return nil, trace.Wrap(err, "cannot listen for server %q", name)
 	}
-	add("ready", d.settings.Load().ReadyAddress, d.adapter.Ready(d.ready))
-	add(directoryServer, d.settings.Load().DirectoryAddress, d.adapter.Directory(d.chooseVMs, d.settings.Load().directoryTTL()))
-	add("peers", d.settings.Load().peerListen(), d.syncer.servePeer)
-	add("metrics", d.settings.Load().MetricsAddress, fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{})))
-	for i, s := range servers {
-		ln, err := net.Listen("tcp", addresses[i])
-		if err != nil {
-			return nil, trace.Wrap(err, "cannot listen for server %q", s.name)
-		}
-		if s.name == directoryServer {
-			ln = d.traffic.Listener(ln, traffic.Directory)
+	stalls := &httpserver.StallLimiter{Timeout: callerStallTimeout, OnStall: d.callerStalled}
+	return &server{name: name, ln: stalls.Listener(limiter.Listener(ln)), http: httpserver.New(http)}, nil
+}
+
+// listenSmall opens a server for requests that carry little.
+func (d *Daemon) listenSmall(l listener) (*server, error) {
+	http := &fasthttp.Server{Handler: l.handle, Logger: httpLogger{d.logs.Failures, l.name}, MaxRequestBodySize: maxSmallBodyBytes, ReadBufferSize: smallBufferSize, WriteBufferSize: smallBufferSize, IdleTimeout: callerIdleTimeout, ReadTimeout: requestReadTimeout, ReduceMemoryUsage: true}
+	ln, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return nil, trace.Wrap(err, "cannot listen for server %q", l.name)
+	}
+	if l.name == directoryServer {
+		ln = d.traffic.Listener(ln, traffic.Directory)
+	}
+	return &server{name: l.name, ln: ln, http: httpserver.New(http)}, nil
+}
+
+// bodyLimit returns the limit on the body of a caller's request that is in force.
+func (d *Daemon) bodyLimit() int {
+	if v := d.engine.View(); v != nil && v.Table != nil {
+		if limit := v.Table.Limits().BodyBytes; limit > 0 {
+			return min(limit, maxBodyBytes)
 		}
-		s.ln = ln
 	}
-	stalls := &httpserver.StallLimiter{Timeout: callerStallTimeout, OnStall: d.callerStalled}
-	servers[0].ln = stalls.Listener(servers[0].ln)
-	return servers, nil
+	return maxBodyBytes
+}
+
+// connLimiter returns a limiter of the connections of a server.
+func (d *Daemon) connLimiter(server string, limit int) *httpserver.ConnLimiter {
+	return &httpserver.ConnLimiter{
+		Max:     limit,
+		Refusal: httpserver.UnavailableResponse,
+		OnEvent: func(e httpserver.ConnEvent) { d.conns.count(server, e) },
+	}
 }
 
 // callerStalled counts and logs a caller whose connection is closed because it has
@@ -137,14 +180,6 @@
 		zap.Int("written", s.Written), zap.Int("size", s.Size), zap.Bool("lost", s.Lost))
 }
 
-// maxCallerConns returns the maximum number of concurrent connections of callers.
-// Further connections are answered with status 503 and closed; without this limit, a
-// flood of connections would use up the file descriptors, and no connection to an
-// upstream could be opened.
-func maxCallerConns(descriptors int) int {
-	return max(1, int(callerDescriptorShare*float64(descriptors)))
-}
-
 // placementBounds returns the limits on the size of a directory answer.
 func (d *Daemon) placementBounds() placement.Bounds {
 	const (
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -73,12 +73,3 @@
 func (s *Settings) directoryTTL() time.Duration {
 	return min(maxDirectoryTTL, s.MaxDirectoryTTL, max(s.drainPeriod(), minDirectoryTTL))
 }
-
-// memoryShareOfBodies is the part of the process's memory that response bodies of upstreams may
-// take, and likewise those of the store and of peers. Growing buffers and garbage that is not yet
-// collected take about as much again.
-const memoryShareOfBodies = 8
-
-// BodyMemory returns the bytes that response bodies of one kind of sender may take, 0 for no limit
-// of its own.
-func (s *Settings) BodyMemory() int { return int(s.MemoryBytes / memoryShareOfBodies) }
--- a/internal/wire/ingress.go
+++ b/internal/wire/ingress.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"net"
@@ -11,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/connpool"
 	"sycamorekeel.example/sycamorekeel/internal/edge"
 	"sycamorekeel.example/sycamorekeel/internal/httpserver"
@@ -65,7 +65,13 @@
 // HandleError responds to a request that could not be read; err is the read error. fasthttp
 // then closes the connection.
 func (in *Ingress) HandleError(ctx *fasthttp.RequestCtx, err error) {
-	r := &edge.Request{Received: time.Now(), Message: &connpool.Message{}}
+	h := &ctx.Request.Header
+	r := &edge.Request{
+		Host:     string(h.Host()),
+		Path:     requestPath(string(h.RequestURI())),
+		Received: time.Now(),
+		Message:  &connpool.Message{ID: string(h.Peek(in.names.RequestID))},
+	}
 	a := in.engine.Refuse(r, readErrorReason(err))
 	in.writeRefusal(ctx, r, &a)
 }
@@ -77,8 +83,12 @@
 	switch {
 	case errors.As(err, &small):
 		return edge.HeaderTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, bodylimit.ErrTooLarge):
 		return edge.BodyTooLarge
+	case errors.Is(err, bodylimit.ErrNoMemory):
+		return edge.NoBodyMemory
+	case errors.Is(err, httpserver.ErrDisplaced):
+		return edge.Displaced
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return edge.RequestTooSlow
 	default:
@@ -100,7 +110,7 @@
 		Message: &connpool.Message{
 			ID:     string(h.Peek(in.names.RequestID)),
 			Header: h,
-			Body:   bytes.Clone(ctx.Request.Body()),
+			Body:   httpserver.Body(ctx),
 		},
 	}
 	removeHopByHop(h)
