edge: bounds for bodies and connections of the directory, probes, peers and metrics

What callers saw: clients reach the directory, whose server had no limit of connections and took bodies of 64 KiB as announced: 800 connections took 78 MB of 64, and 400 took 416 descriptors of 300. The other listeners were alike.

Change: the limits of the callers' listener at all others. Bodies: 4 KiB where requests need none, 64 KiB at peers, together a thirty-second of the memory. Connections: the directory 0.08 of the descriptors and a twentieth of the memory, peers 0.05 and 0.03, probes and metrics 16 each. Connections whose client acknowledges nothing for 5 s are closed there too: one that does not read its answers held its place for good. What the servers close is counted by server and event, and logged once a second.

--- a/internal/httpserver/connlimit.go
+++ b/internal/httpserver/connlimit.go
@@ -138,7 +138,7 @@
 
 // admit returns the limited connection, or closes the connection and returns nil.
 func (l *ConnLimiter) admit(nc net.Conn) *limitedConn {
-	c := &limitedConn{Conn: nc, limiter: l, ip: remoteIP(nc)}
+	c := &limitedConn{Conn: nc, socket: socketOf(nc), limiter: l, ip: remoteIP(nc)}
 	l.awaitRoom()
 	l.mu.Lock()
 	var displaced *limitedConn
@@ -204,6 +204,17 @@
 	_ = nc.Close()
 }
 
+// socketOf returns the connection below those that wrap it.
+func socketOf(nc net.Conn) net.Conn {
+	for {
+		wrapper, ok := nc.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nc
+		}
+		nc = wrapper.NetConn()
+	}
+}
+
 // remoteIP returns the IP of the remote end, the zero address if it is not known.
 func remoteIP(nc net.Conn) netip.Addr {
 	address, ok := nc.RemoteAddr().(*net.TCPAddr)
@@ -229,7 +240,7 @@
 				out, outRank, outSince = c, rank, since
 			}
 		}
-		if out == nil || sockpeek.Look(out.Conn) != sockpeek.Readable || out.lingering.Load() {
+		if out == nil || sockpeek.Look(out.socket) != sockpeek.Readable || out.lingering.Load() {
 			return out
 		}
 		// Its bytes have arrived: it waits for the server and not the other way round.
@@ -254,6 +265,8 @@
 // limitedConn is a connection that a ConnLimiter limits.
 type limitedConn struct {
 	net.Conn
+	// socket is the connection below all that wrap it.
+	socket  net.Conn
 	limiter *ConnLimiter
 	ip      netip.Addr
 	// waiting is the place of the server's present wait for bytes in the order of all waits, 0 if it
@@ -295,7 +308,7 @@
 			// The server distinguishes errors of Read by their type.
 			return n, err
 		}
-		if *failure != ErrDisplaced || c.receiving.Load() || sockpeek.Look(c.Conn) != sockpeek.Readable {
+		if *failure != ErrDisplaced || c.receiving.Load() || sockpeek.Look(c.socket) != sockpeek.Readable {
 			return 0, *failure
 		}
 		// A request has met the close of an idle connection: it is read first.
@@ -340,11 +353,11 @@
 }
 
 // SyscallConn implements syscall.Conn, so that sockpeek can inspect the socket.
-func (c *limitedConn) SyscallConn() (syscall.RawConn, error) { return syscallConn(c.Conn) }
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) { return syscallConn(c.socket) }
 
 // SetLinger sets how a close treats unsent bytes, as that of net.TCPConn.
 func (c *limitedConn) SetLinger(seconds int) error {
-	if tcp, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+	if tcp, ok := c.socket.(interface{ SetLinger(int) error }); ok {
 		return tcp.SetLinger(seconds)
 	}
 	return nil
@@ -352,7 +365,7 @@
 
 // setReceiveBuffer sets the size of the kernel's receive buffer.
 func (c *limitedConn) setReceiveBuffer(bytes int) {
-	if tcp, ok := c.Conn.(interface{ SetReadBuffer(int) error }); ok {
+	if tcp, ok := c.socket.(interface{ SetReadBuffer(int) error }); ok {
 		// Without it the former size applies.
 		_ = tcp.SetReadBuffer(bytes)
 	}
@@ -363,7 +376,7 @@
 	if c.closed.Swap(true) {
 		return nil
 	}
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && c.linger.Load() && c.failure.Load() == nil && half.CloseWrite() == nil {
+	if half, ok := c.socket.(interface{ CloseWrite() error }); ok && c.linger.Load() && c.failure.Load() == nil && half.CloseWrite() == nil {
 		c.lingering.Store(true)
 		go c.drain()
 		return nil
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -10,6 +10,9 @@
 	"sycamorekeel.example/sycamorekeel/internal/httpserver"
 )
 
+// connStalled is the event of a connection that was closed because its client acknowledged nothing.
+const connStalled httpserver.ConnEvent = "stalled"
+
 // connEvents counts the connections that the servers have closed by themselves, and logs how many
 // since the last line: a line for each would grow with the number of clients.
 type connEvents struct {
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -8,19 +8,30 @@
 	// of those of the store, and likewise those of peers.
 	upstreamBodyShare = 0.125
 	controlBodyShare  = 0.0625
-	// callerBodyShare is the part that the request bodies of all callers may take.
+	// callerBodyShare is the part that the request bodies of all callers may take, and
+	// otherBodyShare that of the bodies of requests at all other listeners.
 	callerBodyShare = 0.125
-	// callerConnShare is the part that callers' connections may take.
-	callerConnShare = 0.2
+	otherBodyShare  = 0.03125
+	// callerConnShare is the part that callers' connections may take, directoryConnShare and
+	// peerConnShare those of these listeners.
+	callerConnShare    = 0.2
+	directoryConnShare = 0.05
+	peerConnShare      = 0.03
 	// callerConnBytes is what a caller's connection takes without its body: the buffer of its
-	// head, its handling, and what the kernel holds unread.
+	// head, its handling, and what the kernel holds unread. smallConnBytes is that of
+	// the other listeners.
 	callerConnBytes = 56 << 10
+	smallConnBytes  = 24 << 10
 )
 
 // The parts of the process's file descriptors. Connections to upstreams use the rest, as each query
 // is sent to several upstreams.
 const (
-	callerDescriptorShare = 0.4
+	callerDescriptorShare    = 0.4
+	directoryDescriptorShare = 0.08
+	peerDescriptorShare      = 0.05
+	// probeConns is the number of connections of the listeners for readiness checks and for metrics.
+	probeConns = 16
 )
 
 // memoryPart returns a part of the process's memory in bytes, 0 if its memory is not known.
@@ -37,6 +48,9 @@
 // callerBodyMemory returns the bytes that request bodies of callers may take.
 func (s *Settings) callerBodyMemory() int { return s.bodyMemory(callerBodyShare) }
 
+// otherBodyMemory returns the bytes that request bodies at the other listeners may take.
+func (s *Settings) otherBodyMemory() int { return s.bodyMemory(otherBodyShare) }
+
 func (s *Settings) bodyMemory(share float64) int {
 	if part := s.memoryPart(share); part > 0 {
 		return part
@@ -50,6 +64,16 @@
 	return s.connLimit(callerDescriptorShare, callerConnShare, callerConnBytes)
 }
 
+// maxDirectoryConns returns how many connections to the directory may be open.
+func (s *Settings) maxDirectoryConns() int {
+	return s.connLimit(directoryDescriptorShare, directoryConnShare, smallConnBytes)
+}
+
+// maxPeerConns returns how many connections of peers may be open.
+func (s *Settings) maxPeerConns() int {
+	return s.connLimit(peerDescriptorShare, peerConnShare, smallConnBytes)
+}
+
 // connLimit returns the number of connections that fit into a part of the descriptors and of the
 // memory.
 func (s *Settings) connLimit(descriptors, memory float64, bytes int) int {
@@ -57,5 +81,5 @@
 	if part := s.memoryPart(memory); part > 0 {
 		n = min(n, part/bytes)
 	}
-	return max(1, n)
+	return max(probeConns, n)
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"go.uber.org/zap"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/edge"
 	"sycamorekeel.example/sycamorekeel/internal/httpserver"
@@ -36,9 +37,10 @@
 	callerStallTimeout = 5 * time.Second
 	// maxBodyBytes limits a request's body; a configuration may set a lower limit.
 	maxBodyBytes = 8 << 20
-	// maxSmallBodyBytes limits the bodies of requests of peers and of the platform; the largest is
-	// the member entry of a VM that joins.
-	maxSmallBodyBytes = 64 << 10
+	// maxPeerBodyBytes limits the bodies of requests of peers; the largest is the member entry of a
+	// VM that joins. maxProbeBodyBytes limits those of requests that need none.
+	maxPeerBodyBytes  = 64 << 10
+	maxProbeBodyBytes = 4 << 10
 	// defaultBodyMemory bounds request bodies if the memory of the process is not known.
 	defaultBodyMemory = 4 * maxBodyBytes
 	// drainMargin is the part of the grace period at its end in which no caller that respects the
@@ -83,6 +85,9 @@
 type listener struct {
 	name    string
 	address string
+	conns   int
+	// maxBody limits one body in bytes.
+	maxBody func() int
 	handle  fasthttp.RequestHandler
 }
 
@@ -91,18 +96,20 @@
 func (d *Daemon) listen() ([]*server, error) {
 	set := d.settings.Load()
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	peerBody, probeBody := func() int { return maxPeerBodyBytes }, func() int { return maxProbeBodyBytes }
+	other := bodylimit.NewMemory(set.otherBodyMemory(), func() {})
 	callers, err := d.listenCallers(set)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	servers := []*server{callers}
 	for _, l := range []listener{
-		{"ready", set.ReadyAddress, d.adapter.Ready(d.ready)},
-		{directoryServer, set.DirectoryAddress, d.adapter.Directory(d.chooseVMs, set.directoryTTL())},
-		{"peers", set.peerListen(), d.syncer.servePeer},
-		{"metrics", set.MetricsAddress, metrics},
+		{"ready", set.ReadyAddress, probeConns, probeBody, d.adapter.Ready(d.ready)},
+		{directoryServer, set.DirectoryAddress, set.maxDirectoryConns(), probeBody, d.adapter.Directory(d.chooseVMs, set.directoryTTL())},
+		{"peers", set.peerListen(), set.maxPeerConns(), peerBody, d.syncer.servePeer},
+		{"metrics", set.MetricsAddress, probeConns, probeBody, metrics},
 	} {
-		s, err := d.listenSmall(l)
+		s, err := d.listenSmall(l, other)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -140,16 +147,28 @@
 }
 
 // listenSmall opens a server for requests that carry little.
-func (d *Daemon) listenSmall(l listener) (*server, error) {
-	http := &fasthttp.Server{Handler: l.handle, Logger: httpLogger{d.logs.Failures, l.name}, MaxRequestBodySize: maxSmallBodyBytes, ReadBufferSize: smallBufferSize, WriteBufferSize: smallBufferSize, IdleTimeout: callerIdleTimeout, ReadTimeout: requestReadTimeout, ReduceMemoryUsage: true}
-	ln, err := net.Listen("tcp", l.address)
+func (d *Daemon) listenSmall(l listener, memory *bodylimit.Memory) (*server, error) {
+	limiter := d.connLimiter(l.name, l.conns)
+	http := &fasthttp.Server{
+		Logger:            httpLogger{d.logs.Failures, l.name},
+		Concurrency:       limiter.Concurrency(),
+		ReadBufferSize:    smallBufferSize,
+		WriteBufferSize:   smallBufferSize,
+		IdleTimeout:       callerIdleTimeout,
+		ReadTimeout:       requestReadTimeout,
+		ReduceMemoryUsage: true,
+	}
+	bodies := &httpserver.Bodies{Memory: memory, Limit: l.maxBody}
+	bodies.Serve(http, l.handle, httpserver.WriteReadError)
+	ln, err := httpserver.Listen(l.address)
 	if err != nil {
 		return nil, trace.Wrap(err, "cannot listen for server %q", l.name)
 	}
 	if l.name == directoryServer {
 		ln = d.traffic.Listener(ln, traffic.Directory)
 	}
-	return &server{name: l.name, ln: ln, http: httpserver.New(http)}, nil
+	stalls := &httpserver.StallLimiter{Timeout: callerStallTimeout, OnStall: func(httpserver.Stall) { d.conns.count(l.name, connStalled) }}
+	return &server{name: l.name, ln: stalls.Listener(limiter.Listener(ln)), http: httpserver.New(http)}, nil
 }
 
 // bodyLimit returns the limit on the body of a caller's request that is in force.
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -132,6 +132,9 @@
 	count func(bytes int)
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
