sycamorekeeld: bodies and connections follow the memory of the machine

What callers saw: the same as at sycamorekeel-edge. 100 connections that announced 1 MiB took 122 MB of 64, the operators' listener took 4 MiB a request as announced (116 MB with 24), operators' and peers' listeners had no limit of connections (415 descriptors of 300), and a crowd of idle connections left no place for callers.

Change: the limits of the edge daemon. Its memory is the new setting limits.memory_mb, or GOMEMLIMIT, or that of the machine; it is checked that a body of max_body_bytes fits. The parts of memory and descriptors stand in one place, internal/membudget, with a test of their sum. Operators have 64 connections and bodies of 4 KiB. Peers are limited until they have shown to be peers; from then on their connections do not count and are not displaced. The limit of connections from one IP is httpserver's, as the library's wrapper hides the connection; it answers 429 as before, now counted. A request that has not come whole is refused as `overloaded`, ran `unknown`: it may be a copy.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 # The drivers, where goroutines share state, under the race detector.
 race:
 	$(GO) test -race $(SKIPPED) $(addprefix ./internal/,callerapi daemon explain frontend gossip health operatorapi owner peer peerauth platform query readiness router upstream)
-	$(GO) test -race $(SKIPPED) ./internal/connpool ./internal/edge ./internal/logring ./internal/node ./platform
+	$(GO) test -race $(SKIPPED) ./internal/bodylimit ./internal/connpool ./internal/edge ./internal/httpserver ./internal/logring ./internal/node ./platform
 	$(GO) test -race $(SKIPPED) ./internal/fleet -ginkgo.focus='whole path|stop'
 
 # Kills, freezes and stops daemons that run as separate processes.
--- a/cmd/sycamorekeel-edge/main.go
+++ b/cmd/sycamorekeel-edge/main.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"sycamorekeel.example/sycamorekeel/internal/logring"
+	"sycamorekeel.example/sycamorekeel/internal/membudget"
 	"sycamorekeel.example/sycamorekeel/internal/node"
 	"sycamorekeel.example/sycamorekeel/internal/standalone"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
@@ -28,11 +29,6 @@
 // dearer than processor time here, and the live heap is a few MB.
 const gcPercent = 50
 
-// memoryShare is the part of the memory that the VM gives the process from which
-// the heap is collected ever more often. A process that exceeds its memory is
-// killed; the rest is for stacks and for what the sockets hold unread.
-const memoryShare = 0.7
-
 type flags struct {
 	Role       string `arg:"" optional:"" help:"Name of the role, for the process list."`
 	PeerListen string `help:"IP and port to listen on for peers, when a forwarder stands before the address of the settings." placeholder:"ADDRESS"`
@@ -82,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
+	debug.SetMemoryLimit(int64(membudget.HeapShare * float64(set.MemoryBytes)))
 	ring := logring.New(set.VM, os.Stdout, time.Now)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/cmd/sycamorekeeld/main.go
+++ b/cmd/sycamorekeeld/main.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"sycamorekeel.example/sycamorekeel/internal/daemon"
+	"sycamorekeel.example/sycamorekeel/internal/membudget"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/settings"
 )
@@ -43,7 +44,9 @@
 		return trace.Wrap(err)
 	}
 	defer func() { _ = log.Sync() }()
-	d, err := daemon.New(s, daemon.Options{Log: log})
+	budget := membudget.OfProcess(int64(s.Limits.MemoryMb) << 20)
+	budget.LimitHeap()
+	d, err := daemon.New(s, daemon.Options{Log: log, Budget: budget})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -16,10 +16,12 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/contract"
 	"sycamorekeel.example/sycamorekeel/internal/frontend"
 	"sycamorekeel.example/sycamorekeel/internal/httpserver"
 	"sycamorekeel.example/sycamorekeel/internal/idempotency"
+	"sycamorekeel.example/sycamorekeel/internal/membudget"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/refusal"
 )
@@ -106,6 +108,13 @@
 	Operations *frontend.Operations
 	// ReadTimeout is the time limit for reading a request; 0 means 10 s.
 	ReadTimeout time.Duration
+	// MaxConnections limits the connections, below Limits.MaxConnections if the machine is small;
+	// 0 for the limit of Limits.
+	MaxConnections int
+	// Bodies limits the memory of request bodies; nil for a limit by the default memory.
+	Bodies *bodylimit.Memory
+	// OnConn is called for each connection that is closed to keep the limits; nil for no call.
+	OnConn func(httpserver.ConnEvent)
 }
 
 // Server is the HTTP server for callers of one daemon.
@@ -119,20 +128,29 @@
 	if opts.ReadTimeout == 0 {
 		opts.ReadTimeout = readTimeout
 	}
+	if opts.MaxConnections == 0 {
+		opts.MaxConnections = int(opts.Limits.MaxConnections)
+	}
+	if opts.Bodies == nil {
+		opts.Bodies = bodylimit.NewMemory(membudget.Budget{}.CallerBodies(), func() {})
+	}
 	s := &Server{opts: opts}
-	s.Server = httpserver.New(&fasthttp.Server{
-		Name:               "sycamorekeel",
-		Handler:            s.handle,
-		ErrorHandler:       s.handleReadError,
-		MaxRequestBodySize: int(opts.Limits.MaxBodyBytes),
-		ReadBufferSize:     int(opts.Limits.MaxHeaderBytes),
-		Concurrency:        int(opts.Limits.MaxConnections),
-		MaxConnsPerIP:      int(opts.Limits.MaxConnectionsPerIp),
-		ReadTimeout:        opts.ReadTimeout,
-		WriteTimeout:       writeTimeout,
-		IdleTimeout:        idleTimeout,
-		// Bodies are forwarded unchanged, so the server must not parse them.
-		DisablePreParseMultipartForm: true,
+	http := &fasthttp.Server{
+		Name:           "sycamorekeel",
+		ReadBufferSize: int(opts.Limits.MaxHeaderBytes),
+		ReadTimeout:    opts.ReadTimeout,
+		WriteTimeout:   writeTimeout,
+		IdleTimeout:    idleTimeout,
+	}
+	bodies := &httpserver.Bodies{Memory: opts.Bodies, Limit: func() int { return int(opts.Limits.MaxBodyBytes) }}
+	bodies.Serve(http, s.handle, s.handleReadError)
+	s.Server = httpserver.New(http)
+	s.LimitConns(&httpserver.ConnLimiter{
+		Max:          opts.MaxConnections,
+		MaxPerIP:     int(opts.Limits.MaxConnectionsPerIp),
+		Refusal:      httpserver.UnavailableResponse,
+		RefusalPerIP: httpserver.TooManyResponse,
+		OnEvent:      opts.OnConn,
 	})
 	return s
 }
@@ -172,10 +190,14 @@
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, bodylimit.ErrTooLarge):
 		return refusal.New(refusal.BodyTooLarge, "the body is longer than "+strconv.Itoa(int(s.opts.Limits.MaxBodyBytes))+" bytes")
 	case errors.As(err, &small):
 		return refusal.New(refusal.HeaderTooLarge, "the headers are longer than "+strconv.Itoa(int(s.opts.Limits.MaxHeaderBytes))+" bytes")
+	case errors.Is(err, bodylimit.ErrNoMemory):
+		return refusal.New(refusal.Overloaded, "the bodies of all requests take too much memory").WithRetryAfter(time.Second).WithUnproven()
+	case errors.Is(err, httpserver.ErrDisplaced):
+		return refusal.New(refusal.Overloaded, "the connection is needed for others, and the request has not come whole").WithRetryAfter(time.Second).WithUnproven()
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return refusal.New(refusal.RequestTimeout, "the request did not come whole within "+s.opts.ReadTimeout.String()).WithUnproven()
 	default:
@@ -250,7 +272,7 @@
 		}
 	}
 	req := &frontend.Request{
-		Body:      append([]byte(nil), ctx.PostBody()...),
+		Body:      httpserver.Body(ctx),
 		Operation: string(ctx.Request.Header.Peek(HeaderOperation)),
 	}
 	text := string(ctx.Request.Header.Peek(HeaderDeadline))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,8 +26,10 @@
 	"sycamorekeel.example/sycamorekeel/internal/frontend"
 	"sycamorekeel.example/sycamorekeel/internal/gossip"
 	"sycamorekeel.example/sycamorekeel/internal/health"
+	"sycamorekeel.example/sycamorekeel/internal/httpserver"
 	"sycamorekeel.example/sycamorekeel/internal/logring"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/membudget"
 	"sycamorekeel.example/sycamorekeel/internal/operatorapi"
 	"sycamorekeel.example/sycamorekeel/internal/owner"
 	"sycamorekeel.example/sycamorekeel/internal/ownership"
@@ -42,12 +44,16 @@
 
 const (
 	explainRingSize = 256
+	// connLogInterval is the interval between log lines about closed connections.
+	connLogInterval = time.Second
 )
 
 // Options configures a daemon beyond its settings. If a listener is nil, Run opens
 // one at the address in the settings.
 type Options struct {
-	Log      *zap.Logger
+	Log *zap.Logger
+	// Budget is what the process may use.
+	Budget   membudget.Budget
 	Caller   net.Listener
 	Operator net.Listener
 	Peer     net.Listener
@@ -83,6 +89,9 @@
 	caller     *callerapi.Server
 	operator   *operatorapi.Server
 	gossip     *gossip.Driver
+	// budget is what the process may use, conns what its servers have closed to keep to it.
+	budget membudget.Budget
+	conns  *httpserver.ConnEvents
 	// poison blocks requests that crash upstreams.
 	poison *poison.Guard
 	auth   *peerauth.Authority
@@ -111,9 +120,11 @@
 		incarnation: uint64(time.Now().UnixMicro()),
 		registry:    prometheus.NewRegistry(),
 		listeners:   opts,
+		budget:      opts.Budget,
 		ended:       make(chan error, 1),
 		stops:       stopState{halt: make(chan struct{})},
 	}
+	d.conns = httpserver.NewConnEvents(d.log, d.registry)
 	d.shares = newShares(d, share.Timing{Lease: cmp.Or(opts.ShareLease, share.DefaultLease)})
 	d.status = newStatusHub(d.updateStatus)
 	d.table.Store(ownership.Assign(nil, nil))
@@ -196,6 +207,10 @@
 		Backend:    d,
 		Frontend:   d.front,
 		Operations: d.operations,
+
+		MaxConnections: min(int(d.settings.Limits.MaxConnections), d.budget.CallerConns()),
+		Bodies:         httpserver.NewCallerBodies(d.budget.CallerBodies(), d.registry),
+		OnConn:         func(e httpserver.ConnEvent) { d.conns.Count("callers", e) },
 	})
 	d.operator = operatorapi.New(operatorapi.Options{
 		Log:         d.log,
@@ -203,6 +218,7 @@
 		Backend:     d,
 		Explain:     ring,
 		TokenSHA256: d.settings.OperatorTokenSha256,
+		OnConn:      func(e httpserver.ConnEvent) { d.conns.Count("operators", e) },
 	})
 	server, err := peer.NewServer(d.log, (*peerHandler)(d))
 	if err != nil {
@@ -228,9 +244,10 @@
 	group.Go(func() error { return d.config.run(run) })
 	group.Go(func() error { return d.shares.run(run) })
 	group.Go(func() error { return d.owner.Run(run) })
-	group.Go(func() error { return d.server.Serve(run, d.auth.Listen(d.listeners.Peer)) })
+	group.Go(func() error { return d.server.Serve(run, d.auth.Listen(d.limitPeers(d.listeners.Peer))) })
 	group.Go(func() error { return d.gossip.Run(run, d.listeners.Gossip) })
 	group.Go(func() error { return d.poison.Run(run, d.gossip) })
+	group.Go(func() error { return d.logConns(run) })
 	group.Go(func() error { return d.caller.Serve(d.listeners.Caller) })
 	group.Go(func() error { return d.operator.Serve(d.listeners.Operator) })
 	d.log.Info("daemon: started", zap.String("callers", d.listeners.Caller.Addr().String()))
@@ -255,6 +272,26 @@
 	return trace.Wrap(err)
 }
 
+// limitPeers limits the connections of clients that have not shown to be peers.
+func (d *Daemon) limitPeers(ln net.Listener) net.Listener {
+	l := &httpserver.ConnLimiter{Max: d.budget.PeerConns(), OnEvent: func(e httpserver.ConnEvent) { d.conns.Count("peers", e) }}
+	return l.Listener(ln)
+}
+
+// logConns logs the connections that the servers close to keep their limits.
+func (d *Daemon) logConns(ctx context.Context) error {
+	t := time.NewTicker(connLogInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			d.conns.Log()
+		}
+	}
+}
+
 // listen opens the listeners that Options left nil.
 func (d *Daemon) listen() error {
 	var errs []error
@@ -262,7 +299,7 @@
 		if *ln != nil {
 			return
 		}
-		l, err := net.Listen("tcp", address)
+		l, err := httpserver.Listen(address)
 		*ln = l
 		errs = append(errs, err)
 	}
--- a/internal/httpserver/bodies.go
+++ b/internal/httpserver/bodies.go
@@ -51,8 +51,19 @@
 	}
 }
 
+// MaxBody returns the size in bytes of the largest body that fits into the memory for the bodies of
+// all clients.
+func MaxBody(memory int) int {
+	m := bodylimit.NewMemory(memory, nil)
+	m.ForClients()
+	return maxBody(m)
+}
+
+// maxBody returns the size of the largest body that fits with its receive buffer.
+func maxBody(m *bodylimit.Memory) int { return m.MaxBody() - largeReceiveBuffer }
+
 // limit returns the most bytes that one body may have now.
-func (b *Bodies) limit() int { return min(b.Limit(), b.Memory.MaxBody()-largeReceiveBuffer) }
+func (b *Bodies) limit() int { return min(b.Limit(), maxBody(b.Memory)) }
 
 // checkLength is called by the server when it has read the head of a request. It takes the body off
 // a request that declares too long a one: the server would otherwise wait for its first bytes.
--- a/internal/httpserver/connlimit.go
+++ b/internal/httpserver/connlimit.go
@@ -282,6 +282,14 @@
 	closed            atomic.Bool
 }
 
+// Keep makes a connection from Accept keep its place whatever others want, without counting it any
+// more. It does nothing for connections that no ConnLimiter limits.
+func Keep(nc net.Conn) {
+	if c, ok := nc.(*limitedConn); ok {
+		c.limiter.remove(c)
+	}
+}
+
 // rank orders connections by which is displaced first, the lowest before others.
 func (c *limitedConn) rank() uint64 {
 	switch {
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -14,6 +14,8 @@
 // Server is an HTTP server with graceful shutdown.
 type Server struct {
 	http *fasthttp.Server
+	// limiter limits the connections; nil if the listener does.
+	limiter *ConnLimiter
 }
 
 // New wraps a configured fasthttp server and sets the options that all interfaces share. It
@@ -25,8 +27,17 @@
 	return Server{http: s}
 }
 
+// LimitConns makes Serve limit the connections of its listener. It must be called before Serve.
+func (s *Server) LimitConns(l *ConnLimiter) {
+	s.http.Concurrency = l.Concurrency()
+	s.limiter = l
+}
+
 // Serve accepts connections on ln and serves requests until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
+	if s.limiter != nil {
+		ln = s.limiter.Listener(ln)
+	}
 	return trace.Wrap(s.http.Serve(ln))
 }
 
--- a/internal/httpserver/refuse.go
+++ b/internal/httpserver/refuse.go
@@ -32,4 +32,7 @@
 	}
 	ctx.Response.Reset()
 	ctx.SetStatusCode(status)
+	if status == fasthttp.StatusServiceUnavailable {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -6,8 +6,6 @@
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
-
-	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 )
 
 // catalogMetrics holds the metrics of reads from the store and pulls from peers.
@@ -65,20 +63,6 @@
 	})
 }
 
-// newCallerBodies returns the limit on the request bodies of callers.
-func newCallerBodies(set *Settings, reg prometheus.Registerer) *bodylimit.Memory {
-	f := promauto.With(reg)
-	aborted := f.NewCounter(prometheus.CounterOpts{
-		Name: "sycamorekeel_edge_caller_bodies_aborted_total", Help: "Request bodies of callers given up because all together took too much memory.",
-	})
-	memory := bodylimit.NewMemory(set.callerBodyMemory(), aborted.Inc)
-	memory.ForClients()
-	f.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "sycamorekeel_edge_caller_body_bytes", Help: "Memory that request bodies of callers take.",
-	}, func() float64 { return float64(memory.Used()) })
-	return memory
-}
-
 // resultLabel returns the result label of a call that ended with err.
 func resultLabel(err error) string {
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,7 +143,7 @@
 	callerStalls prometheus.Counter
 	// callerBodies limits the memory of request bodies of callers.
 	callerBodies *bodylimit.Memory
-	conns        *connEvents
+	conns        *httpserver.ConnEvents
 	warnings     *warningLog
 	pauses       pause.Meter
 }
@@ -176,7 +176,7 @@
 		Traffic:     opts.Traffic,
 		Budget:      set.RetryBudget,
 		MaxRequests: max(minRequests, int(maxRequests*set.Cores)),
-		BodyMemory:  set.UpstreamBodyMemory(),
+		BodyMemory:  set.Budget().UpstreamBodies(),
 		Random:      random,
 		ViewAge:     func() time.Duration { return d.syncer.confirmedAge(time.Now()) },
 	})
@@ -204,8 +204,8 @@
 	d.gossip = d.newGossip(now, set)
 	d.registerGauges(opts.Registry)
 	d.callerStalls = newCallerStalls(opts.Registry)
-	d.conns = newConnEvents(opts.Logs.Failures, opts.Registry)
-	d.callerBodies = newCallerBodies(set, opts.Registry)
+	d.conns = httpserver.NewConnEvents(opts.Logs.Failures, opts.Registry)
+	d.callerBodies = httpserver.NewCallerBodies(set.Budget().CallerBodies(), opts.Registry)
 	opts.Registry.MustRegister(opts.Traffic)
 	d.syncer.memberUpdates = d.gossip.Updates
 	d.syncer.learnMembers = d.gossip.MergeUpdates
@@ -217,7 +217,7 @@
 
 // maxPageBytes returns the size limit of a peer's response, and of all of them together.
 func maxPageBytes(set *Settings) int {
-	if memory := set.ControlBodyMemory(); memory > 0 {
+	if memory := set.Budget().ControlBodies(); memory > 0 {
 		return min(pagecodec.MaxPage, memory)
 	}
 	return pagecodec.MaxPage
@@ -533,7 +533,7 @@
 			return nil
 		case now := <-t.C:
 			d.engine.Tick(now)
-			d.conns.logNew()
+			d.conns.Log()
 			d.updateShares(now)
 		}
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -15,6 +15,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/edge"
 	"sycamorekeel.example/sycamorekeel/internal/httpserver"
+	"sycamorekeel.example/sycamorekeel/internal/membudget"
 	"sycamorekeel.example/sycamorekeel/internal/placement"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
 )
@@ -41,8 +42,6 @@
 	// VM that joins. maxProbeBodyBytes limits those of requests that need none.
 	maxPeerBodyBytes  = 64 << 10
 	maxProbeBodyBytes = 4 << 10
-	// defaultBodyMemory bounds request bodies if the memory of the process is not known.
-	defaultBodyMemory = 4 * maxBodyBytes
 	// drainMargin is the part of the grace period at its end in which no caller that respects the
 	// TTL of its directory answer opens a connection.
 	drainMargin = 1300 * time.Millisecond
@@ -95,19 +94,20 @@
 // callers.
 func (d *Daemon) listen() ([]*server, error) {
 	set := d.settings.Load()
+	budget := set.Budget()
 	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	peerBody, probeBody := func() int { return maxPeerBodyBytes }, func() int { return maxProbeBodyBytes }
-	other := bodylimit.NewMemory(set.otherBodyMemory(), func() {})
+	other := bodylimit.NewMemory(budget.OtherBodies(), func() {})
 	callers, err := d.listenCallers(set)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	servers := []*server{callers}
 	for _, l := range []listener{
-		{"ready", set.ReadyAddress, probeConns, probeBody, d.adapter.Ready(d.ready)},
-		{directoryServer, set.DirectoryAddress, set.maxDirectoryConns(), probeBody, d.adapter.Directory(d.chooseVMs, set.directoryTTL())},
-		{"peers", set.peerListen(), set.maxPeerConns(), peerBody, d.syncer.servePeer},
-		{"metrics", set.MetricsAddress, probeConns, probeBody, metrics},
+		{"ready", set.ReadyAddress, membudget.ProbeConns, probeBody, d.adapter.Ready(d.ready)},
+		{directoryServer, set.DirectoryAddress, budget.DirectoryConns(), probeBody, d.adapter.Directory(d.chooseVMs, set.directoryTTL())},
+		{"peers", set.peerListen(), budget.PeerConns(), peerBody, d.syncer.servePeer},
+		{"metrics", set.MetricsAddress, membudget.ProbeConns, probeBody, metrics},
 	} {
 		s, err := d.listenSmall(l, other)
 		if err != nil {
@@ -123,7 +123,7 @@
 	const name = "callers"
 	begin := func(nc net.Conn, r *edge.Request) { d.callerConns.Begin(nc, r, r.Received) }
 	handler := d.adapter.Callers(d.engine, d.leaving.Load, begin)
-	limiter := d.connLimiter(name, set.maxCallerConns())
+	limiter := d.connLimiter(name, set.Budget().CallerConns())
 	http := &fasthttp.Server{
 		Logger:               httpLogger{d.logs.Failures, name},
 		Concurrency:          limiter.Concurrency(),
@@ -167,7 +167,7 @@
 	if l.name == directoryServer {
 		ln = d.traffic.Listener(ln, traffic.Directory)
 	}
-	stalls := &httpserver.StallLimiter{Timeout: callerStallTimeout, OnStall: func(httpserver.Stall) { d.conns.count(l.name, connStalled) }}
+	stalls := &httpserver.StallLimiter{Timeout: callerStallTimeout, OnStall: func(httpserver.Stall) { d.conns.Count(l.name, httpserver.ConnStalled) }}
 	return &server{name: l.name, ln: stalls.Listener(limiter.Listener(ln)), http: httpserver.New(http)}, nil
 }
 
@@ -186,7 +186,7 @@
 	return &httpserver.ConnLimiter{
 		Max:     limit,
 		Refusal: httpserver.UnavailableResponse,
-		OnEvent: func(e httpserver.ConnEvent) { d.conns.count(server, e) },
+		OnEvent: func(e httpserver.ConnEvent) { d.conns.Count(server, e) },
 	}
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sycamorekeel.example/sycamorekeel/internal/membudget"
 	"sycamorekeel.example/sycamorekeel/internal/retrybudget"
 )
 
@@ -73,3 +74,8 @@
 func (s *Settings) directoryTTL() time.Duration {
 	return min(maxDirectoryTTL, s.MaxDirectoryTTL, max(s.drainPeriod(), minDirectoryTTL))
 }
+
+// Budget returns what the process may use.
+func (s *Settings) Budget() membudget.Budget {
+	return membudget.Budget{Memory: s.MemoryBytes, Descriptors: s.Descriptors}
+}
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"go.uber.org/zap"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/config"
 	"sycamorekeel.example/sycamorekeel/internal/explain"
 	"sycamorekeel.example/sycamorekeel/internal/httpserver"
@@ -30,8 +31,14 @@
 	ExplainPath = "/v1/explain/"
 )
 
-// timeout limits reading a request and the idle time of a connection.
-const timeout = 10 * time.Second
+const (
+	// timeout limits reading a request, writing a response and the idle time of a connection.
+	timeout = 10 * time.Second
+	// maxConnections limits the connections of operators and of what scrapes metrics.
+	maxConnections = 64
+	// maxBodyBytes limits a body, of which no request needs one.
+	maxBodyBytes = 4 << 10
+)
 
 // Status is the JSON response of StatusPath.
 type Status struct {
@@ -86,6 +93,8 @@
 	// TokenSHA256 is the SHA-256 hash of the operators' token in lower-case hex. If
 	// it is empty, no token is required.
 	TokenSHA256 string
+	// OnConn is called for each connection that is closed to keep the limits; nil for no call.
+	OnConn func(httpserver.ConnEvent)
 }
 
 // Server is the HTTP server for operators of one daemon.
@@ -101,11 +110,11 @@
 		opts:    opts,
 		metrics: fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(opts.Gatherer, promhttp.HandlerOpts{})),
 	}
-	s.Server = httpserver.New(&fasthttp.Server{
-		Handler:     s.handle,
-		ReadTimeout: timeout,
-		IdleTimeout: timeout,
-	})
+	http := &fasthttp.Server{ReadTimeout: timeout, WriteTimeout: timeout, IdleTimeout: timeout}
+	bodies := &httpserver.Bodies{Memory: bodylimit.NewMemory(maxConnections*maxBodyBytes, func() {}), Limit: func() int { return maxBodyBytes }}
+	bodies.Serve(http, s.handle, httpserver.WriteReadError)
+	s.Server = httpserver.New(http)
+	s.LimitConns(&httpserver.ConnLimiter{Max: maxConnections, Refusal: httpserver.UnavailableResponse, OnEvent: opts.OnConn})
 	return s
 }
 
--- a/internal/peerauth/peerauth.go
+++ b/internal/peerauth/peerauth.go
@@ -23,6 +23,7 @@
 
 	"github.com/gravitational/trace"
 
+	"sycamorekeel.example/sycamorekeel/internal/httpserver"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 )
 
@@ -192,7 +193,7 @@
 }
 
 // serverConfig returns the TLS configuration for one connection. It clears the
-// deadline of conn once the peer is verified.
+// deadline of conn once the peer is verified, and makes the connection keep its place.
 func (a *Authority) serverConfig(conn net.Conn) *tls.Config {
 	return &tls.Config{
 		MinVersion:             tls.VersionTLS13,
@@ -201,6 +202,7 @@
 		ClientCAs:              a.roots,
 		SessionTicketsDisabled: true,
 		VerifyConnection: func(tls.ConnectionState) error {
+			httpserver.Keep(conn)
 			return conn.SetDeadline(time.Time{})
 		},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,8 @@
 	"github.com/gravitational/trace"
 
 	"sycamorekeel.example/sycamorekeel/internal/finding"
+	"sycamorekeel.example/sycamorekeel/internal/httpserver"
+	"sycamorekeel.example/sycamorekeel/internal/membudget"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/tomlpb"
 )
@@ -37,6 +39,8 @@
 const (
 	minSecretLength = 32
 	maxBytes        = 64 << 20
+	minMemoryMB     = 32
+	maxMemoryMB     = 16 << 20
 	maxCount        = 1 << 20
 	maxDrainMS      = 600_000
 	maxTTLMS        = 60_000
@@ -215,6 +219,22 @@
 	checkRange(src, "limits.drain_ms", l.DrainMs, maxDrainMS)
 	checkRange(src, "limits.endpoints_ttl_ms", l.EndpointsTtlMs, maxTTLMS)
 	checkRange(src, "limits.max_reply_bytes", l.MaxReplyBytes, maxBytes)
+	checkMemory(src, l)
+}
+
+// checkMemory checks the memory, which may be left out, and that one body of the largest size fits.
+func checkMemory(src *tomlpb.Source, l *pb.Limits) {
+	if l.MemoryMb == 0 {
+		return
+	}
+	if l.MemoryMb < minMemoryMB || l.MemoryMb > maxMemoryMB {
+		src.Addf("limits.memory_mb", "must be from %d to %d, not %d", minMemoryMB, maxMemoryMB, l.MemoryMb)
+		return
+	}
+	budget := membudget.Budget{Memory: int64(l.MemoryMb) << 20}
+	if most := httpserver.MaxBody(budget.CallerBodies()); int(l.MaxBodyBytes) > most {
+		src.Addf("limits.memory_mb", "allows bodies of %d bytes, limits.max_body_bytes is %d", most, l.MaxBodyBytes)
+	}
 }
 
 func checkRange(src *tomlpb.Source, field string, v, max uint32) {
