httpserver: a listener waits for a descriptor in place of ending the process

What callers saw: connections to one listener that use up the process's descriptors end the process, without a drain: `node: stopped ... accept4: too many open files`. The limits of connections leave room, but connections to upstreams share the rest and may use it.

Cause: the library's server ends at the first error of accept that is no time-out, and the daemon ends with any of its servers.

Change: at such an error the limited listener closes the connection that would be displaced next, waits 5 ms and accepts again; the event is counted and logged.

A configuration that allows larger bodies than the VM takes gets a warning.

--- a/internal/httpserver/connlimit.go
+++ b/internal/httpserver/connlimit.go
@@ -38,6 +38,8 @@
 	displaceTries = 16
 	// closeYields is how often a new connection lets others run that are being closed.
 	closeYields = 4
+	// acceptRetryDelay is the wait after a connection could not be accepted for want of a descriptor.
+	acceptRetryDelay = 5 * time.Millisecond
 	// refusalTime limits the writing of a refusal to a connection that finds no place.
 	refusalTime = 10 * time.Millisecond
 )
@@ -56,6 +58,8 @@
 	ConnRefused ConnEvent = "refused"
 	// ConnRefusedPerIP: its IP has too many connections.
 	ConnRefusedPerIP ConnEvent = "refused_per_ip"
+	// ConnAcceptFailed: it waits, as the process has no descriptor or no memory for it.
+	ConnAcceptFailed ConnEvent = "accept_failed"
 )
 
 // ConnLimiter limits the open connections of a listener. A new connection beyond the limit takes
@@ -110,10 +114,15 @@
 	limiter *ConnLimiter
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Without a free descriptor it waits for one; a server would end.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
+		if outOfResources(err) {
+			l.limiter.relieve()
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			// The server distinguishes errors of Accept by their type.
 			return nil, err
@@ -124,6 +133,35 @@
 	}
 }
 
+// outOfResources reports whether the process or the machine has no room for another connection.
+func outOfResources(err error) bool {
+	for _, errno := range []syscall.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+// relieve closes the connection that would be displaced next.
+func (l *ConnLimiter) relieve() {
+	l.mu.Lock()
+	displaced := l.longestWaiting()
+	l.mu.Unlock()
+	l.report(ConnAcceptFailed)
+	if displaced != nil {
+		l.report(ConnDisplaced)
+		displaced.Fail(ErrDisplaced)
+	}
+}
+
+// report calls OnEvent.
+func (l *ConnLimiter) report(e ConnEvent) {
+	if l.OnEvent != nil {
+		l.OnEvent(e)
+	}
+}
+
 // SyscallConn implements syscall.Conn, so that Backlog can inspect the socket.
 func (l *limitedListener) SyscallConn() (syscall.RawConn, error) { return syscallConn(l.Listener) }
 
@@ -161,8 +199,8 @@
 		l.perIP[c.ip]++
 	}
 	l.mu.Unlock()
-	if event != "" && l.OnEvent != nil {
-		l.OnEvent(event)
+	if event != "" {
+		l.report(event)
 	}
 	switch event {
 	case ConnRefused:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
@@ -336,6 +337,7 @@
 		for _, w := range v.Config.Warnings {
 			d.warnings.warn(w.String(), zap.Uint64("version", version))
 		}
+		d.warnBodyLimit(v.Config.Limits.BodyBytes, version)
 	}
 	d.logEvacuations(old, v)
 	if old == nil {
@@ -348,6 +350,13 @@
 	}
 }
 
+// warnBodyLimit warns if a configuration allows larger bodies than this VM takes.
+func (d *Daemon) warnBodyLimit(limit int, version uint64) {
+	if most := min(maxBodyBytes, httpserver.MaxBody(d.settings.Load().Budget().CallerBodies())); limit > most {
+		d.warnings.warn(fmt.Sprintf("request bodies above %d bytes are refused, the limit is %d: this VM takes no larger ones", most, limit), zap.Uint64("version", version))
+	}
+}
+
 // logEvacuations logs the evacuations that have begun or ended since the old view,
 // which is nil before the first one.
 func (d *Daemon) logEvacuations(old, v *catalog.View) {
