bodylimit: a body that ends before its declared length is no body

Change: the end of a stream before the declared length is an error, for requests and for responses. TestBodyThatBreaksOffIsNotHandled failed before (200, now 400 and the end of the connection).

--- a/internal/bodylimit/bodylimit.go
+++ b/internal/bodylimit/bodylimit.go
@@ -238,6 +238,9 @@
 		switch {
 		case len(body) > limit:
 			return nil, ErrTooLarge
+		case errors.Is(err, io.EOF) && len(body) < declared:
+			// Streams of requests end like this when the client leaves.
+			return nil, l.readError(io.ErrUnexpectedEOF)
 		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
--- a/internal/httpserver/bodies_test.go
+++ b/internal/httpserver/bodies_test.go
@@ -109,6 +109,31 @@
 	}
 }
 
+// Guards against a body whose sender leaves in the middle of it and that is taken for complete.
+func TestBodyThatBreaksOffIsNotHandled(t *testing.T) {
+	memory, address := serveBodies(t, &ConnLimiter{Max: 10})
+	for name, framing := range map[string]string{
+		"length":               "Content-Length: 100\r\n\r\n" + strings.Repeat("x", 99),
+		"length of many reads": "Content-Length: 60000\r\n\r\n" + strings.Repeat("x", 30_000),
+		"chunk":                "Transfer-Encoding: chunked\r\n\r\n64\r\n" + strings.Repeat("x", 99),
+		"no last chunk":        "Transfer-Encoding: chunked\r\n\r\n63\r\n" + strings.Repeat("x", 99) + "\r\n",
+	} {
+		nc := dialTracked(t, address)
+		if _, err := io.WriteString(nc, "POST / HTTP/1.1\r\nHost: h\r\n"+framing); err != nil {
+			t.Fatal(err)
+		}
+		if err := nc.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		if resp := answer(t, bufio.NewReader(nc)); resp.StatusCode() != fasthttp.StatusBadRequest || !resp.ConnectionClose() {
+			t.Errorf("%s: status %d, want 400 and the end of the connection", name, resp.StatusCode())
+		}
+	}
+	if memory.Used() != 0 {
+		t.Errorf("%d bytes are still held", memory.Used())
+	}
+}
+
 // Guards against a refusal that is lost because the connection is reset under a client that sends.
 func TestRefusedClientIsReadOn(t *testing.T) {
 	_, address := serveBodies(t, &ConnLimiter{Max: 10})
