--- a/internal/httpserver/bodies.go
+++ b/internal/httpserver/bodies.go
@@ -89,7 +89,7 @@
 	}
 	source := bodylimit.Source{Stream: stream, Declared: h.ContentLength(), Limit: b.limit(), Abort: func() {}}
 	if c := limitedBelow(ctx.Conn()); c != nil {
-		source.Abort = func() { c.Fail(bodylimit.ErrNoMemory) }
+		source.Abort = func() { c.fail(bodylimit.ErrNoMemory) }
 		enlarged := false
 		source.Enlarge = func() int {
 			enlarged = true
--- a/internal/membudget/process.go
+++ b/internal/membudget/process.go
@@ -7,8 +7,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// OfProcess returns what this process may use: memory as configured in bytes, or, if that is 0, as the
-// environment tells the runtime (GOMEMLIMIT), or else that of the machine.
+// OfProcess returns what this process may use: memory as configured in bytes, or, if that is 0, by
+// GOMEMLIMIT of the environment, or else that of the machine.
 func OfProcess(configured int64) Budget {
 	b := Budget{Memory: configured, Descriptors: descriptorLimit()}
 	limit := debug.SetMemoryLimit(-1)
