--- a/internal/httpserver/connlimit.go
+++ b/internal/httpserver/connlimit.go
@@ -83,6 +83,8 @@
 
 // Listener returns a listener whose connections are limited. It must be called once.
 func (l *ConnLimiter) Listener(ln net.Listener) net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.open, l.perIP = map[*limitedConn]bool{}, map[netip.Addr]int{}
 	return &limitedListener{ln, l}
 }
