httpserver: a new connection waits for the place of a displaced one

Cause, traced by a run that counts them: at its hard limit the listener refused, although nothing kept it from closing others: 135 open of 135, none closing, all waiting for their clients. They had been displaced before their first bytes were read, and were kept when these came, so that the number did not fall.

--- a/internal/httpserver/connlimit.go
+++ b/internal/httpserver/connlimit.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/netip"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,8 +23,8 @@
 	overshootShare, minOvershoot = 8, 4
 	// displaceTries limits how many connections are looked at to find one that can be closed.
 	displaceTries = 16
-	// closeYields is how often a new connection lets others run that are being closed.
-	closeYields = 4
+	// closeTime limits how long a new connection waits for others that are being closed.
+	closeTime = time.Second
 	// acceptRetryDelay is the wait after a connection could not be accepted for want of a descriptor.
 	acceptRetryDelay = 5 * time.Millisecond
 	// refusalTime limits the writing of a refusal to a connection that finds no place.
@@ -66,6 +65,9 @@
 	// waits orders the waits of the server.
 	waits atomic.Uint64
 
+	// closed has an element when a connection has been closed since makeRoom has looked.
+	closed chan struct{}
+
 	mu    sync.Mutex
 	open  map[*limitedConn]bool
 	perIP map[netip.Addr]int
@@ -86,6 +88,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open, l.perIP = map[*limitedConn]bool{}, map[netip.Addr]int{}
+	l.closed = make(chan struct{}, 1)
 	return &limitedListener{ln, l}
 }
 
@@ -154,55 +157,75 @@
 // admit returns the limited connection, or closes the connection and returns nil.
 func (l *ConnLimiter) admit(nc net.Conn) *limitedConn {
 	c := &limitedConn{Conn: nc, socket: socketOf(nc), limiter: l, ip: remoteIP(nc)}
-	l.awaitRoom()
-	l.mu.Lock()
-	var displaced *limitedConn
-	event := ConnEvent("")
 	switch {
-	case l.MaxPerIP > 0 && l.perIP[c.ip] >= l.MaxPerIP:
-		event = ConnRefusedPerIP
-	case len(l.open) >= l.hardMax():
-		event = ConnRefused
-	case len(l.open) >= l.Max:
-		displaced = l.longestWaiting()
-		if displaced == nil {
-			event = ConnRefused
-		} else {
-			event = ConnDisplaced
-		}
-	}
-	if event == "" || event == ConnDisplaced {
-		l.open[c] = true
-		l.perIP[c.ip]++
-	}
-	l.mu.Unlock()
-	if event != "" {
-		l.report(event)
-	}
-	switch event {
-	case ConnRefused:
-		refuseConn(nc, l.Refusal)
-		return nil
-	case ConnRefusedPerIP:
+	case l.ipIsFull(c.ip):
+		l.report(ConnRefusedPerIP)
 		refuseConn(nc, l.RefusalPerIP)
 		return nil
-	case ConnDisplaced:
-		displaced.fail(ErrDisplaced)
+	case !l.makeRoom():
+		l.report(ConnRefused)
+		refuseConn(nc, l.Refusal)
+		return nil
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = true
+	l.perIP[c.ip]++
 	return c
 }
 
-// awaitRoom lets displaced connections close. It does not wait for them: connections that wait to be
-// accepted take memory too.
-func (l *ConnLimiter) awaitRoom() {
-	for range closeYields {
-		if l.Len() < l.hardMax() {
-			return
+// ipIsFull reports whether an IP may open no connection.
+func (l *ConnLimiter) ipIsFull(ip netip.Addr) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.MaxPerIP > 0 && l.perIP[ip] >= l.MaxPerIP
+}
+
+// makeRoom displaces a connection if the limit is reached, and reports whether there is room for a
+// new one. While connections are being closed there may be more than Max, but never more than
+// hardMax: then it waits, as their readers need the processor to close them.
+func (l *ConnLimiter) makeRoom() bool {
+	var timeout <-chan time.Time
+	for {
+		l.mu.Lock()
+		n := len(l.open)
+		closing := n >= l.hardMax() && l.closing()
+		var displaced *limitedConn
+		if n >= l.Max && !closing {
+			displaced = l.longestWaiting()
+		}
+		l.mu.Unlock()
+		if displaced != nil {
+			l.report(ConnDisplaced)
+			displaced.fail(ErrDisplaced)
+		}
+		switch {
+		case n < l.Max, n < l.hardMax() && displaced != nil:
+			return true
+		case displaced == nil && !closing:
+			return false
+		}
+		if timeout == nil {
+			timeout = time.After(closeTime)
+		}
+		select {
+		case <-l.closed:
+		case <-timeout:
+			return false
 		}
-		runtime.Gosched()
 	}
 }
 
+// closing reports whether a displaced connection has not been closed yet. The caller holds mu.
+func (l *ConnLimiter) closing() bool {
+	for c := range l.open {
+		if c.failure.Load() != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of open connections.
 func (l *ConnLimiter) Len() int {
 	l.mu.Lock()
@@ -255,4 +278,8 @@
 	if l.perIP[c.ip]--; l.perIP[c.ip] == 0 {
 		delete(l.perIP, c.ip)
 	}
+	select {
+	case l.closed <- struct{}{}:
+	default:
+	}
 }
