connpool: an end after a repeated answer is no lost answer

What callers saw: a request that crashes upstreams was not recognised and went on to crash them, at VMs in contact for five seconds.

Cause: an upstream that sends an answer twice sends the second copy when the next request arrives. The copy was discarded and the connection read again; if the upstream ended then, the call was "lost" and not "broken", since the first byte of the copy counted as the first byte of its answer. Only broken sends are checked for a crash, so three crashes left no record.

Change: whether a response has begun is decided for each response that is read. An end after a discarded copy is broken, with the time of the connection.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -170,13 +170,12 @@
 		call.finish(c.noResponse(err, time.Since(now)))
 		return false
 	}
-	if _, err = c.br.Peek(1); err != nil {
+	resp, body, err := c.readResponse(call.Message, req.Header.IsHead())
+	switch {
+	case errors.As(err, new(*noResponseError)):
 		call.finish(c.noResponse(err, time.Since(now)))
 		return false
-	}
-	c.dialTime = 0
-	resp, body, err := c.readResponse(call.Message, req.Header.IsHead())
-	if err != nil {
+	case err != nil:
 		call.finish(c.lostReply(err))
 		return false
 	}
@@ -204,8 +203,17 @@
 	return c.readOne(head)
 }
 
-// readOne reads one response.
+// noResponseError is the error of a connection that failed before the first byte of a response.
+type noResponseError struct{ error }
+
+func (e *noResponseError) Unwrap() error { return e.error }
+
+// readOne reads one response. The error is a noResponseError if not a byte of it arrived.
 func (c *conn) readOne(head bool) (*fasthttp.Response, *bodylimit.Lease, error) {
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, nil, &noResponseError{err}
+	}
+	c.dialTime = 0
 	resp := &fasthttp.Response{SkipBody: head, StreamBody: true}
 	if err := resp.ReadLimitBody(c.br, 0); err != nil {
 		return nil, nil, err
--- a/internal/connpool/repeated_test.go
+++ b/internal/connpool/repeated_test.go
@@ -144,3 +144,24 @@
 	}
 	c.waitAllClosed()
 }
+
+// Guards against a crash that is taken for a lost answer, so that the request that caused it is not
+// recognised: the upstream sends a second copy of an earlier response and ends before it answers.
+func TestEndAfterARepeatedResponseIsNoResponse(t *testing.T) {
+	s := newServer(t, func(_ int, c net.Conn) {
+		br := bufio.NewReader(c)
+		first := readID(br)
+		_, _ = c.Write([]byte(response(first, "")))
+		if readID(br) != "" {
+			_, _ = c.Write([]byte(response(first, "")))
+		}
+	})
+	c := newClient(t, s, 1)
+	if r := c.call("a"); r.Result != scatter.Answered {
+		t.Fatalf("%v %s", r.Result, r.Detail)
+	}
+	c.waitIdle()
+	if r := c.call("b"); r.Result != scatter.Broken || r.ConnectedAt.IsZero() {
+		t.Errorf("%v %s, connected at %v, want a broken connection", r.Result, r.Detail, r.ConnectedAt)
+	}
+}
