httpserver: bound what waits to be accepted

What happened: a daemon that did not run for a moment, or got too little of the processor beside a crowd, was charged for bytes that it had not even accepted: up to 4,096 connections at each listener, 24 KiB each. With 2,400 connections 47 MB, 80 to 83 MB with what the process held, 64 allowed.

Cause: the receive buffer was bounded and the number of accepted connections, the kernel's queue before them was not.

Change: as many connections may wait at a listener as may be open there, 64 at least, and they have a receive buffer of 4 KiB until they are admitted; then 16 KiB as before. The counting listener of the directory passes its socket on, so that its queue is limited too. TestPartsLeaveRoom counts the queues (6 MB of a machine of 136 MB).

Cost: beyond the queue the client's kernel tries again, first after a second; a crowd of 800 that is opened at once meets that in some tests. More than 4 KiB on a fresh connection wait for the accept.

--- a/internal/httpserver/connlimit.go
+++ b/internal/httpserver/connlimit.go
@@ -27,6 +27,8 @@
 	closeTime = time.Second
 	// acceptRetryDelay is the wait after a connection could not be accepted for want of a descriptor.
 	acceptRetryDelay = 5 * time.Millisecond
+	// minQueue is the least number of connections that may wait to be accepted.
+	minQueue = 64
 	// refusalTime limits the writing of a refusal to a connection that finds no place.
 	refusalTime = 10 * time.Millisecond
 )
@@ -73,18 +75,23 @@
 	perIP map[netip.Addr]int
 }
 
-// Listen opens a TCP listener whose connections have a receive buffer of a fixed size.
+// Listen opens a TCP listener whose connections have a small receive buffer until a ConnLimiter
+// admits them.
 func Listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		// Without it the kernel's own size applies.
-		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) })
+		return raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, queuedReceiveBuffer)
+		})
 	}}
 	ln, err := config.Listen(context.Background(), "tcp", address)
 	return ln, trace.Wrap(err)
 }
 
-// Listener returns a listener whose connections are limited. It must be called once.
+// Listener returns a listener whose connections are limited. No more may wait to be accepted than
+// may be open: the kernel holds what they send. It must be called once.
 func (l *ConnLimiter) Listener(ln net.Listener) net.Listener {
+	limitQueue(ln, max(minQueue, l.Max))
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open, l.perIP = map[*limitedConn]bool{}, map[netip.Addr]int{}
@@ -92,6 +99,14 @@
 	return &limitedListener{ln, l}
 }
 
+// limitQueue limits the number of connections that wait to be accepted.
+func limitQueue(ln net.Listener, most int) {
+	if raw, err := syscallConn(ln); err == nil {
+		// Without it the kernel's own limit applies.
+		_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), most) })
+	}
+}
+
 // Concurrency returns the number of connections that a server must be able to serve at a time.
 func (l *ConnLimiter) Concurrency() int { return 2 * l.hardMax() }
 
@@ -167,6 +182,7 @@
 		refuseConn(nc, l.Refusal)
 		return nil
 	}
+	c.setReceiveBuffer(receiveBuffer)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = true
--- a/internal/httpserver/limitedconn.go
+++ b/internal/httpserver/limitedconn.go
@@ -16,12 +16,14 @@
 )
 
 const (
-	// receiveBuffer is the size in bytes of the kernel's receive buffer of a connection, and
-	// largeReceiveBuffer that of one that receives a large body. The kernel doubles them for its
-	// own records. It holds what a client sends while its request is being answered, on each
-	// connection, and the machine counts it as memory of the process.
-	receiveBuffer      = 16 << 10
-	largeReceiveBuffer = 256 << 10
+	// receiveBuffer is the size in bytes of the kernel's receive buffer of a connection,
+	// queuedReceiveBuffer that of one that waits to be accepted, and largeReceiveBuffer that of one
+	// that receives a large body. The kernel doubles them for its own records. It holds what a
+	// client sends while its request is being answered, on each connection, and the machine counts
+	// it as memory of the process.
+	receiveBuffer       = 16 << 10
+	queuedReceiveBuffer = 4 << 10
+	largeReceiveBuffer  = 256 << 10
 	// lingerTime and lingerBytes limit how long, and for how many bytes, a client that has been
 	// refused while it sends is read on. Closed at once, its connection would be reset by the bytes
 	// that are unread, and the refusal might be lost.
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -6,10 +6,16 @@
 func TestPartsLeaveRoom(t *testing.T) {
 	// process is what the program takes without load, in bytes.
 	const process = 20 << 20
+	// queued is what the kernel holds of a connection that waits to be accepted, and minQueue the
+	// least number of them at a listener.
+	const queued, minQueue = 6 << 10, 64
 	for _, mb := range []int64{136, 160, 184, 284, 536} {
 		b := Budget{Memory: mb << 20, Descriptors: 8192}
 		sum := process + b.UpstreamBodies() + 2*b.ControlBodies() + b.CallerBodies() + b.OtherBodies() +
 			callerConnBytes*b.CallerConns() + smallConnBytes*(b.DirectoryConns()+b.PeerConns()+2*ProbeConns)
+		for _, conns := range []int{b.CallerConns(), b.DirectoryConns(), b.PeerConns(), ProbeConns, ProbeConns} {
+			sum += queued * max(minQueue, conns)
+		}
 		if most := 9 * b.Memory / 10; int64(sum) > most {
 			t.Errorf("%d MB: the parts take %d MB, want at most %d", mb, sum>>20, most>>20)
 		}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -10,7 +10,9 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 
+	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sycamorekeel.example/sycamorekeel/internal/locality"
@@ -118,6 +120,15 @@
 	return l.meter.Conn(c, l.purpose, locality.Unknown), nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (l listener) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, trace.NotImplemented("%T is not a socket", l.Listener)
+	}
+	return socket.SyscallConn()
+}
+
 // Conn returns a connection that counts the bytes read from and written to c.
 func (m *Meter) Conn(c net.Conn, p Purpose, d locality.Distance) net.Conn {
 	return &conn{Conn: c, count: func(n int) { m.Add(p, d, n) }}
