--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -274,7 +274,7 @@
 			return
 		case <-time.After(memoryCheck):
 		}
-		mb := residentMB(pid)
+		mb := heldMB(pid)
 		n.mu.Lock()
 		n.peak = max(n.peak, mb)
 		n.mu.Unlock()
@@ -286,21 +286,20 @@
 	}
 }
 
-// residentMB returns the resident memory of a process, 0 if it has ended.
-func residentMB(pid int) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+// heldMB returns the anonymous resident memory of a process, without the pages of its program, 0 if
+// it has ended.
+func heldMB(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
-	fields := strings.Fields(string(text))
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, err := strconv.Atoi(fields[1])
-	if err != nil {
-		return 0
+	for line := range strings.Lines(string(text)) {
+		var kb int
+		if _, err := fmt.Sscanf(line, "RssAnon: %d kB", &kb); err == nil {
+			return kb >> 10
+		}
 	}
-	return pages * os.Getpagesize() >> 20
+	return 0
 }
 
 func (n *node) kill() {
