Entries of other writers take no memory

Cause: the catalog held the bytes of every item, rejected ones too, and sent them to peers, in pages without a limit, of which peers at different positions had several built at once.

Change: the catalog holds what is in use. A rejected entry is the same as none; one that replaces a usable one keeps its key and position, so that peers learn of it. Long registrations are held in short; registrations and evacuations have a limit, beyond which new ones are rejected and reported. Answers of the store are read one item at a time and reduced as they come. Pages are packed and unpacked one at a time, within limits, and those cached or being sent count together. Pages tell what they lack, so that a VM of a later release, or with more room, lists the store for it. All limits follow the memory; TestPartsLeaveRoom holds their sum, in which the parts for responses of the store and of peers (2 x 0.0625) and half of that for responses of upstreams (0.125, now 0.065; one response may take a sixteenth as before) are replaced by the sum of what published items take. TestUnreadableItemDoesNotFailTheResponse reads the same responses through the new reader, with the same checks.

--- a/internal/bodylimit/bodylimit.go
+++ b/internal/bodylimit/bodylimit.go
@@ -7,6 +7,7 @@
 package bodylimit
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"sync"
@@ -213,6 +214,44 @@
 	return m.ReadBody(resp, limit, abort)
 }
 
+// Stream sends a request with a client and passes the body of the response to read, which reads it to
+// its end. What read keeps is its own concern. The timeout includes the body. After an error the
+// connection is closed.
+func Stream(client *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration, read func(io.Reader) error) error {
+	resp.StreamBody = true
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
+		return trace.Wrap(err)
+	}
+	stream := resp.BodyStream()
+	if stream == nil {
+		return read(bytes.NewReader(resp.Body()))
+	}
+	if err := read(&declaredBody{stream: stream, left: resp.Header.ContentLength()}); err != nil {
+		if s, ok := stream.(fasthttp.ReadCloserWithError); ok {
+			// The stream's Close returns no error.
+			_ = s.CloseWithError(err)
+		}
+		return err
+	}
+	return trace.Wrap(resp.CloseBodyStream())
+}
+
+// declaredBody reads a body of a declared length, negative for none. An earlier end is an error.
+type declaredBody struct {
+	stream io.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (b *declaredBody) Read(p []byte) (int, error) {
+	n, err := b.stream.Read(p)
+	b.left -= n
+	if errors.Is(err, io.EOF) && b.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // read reads a stream. The buffer grows as bytes arrive: the declared length, negative for none,
 // proves nothing.
 func (l *Lease) read(stream io.Reader, declared, limit int) ([]byte, error) {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -23,7 +24,7 @@
 type Kind int
 
 const (
-	// Other items are stored and forwarded to peers but not interpreted.
+	// Other items are not interpreted, and not held.
 	Other Kind = iota
 	// Configuration items hold a routing.Config.
 	Configuration
@@ -45,11 +46,24 @@
 	Created  uint64
 	// Deleted marks a deletion, which has no value.
 	Deleted bool
+	// Fault is set if the value was left out because it cannot be decoded.
+	Fault error
+	// Abridged is set if the value was replaced by a shorter one that decodes alike.
+	Abridged bool
 }
 
 // Position returns the position of the item's last change.
 func (it Item) Position() Position { return Position{Era: it.Era, Revision: it.Revision} }
 
+// supersededBy reports whether other replaces a held version: it is later, or the same one with the
+// value that a peer withheld.
+func (it Item) supersededBy(other Item) bool {
+	if errors.Is(it.Fault, ErrWithheld) && other.Fault == nil && it.Position() == other.Position() {
+		return true
+	}
+	return it.Position().Before(other.Position())
+}
+
 // Decoder interprets items. It must be a pure function of the item so that all VMs agree on
 // what is in force.
 type Decoder interface {
@@ -120,7 +134,15 @@
 	decoder  Decoder
 	epoch    uint64
 	position Position
-	items    map[string]Item
+	// items holds what is in force or may be again. A registration that cannot be decoded is held,
+	// without its value, only if earlier versions of it could be: otherwise it is the same as none.
+	items map[string]Item
+	// size is what items takes without configurations, and limit bounds it, both in bytes; 0 is no
+	// limit.
+	size, limit int
+	// unread is the latest position of an item that this VM holds nothing of, or not all, because its
+	// decoder does not read it. overflow is that of an item for which there was no room.
+	unread, overflow Position
 	// deletions holds the latest deletions of the era in order of revision. It is complete
 	// above deletionsFloor.
 	deletions      []Item
@@ -158,6 +180,8 @@
 	recoveredAt time.Time
 	outage      bool
 	rejected    []Rejected
+	// unlisted counts rejected items beyond those in rejected.
+	unlisted int
 	// lastFaults maps a key to the error text of its newest version, if that was rejected.
 	lastFaults map[string]string
 }
@@ -195,9 +219,10 @@
 // Discard resets the state to empty and starts a new epoch. It is called when the state turns
 // out not to match the store's history.
 func (s *State) Discard(now time.Time) {
-	epoch := s.epoch + 1
+	epoch, limit := s.epoch+1, s.limit
 	*s = *New(now, s.decoder)
 	s.epoch = epoch
+	s.SetLimit(limit)
 }
 
 // StoreAnswered records a response of the store, which ends an outage.
@@ -233,6 +258,7 @@
 	items = slices.SortedFunc(slices.Values(items), byPosition)
 	listed := make(map[string]bool, len(items))
 	changed := false
+	s.unread, s.overflow = Position{}, Position{}
 	for _, it := range items {
 		listed[it.Key] = true
 		changed = s.putItem(it) || changed
@@ -247,6 +273,9 @@
 	}
 	s.position = at
 	s.deregistered = nil
+	if s.unread != (Position{}) {
+		s.markUnread(at)
+	}
 	return changed
 }
 
@@ -306,24 +335,36 @@
 // putItem applies one item and reports whether that changed anything in force. Configurations
 // are queued for activateNewestConfig.
 func (s *State) putItem(it Item) bool {
-	if held, ok := s.items[it.Key]; ok && !held.Position().Before(it.Position()) {
+	if held, ok := s.items[it.Key]; ok && !held.supersededBy(it) {
 		return false
 	}
-	s.items[it.Key] = it
 	switch s.decoder.Kind(it.Key) {
 	case Configuration:
+		s.hold(it)
 		s.pendingConfigs = append(s.pendingConfigs, it)
 		return false
 	case Registration:
 		return s.putUpstream(it)
 	case Evacuation:
-		delete(s.pendingRemovals, it.Key)
-		held := s.evacuations[it.Key]
-		s.evacuations[it.Key] = true
-		return !held
+		return s.putEvacuation(it)
 	default:
+		s.markUnread(it.Position())
+		return false
+	}
+}
+
+// putEvacuation applies an evacuation and reports whether that changed anything in force.
+func (s *State) putEvacuation(it Item) bool {
+	it = withoutLongValue(it)
+	if !s.fits(it) || len(s.evacuations) >= maxEvacuations && !s.evacuations[it.Key] {
+		s.rejectForRoom(it)
 		return false
 	}
+	s.hold(it)
+	delete(s.pendingRemovals, it.Key)
+	held := s.evacuations[it.Key]
+	s.evacuations[it.Key] = true
+	return !held
 }
 
 // activateNewestConfig puts the newest valid version of a batch in force, separately for each
@@ -352,9 +393,13 @@
 	if !s.configItem.Position().Before(it.Position()) {
 		return false
 	}
-	c, err := s.decoder.Config(it)
+	c, err := s.decodeConfig(it)
 	if err != nil {
 		s.reject(it, err)
+		s.markUnread(it.Position())
+		if s.items[it.Key].Position() == it.Position() {
+			s.hold(it.unreadable(err))
+		}
 		return false
 	}
 	if s.config != nil && it.Era != s.configItem.Era && c.Version < s.config.Version {
@@ -369,18 +414,12 @@
 	return true
 }
 
-// reject records an item that was not accepted, for TakeRejected.
-func (s *State) reject(it Item, err error) {
-	fault := err.Error()
-	s.rejected = append(s.rejected, Rejected{Key: it.Key, Revision: it.Revision, Err: err, Repeated: s.lastFaults[it.Key] == fault})
-	s.lastFaults[it.Key] = fault
-}
-
-// TakeRejected returns the items rejected since the last call.
-func (s *State) TakeRejected() []Rejected {
-	r := s.rejected
-	s.rejected = nil
-	return r
+// decodeConfig decodes a version of the configuration.
+func (s *State) decodeConfig(it Item) (*routing.Config, error) {
+	if it.Fault != nil {
+		return nil, it.Fault
+	}
+	return s.decoder.Config(it)
 }
 
 // View returns a snapshot of what is in force.
--- a/internal/catalog/documents.go
+++ b/internal/catalog/documents.go
@@ -29,14 +29,20 @@
 	// docs is ordered from oldest to newest.
 	docs  []Document
 	bytes int
+	// limit bounds bytes if it is not 0, in place of maxHistoryBytes.
+	limit int
 }
 
 // add appends a text and drops the oldest ones above the limits.
 func (d *documentHistory) add(text []byte) {
 	d.docs = append(d.docs, Document{Sum: xxhash.Sum64(text), Text: text})
 	d.bytes += len(text)
+	limit := d.limit
+	if limit == 0 {
+		limit = maxHistoryBytes
+	}
 	drop := 0
-	for drop < len(d.docs)-1 && (d.bytes > maxHistoryBytes || len(d.docs)-drop > maxHistoryDocuments) {
+	for drop < len(d.docs)-1 && (d.bytes > limit || len(d.docs)-drop > maxHistoryDocuments) {
 		d.bytes -= len(d.docs[drop].Text)
 		drop++
 	}
--- a/internal/catalog/pages.go
+++ b/internal/catalog/pages.go
@@ -111,6 +111,11 @@
 	// Gaps are the gaps that the changes depend on. For a peer whose position is inside a gap
 	// the page lacks deletions.
 	Gaps []Gap
+	// Unread is set if the page lacks items, or parts of them, that the sender's decoder does not
+	// read, and NoRoom if it lacks some for which the sender had no room.
+	Unread, NoRoom bool
+	// Partial is set by the receiver if the page lacks items that it might hold.
+	Partial bool
 }
 
 // PageSince returns the page for a peer whose state is complete up to a position: the changes
@@ -120,10 +125,12 @@
 	if after.Revision > 0 {
 		if changes, ok := s.ChangesSince(after); ok {
 			page.Items, page.Gaps = changes, s.gapsAfter(after.Revision)
+			page.Unread, page.NoRoom = after.Before(s.unread), after.Before(s.overflow)
 			return page
 		}
 	}
 	page.Whole = true
+	page.Unread, page.NoRoom = s.unread != Position{}, s.overflow != Position{}
 	page.Items = s.Items()
 	return page
 }
--- a/internal/catalog/registrations.go
+++ b/internal/catalog/registrations.go
@@ -53,22 +53,32 @@
 // store's copy is older.
 func (s *State) putUpstream(it Item) bool {
 	if until, gone := s.deregistered[it.Key]; gone {
+		it = reduce(s.decoder, it)
+		if !s.fits(it) {
+			s.rejectForRoom(it)
+			return false
+		}
+		s.hold(it)
 		s.restored[it.Key] = restoredEntry{item: it, until: until}
 		return false
 	}
 	delete(s.restored, it.Key)
-	u, err := s.decoder.Upstream(it)
-	latest := s.starts[it.Key]
-	if err == nil && latest != nil && u.StartedAt.IsZero() && !latest.startedAt.IsZero() {
-		err = errNoStartTime
-	}
+	it = compact(s.decoder, it)
+	u, err := s.decodeUpstream(it)
 	if err != nil {
 		s.reject(it, err)
-		if latest != nil {
-			latest.unreadable = &it
-		}
-		return s.dropUpstream(it.Key)
+		s.markUnread(it.Position())
+		return s.putUnusable(it, err)
+	}
+	if !s.fits(it) {
+		s.rejectForRoom(it)
+		return s.putUnusable(it, errNoRoom)
+	}
+	if it.Abridged {
+		s.markUnread(it.Position())
 	}
+	s.hold(it)
+	latest := s.starts[it.Key]
 	delete(s.lastFaults, it.Key)
 	if latest != nil && (latest.startedAt.After(u.StartedAt) || latest.leavingRevoked(it, &u)) {
 		return false
@@ -80,6 +90,35 @@
 	return old == nil || *old != u
 }
 
+// decodeUpstream decodes a registration and checks it against earlier ones of the same key.
+func (s *State) decodeUpstream(it Item) (Upstream, error) {
+	if it.Fault != nil {
+		return Upstream{}, it.Fault
+	}
+	u, err := s.decoder.Upstream(it)
+	latest := s.starts[it.Key]
+	if err == nil && latest != nil && u.StartedAt.IsZero() && !latest.startedAt.IsZero() {
+		err = errNoStartTime
+	}
+	return u, err
+}
+
+// putUnusable applies a registration that names no usable upstream. If earlier ones of the key did,
+// it is held without its value, so that peers which missed it take the upstream out of use as well.
+func (s *State) putUnusable(it Item, fault error) bool {
+	latest := s.starts[it.Key]
+	_, held := s.items[it.Key]
+	if !held && latest == nil && s.upstreams[it.Key] == nil {
+		return false
+	}
+	it = it.unreadable(fault)
+	s.hold(it)
+	if latest != nil {
+		latest.unreadable = &it
+	}
+	return s.dropUpstream(it.Key)
+}
+
 // dropUpstream takes an upstream out of use immediately.
 func (s *State) dropUpstream(key string) bool {
 	_, held := s.upstreams[key]
@@ -99,7 +138,7 @@
 	if kind == Configuration {
 		return false
 	}
-	delete(s.items, key)
+	s.release(key)
 	if kind == Evacuation && newEra {
 		s.pendingRemovals[key] = now.Add(recoveryGrace)
 		return false
--- a/internal/catalogsync/catalogsync.go
+++ b/internal/catalogsync/catalogsync.go
@@ -49,7 +49,9 @@
 	// Seed is set when the other VMs are configured with this VM's address.
 	Seed    bool
 	Decoder catalog.Decoder
-	Random  *rand.Rand
+	// ContentLimit bounds the memory of the held registrations in bytes; 0 is no limit.
+	ContentLimit int
+	Random       *rand.Rand
 }
 
 // Action is an operation for the caller to carry out.
@@ -124,6 +126,10 @@
 	// preferList is set when a listing is likely to transfer less than a watch: a watch returns
 	// every version of a document, a listing only the newest.
 	preferList bool
+	// partial is set while the state lacks items that a peer's page did not hold and a listing of
+	// the store may. listPartialAt is when the next listing for it may start.
+	partial       bool
+	listPartialAt time.Time
 	// temporaryReaderUntil is when a VM that is not elected stops reading the store.
 	temporaryReaderUntil time.Time
 	confirmedAt          time.Time
@@ -154,7 +160,7 @@
 
 // New returns a Follower with an empty state.
 func New(now time.Time, opts Options) *Follower {
-	return &Follower{
+	f := &Follower{
 		opts:      opts,
 		state:     catalog.New(now, opts.Decoder),
 		started:   now,
@@ -162,6 +168,8 @@
 		relist:    true,
 		fleetSize: 1,
 	}
+	f.state.SetLimit(opts.ContentLimit)
+	return f
 }
 
 // State returns the VM's catalog state.
@@ -232,6 +240,7 @@
 	if f.state.Tick(now) {
 		f.emit(Changed{})
 	}
+	f.relistForRoom(now)
 	f.maybePull(now)
 	f.maybeRead(now)
 	return f.actions
--- a/internal/catalogsync/pull.go
+++ b/internal/catalogsync/pull.go
@@ -93,8 +93,17 @@
 		f.lead = claim{}
 		return f.actions
 	}
+	if page.Partial && page.Whole && f.state.Revision() > 0 {
+		// Applying it would remove the items that it lacks.
+		f.lead = claim{}
+		f.listForPartial(now)
+		return f.actions
+	}
 	before := f.state.Position()
 	changed, applied := f.state.ApplyPage(now, page)
+	if applied && page.Partial {
+		f.listForPartial(now)
+	}
 	moved := before.Before(f.state.Position())
 	if moved {
 		f.relist = false
--- a/internal/catalogsync/read.go
+++ b/internal/catalogsync/read.go
@@ -70,6 +70,7 @@
 	}
 	f.contradictions = 0
 	f.relist = false
+	f.partial = false
 	f.preferList = f.preferList && at.RevisionsAhead(f.state.Position()) >= burstRevisions
 	changed := f.state.Replace(now, at, items)
 	f.positionReached(now)
@@ -216,13 +217,18 @@
 	}
 	f.state.StoreFailed(now)
 	f.preferList = !f.preferList && now.Sub(f.readStartedAt) >= f.ofBound(watchWaitShare)
+	f.nextReadAt = f.backOff(now)
+	return f.actions
+}
+
+// backOff returns when the next read may start after one that failed.
+func (f *Follower) backOff(now time.Time) time.Time {
 	wait := min(minRetryDelay<<min(f.failures, 8), maxRetryDelay)
 	if !f.Elected(now) && f.state.Revision() > 0 {
 		wait = max(wait, time.Duration(f.fleetSize)*failedCallSpacing)
 	}
 	f.failures++
-	f.nextReadAt = now.Add(time.Duration((0.75 + 0.5*f.opts.Random.Float64()) * float64(wait)))
-	return f.actions
+	return now.Add(time.Duration((0.75 + 0.5*f.opts.Random.Float64()) * float64(wait)))
 }
 
 // readAnswered closes a successful call to the store and schedules the next one.
@@ -253,7 +259,11 @@
 	}
 	f.readOpen = true
 	f.readStartedAt = now
-	if f.relist || f.preferList {
+	partial := f.partialDue(now)
+	if partial {
+		f.partialListed(now)
+	}
+	if f.relist || f.preferList || partial {
 		f.emit(List{AllowStale: f.allowsStale(now)})
 		return
 	}
@@ -274,7 +284,7 @@
 	if f.state.Revision() == 0 {
 		return now.Sub(f.started) >= f.initialWait()+f.initialRankDelay(now)
 	}
-	if f.Reader(now) {
+	if f.Reader(now) || f.partialDue(now) {
 		return true
 	}
 	if now.Sub(f.confirmedAt) < f.ofBound(unconfirmedShare)+f.rankDelay() || now.Sub(f.staleListedAt) < f.ofBound(staleListingShare)+f.rankDelay() {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -53,7 +53,7 @@
 	// maxBody limits one response of an upstream in bytes, bodyShare the part of BodyMemory that it
 	// may take.
 	maxBody   = 16 << 20
-	bodyShare = 2
+	bodyShare = 25. / 26
 	// shareResetFactor is the factor by which this VM's share must grow for budgets created
 	// later to start empty at that time. The number of VMs that callers are directed to
 	// changes by one now and then, which is no reason to empty budgets.
@@ -149,7 +149,7 @@
 	e.pools = connpool.NewPools(opts.Protocol, upstreamObserver{opts.Traffic, opts.Place, e}, e.connectionLimit)
 	if opts.BodyMemory > 0 {
 		memory := bodylimit.NewMemory(opts.BodyMemory, opts.Metrics.bodiesAborted.Inc)
-		e.pools.LimitBodies(memory, min(maxBody, opts.BodyMemory/bodyShare))
+		e.pools.LimitBodies(memory, min(maxBody, int(bodyShare*float64(opts.BodyMemory))))
 	}
 	e.startCall = e.pools.Do
 	e.checkEnded = e.pools.CheckProcess
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -11,7 +11,7 @@
 	const queued, minQueue = 6 << 10, 64
 	for _, mb := range []int64{136, 160, 184, 284, 536} {
 		b := Budget{Memory: mb << 20, Descriptors: 8192}
-		sum := process + b.UpstreamBodies() + 2*b.ControlBodies() + b.CallerBodies() + b.OtherBodies() +
+		sum := process + b.UpstreamBodies() + b.published() + b.CallerBodies() + b.OtherBodies() +
 			callerConnBytes*b.CallerConns() + smallConnBytes*(b.DirectoryConns()+b.PeerConns()+2*ProbeConns)
 		for _, conns := range []int{b.CallerConns(), b.DirectoryConns(), b.PeerConns(), ProbeConns, ProbeConns} {
 			sum += queued * max(minQueue, conns)
@@ -46,3 +46,16 @@
 		}
 	}
 }
+
+// Guards against a VM of the smallest size that has no room for the fleet that the system is built for:
+// 2,500 upstreams with registrations of some two hundred bytes, and a configuration of the largest size.
+func TestSmallestMachineHoldsTheLargestFleet(t *testing.T) {
+	const upstreams, registration, key, overhead = 2500, 250, 40, 200
+	b := Budget{Memory: 136 << 20}
+	if need := upstreams * (registration + key + overhead); b.Content() < need {
+		t.Errorf("room for %d bytes, want %d", b.Content(), need)
+	}
+	if need := upstreams*(registration+key) + b.ValueBytes(); b.Page() < need {
+		t.Errorf("a page of %d bytes, want %d", b.Page(), need)
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -18,7 +18,11 @@
 	pulledItems prometheus.Counter
 	pullSeconds prometheus.Histogram
 	rejected    prometheus.Counter
-	disproved   prometheus.Counter
+	// leftOut counts the items that were left out of listings, and refusedPages the pages that were
+	// not sent.
+	leftOut      prometheus.Counter
+	refusedPages prometheus.Counter
+	disproved    prometheus.Counter
 	// belowKnown counts store answers from before the known position, by call.
 	belowKnown *prometheus.CounterVec
 }
@@ -45,6 +49,12 @@
 		rejected: f.NewCounter(prometheus.CounterOpts{
 			Name: "sycamorekeel_catalog_rejected_items_total", Help: "Versions of items that were not taken.",
 		}),
+		leftOut: f.NewCounter(prometheus.CounterOpts{
+			Name: "sycamorekeel_catalog_left_out_items_total", Help: "Items that were left out of listings because the published items exceed their memory.",
+		}),
+		refusedPages: f.NewCounter(prometheus.CounterOpts{
+			Name: "sycamorekeel_catalog_refused_pages_total", Help: "Pages that peers did not get because others were still being sent.",
+		}),
 		disproved: f.NewCounter(prometheus.CounterOpts{
 			Name: "sycamorekeel_catalog_disproved_total", Help: "Revisions that peers gave and the store does not have.",
 		}),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,8 +81,11 @@
 // Adapter connects a Daemon to its environment: the store, the encoding of its
 // items, and the protocols of upstreams and callers.
 type Adapter struct {
-	Store     Store
-	Decoder   catalog.Decoder
+	Store   Store
+	Decoder catalog.Decoder
+	// Reads is the version of Decoder. VMs of different versions do not rely on each other for items
+	// that one of them does not read.
+	Reads     uint64
 	Upstreams connpool.Protocol
 	// Callers returns the handler that passes callers' requests to the engine.
 	// leaving reports whether the VM is shutting down; begin must be called with each request
@@ -181,25 +184,30 @@
 		Random:      random,
 		ViewAge:     func() time.Duration { return d.syncer.confirmedAge(time.Now()) },
 	})
+	budget := set.Budget()
 	d.syncer = &catalogSyncer{
 		log:       opts.Logs.Changes,
 		met:       newCatalogMetrics(opts.Registry),
 		store:     opts.Adapter.Store,
 		announce:  d.announce,
 		applyView: d.applyView,
-		bodies:    bodylimit.NewMemory(maxPageBytes(set), func() {}),
-		maxPage:   maxPageBytes(set),
+		bodies:    bodylimit.NewMemory(budget.PackedPage()+budget.PackedPage()/2, func() {}),
+		maxPage:   budget.PackedPage(),
+		codec:     pagecodec.Codec{MaxPage: budget.Page(), MaxWindow: budget.PageWindow()},
+		pages:     pageCache{maxBytes: budget.HeldPages()},
+		reads:     opts.Adapter.Reads,
 		countBytes: func(p traffic.Purpose, address string, bytes int) {
 			d.traffic.Add(p, d.distanceTo(address), bytes)
 		},
 		follower: catalogsync.New(now, catalogsync.Options{
-			VM:          set.VM,
-			Place:       placeOf(set),
-			ChangeBound: set.ChangeBound,
-			FirstStart:  set.FirstStart,
-			Seed:        slices.Contains(set.Seeds, set.PeerAddress),
-			Decoder:     opts.Adapter.Decoder,
-			Random:      rand.New(rand.NewPCG(hashName(set.VM), uint64(now.UnixMicro()))),
+			VM:           set.VM,
+			Place:        placeOf(set),
+			ChangeBound:  set.ChangeBound,
+			FirstStart:   set.FirstStart,
+			Seed:         slices.Contains(set.Seeds, set.PeerAddress),
+			Decoder:      opts.Adapter.Decoder,
+			ContentLimit: budget.Content(),
+			Random:       rand.New(rand.NewPCG(hashName(set.VM), uint64(now.UnixMicro()))),
 		}),
 	}
 	d.gossip = d.newGossip(now, set)
@@ -216,14 +224,6 @@
 	return d
 }
 
-// maxPageBytes returns the size limit of a peer's response, and of all of them together.
-func maxPageBytes(set *Settings) int {
-	if memory := set.Budget().ControlBodies(); memory > 0 {
-		return min(pagecodec.MaxPage, memory)
-	}
-	return pagecodec.MaxPage
-}
-
 func hashName(name string) uint64 {
 	h := fnv.New64a()
 	// Write on a hash.Hash never returns an error.
@@ -474,6 +474,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	d.adapter.Store.Prefer(d.syncer.holds)
 	run, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, run := errgroup.WithContext(run)
--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -1,17 +1,17 @@
 package node
 
 import (
+	"errors"
 	"net"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
-	"golang.org/x/sync/singleflight"
 	"google.golang.org/protobuf/proto"
 
+	"sycamorekeel.example/sycamorekeel/internal/bodylimit"
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
 	"sycamorekeel.example/sycamorekeel/internal/catalogsync"
 	"sycamorekeel.example/sycamorekeel/internal/pagecodec"
@@ -37,11 +37,14 @@
 	argBase = "base"
 	// packedEncoding is the Content-Encoding of a packed page.
 	packedEncoding = "zstd"
-	// maxCachedPages limits the cached packed pages. Peers that request pages of the
-	// same position hold few different earlier ones.
-	maxCachedPages = 32
+	// argReads is the version of the requester's decoder. Older releases do not send it.
+	argReads = "reads"
 )
 
+// errPagesInFlight is the error of a page for which there is no room beside others that peers still
+// read.
+var errPagesInFlight = errors.New("too many bytes of pages are being sent")
+
 // fetchCatalog requests a peer's catalog changes after a position.
 func (s *catalogSyncer) fetchCatalog(p catalogsync.Pull) (*pb.CatalogPage, error) {
 	base := s.packingBase()
@@ -51,6 +54,7 @@
 	args.Set(argAfter, strconv.FormatUint(p.After.Revision, 10))
 	args.Set(argEra, strconv.FormatUint(p.After.Era, 10))
 	args.Set(argPacked, "1")
+	args.Set(argReads, strconv.FormatUint(s.reads, 10))
 	if len(base.Text) > 0 {
 		args.Set(argBase, strconv.FormatUint(base.Sum, 16))
 	}
@@ -106,58 +110,88 @@
 		return nil, trace.ConnectionProblem(nil, "the peer answered with status %d", resp.StatusCode())
 	}
 	s.met.pulledBytes.Add(float64(len(resp.Body())))
+	s.pageWork.Lock()
+	defer s.pageWork.Unlock()
 	if string(resp.Header.ContentEncoding()) == packedEncoding {
-		return pagecodec.Unpack(resp.Body(), base)
-	}
-	page := &pb.CatalogPage{}
-	if err := proto.Unmarshal(resp.Body(), page); err != nil {
-		return nil, trace.BadParameter("cannot decode page of %d bytes: %v", len(resp.Body()), err)
+		return s.codec.Unpack(resp.Body(), base)
 	}
-	return page, nil
+	return s.codec.Decode(resp.Body())
+}
+
+// isTooLarge reports whether a pull failed because of the size of the page.
+func isTooLarge(err error) bool {
+	return errors.Is(err, bodylimit.ErrTooLarge) || errors.Is(err, pagecodec.ErrTooLarge)
 }
 
 func decodePage(m *pb.CatalogPage) catalog.Page {
 	page := catalog.Page{
 		At:    catalog.Position{Era: m.Era, Revision: m.Revision},
 		After: catalog.Position{Era: m.Era, Revision: m.After},
-		Whole: m.Whole,
+		Whole: m.Whole, Partial: m.Partial,
 	}
 	for _, g := range m.Gaps {
 		page.Gaps = append(page.Gaps, catalog.Gap{From: g.From, To: g.To})
 	}
 	for _, it := range m.Items {
-		page.Items = append(page.Items, catalog.Item{Key: it.Key, Value: it.Value, Era: it.Era, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted})
+		item := catalog.Item{Key: it.Key, Value: it.Value, Era: it.Era, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted}
+		if it.Withheld {
+			item.Fault = catalog.ErrWithheld
+		}
+		page.Items = append(page.Items, item)
 	}
 	return page
 }
 
 // servePeer handles a peer's request for the catalog or the member list.
 func (s *catalogSyncer) servePeer(ctx *fasthttp.RequestCtx) {
-	args := ctx.QueryArgs()
-	after, err := parsePosition(args)
-	var body []byte
-	switch path := string(ctx.Path()); {
-	case path == catalogPath && err != nil:
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
-	case path == catalogPath && args.Has(argPacked):
-		body, err = s.encodePage(after, parseBase(args))
-		ctx.Response.Header.SetContentEncoding(packedEncoding)
-	case path == catalogPath:
-		page, _ := s.pageSince(after, 0)
-		body, err = proto.Marshal(page)
-	case path == membersPath:
-		body, err = s.memberListFor(ctx)
+	switch string(ctx.Path()) {
+	case catalogPath:
+		s.serveCatalog(ctx)
+	case membersPath:
+		body, err := s.memberListFor(ctx)
+		if err != nil {
+			s.pageFailed(ctx, err)
+			return
+		}
+		ctx.SetBody(body)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
 	}
+}
+
+// serveCatalog handles a peer's request for the catalog.
+func (s *catalogSyncer) serveCatalog(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	after, err := parsePosition(args)
 	if err != nil {
-		s.log.Error("peer: failed to encode page", zap.Error(err))
-		ctx.Error("no page", fasthttp.StatusInternalServerError)
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	ctx.SetBody(body)
+	key := pageKey{after: after, foreign: string(args.Peek(argReads)) != strconv.FormatUint(s.reads, 10)}
+	var page *packedPage
+	if args.Has(argPacked) {
+		key.base = parseBase(args)
+		page, err = s.encodePage(key)
+	} else {
+		page, err = s.encodePlainPage(key)
+	}
+	switch {
+	case errors.Is(err, errPagesInFlight):
+		s.met.refusedPages.Inc()
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+	case err != nil:
+		s.pageFailed(ctx, err)
+	default:
+		if args.Has(argPacked) {
+			ctx.Response.Header.SetContentEncoding(packedEncoding)
+		}
+		ctx.SetBodyStream(s.pages.newStream(page), len(page.body))
+	}
+}
+
+func (s *catalogSyncer) pageFailed(ctx *fasthttp.RequestCtx, err error) {
+	s.log.Error("peer: failed to encode page", zap.Error(err))
+	ctx.Error("no page", fasthttp.StatusInternalServerError)
 }
 
 // parsePosition returns the position up to which the requester has all changes.
@@ -186,91 +220,64 @@
 	return sum
 }
 
-// pageSince returns the changes after a position, and the document with the hash base
-// if this VM still has it.
-func (s *catalogSyncer) pageSince(after catalog.Position, base uint64) (*pb.CatalogPage, catalog.Document) {
+// pageSince returns the changes after the position of a page, and the document that is its base if
+// this VM still has it.
+func (s *catalogSyncer) pageSince(key pageKey) (*pb.CatalogPage, catalog.Document) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.follower.State()
-	known := state.PageSince(after)
-	page := &pb.CatalogPage{Era: known.At.Era, Revision: known.At.Revision, After: known.After.Revision, Whole: known.Whole}
+	known := state.PageSince(key.after)
+	page := &pb.CatalogPage{
+		Era: known.At.Era, Revision: known.At.Revision, After: known.After.Revision, Whole: known.Whole,
+		Partial: known.NoRoom || known.Unread && key.foreign,
+	}
 	for _, it := range known.Items {
 		page.Items = append(page.Items, &pb.CatalogItem{
 			Key: it.Key, Value: it.Value, Era: it.Era, Revision: it.Revision, Created: it.Created, Deleted: it.Deleted,
+			Withheld: it.Fault != nil,
 		})
 	}
 	for _, g := range known.Gaps {
 		page.Gaps = append(page.Gaps, &pb.CatalogGap{From: g.From, To: g.To})
 	}
-	return page, state.Document(base)
-}
-
-// pageCache caches the packed pages of the current position. In a large fleet many VMs
-// request the same page at the same time, and packing one takes a slow VM about ten
-// milliseconds.
-type pageCache struct {
-	encoding singleflight.Group
-
-	mu     sync.Mutex
-	at     catalog.Position
-	bodies map[pageKey][]byte
+	return page, state.Document(key.base)
 }
 
-// pageKey holds what a packed page depends on besides the position.
-type pageKey struct {
-	after catalog.Position
-	base  uint64
-}
-
-func (k pageKey) String() string { return k.after.String() + " " + strconv.FormatUint(k.base, 16) }
-
-func (p *pageCache) get(at catalog.Position, key pageKey) []byte {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.at != at {
-		return nil
+// encodePage returns the packed page for a peer, using the document that the peer holds as its base if
+// this VM has it too. The caller releases the page.
+func (s *catalogSyncer) encodePage(key pageKey) (*packedPage, error) {
+	if page := s.pages.get(s.position(), key); page != nil {
+		return page, nil
 	}
-	return p.bodies[key]
-}
-
-func (p *pageCache) put(at catalog.Position, key pageKey, body []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if at.Before(p.at) {
-		return
+	s.pageWork.Lock()
+	defer s.pageWork.Unlock()
+	if page := s.pages.get(s.position(), key); page != nil {
+		return page, nil
 	}
-	if p.at.Before(at) || p.bodies == nil || len(p.bodies) >= maxCachedPages {
-		p.at = at
-		p.bodies = map[pageKey][]byte{}
+	message, document := s.pageSince(key)
+	body, err := s.codec.Pack(message, document)
+	if err != nil {
+		return nil, err
 	}
-	p.bodies[key] = body
-}
-
-// reset removes all pages. It is called when the catalog that they were made from is
-// discarded.
-func (p *pageCache) reset() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.at, p.bodies = catalog.Position{}, nil
+	page := s.pages.put(catalog.Position{Era: message.Era, Revision: message.Revision}, key, body)
+	if page == nil {
+		return nil, errPagesInFlight
+	}
+	return page, nil
 }
 
-// encodePage returns the packed page for a peer, using the document that the peer holds
-// as its base if this VM has it too.
-func (s *catalogSyncer) encodePage(after catalog.Position, base uint64) ([]byte, error) {
-	key := pageKey{after, base}
-	if body := s.pages.get(s.position(), key); body != nil {
-		return body, nil
-	}
-	body, err, _ := s.pages.encoding.Do(key.String(), func() (any, error) {
-		page, document := s.pageSince(after, base)
-		body, err := pagecodec.Pack(page, document)
-		if err == nil {
-			s.pages.put(catalog.Position{Era: page.Era, Revision: page.Revision}, key, body)
-		}
-		return body, err
-	})
+// encodePlainPage returns the unpacked page for a peer of a release that does not accept packed ones.
+func (s *catalogSyncer) encodePlainPage(key pageKey) (*packedPage, error) {
+	s.pageWork.Lock()
+	defer s.pageWork.Unlock()
+	message, _ := s.pageSince(key)
+	body, err := proto.Marshal(message)
 	if err != nil {
 		return nil, err
 	}
-	return body.([]byte), nil
+	page := s.pages.putUncached(body)
+	if page == nil {
+		return nil, errPagesInFlight
+	}
+	return page, nil
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -37,6 +37,8 @@
 	Seeds []string
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
+	// MaxValueBytes is the size up to which the store takes values; 0 if it is not known.
+	MaxValueBytes int
 
 	// Cores is the number of cores available to the process and may be a fraction.
 	Cores float64
@@ -77,5 +79,5 @@
 
 // Budget returns what the process may use.
 func (s *Settings) Budget() membudget.Budget {
-	return membudget.Budget{Memory: s.MemoryBytes, Descriptors: s.Descriptors}
+	return membudget.Budget{Memory: s.MemoryBytes, Descriptors: s.Descriptors, Value: s.MaxValueBytes}
 }
--- a/internal/node/syncer.go
+++ b/internal/node/syncer.go
@@ -13,6 +13,7 @@
 	"sycamorekeel.example/sycamorekeel/internal/catalogsync"
 	"sycamorekeel.example/sycamorekeel/internal/gossip"
 	"sycamorekeel.example/sycamorekeel/internal/membership"
+	"sycamorekeel.example/sycamorekeel/internal/pagecodec"
 	"sycamorekeel.example/sycamorekeel/internal/pb"
 	"sycamorekeel.example/sycamorekeel/internal/poison"
 	"sycamorekeel.example/sycamorekeel/internal/traffic"
@@ -22,6 +23,10 @@
 // longer covers.
 var ErrCompacted = errors.New("the store no longer has this history")
 
+// ErrTooLarge is the error of a call whose answer is too large, or too large for the time that it
+// may take.
+var ErrTooLarge = errors.New("the answer is too large")
+
 // Store reads the platform's store.
 type Store interface {
 	// List returns every item, and a position up to which the items include all
@@ -30,6 +35,11 @@
 	// Watch waits for changes above a revision. It returns ErrCompacted if these
 	// changes are no longer known or if the store has not reached the revision.
 	Watch(after uint64, wait time.Duration) (at catalog.Position, changes []catalog.Item, err error)
+	// Prefer sets a function that reports whether this VM holds an item. Listings leave out such items
+	// last. It is set before the first call.
+	Prefer(held func(key string) bool)
+	// LeftOut returns how many items were left out of listings because they did not fit.
+	LeftOut() uint64
 }
 
 const (
@@ -43,8 +53,8 @@
 // catalogSyncer keeps the catalog in sync with the store and with peers. It feeds
 // events to a catalogsync.Follower and executes the actions that the follower returns.
 //
-// Lock order: mu and the lock of pages are leaves. Actions are executed after mu is
-// released.
+// Lock order: pageWork, then mu or the lock of pages, which are leaves. Actions are executed after mu
+// is released.
 type catalogSyncer struct {
 	log       *zap.Logger
 	met       *catalogMetrics
@@ -73,10 +83,19 @@
 	lastEra uint64
 	// readsStore reports whether this VM was a reader of the store at the last event.
 	readsStore bool
+	// leftOut is the last value of the store's LeftOut.
+	leftOut uint64
 	// lastPageUnreadable is set if the last page could not be unpacked. The next one is
 	// then requested without a base.
 	lastPageUnreadable bool
 
+	// reads is the version of the decoder, see Adapter.Reads.
+	reads uint64
+	// codec packs and unpacks pages, one at a time: pageWork is held meanwhile. It is locked before mu.
+	codec    pagecodec.Codec
+	pageWork sync.Mutex
+
+	rejections rejections
 	pages      pageCache
 	memberList memberListCache
 }
@@ -112,6 +131,8 @@
 		}
 	}
 	rejected := s.follower.State().TakeRejected()
+	unlisted := s.follower.State().TakeUnlisted()
+	logged, suppressed := s.rejections.add(now, rejected, unlisted)
 	at := s.follower.State().Position()
 	confirmed := s.follower.Confirmed()
 	s.mu.Unlock()
@@ -119,13 +140,7 @@
 		s.log.Info("store: reader", zap.Bool("reads", isReader), zap.Bool("elected", elected),
 			zap.Stringer("position", at), zap.Stringer("lead", lead), zap.Duration("view_age", sinceOrZero(now, confirmed)))
 	}
-	for _, x := range rejected {
-		s.met.rejected.Inc()
-		if x.Repeated {
-			continue
-		}
-		s.log.Warn("store: item rejected", zap.String("key", x.Key), zap.Uint64("revision", x.Revision), zap.Error(x.Err))
-	}
+	s.logRejected(len(rejected)+unlisted, logged, suppressed)
 	if view != nil {
 		s.applyView(view)
 	}
@@ -171,6 +186,7 @@
 func (s *catalogSyncer) list(l catalogsync.List) {
 	at, items, err := s.store.List(l.AllowStale)
 	s.recordRead("list", err)
+	s.recordLeftOut()
 	if err == nil {
 		s.log.Info("store: listed", zap.Stringer("position", at), zap.Int("items", len(items)), zap.Bool("stale", l.AllowStale))
 		s.recordPosition("list", at)
@@ -201,6 +217,26 @@
 	})
 }
 
+// holds reports whether this VM holds an item.
+func (s *catalogSyncer) holds(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.follower.State().Holds(key)
+}
+
+// recordLeftOut logs items that were left out of listings.
+func (s *catalogSyncer) recordLeftOut() {
+	total := s.store.LeftOut()
+	s.mu.Lock()
+	added := total - s.leftOut
+	s.leftOut = total
+	s.mu.Unlock()
+	if added > 0 {
+		s.met.leftOut.Add(float64(added))
+		s.log.Warn("store: listing exceeds the memory for published items, some were left out", zap.Uint64("items", added))
+	}
+}
+
 // recordRead counts a call to the store and logs the first failure and the first
 // success after a failure.
 func (s *catalogSyncer) recordRead(call string, err error) {
--- a/internal/pagecodec/pagecodec.go
+++ b/internal/pagecodec/pagecodec.go
@@ -9,10 +9,13 @@
 package pagecodec
 
 import (
+	"cmp"
+	"errors"
 	"math/bits"
 
 	"github.com/gravitational/trace"
 	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"sycamorekeel.example/sycamorekeel/internal/catalog"
@@ -33,8 +36,39 @@
 // which means no dictionary.
 func dictionaryID(base catalog.Document) uint32 { return max(1, uint32(base.Sum)) }
 
-// Pack encodes a page for a VM that holds base. The zero Document means no base.
+// ErrTooLarge is the error of a page that exceeds the limit of the receiver.
+var ErrTooLarge = errors.New("the page is too large")
+
+// minItemBytes is the size in bytes that items of a page have on average at least. A page of smaller ones
+// would take many times its size once it is decoded.
+const minItemBytes = 128
+
+// itemsField is the number of CatalogPage's field items.
+const itemsField = 4
+
+// Codec encodes and decodes pages within a VM's memory. The zero Codec has the largest limits.
+type Codec struct {
+	// MaxPage limits a received page in bytes, packed or not.
+	MaxPage int
+	// MaxWindow limits the compression window in bytes, and with it the memory of an encoder.
+	MaxWindow int
+}
+
+func (c Codec) maxPage() int   { return cmp.Or(c.MaxPage, MaxPage) }
+func (c Codec) maxWindow() int { return cmp.Or(c.MaxWindow, maxWindow) }
+
+// Pack encodes a page within the largest limits.
 func Pack(page *pb.CatalogPage, base catalog.Document) ([]byte, error) {
+	return Codec{}.Pack(page, base)
+}
+
+// Unpack decodes a page within the largest limits.
+func Unpack(body []byte, base catalog.Document) (*pb.CatalogPage, error) {
+	return Codec{}.Unpack(body, base)
+}
+
+// Pack encodes a page for a VM that holds base. The zero Document means no base.
+func (c Codec) Pack(page *pb.CatalogPage, base catalog.Document) ([]byte, error) {
 	body, err := proto.Marshal(page)
 	if err != nil {
 		return nil, trace.Wrap(err, "cannot marshal page")
@@ -43,7 +77,7 @@
 		zstd.WithEncoderConcurrency(1),
 		zstd.WithLowerEncoderMem(true),
 		zstd.WithEncoderLevel(zstd.SpeedFastest),
-		zstd.WithWindowSize(windowSize(len(body) + len(base.Text))),
+		zstd.WithWindowSize(min(windowSize(len(body)+len(base.Text)), c.maxWindow())),
 	}
 	if len(base.Text) > 0 {
 		options = append(options, zstd.WithEncoderDictRaw(dictionaryID(base), base.Text))
@@ -64,15 +98,16 @@
 
 // Unpack decodes a page that was encoded by Pack with the same base. It returns a
 // trace.BadParameter error if the body is truncated, corrupt or was packed against
-// another base, which the content checksum of the format detects.
-func Unpack(body []byte, base catalog.Document) (*pb.CatalogPage, error) {
+// another base, which the content checksum of the format detects, and ErrTooLarge if it exceeds the
+// limit.
+func (c Codec) Unpack(body []byte, base catalog.Document) (*pb.CatalogPage, error) {
 	if len(body) == 0 {
 		return nil, trace.BadParameter("packed page is empty")
 	}
 	options := []zstd.DOption{
 		zstd.WithDecoderConcurrency(1),
 		zstd.WithDecoderLowmem(true),
-		zstd.WithDecoderMaxMemory(MaxPage),
+		zstd.WithDecoderMaxMemory(uint64(c.maxPage())),
 	}
 	if len(base.Text) > 0 {
 		options = append(options, zstd.WithDecoderDictRaw(dictionaryID(base), base.Text))
@@ -83,12 +118,40 @@
 	}
 	defer decoder.Close()
 	plain, err := decoder.DecodeAll(body, nil)
+	if errors.Is(err, zstd.ErrDecoderSizeExceeded) || errors.Is(err, zstd.ErrWindowSizeExceeded) {
+		return nil, ErrTooLarge
+	}
 	if err != nil {
 		return nil, trace.BadParameter("cannot decompress page of %d bytes against base %016x: %v", len(body), base.Sum, err)
 	}
+	return c.Decode(plain)
+}
+
+// Decode decodes a page that is not packed. It returns a trace.BadParameter error if the body is no
+// page, and ErrTooLarge if it has more items than fit into the limit.
+func (c Codec) Decode(body []byte) (*pb.CatalogPage, error) {
+	if len(body) > c.maxPage() || countItems(body) > c.maxPage()/minItemBytes {
+		return nil, ErrTooLarge
+	}
 	page := &pb.CatalogPage{}
-	if err := proto.Unmarshal(plain, page); err != nil {
-		return nil, trace.BadParameter("cannot unmarshal packed page of %d bytes: %v", len(body), err)
+	if err := proto.Unmarshal(body, page); err != nil {
+		return nil, trace.BadParameter("cannot unmarshal page of %d bytes: %v", len(body), err)
 	}
 	return page, nil
 }
+
+// countItems returns how many items an encoded page has, up to the first malformed field.
+func countItems(body []byte) int {
+	items := 0
+	for len(body) > 0 {
+		number, _, n := protowire.ConsumeField(body)
+		if n < 0 {
+			return items
+		}
+		if number == itemsField {
+			items++
+		}
+		body = body[n:]
+	}
+	return items
+}
--- a/internal/standalone/deployment.go
+++ b/internal/standalone/deployment.go
@@ -113,6 +113,12 @@
 	}
 }
 
+// Prefer implements node.Store.
+func (f *FileStore) Prefer(func(key string) bool) {}
+
+// LeftOut implements node.Store.
+func (f *FileStore) LeftOut() uint64 { return 0 }
+
 func (f *FileStore) read() (*pb.EdgeDeployment, error) {
 	data, err := os.ReadFile(f.path)
 	if err != nil {
