node: a page without a length is refused; tests of answers that stop midway

Another operator reports that clients got a 200 with an empty or short body after a backend had stopped in the middle of its head.

VMs never send such a page, so a page without a length is refused.

--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -37,6 +37,8 @@
 	argBase = "base"
 	// packedEncoding is the Content-Encoding of a packed page.
 	packedEncoding = "zstd"
+	// untilClose is the library's length of a body that ends with its connection.
+	untilClose = -2
 	// argReads is the version of the requester's decoder. Older releases do not send it.
 	argReads = "reads"
 )
@@ -109,6 +111,10 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, trace.ConnectionProblem(nil, "the peer answered with status %d", resp.StatusCode())
 	}
+	if resp.Header.ContentLength() == untilClose {
+		// Nothing tells such a page from one that is cut.
+		return nil, trace.ConnectionProblem(nil, "the peer's page has no length")
+	}
 	s.met.pulledBytes.Add(float64(len(resp.Body())))
 	s.pageWork.Lock()
 	defer s.pageWork.Unlock()
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
@@ -325,3 +326,52 @@
 		peer.Close()
 	}
 }
+
+// Guards against a page that is cut and reads as a shorter one, in its head or in its body, packed or not:
+// its VM would be at a position without the changes up to it.
+func TestCutPageIsNoPage(t *testing.T) {
+	server := newRegistrationSyncer(1, "")
+	server.replace(5, map[string]string{"u1": "x", "u2": "x", "u3": "x"})
+	plain, err := server.encodePlainPage(pageKey{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	packed, err := server.encodePage(pageKey{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, answer := range map[string]string{
+		"plain":               fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(plain.body), plain.body),
+		"packed":              fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Encoding: zstd\r\nContent-Length: %d\r\n\r\n%s", len(packed.body), packed.body),
+		"plain in chunks":     fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(plain.body), plain.body),
+		"plain, until close":  fmt.Sprintf("HTTP/1.1 200 OK\r\n\r\n%s", plain.body),
+		"packed, until close": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Encoding: zstd\r\n\r\n%s", packed.body),
+	} {
+		whole := len(answer)
+		if strings.HasSuffix(name, "until close") {
+			// Such a page has no end of its own.
+			whole++
+		}
+		for cut := 0; cut < whole; cut++ {
+			text := answer[:cut]
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer nc.Close()
+				var req fasthttp.Request
+				_ = req.Read(bufio.NewReader(nc)) // the client always sends a whole request
+				_, _ = nc.Write([]byte(text))
+			}()
+			if page, err := newRegistrationSyncer(1, "").fetchCatalog(pullFrom(ln.Addr().String(), 0)); err == nil {
+				t.Errorf("%s, cut after %d of %d bytes: a page of %d items", name, cut, len(answer), len(page.Items))
+			}
+			ln.Close()
+		}
+	}
+}
