catalogsync: an answer that is too large is no outage, and is not repeated

Cause: the answer of a reader's watch exceeded the limit of a response. That counted as a failed call of a store in trouble: the follower backed off and repeated the same watch.

Size is now a failure of its own, also where the time runs out in the middle of a large answer: a watch is followed by a listing at once, a pull by reading the store for 10 s, and a listing is repeated after a pause. From when an answer turns out to be large the configuration is read alone beside it, each quarter of the bound. VMs that are not readers give a large answer up and list one after the other.

Why it holds: a change of the configuration waits for no answer whose size others decide.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -367,6 +367,17 @@
 	return !held
 }
 
+// PutConfiguration applies a configuration that was read alone, before the changes up to its revision
+// are known. It reports whether it is put in force. One of another era is ignored, as the state has
+// to be replaced first.
+func (s *State) PutConfiguration(it Item) bool {
+	if s.decoder.Kind(it.Key) != Configuration || it.Deleted || it.Era != s.position.Era {
+		return false
+	}
+	s.putItem(it)
+	return s.activateNewestConfig()
+}
+
 // activateNewestConfig puts the newest valid version of a batch in force, separately for each
 // era. Versions older than a valid one are not decoded: when a document changes several times a
 // second, a reader receives several versions at once, decoding the superseded ones would take
--- a/internal/catalog/content_test.go
+++ b/internal/catalog/content_test.go
@@ -241,6 +241,27 @@
 	})
 }
 
+// Guards against a configuration that is read alone and does not come into force, is reverted by an
+// earlier listing, or changes what is known of other items.
+func TestConfigurationReadAlone(t *testing.T) {
+	s := sampleState()
+	if !s.PutConfiguration(put("config", "h", 20)) || s.View().Config.Version != 20 || s.Position() != at(10) {
+		t.Fatalf("version %d at %v", s.View().Config.Version, s.Position())
+	}
+	if s.PutConfiguration(put("config", "h", 15)) || s.PutConfiguration(put("up/x", "s", 21)) || s.PutConfiguration(Item{Key: "config", Era: 1, Revision: 30}) {
+		t.Error("an older version, another item or one of another era is put in force")
+	}
+	s.Replace(start, at(12), []Item{put("config", "h", 11), put("up/a", "s", 4), put("up/c", "s", 12)})
+	if s.View().Config.Version != 20 || ids(s, "s") != "a,c" {
+		t.Errorf("version %d, upstreams %q", s.View().Config.Version, ids(s, "s"))
+	}
+	behind := sampleState()
+	behind.ApplyPage(start, s.PageSince(behind.Position()))
+	if behind.View().Config.Version != 20 {
+		t.Errorf("a peer has version %d", behind.View().Config.Version)
+	}
+}
+
 // Guards against a Sieve that drops valid items, keeps much of the others, or decodes superseded
 // configurations for nothing.
 func TestSieve(t *testing.T) {
--- a/internal/catalogsync/catalogsync.go
+++ b/internal/catalogsync/catalogsync.go
@@ -64,6 +64,10 @@
 	AllowStale bool
 }
 
+// ReadConfiguration reads the configuration alone from the store, beside an open listing or watch.
+// The caller reports the result with ConfigurationRead or ConfigurationFailed.
+type ReadConfiguration struct{}
+
 // Watch waits at the store for changes after a position. The caller reports the result with
 // Watched or ReadFailed.
 type Watch struct {
@@ -97,12 +101,13 @@
 // made it up, and has been discarded.
 type Disproved struct{ At catalog.Position }
 
-func (List) action()      {}
-func (Watch) action()     {}
-func (Pull) action()      {}
-func (Announce) action()  {}
-func (Changed) action()   {}
-func (Disproved) action() {}
+func (List) action()              {}
+func (ReadConfiguration) action() {}
+func (Watch) action()             {}
+func (Pull) action()              {}
+func (Announce) action()          {}
+func (Changed) action()           {}
+func (Disproved) action()         {}
 
 // Follower decides what one VM reads, and when. It is not safe for concurrent use.
 type Follower struct {
@@ -130,6 +135,15 @@
 	// the store may. listPartialAt is when the next listing for it may start.
 	partial       bool
 	listPartialAt time.Time
+	// largeRead is set from when an answer of the store turns out to be large until a listing or a
+	// watch has succeeded.
+	largeRead     bool
+	configuration configurationRead
+	// fullListingAt is from when a VM that is not elected reads a large answer to its end, zero
+	// before an answer turns out to be large.
+	fullListingAt time.Time
+	// pullsAgainAt is until when this VM does not pull, as a peer's page was too large.
+	pullsAgainAt time.Time
 	// temporaryReaderUntil is when a VM that is not elected stops reading the store.
 	temporaryReaderUntil time.Time
 	confirmedAt          time.Time
@@ -243,6 +257,7 @@
 	f.relistForRoom(now)
 	f.maybePull(now)
 	f.maybeRead(now)
+	f.maybeReadConfiguration(now)
 	return f.actions
 }
 
--- a/internal/catalogsync/catalogsync_test.go
+++ b/internal/catalogsync/catalogsync_test.go
@@ -60,6 +60,8 @@
 			out = append(out, "changed")
 		case Disproved:
 			out = append(out, "disproved")
+		case ReadConfiguration:
+			out = append(out, "configuration")
 		}
 	}
 	return strings.Join(out, " ")
--- a/internal/catalogsync/pull.go
+++ b/internal/catalogsync/pull.go
@@ -26,6 +26,9 @@
 	// regions. A page that keeps arriving may take up to the bound. With a fixed time limit, a
 	// transfer over a slow link would restart for good and leave its VM at an old version.
 	pullStallTimeout = 600 * time.Millisecond
+	// tooLargePullDelay is how long a VM reads the store in place of pulling after a page that was
+	// too large.
+	tooLargePullDelay = 10 * time.Second
 )
 
 // claim is a position announced by a peer.
@@ -134,6 +137,18 @@
 	return f.actions
 }
 
+// PullTooLarge handles a pull whose page was too large. Asked again, the peer would send the same page,
+// so this VM reads the store itself for a while.
+func (f *Follower) PullTooLarge(now time.Time, id uint64) []Action {
+	f.PullFailed(now, id)
+	f.pullsAgainAt = now.Add(tooLargePullDelay)
+	f.temporaryReaderUntil = later(f.temporaryReaderUntil, f.pullsAgainAt)
+	f.relist = true
+	f.nextReadAt = later(f.nextReadAt, now.Add(f.rankDelay()))
+	f.maybeRead(now)
+	return f.actions
+}
+
 // handleConfirmation handles a peer's confirmation of the current position. A new one from
 // outside the data centre is forwarded within it: peers that exchange datagrams mostly with
 // their neighbours would otherwise receive it too late and read the store themselves.
@@ -178,7 +193,7 @@
 		f.pull = nil
 		f.lead = claim{}
 	}
-	if !f.behindLead() {
+	if !f.behindLead() || now.Before(f.pullsAgainAt) {
 		return
 	}
 	if now.Sub(f.lead.behindSince) < f.pullDelay() {
--- a/internal/catalogsync/read.go
+++ b/internal/catalogsync/read.go
@@ -209,6 +209,7 @@
 func (f *Follower) ReadFailed(now time.Time, compacted bool) []Action {
 	f.actions = nil
 	f.readOpen = false
+	f.largeRead, f.fullListingAt = false, time.Time{}
 	if compacted {
 		f.relist = true
 		f.nextReadAt = now
@@ -235,6 +236,7 @@
 func (f *Follower) readAnswered(now time.Time) {
 	f.readOpen = false
 	f.failures = 0
+	f.largeRead, f.fullListingAt = false, time.Time{}
 	f.nextReadAt = f.readStartedAt.Add(f.ofBound(readSpacingShare))
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -18,8 +18,9 @@
 	pulledItems prometheus.Counter
 	pullSeconds prometheus.Histogram
 	rejected    prometheus.Counter
-	// leftOut counts the items that were left out of listings, and refusedPages the pages that were
-	// not sent.
+	// largeReads counts answers of the store that turned out to be large, leftOut the items that
+	// were left out of listings, and refusedPages the pages that were not sent.
+	largeReads   prometheus.Counter
 	leftOut      prometheus.Counter
 	refusedPages prometheus.Counter
 	disproved    prometheus.Counter
@@ -49,6 +50,9 @@
 		rejected: f.NewCounter(prometheus.CounterOpts{
 			Name: "sycamorekeel_catalog_rejected_items_total", Help: "Versions of items that were not taken.",
 		}),
+		largeReads: f.NewCounter(prometheus.CounterOpts{
+			Name: "sycamorekeel_catalog_large_reads_total", Help: "Answers of the store that turned out to be large while they were read.",
+		}),
 		leftOut: f.NewCounter(prometheus.CounterOpts{
 			Name: "sycamorekeel_catalog_left_out_items_total", Help: "Items that were left out of listings because the published items exceed their memory.",
 		}),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -474,6 +474,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	d.adapter.Store.OnLargeRead(d.syncer.readLarge)
 	d.adapter.Store.Prefer(d.syncer.holds)
 	run, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/node/syncer.go
+++ b/internal/node/syncer.go
@@ -35,6 +35,13 @@
 	// Watch waits for changes above a revision. It returns ErrCompacted if these
 	// changes are no longer known or if the store has not reached the revision.
 	Watch(after uint64, wait time.Duration) (at catalog.Position, changes []catalog.Item, err error)
+	// Configuration returns the configuration's newest version alone. It may be called while a
+	// listing or a watch is open.
+	Configuration() (catalog.Item, error)
+	// OnLargeRead sets a function that is called while a listing or a watch is open whose answer
+	// turns out to be large. If it returns false, the call ends with ErrTooLarge. It is set before
+	// the first call.
+	OnLargeRead(func() bool)
 	// Prefer sets a function that reports whether this VM holds an item. Listings leave out such items
 	// last. It is set before the first call.
 	Prefer(held func(key string) bool)
@@ -85,6 +92,8 @@
 	readsStore bool
 	// leftOut is the last value of the store's LeftOut.
 	leftOut uint64
+	// largeLoggedAt is when a large answer of the store was last logged.
+	largeLoggedAt time.Time
 	// lastPageUnreadable is set if the last page could not be unpacked. The next one is
 	// then requested without a base.
 	lastPageUnreadable bool
@@ -170,6 +179,8 @@
 			go s.list(a)
 		case catalogsync.Watch:
 			go s.watch(a)
+		case catalogsync.ReadConfiguration:
+			go s.readConfiguration()
 		case catalogsync.Pull:
 			go s.pull(a)
 		case catalogsync.Announce:
@@ -193,6 +204,8 @@
 	}
 	s.step(func(f *catalogsync.Follower, now time.Time) []catalogsync.Action {
 		switch {
+		case errors.Is(err, ErrTooLarge):
+			return f.ReadTooLarge(now)
 		case err != nil:
 			return f.ReadFailed(now, false)
 		case l.AllowStale:
@@ -210,13 +223,40 @@
 		s.recordPosition("watch", at)
 	}
 	s.step(func(f *catalogsync.Follower, now time.Time) []catalogsync.Action {
-		if err != nil {
+		switch {
+		case errors.Is(err, ErrTooLarge):
+			return f.ReadTooLarge(now)
+		case err != nil:
 			return f.ReadFailed(now, errors.Is(err, ErrCompacted))
+		default:
+			return f.Watched(now, w.After, at, changes)
 		}
-		return f.Watched(now, w.After, at, changes)
 	})
 }
 
+// readLarge handles an open read whose answer turns out to be large, and reports whether it is to be
+// read to its end.
+func (s *catalogSyncer) readLarge() bool {
+	s.met.largeReads.Inc()
+	goOn := false
+	s.step(func(f *catalogsync.Follower, now time.Time) []catalogsync.Action {
+		actions := f.ReadLarge(now)
+		goOn = f.ReadsLarge(now)
+		return actions
+	})
+	now := time.Now()
+	s.mu.Lock()
+	due := now.Sub(s.largeLoggedAt) >= rejectionWindow
+	if due {
+		s.largeLoggedAt = now
+	}
+	s.mu.Unlock()
+	if due {
+		s.log.Warn("store: large answer, the configuration is read alone meanwhile", zap.Bool("read_on", goOn))
+	}
+	return goOn
+}
+
 // holds reports whether this VM holds an item.
 func (s *catalogSyncer) holds(key string) bool {
 	s.mu.Lock()
@@ -224,6 +264,18 @@
 	return s.follower.State().Holds(key)
 }
 
+// readConfiguration reads the configuration alone.
+func (s *catalogSyncer) readConfiguration() {
+	it, err := s.store.Configuration()
+	s.met.reads.WithLabelValues("configuration", resultLabel(err)).Inc()
+	s.step(func(f *catalogsync.Follower, now time.Time) []catalogsync.Action {
+		if err != nil {
+			return f.ConfigurationFailed(now)
+		}
+		return f.ConfigurationRead(now, it)
+	})
+}
+
 // recordLeftOut logs items that were left out of listings.
 func (s *catalogSyncer) recordLeftOut() {
 	total := s.store.LeftOut()
@@ -296,7 +348,10 @@
 	page, err := s.fetchCatalog(p)
 	s.recordPull(p, page, err, time.Since(start))
 	s.step(func(f *catalogsync.Follower, now time.Time) []catalogsync.Action {
-		if err != nil {
+		switch {
+		case isTooLarge(err):
+			return f.PullTooLarge(now, p.ID)
+		case err != nil:
 			return f.PullFailed(now, p.ID)
 		}
 		return f.Pulled(now, p.ID, decodePage(page))
--- a/internal/standalone/deployment.go
+++ b/internal/standalone/deployment.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// Configuration implements node.Store.
+func (f *FileStore) Configuration() (catalog.Item, error) {
+	_, items, err := f.List(false)
+	if err != nil {
+		return catalog.Item{}, err
+	}
+	return items[0], nil
+}
+
+// OnLargeRead implements node.Store. A file is read as a whole.
+func (f *FileStore) OnLargeRead(func() bool) {}
+
 // Prefer implements node.Store.
 func (f *FileStore) Prefer(func(key string) bool) {}
 
