platform: an answer of the store that is slow because of its size is reported too

On a link of 20 Mbit/s an answer is read for 1.6 s before it counts as large, and a watch may run out of time before; the configuration was read alone only then. Now an answer of more than 512 KiB that has taken 0.5 s is reported, and the configuration is read alone beside it; whether such an answer is read to its end is still decided by its size.

--- a/internal/node/syncer.go
+++ b/internal/node/syncer.go
@@ -39,9 +39,9 @@
 	// listing or a watch is open.
 	Configuration() (catalog.Item, error)
 	// OnLargeRead sets a function that is called while a listing or a watch is open whose answer
-	// turns out to be large. If it returns false, the call ends with ErrTooLarge. It is set before
-	// the first call.
-	OnLargeRead(func() bool)
+	// takes long because of its size, or turns out to be large. If it returns false for a large one,
+	// the call ends with ErrTooLarge. It is set before the first call.
+	OnLargeRead(func(large bool) (goOn bool))
 	// Prefer sets a function that reports whether this VM holds an item. Listings leave out such items
 	// last. It is set before the first call.
 	Prefer(held func(key string) bool)
@@ -234,14 +234,14 @@
 	})
 }
 
-// readLarge handles an open read whose answer turns out to be large, and reports whether it is to be
-// read to its end.
-func (s *catalogSyncer) readLarge() bool {
+// readLarge handles an open read whose answer takes long because of its size or is large, and reports
+// whether it is to be read to its end.
+func (s *catalogSyncer) readLarge(large bool) bool {
 	s.met.largeReads.Inc()
-	goOn := false
+	goOn := true
 	s.step(func(f *catalogsync.Follower, now time.Time) []catalogsync.Action {
 		actions := f.ReadLarge(now)
-		goOn = f.ReadsLarge(now)
+		goOn = !large || f.ReadsLarge(now)
 		return actions
 	})
 	now := time.Now()
--- a/internal/standalone/deployment.go
+++ b/internal/standalone/deployment.go
@@ -123,7 +123,7 @@
 }
 
 // OnLargeRead implements node.Store. A file is read as a whole.
-func (f *FileStore) OnLargeRead(func() bool) {}
+func (f *FileStore) OnLargeRead(func(large bool) bool) {}
 
 // Prefer implements node.Store.
 func (f *FileStore) Prefer(func(key string) bool) {}
