--- a/internal/catalog/content_test.go
+++ b/internal/catalog/content_test.go
@@ -110,7 +110,7 @@
 	if !s.PageSince(at(12)).NoRoom || !s.PageSince(at(0)).NoRoom || s.PageSince(at(16)).NoRoom {
 		t.Error("pages do not tell what they lack")
 	}
-	// An upstream in use that leaves is heard of although there is no room.
+	// An upstream in use may begin to leave although there is no room.
 	s.Apply(start, at(16), at(17), []Item{put("up/a", "s leaving", 17)})
 	if got := ids(s, "s"); got != "b,n0,n1,n2" {
 		t.Errorf("after an upstream has begun to leave: %q", got)
--- a/internal/node/pages.go
+++ b/internal/node/pages.go
@@ -112,7 +112,7 @@
 		return nil, trace.ConnectionProblem(nil, "the peer answered with status %d", resp.StatusCode())
 	}
 	if resp.Header.ContentLength() == untilClose {
-		// Nothing tells such a page from one that is cut.
+		// A complete page cannot be distinguished from one that is cut.
 		return nil, trace.ConnectionProblem(nil, "the peer's page has no length")
 	}
 	s.met.pulledBytes.Add(float64(len(resp.Body())))
