catalogsync: a starting fleet reads a large listing one VM after the other

A VM without state read a large listing to its end in any case, so that all VMs of a fleet that starts beside many entries of other writers would share the store's link. They wait for their turn now, and pull from those that were before them; a VM that knows no other has no turn to wait for. TestLargeListingsOfAStartingFleetAreSpread (failed before: all five read on at once).

--- a/internal/catalogsync/large.go
+++ b/internal/catalogsync/large.go
@@ -35,11 +35,12 @@
 	return f.actions
 }
 
-// ReadsLarge reports whether this VM is to read a large answer to its end. The readers do, and a VM
-// without state. The others do one after the other: if all did at once, none would get its answer
-// in time over the store's link. Any other call ends as too large.
+// ReadsLarge reports whether this VM is to read a large answer to its end. The readers do. The others
+// do one after the other: if all did at once, as when the whole fleet starts, none would get its answer
+// in time over the store's link. Until then they may pull from those before them. Any other call ends
+// as too large.
 func (f *Follower) ReadsLarge(now time.Time) bool {
-	return f.Elected(now) || f.state.Revision() == 0 || !now.Before(f.fullListingAt)
+	return f.Elected(now) || !now.Before(f.fullListingAt)
 }
 
 // ReadTooLarge handles a read whose answer was too large, or took too long for its size. The store
--- a/internal/catalogsync/large_test.go
+++ b/internal/catalogsync/large_test.go
@@ -127,6 +127,37 @@
 	}
 }
 
+// Guards against a fleet that reads a large listing on all VMs at once when it starts, and against a VM that
+// waits for others which it does not know.
+func TestLargeListingsOfAStartingFleetAreSpread(t *testing.T) {
+	alone := newFollower(start, "a", "r", false)
+	alone.ReadLarge(start)
+	if !alone.ReadsLarge(start) {
+		t.Error("a VM that knows no other does not read on")
+	}
+	first := map[time.Duration]int{}
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		f := newFollower(start, name, "r", false)
+		var peers []Peer
+		for _, other := range []string{"a", "b", "c", "d", "e"} {
+			if other != name {
+				peers = append(peers, Peer{VM: other, Region: "r"})
+			}
+		}
+		f.SetPeers(peers)
+		f.ReadLarge(start)
+		for wait := time.Duration(0); ; wait += fullListingStep {
+			if f.ReadsLarge(start.Add(wait)) {
+				first[wait]++
+				break
+			}
+		}
+	}
+	if len(first) != 5 {
+		t.Errorf("VMs by the time from which they read on: %v", first)
+	}
+}
+
 // Guards against pulling a page again that was too large for this VM.
 func TestPageThatIsTooLargeIsNotPulledAgain(t *testing.T) {
 	f, now := behind(t)
