catalog: an upstream without room returns with the same version of its entry

An upstream in use whose entry no longer fitted was held without its value; once there was room, the listing that follows brought the same version, which was taken for known. The upstream stayed out of use, and the state no longer counted as over its limit. Found on reading the change again. TestUpstreamWithoutRoomReturns failed before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -56,9 +56,10 @@
 func (it Item) Position() Position { return Position{Era: it.Era, Revision: it.Revision} }
 
 // supersededBy reports whether other replaces a held version: it is later, or the same one with the
-// value that a peer withheld.
+// value that a peer withheld or that there was no room for.
 func (it Item) supersededBy(other Item) bool {
-	if errors.Is(it.Fault, ErrWithheld) && other.Fault == nil && it.Position() == other.Position() {
+	lacksValue := errors.Is(it.Fault, ErrWithheld) || errors.Is(it.Fault, errNoRoom)
+	if lacksValue && other.Fault == nil && it.Position() == other.Position() {
 		return true
 	}
 	return it.Position().Before(other.Position())
--- a/internal/catalog/content_test.go
+++ b/internal/catalog/content_test.go
@@ -123,6 +123,22 @@
 	}
 }
 
+// Guards against an upstream that stays out of use after there is room again: its entry no longer fitted,
+// and the listing brings the same version.
+func TestUpstreamWithoutRoomReturns(t *testing.T) {
+	s := sampleState()
+	s.SetLimit(s.Size() + 10)
+	s.Apply(start, at(10), at(11), []Item{put("up/a", "s in-a-longer-entry", 11)})
+	if got := ids(s, "s"); got != "b" || !s.Overflowed() {
+		t.Fatalf("an entry that does not fit: %q", got)
+	}
+	s.Apply(start, at(11), at(12), []Item{deleted("up/b", 12)})
+	s.Replace(start, at(12), []Item{put("config", "h", 3), put("up/a", "s in-a-longer-entry", 11)})
+	if got := ids(s, "s"); got != "a" || s.Overflowed() {
+		t.Errorf("after a listing with room: %q, overflowed %v", got, s.Overflowed())
+	}
+}
+
 // Guards against texts of errors that quote a long item, in memory and in the log.
 func TestErrorTextsAreShort(t *testing.T) {
 	s := New(start, quotingDecoder{})
